Start the whole path as a thin version

One binary holds entry, agent, control and dev; dev runs them in one process by the kernel with a stand-in engine.

--- /dev/null
+++ b/scripts/eslint/plugin.mjs
@@ -0,0 +1,54 @@
+import { readVerbs } from './verbs.mjs';
+
+const verbs = new Set(readVerbs());
+const readFirstWord = (name) => /^[a-z]+/.exec(name)?.[0] ?? '';
+
+const verbFirst = {
+  meta: {
+    type: 'suggestion',
+    schema: [],
+    messages: { verb: "function '{{name}}' must begin with a verb of docs/verbs.md" },
+  },
+  create: (context) => {
+    const checkName = (node, name) => {
+      if (!verbs.has(readFirstWord(name))) {
+        context.report({ node, messageId: 'verb', data: { name } });
+      }
+    };
+    return {
+      FunctionDeclaration: (node) => {
+        if (node.id) checkName(node.id, node.id.name);
+      },
+      VariableDeclarator: (node) => {
+        const kind = node.init?.type;
+        const isFunction = kind === 'ArrowFunctionExpression' || kind === 'FunctionExpression';
+        if (isFunction && node.id.type === 'Identifier') checkName(node.id, node.id.name);
+      },
+    };
+  },
+};
+
+const isDocumented = (sourceCode, node) =>
+  sourceCode
+    .getCommentsBefore(node)
+    .some((comment) => comment.type === 'Block' && comment.value.startsWith('*'));
+
+const documentedExport = {
+  meta: {
+    type: 'suggestion',
+    schema: [],
+    messages: { doc: 'an export needs a short doc comment' },
+  },
+  create: (context) => ({
+    ExportNamedDeclaration: (node) => {
+      if (node.declaration && !isDocumented(context.sourceCode, node)) {
+        context.report({ node, messageId: 'doc' });
+      }
+    },
+  }),
+};
+
+/** The project's own lint rules: the verb list and doc comments on exports. */
+export const projectPlugin = {
+  rules: { 'verb-first': verbFirst, 'documented-export': documentedExport },
+};
--- /dev/null
+++ b/src/node/agent/agentServer.ts
@@ -0,0 +1,103 @@
+import { PassThrough } from 'node:stream';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import { createError, formatErrorBody } from '../errors';
+import { checkSecret, createMethod, type RpcMethods } from '../rpc';
+import { attemptNameParams, attemptSchema } from '../shared';
+import type { Attempt } from './attempt';
+import type { AttemptStore } from './attemptStore';
+import { engineAnnouncementSchema, type EngineAnnouncement } from './announcements';
+
+const KEEP_ALIVE_MS = 1_000;
+
+const waitForDrain = (stream: PassThrough): Promise<void> =>
+  new Promise((resolve) => {
+    stream.once('drain', resolve);
+    stream.once('close', resolve);
+  });
+
+// A reader that goes away only stops reading: the attempt runs on until it is cancelled.
+const sendFrames = async (attempt: Attempt, from: number, stream: PassThrough): Promise<void> => {
+  const stop = new AbortController();
+  stream.once('close', () => stop.abort());
+  const keepAlive = setInterval(() => stream.write('{"type":"keepAlive"}\n'), KEEP_ALIVE_MS);
+  try {
+    for await (const frame of attempt.read(from, stop.signal)) {
+      const hasRoom = stream.write(`${JSON.stringify(frame)}\n`);
+      if (!hasRoom && !stop.signal.aborted) await waitForDrain(stream);
+    }
+  } finally {
+    clearInterval(keepAlive);
+    stream.end();
+  }
+};
+
+const replyWithFrames = (reply: FastifyReply, attempt: Attempt, from: number): FastifyReply => {
+  const stream = new PassThrough();
+  sendFrames(attempt, from, stream).catch(() => stream.destroy());
+  return reply.header('content-type', 'application/x-ndjson').send(stream);
+};
+
+/** Registers the streams of attempts on the internal port. */
+export const registerAttemptRoutes = (
+  app: FastifyInstance,
+  store: AttemptStore,
+  secret: string,
+): void => {
+  app.post('/attempts', async (request, reply) => {
+    checkSecret(request, secret, 'agent.authorise');
+    const parsed = attemptSchema.safeParse(request.body);
+    if (!parsed.success) {
+      const message = parsed.error.issues[0]?.message ?? 'no match';
+      throw createError({ type: 'invalid_request', message, step: 'agent.admit' });
+    }
+    return replyWithFrames(reply, store.admit(parsed.data), 0);
+  });
+
+  app.get('/attempts/:requestId/:attempt', async (request, reply) => {
+    checkSecret(request, secret, 'agent.authorise');
+    const { requestId, attempt } = request.params as Record<'requestId' | 'attempt', string>;
+    const { from } = request.query as { readonly from?: string };
+    const known = store.find(requestId, Number(attempt));
+    if (known) return replyWithFrames(reply, known, Number(from ?? 0));
+    const error = createError({
+      type: 'not_found',
+      message: 'the attempt is unknown here',
+      step: 'agent.resume',
+      outcome: 'unknown',
+    });
+    return reply.code(404).send(formatErrorBody(error, requestId));
+  });
+};
+
+/** Creates the methods that an agent answers to entries. */
+export const createAgentMethods = (store: AttemptStore): RpcMethods => ({
+  'attempt.cancel': createMethod(attemptNameParams, ({ requestId, attempt }) => {
+    store.cancel(requestId, attempt);
+    return { type: 'cancelled' };
+  }),
+  'attempt.confirm': createMethod(attemptNameParams, ({ requestId, attempt }) => {
+    store.confirm(requestId, attempt);
+    return { type: 'confirmed' };
+  }),
+  'attempt.refuse': createMethod(attemptNameParams, ({ requestId, attempt }) => ({
+    type: 'refused',
+    neverRuns: store.refuse(requestId, attempt),
+  })),
+});
+
+/** Registers `POST /announce`, on which the engine beside the agent announces itself. */
+export const registerAnnounceRoute = (
+  app: FastifyInstance,
+  handleAnnouncement: (announcement: EngineAnnouncement) => void,
+): void => {
+  app.post('/announce', async (request, reply) => {
+    const parsed = engineAnnouncementSchema.safeParse(request.body);
+    if (!parsed.success) {
+      const issue = parsed.error.issues[0];
+      const message = `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'no match'}`;
+      throw createError({ type: 'invalid_request', message, step: 'agent.announce' });
+    }
+    handleAnnouncement(parsed.data);
+    return reply.send({ type: 'announced' });
+  });
+};
--- /dev/null
+++ b/src/node/agent/announcements.ts
@@ -0,0 +1,45 @@
+import { performance } from 'node:perf_hooks';
+import { z } from 'zod';
+import { servedVersion } from '../inventory';
+
+/** `POST /announce`: what an engine or plain service says of itself, about once a second. */
+export const engineAnnouncementSchema = z
+  .object({
+    endpoint: z.string().min(1).max(64),
+    address: z.string(),
+    serves: z.array(servedVersion).readonly().default([]),
+    service: z.string().optional(),
+    slots: z.number().int().positive(),
+    checksFencing: z.boolean().default(false),
+  })
+  .readonly();
+
+/** What an engine or plain service says of itself. */
+export type EngineAnnouncement = z.infer<typeof engineAnnouncementSchema>;
+
+/** The endpoints that announced themselves lately. */
+export interface AnnouncementStore {
+  readonly add: (announcement: EngineAnnouncement) => void;
+  readonly find: (endpoint: string) => EngineAnnouncement | undefined;
+  readonly list: () => readonly EngineAnnouncement[];
+  readonly countSlots: () => number;
+}
+
+/** Creates a store that forgets an endpoint which has been silent for `timeoutMs`. */
+export const createAnnouncementStore = (timeoutMs: number): AnnouncementStore => {
+  const entries = new Map<string, { readonly at: number; readonly value: EngineAnnouncement }>();
+
+  const list = (): readonly EngineAnnouncement[] => {
+    const oldest = performance.now() - timeoutMs;
+    return [...entries.values()].filter(({ at }) => at >= oldest).map(({ value }) => value);
+  };
+
+  return {
+    add: (value) => {
+      entries.set(value.endpoint, { at: performance.now(), value });
+    },
+    find: (endpoint) => list().find((item) => item.endpoint === endpoint),
+    list,
+    countSlots: () => list().reduce((sum, item) => sum + item.slots, 0),
+  };
+};
--- /dev/null
+++ b/src/node/agent/index.ts
@@ -0,0 +1,5 @@
+export * from './attempt';
+export * from './announcements';
+export * from './attemptStore';
+export * from './agentServer';
+export * from './agentServices';
--- /dev/null
+++ b/src/node/cli/index.ts
@@ -0,0 +1,2 @@
+export * from './cli';
+export * from './exitCodes';
--- /dev/null
+++ b/src/node/control/index.ts
@@ -0,0 +1,3 @@
+export * from './configState';
+export * from './controlApi';
+export * from './controlServices';
--- /dev/null
+++ b/src/node/dev/index.ts
@@ -0,0 +1,2 @@
+export * from './dev';
+export * from './devInventory';
--- /dev/null
+++ b/src/node/entry/entryServices.ts
@@ -0,0 +1,86 @@
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import type { Service } from '../kernel';
+import { createLeaseClient } from '../lease';
+import { createPartLogger, type Logger } from '../log';
+import { registerMetrics, type Metrics } from '../metrics';
+import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
+import type { EntrySettings } from '../settings';
+import { registerCallerApi, registerHealthRoutes, waitForIdle } from './callerApi';
+import { createLedgerClient } from './ledgerClient';
+import { createRequestRunner } from './requestRunner';
+import { createSettlement } from './settlement';
+import { createTargetChooser } from './targetChoice';
+
+const DRAW_STEPS = 1_000_000_000;
+
+const createDraw = (): (() => number) => {
+  const generator = xoroshiro128plus(Date.now());
+  return () => unsafeUniformIntDistribution(0, DRAW_STEPS - 1, generator) / DRAW_STEPS;
+};
+
+const createRpcService = (settings: EntrySettings): Service => ({
+  name: 'rpc',
+  needs: [],
+  start: () => {
+    const value = createRpcClient({ secret: settings.secrets.internal });
+    return { value, stop: value.close };
+  },
+});
+
+const createEntryService = (settings: EntrySettings): Service => ({
+  name: 'entry',
+  needs: ['rpc', 'log', 'metrics'],
+  start: async (find) => {
+    const rpc = find<RpcClient>('rpc');
+    const root = find<Logger>('log');
+    const log = createPartLogger(root, 'entry');
+    const { node, zone, control, limits } = settings;
+    const lease = createLeaseClient({ node, role: 'entry', zone, control, rpc, log });
+    const ledger = createLedgerClient(rpc, lease);
+    const { answerTimeoutMs } = limits;
+    const decisions = createPartLogger(root, 'decision');
+    const { view } = lease;
+    const chooser = createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions });
+    const settlement = createSettlement(ledger, view);
+    const runner = createRequestRunner({ rpc, lease, settlement, chooser, answerTimeoutMs });
+    let isStopping = false;
+    const isReady = (): boolean => lease.isValid() && !isStopping;
+
+    const internal = createHttpServer();
+    const { bodyBytes: bodyLimitBytes, requestTimeoutMs } = limits;
+    const callers = createHttpServer({
+      bodyLimitBytes,
+      requestTimeoutMs,
+      createRequestId: runner.createRequestId,
+    });
+    registerCallerApi(callers, { lease, ledger, runner, log, isStopping: () => isStopping });
+    registerHealthRoutes(callers, isReady);
+    registerHealthRoutes(internal, isReady);
+    registerMetrics(internal, find<Metrics>('metrics'));
+    const internalAddress = await startHttpServer(internal, settings.internalListen);
+    await lease.start(internalAddress);
+    const address = await startHttpServer(callers, settings.listen);
+    log.info({ address, internalAddress }, 'listening');
+
+    const stop = async (): Promise<void> => {
+      isStopping = true;
+      await waitForIdle(runner);
+      await callers.close();
+      await lease.stop();
+      await internal.close();
+    };
+    return { value: { address, internalAddress }, stop };
+  },
+});
+
+/** Addresses of a started entry. */
+export interface EntryAddresses {
+  readonly address: string;
+  readonly internalAddress: string;
+}
+
+/** The services of the `entry` role. */
+export const createEntryServices = (settings: EntrySettings): readonly Service[] => [
+  createRpcService(settings),
+  createEntryService(settings),
+];
--- /dev/null
+++ b/src/node/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './authorise';
+export * from './entryServices';
--- /dev/null
+++ b/src/node/index.ts
@@ -0,0 +1,5 @@
+export * from './errors';
+export * from './kernel';
+export * from './inventory';
+export * from './settings';
+export * from './dev';
--- /dev/null
+++ b/src/node/kernel/__tests__/kernel.test.ts
@@ -0,0 +1,64 @@
+import test from 'ava';
+import { createKernel, resolveStartOrder, type Service } from '..';
+
+const createNamed = (name: string, needs: readonly string[], events: string[] = []): Service => ({
+  name,
+  needs,
+  start: () => {
+    events.push(`start ${name}`);
+    return {
+      value: name,
+      stop: () => {
+        events.push(`stop ${name}`);
+      },
+    };
+  },
+});
+
+const FAULTS = [
+  {
+    title: 'a missing need',
+    services: [createNamed('a', ['b'])],
+    message: "service 'a' needs 'b', which is missing",
+  },
+  {
+    title: 'a circular need',
+    services: [createNamed('a', ['b']), createNamed('b', ['c']), createNamed('c', ['a'])],
+    message: 'circular need: a -> b -> c -> a',
+  },
+  {
+    title: 'a name used twice',
+    services: [createNamed('a', []), createNamed('a', [])],
+    message: 'two services share a name',
+  },
+] as const;
+
+for (const { title, services, message } of FAULTS) {
+  test(`start order refuses ${title}`, (t) => {
+    t.throws(() => resolveStartOrder(services), { message });
+  });
+}
+
+test('services start by need and stop in reverse', async (t) => {
+  const events: string[] = [];
+  const list = [createNamed('c', ['b'], events), createNamed('a', [], events)];
+  const kernel = createKernel([...list, createNamed('b', ['a'], events)]);
+  await kernel.start();
+  t.is(kernel.find('b'), 'b');
+  await kernel.stop();
+  t.deepEqual(events, ['start a', 'start b', 'start c', 'stop c', 'stop b', 'stop a']);
+});
+
+test('a failed start stops what had started', async (t) => {
+  const events: string[] = [];
+  const failing: Service = {
+    name: 'bad',
+    needs: ['a'],
+    start: () => {
+      throw new Error('no disk');
+    },
+  };
+  const kernel = createKernel([createNamed('a', [], events), failing]);
+  await t.throwsAsync(kernel.start(), { message: 'no disk' });
+  t.deepEqual(events, ['start a', 'stop a']);
+});
--- /dev/null
+++ b/src/node/kernel/kernel.ts
@@ -0,0 +1,91 @@
+import { createError } from '../errors';
+
+/** Finds a started service by name. */
+export type Lookup = <T>(name: string) => T;
+
+/** What a service gives when started: its value for others and how to stop it. */
+export interface StartedService {
+  readonly value: unknown;
+  readonly stop?: () => Promise<void> | void;
+}
+
+/** A service of the kernel: a name, the names it needs, and how to start it. */
+export interface Service {
+  readonly name: string;
+  readonly needs: readonly string[];
+  readonly start: (find: Lookup) => Promise<StartedService> | StartedService;
+}
+
+/** A set of services, started in the order of their needs and stopped in reverse. */
+export interface Kernel {
+  readonly start: () => Promise<void>;
+  readonly stop: () => Promise<void>;
+  readonly find: Lookup;
+}
+
+const createKernelError = (message: string) =>
+  createError({ type: 'invalid_request', message, step: 'kernel.start' });
+
+const checkNeeds = (services: ReadonlyMap<string, Service>): void => {
+  for (const service of services.values()) {
+    const missing = service.needs.find((need) => !services.has(need));
+    if (missing !== undefined) {
+      throw createKernelError(`service '${service.name}' needs '${missing}', which is missing`);
+    }
+  }
+};
+
+/** Orders services so that each comes after what it needs; a missing or circular need throws. */
+export const resolveStartOrder = (list: readonly Service[]): readonly Service[] => {
+  const services = new Map(list.map((service) => [service.name, service]));
+  if (services.size !== list.length) throw createKernelError('two services share a name');
+  checkNeeds(services);
+  const order: Service[] = [];
+  const settled = new Set<string>();
+  const addService = (service: Service, path: readonly string[]): void => {
+    if (settled.has(service.name)) return;
+    if (path.includes(service.name)) {
+      const circle = [...path.slice(path.indexOf(service.name)), service.name].join(' -> ');
+      throw createKernelError(`circular need: ${circle}`);
+    }
+    for (const need of service.needs) {
+      addService(services.get(need)!, [...path, service.name]);
+    }
+    settled.add(service.name);
+    order.push(service);
+  };
+  list.forEach((service) => addService(service, []));
+  return order;
+};
+
+/** Creates a kernel over the given services. Nothing runs until `start`. */
+export const createKernel = (list: readonly Service[]): Kernel => {
+  const order = resolveStartOrder(list);
+  const started = new Map<string, StartedService>();
+
+  const find = <T>(name: string): T => {
+    const service = started.get(name);
+    if (!service) throw createKernelError(`service '${name}' is not started`);
+    return service.value as T;
+  };
+
+  const stop = async (): Promise<void> => {
+    const reverse = [...order].reverse();
+    for (const service of reverse) {
+      const handle = started.get(service.name);
+      started.delete(service.name);
+      if (handle?.stop) await handle.stop();
+    }
+  };
+
+  const start = async (): Promise<void> => {
+    try {
+      for (const service of order) started.set(service.name, await service.start(find));
+    } catch (cause) {
+      await stop();
+      throw cause;
+    }
+  };
+
+  return { start, stop, find };
+};
--- /dev/null
+++ b/src/node/ledger/index.ts
@@ -0,0 +1,2 @@
+export * from './types';
+export * from './ledgerState';
--- /dev/null
+++ b/src/node/rpc/httpServer.ts
@@ -0,0 +1,85 @@
+import fastify, { type FastifyInstance } from 'fastify';
+import { randomUUID } from 'node:crypto';
+import { createError, ERROR_STATUS, formatErrorBody, RouterError, type ErrorType } from '../errors';
+
+/** An IP address and port to listen on; port 0 takes a free one. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** PEM texts of a port that speaks TLS. */
+export interface TlsTexts {
+  readonly key: string;
+  readonly cert: string;
+}
+
+/** Limits of one HTTP port. */
+export interface HttpServerOptions {
+  readonly bodyLimitBytes?: number;
+  readonly requestTimeoutMs?: number;
+  readonly tls?: TlsTexts;
+  readonly createRequestId?: () => string;
+}
+
+const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
+const REQUEST_TIMEOUT_MS = 10_000;
+const HEADER_LIMIT_BYTES = 16 * 1024;
+
+const TYPE_BY_STATUS: Readonly<Record<number, ErrorType>> = {
+  404: 'not_found',
+  408: 'timeout',
+  413: 'too_large',
+};
+
+interface FastifyFailure {
+  readonly statusCode?: number;
+  readonly message: string;
+}
+
+const convertFailure = (failure: FastifyFailure): RouterError => {
+  if (failure instanceof RouterError) return failure;
+  const status = failure.statusCode ?? 500;
+  const fallback: ErrorType = status < 500 ? 'invalid_request' : 'internal';
+  return createError({
+    type: TYPE_BY_STATUS[status] ?? fallback,
+    message: failure.message,
+    step: 'http.receive',
+    outcome: status < 500 ? 'not_run' : 'unknown',
+  });
+};
+
+/** Creates an HTTP server that answers every error in the wire form. */
+export const createHttpServer = (options: HttpServerOptions = {}): FastifyInstance => {
+  const app = fastify({
+    bodyLimit: options.bodyLimitBytes ?? BODY_LIMIT_BYTES,
+    requestTimeout: options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
+    genReqId: options.createRequestId ?? (() => randomUUID()),
+    logger: false,
+    forceCloseConnections: 'idle',
+    http: { maxHeaderSize: HEADER_LIMIT_BYTES },
+    ...(options.tls ? { https: { ...options.tls, maxHeaderSize: HEADER_LIMIT_BYTES } } : {}),
+  } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
+  app.setErrorHandler((failure, request, reply) => {
+    const error = convertFailure(failure as FastifyFailure);
+    if (error.retryAfterSeconds !== undefined) reply.header('retry-after', error.retryAfterSeconds);
+    return reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
+  });
+  app.setNotFoundHandler((request, reply) => {
+    const message = `no route ${request.method} ${request.url}`;
+    const error = createError({ type: 'not_found', message, step: 'http.route' });
+    return reply.code(404).send(formatErrorBody(error, request.id));
+  });
+  return app;
+};
+
+/** Starts listening and gives the address in the form `host:port`. */
+export const startHttpServer = async (
+  app: FastifyInstance,
+  listen: ListenAddress,
+): Promise<string> => {
+  await app.listen({ host: listen.host, port: listen.port });
+  const bound = app.server.address();
+  const port = typeof bound === 'object' && bound ? bound.port : listen.port;
+  return `${listen.host}:${port}`;
+};
--- /dev/null
+++ b/src/node/rpc/index.ts
@@ -0,0 +1,3 @@
+export * from './rpcServer';
+export * from './rpcClient';
+export * from './httpServer';
--- /dev/null
+++ b/src/node/rpc/rpcClient.ts
@@ -0,0 +1,116 @@
+import { Left, Right, type Either } from 'purify-ts';
+import { Pool, type Dispatcher } from 'undici';
+import { createError, RouterError, type RouterErrorFields } from '../errors';
+
+/** How one call is made. */
+export interface CallOptions {
+  readonly timeoutMs?: number;
+}
+
+/** Calls methods of peers by address. Errors come back as a `Left`, with step and peer. */
+export interface RpcClient {
+  readonly call: <T>(
+    address: string,
+    method: string,
+    params: unknown,
+    options?: CallOptions,
+  ) => Promise<Either<RouterError, T>>;
+  readonly request: (
+    address: string,
+    options: Omit<Dispatcher.RequestOptions, 'origin'>,
+  ) => Promise<Dispatcher.ResponseData>;
+  readonly close: () => Promise<void>;
+}
+
+/** What a client needs: the internal secret and the scheme of the internal ports. */
+export interface RpcClientOptions {
+  readonly secret: string;
+  readonly scheme?: 'http' | 'https';
+  readonly certificateAuthority?: string;
+}
+
+const CALL_TIMEOUT_MS = 2_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+const CONNECTIONS_PER_PEER = 64;
+
+interface RpcAnswer {
+  readonly result?: unknown;
+  readonly error?: { readonly message: string; readonly data?: RouterErrorFields };
+}
+
+const parseAnswer = <T>(
+  answer: RpcAnswer,
+  method: string,
+  peer: string,
+): Either<RouterError, T> => {
+  if (!answer.error) return Right(answer.result as T);
+  const fields = answer.error.data;
+  if (fields?.type) return Left(createError({ ...fields, peer: fields.peer || peer }));
+  const { message } = answer.error;
+  return Left(
+    createError({ type: 'peer_failed', message, step: method, peer, outcome: 'unknown' }),
+  );
+};
+
+/** Creates a client with one connection pool per peer. */
+export const createRpcClient = (options: RpcClientOptions): RpcClient => {
+  const pools = new Map<string, Pool>();
+  const scheme = options.scheme ?? 'http';
+  let nextId = 1;
+
+  const acquirePool = (address: string): Pool => {
+    const known = pools.get(address);
+    if (known) return known;
+    const pool = new Pool(`${scheme}://${address}`, {
+      connections: CONNECTIONS_PER_PEER,
+      connect: { timeout: CONNECT_TIMEOUT_MS, ca: options.certificateAuthority },
+    });
+    pools.set(address, pool);
+    return pool;
+  };
+
+  // A call that timed out may sit on a connection that has gone silent: the next call gets new ones.
+  const removePool = (address: string): void => {
+    const pool = pools.get(address);
+    pools.delete(address);
+    pool?.close().catch(() => {});
+  };
+
+  const request: RpcClient['request'] = (address, requestOptions) =>
+    acquirePool(address).request({
+      ...requestOptions,
+      headers: { ...requestOptions.headers, authorization: `Bearer ${options.secret}` },
+    });
+
+  const call: RpcClient['call'] = async <T>(
+    address: string,
+    method: string,
+    params: unknown,
+    callOptions: CallOptions = {},
+  ) => {
+    nextId += 1;
+    const signal = AbortSignal.timeout(callOptions.timeoutMs ?? CALL_TIMEOUT_MS);
+    try {
+      const response = await request(address, {
+        path: '/rpc',
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ jsonrpc: '2.0', id: nextId, method, params }),
+        signal,
+      });
+      return parseAnswer<T>((await response.body.json()) as RpcAnswer, method, address);
+    } catch (cause) {
+      if (signal.aborted) removePool(address);
+      const message = cause instanceof Error ? cause.message : String(cause);
+      const type = signal.aborted ? 'timeout' : 'peer_failed';
+      return Left(createError({ type, message, step: method, peer: address, outcome: 'unknown' }));
+    }
+  };
+
+  const close = async (): Promise<void> => {
+    await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+    pools.clear();
+  };
+
+  return { call, request, close };
+};
--- /dev/null
+++ b/src/node/rpc/rpcServer.ts
@@ -0,0 +1,67 @@
+import { timingSafeEqual } from 'node:crypto';
+import type { FastifyInstance, FastifyRequest } from 'fastify';
+import { JSONRPCErrorException, JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
+import type { ZodType } from 'zod';
+import { convertToRouterError, createError } from '../errors';
+
+/** One method of a JSON-RPC table: the schema of its parameters and its handler. */
+export interface RpcMethod {
+  readonly params: ZodType;
+  readonly handle: (params: never) => Promise<unknown> | unknown;
+}
+
+/** The methods that a process answers, by name. */
+export type RpcMethods = Readonly<Record<string, RpcMethod>>;
+
+/** Binds a schema to a handler, so that the handler's parameter type follows the schema. */
+export const createMethod = <T>(
+  params: ZodType<T>,
+  handle: (params: T) => Promise<unknown> | unknown,
+): RpcMethod => ({ params, handle });
+
+/** The code of every JSON-RPC error that carries a router error in its data. */
+export const ROUTER_ERROR_CODE = -32000;
+
+/** Compares a secret without a time that depends on where they differ. */
+export const isSameSecret = (given: string, expected: string): boolean => {
+  const a = Buffer.from(given);
+  const b = Buffer.from(expected);
+  return a.length === b.length && timingSafeEqual(a, b);
+};
+
+/** Throws unless the request carries the bearer secret. */
+export const checkSecret = (request: FastifyRequest, secret: string, step: string): void => {
+  const given = request.headers.authorization ?? '';
+  if (!isSameSecret(given, `Bearer ${secret}`)) {
+    throw createError({ type: 'unauthenticated', message: 'the secret is wrong', step });
+  }
+};
+
+const runMethod = async (name: string, method: RpcMethod, params: unknown): Promise<unknown> => {
+  try {
+    const parsed = method.params.safeParse(params);
+    if (!parsed.success) {
+      const message = `bad parameters: ${parsed.error.issues[0]?.message ?? 'no match'}`;
+      throw createError({ type: 'invalid_request', message, step: name });
+    }
+    return await method.handle(parsed.data as never);
+  } catch (cause) {
+    const error = convertToRouterError(cause, name);
+    const { type, message, step, peer, outcome, retryAfterSeconds, data } = error;
+    const body = { type, message, step, peer, outcome, retryAfterSeconds, data };
+    throw new JSONRPCErrorException(message, ROUTER_ERROR_CODE, body);
+  }
+};
+
+/** Registers `POST /rpc` with the given methods, behind the bearer secret. */
+export const registerRpc = (app: FastifyInstance, methods: RpcMethods, secret: string): void => {
+  const server = new JSONRPCServer({ errorListener: () => {} });
+  for (const [name, method] of Object.entries(methods)) {
+    server.addMethod(name, (params: unknown) => runMethod(name, method, params));
+  }
+  app.post('/rpc', async (request, reply) => {
+    checkSecret(request, secret, 'rpc.authorise');
+    const answer = await server.receive(request.body as JSONRPCRequest);
+    return reply.send(answer ?? {});
+  });
+};
--- /dev/null
+++ b/src/node/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './schema';
+export * from './loadJsonc';
--- /dev/null
+++ b/src/node/shared/protocol.ts
@@ -0,0 +1,117 @@
+import { z } from 'zod';
+import { announcementSchema } from '../control/configState';
+import { ledgerCommandSchema, usageSchema } from '../ledger';
+import type { ViewUpdate } from '../view';
+
+/** `control.register`: a process asks for its incarnation. */
+export const registerParams = z.strictObject({
+  node: z.string(),
+  role: z.enum(['entry', 'agent']),
+  zone: z.string(),
+  address: z.string(),
+  bootId: z.string(),
+});
+
+/** `control.renew`: a process renews its lease and asks for what changed. */
+export const renewParams = z.strictObject({
+  node: z.string(),
+  incarnation: z.number().int(),
+  revision: z.number().int(),
+});
+
+/** `control.announce`: an agent says what its endpoint serves. */
+export const announceParams = z.strictObject({
+  node: z.string(),
+  incarnation: z.number().int(),
+  announcement: announcementSchema,
+});
+
+/** `control.leave`: a process ends its registration. */
+export const leaveParams = z.strictObject({ node: z.string(), incarnation: z.number().int() });
+
+/** `ledger.propose`: a batch of ledger commands, applied in order. */
+export const ledgerProposeParams = z.strictObject({
+  commands: z.array(ledgerCommandSchema).max(1_000),
+});
+
+/** `ledger.find`: reads one request of an organisation. */
+export const ledgerFindParams = z.strictObject({ organisation: z.string(), requestId: z.string() });
+
+/** The answer of `control.renew`. */
+export interface RenewAnswer {
+  readonly term: number;
+  /** Duration of the lease in milliseconds, counted from when the renewal was sent. */
+  readonly leaseMs: number;
+  readonly update: ViewUpdate;
+}
+
+const modelTarget = z.strictObject({
+  kind: z.literal('model'),
+  model: z.string(),
+  version: z.string(),
+});
+
+const serviceTarget = z.strictObject({ kind: z.literal('service'), service: z.string() });
+
+/** `POST /attempts`: an entry starts an attempt at an agent; the answer is a stream of frames. */
+export const attemptSchema = z
+  .strictObject({
+    requestId: z.string(),
+    attempt: z.number().int().min(0),
+    organisation: z.string(),
+    incarnation: z.number().int(),
+    endpoint: z.string(),
+    target: z.discriminatedUnion('kind', [modelTarget, serviceTarget]),
+    class: z.enum(['urgent', 'normal', 'deferrable']),
+    weight: z.number().positive(),
+    deadlineMs: z.number().positive(),
+    method: z.string(),
+    path: z.string(),
+    headers: z.record(z.string(), z.string()),
+    /** The body in base64. */
+    body: z.string(),
+  })
+  .readonly();
+
+/** An attempt of a request at one endpoint. */
+export type AttemptRequest = z.infer<typeof attemptSchema>;
+
+/** Tokens that one attempt used, as the engine reported them. */
+export const tokenUsageSchema = usageSchema;
+
+/** `attempt.cancel`, `attempt.confirm` and `attempt.refuse` name an attempt. */
+export const attemptNameParams = z.strictObject({
+  requestId: z.string(),
+  attempt: z.number().int().min(0),
+});
+
+/** One numbered piece of an answer, sent as a line of JSON. Keep-alives carry no number. */
+export type Frame =
+  | {
+      readonly type: 'head';
+      readonly index: number;
+      readonly status: number;
+      readonly contentType: string;
+    }
+  | { readonly type: 'data'; readonly index: number; readonly data: string }
+  | {
+      readonly type: 'end';
+      readonly index: number;
+      readonly inputTokens: number;
+      readonly outputTokens: number;
+    }
+  | {
+      readonly type: 'failed';
+      readonly index: number;
+      readonly error: {
+        readonly type: string;
+        readonly message: string;
+        readonly step: string;
+        readonly outcome: 'not_run' | 'unknown' | 'ran';
+      };
+    }
+  | { readonly type: 'keepAlive' };
+
+/** Formats the name of an attempt. */
+export const formatAttemptName = (requestId: string, attempt: number): string =>
+  `${requestId}.${attempt}`;
--- /dev/null
+++ b/src/node/standin/engine.ts
@@ -0,0 +1,204 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Readable } from 'node:stream';
+import type { FastifyInstance } from 'fastify';
+import { z } from 'zod';
+import { createError } from '../errors';
+import type { ServedVersion } from '../inventory';
+import { createHttpServer, startHttpServer, type ListenAddress } from '../rpc';
+import { startAnnouncing } from './standinServer';
+
+/** How a stand-in engine behaves. */
+export interface StandinEngineOptions {
+  readonly endpoint: string;
+  readonly listen: ListenAddress;
+  readonly agentAddress: string;
+  readonly serves: readonly ServedVersion[];
+  readonly slots?: number;
+  readonly firstTokenMs?: number;
+  readonly tokenMs?: number;
+  readonly tokens?: number;
+  readonly checksFencing?: boolean;
+}
+
+/** One run in the stand-in's own record. */
+export interface StandinRun {
+  readonly requestId: string;
+  readonly attempt: string;
+  readonly model: string;
+  /** The body as it was received. */
+  readonly input: string;
+  /** The bytes that were sent as the answer's text. */
+  readonly output: string;
+  readonly inputTokens: number;
+  readonly outputTokens: number;
+  readonly state: 'running' | 'done' | 'cancelled';
+}
+
+/** A started stand-in. */
+export interface StandinEngine {
+  readonly address: string;
+  readonly listRuns: () => readonly StandinRun[];
+  readonly stop: () => Promise<void>;
+}
+
+interface MutableRun {
+  readonly requestId: string;
+  readonly attempt: string;
+  readonly model: string;
+  readonly input: string;
+  readonly inputTokens: number;
+  output: string;
+  outputTokens: number;
+  state: StandinRun['state'];
+}
+
+const bodySchema = z.looseObject({
+  model: z.string(),
+  messages: z.array(z.looseObject({ content: z.unknown().optional() })),
+  stream: z.boolean().nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().nullish() }).nullish(),
+});
+
+type ChatBody = z.infer<typeof bodySchema>;
+
+const WORDS = [
+  'rack',
+  'base',
+  'slab',
+  'gravel',
+  'yard',
+  'stock',
+  'quote',
+  'draft',
+  'depth',
+  'cost',
+];
+const CHARACTERS_PER_TOKEN = 4;
+const DEFAULT_TOKENS = 12;
+
+const countInputTokens = (body: ChatBody): number =>
+  Math.ceil(JSON.stringify(body.messages).length / CHARACTERS_PER_TOKEN);
+
+// The answer depends on the last message alone, so that a test can tell whose answer it is.
+const computeWord = (body: ChatBody, index: number): string => {
+  const text = JSON.stringify(body.messages.at(-1)?.content ?? '');
+  const sum = [...text].reduce((total, letter) => total + letter.charCodeAt(0), index * 7);
+  return `${index === 0 ? '' : ' '}${WORDS[sum % WORDS.length]}`;
+};
+
+const formatChunk = (run: MutableRun, content: string, finish: string | null): string => {
+  const choice = { index: 0, delta: content === '' ? {} : { content }, finish_reason: finish };
+  const chunk = {
+    id: run.requestId,
+    object: 'chat.completion.chunk',
+    created: 0,
+    model: run.model,
+    choices: [choice],
+  };
+  return `data: ${JSON.stringify(chunk)}\n\n`;
+};
+
+const formatUsage = (run: MutableRun) => ({
+  prompt_tokens: run.inputTokens,
+  completion_tokens: run.outputTokens,
+  total_tokens: run.inputTokens + run.outputTokens,
+});
+
+const CHAT_FIELDS = { object: 'chat.completion', created: 0 } as const;
+
+const formatAnswer = (run: MutableRun) => ({
+  ...CHAT_FIELDS,
+  id: run.requestId,
+  model: run.model,
+  choices: [
+    { index: 0, message: { role: 'assistant', content: run.output }, finish_reason: 'stop' },
+  ],
+  usage: formatUsage(run),
+});
+
+/** Starts a stand-in engine that speaks the chat protocol and keeps a record of every run. */
+export const startStandinEngine = async (options: StandinEngineOptions): Promise<StandinEngine> => {
+  const runs: MutableRun[] = [];
+  const app: FastifyInstance = createHttpServer();
+  const { firstTokenMs = 20, tokenMs = 5, slots = 8 } = options;
+
+  async function* generateWords(body: ChatBody, run: MutableRun): AsyncGenerator<string> {
+    const total = Math.min(body.max_tokens ?? Infinity, options.tokens ?? DEFAULT_TOKENS);
+    await sleep(firstTokenMs);
+    for (let index = 0; index < total; index += 1) {
+      if (index > 0 && tokenMs > 0) await sleep(tokenMs);
+      const word = computeWord(body, index);
+      run.output += word;
+      run.outputTokens += 1;
+      yield word;
+    }
+  }
+
+  async function* generateEvents(body: ChatBody, run: MutableRun): AsyncGenerator<string> {
+    try {
+      for await (const word of generateWords(body, run)) yield formatChunk(run, word, null);
+      yield formatChunk(run, '', 'stop');
+      if (body.stream_options?.include_usage === true) {
+        yield `data: ${JSON.stringify({ id: run.requestId, choices: [], usage: formatUsage(run) })}\n\n`;
+      }
+      run.state = 'done';
+      yield 'data: [DONE]\n\n';
+    } finally {
+      if (run.state === 'running') run.state = 'cancelled';
+    }
+  }
+
+  const addRun = (requestId: string, attempt: string, body: ChatBody): MutableRun => {
+    const run: MutableRun = {
+      requestId,
+      attempt,
+      model: body.model,
+      input: JSON.stringify(body),
+      output: '',
+      inputTokens: countInputTokens(body),
+      outputTokens: 0,
+      state: 'running',
+    };
+    runs.push(run);
+    return run;
+  };
+
+  app.post('/v1/chat/completions', async (request, reply) => {
+    const parsed = bodySchema.safeParse(request.body);
+    if (!parsed.success) {
+      const message = parsed.error.issues[0]?.message ?? 'no match';
+      throw createError({ type: 'invalid_request', message, step: 'engine.parse' });
+    }
+    const body = parsed.data;
+    const requestId = String(request.headers['x-request-id'] ?? request.id);
+    const run = addRun(requestId, String(request.headers['x-attempt'] ?? '0'), body);
+    if (body.stream === true) {
+      reply.header('content-type', 'text/event-stream');
+      return reply.send(Readable.from(generateEvents(body, run)));
+    }
+    for await (const word of generateWords(body, run)) if (word === '') break;
+    run.state = 'done';
+    return reply.send(formatAnswer(run));
+  });
+
+  app.get('/record', async () => ({ runs }));
+
+  const address = await startHttpServer(app, options.listen);
+  const stopAnnouncing = startAnnouncing(options.agentAddress, () => ({
+    endpoint: options.endpoint,
+    address,
+    serves: options.serves,
+    slots,
+    checksFencing: options.checksFencing ?? false,
+  }));
+
+  return {
+    address,
+    listRuns: () => runs,
+    stop: async () => {
+      stopAnnouncing();
+      await app.close();
+    },
+  };
+};
--- /dev/null
+++ b/src/node/standin/index.ts
@@ -0,0 +1,3 @@
+export * from './engine';
+export * from './service';
+export * from './rating';
--- /dev/null
+++ b/src/node/standin/rating.ts
@@ -0,0 +1,33 @@
+import { z } from 'zod';
+import { createError } from '../errors';
+import { createHttpServer, startHttpServer, type ListenAddress } from '../rpc';
+
+/** `POST /rate`: an answer to be rated. */
+export const rateRequestSchema = z
+  .looseObject({ model: z.string(), version: z.string(), task: z.string(), answer: z.string() })
+  .readonly();
+
+/** What is rated. */
+export type RateRequest = z.infer<typeof rateRequestSchema>;
+
+/** A started rating service. */
+export interface StandinRating {
+  readonly address: string;
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts a rating service whose scores come from the given function. */
+export const startStandinRating = async (
+  listen: ListenAddress,
+  computeScore: (request: RateRequest) => number,
+): Promise<StandinRating> => {
+  const app = createHttpServer();
+  app.post('/rate', async (request) => {
+    const parsed = rateRequestSchema.safeParse(request.body);
+    if (parsed.success) return { score: computeScore(parsed.data) };
+    const message = parsed.error.issues[0]?.message ?? 'no match';
+    throw createError({ type: 'invalid_request', message, step: 'rating.parse' });
+  });
+  const address = await startHttpServer(app, listen);
+  return { address, stop: () => app.close() };
+};
