--- a/src/node/control/controlApi.ts
+++ b/src/node/control/controlApi.ts
@@ -1,10 +1,9 @@
-import type { FastifyInstance } from 'fastify';
-import { z } from 'zod';
+import type { z } from 'zod';
 import { createError } from '../errors';
 import type { LedgerCommand, LedgerResult, LedgerState } from '../ledger';
 import type { Logger } from '../log';
 import type { Replica } from '../replication';
-import { checkSecret, createMethod, type RpcMethods } from '../rpc';
+import { createMethod, type RpcMethods } from '../rpc';
 import {
   announceParams,
   leaveParams,
@@ -14,12 +13,7 @@
   renewParams,
   type RenewAnswer,
 } from '../shared';
-import {
-  putInventorySchema,
-  type ConfigCommand,
-  type ConfigResult,
-  type ConfigState,
-} from './configState';
+import type { ConfigCommand, ConfigResult, ConfigState } from './configState';
 
 /** The groups and states that the control services work on. */
 export interface ControlParts {
@@ -31,7 +25,11 @@
   readonly log: Logger;
 }
 
-const commit = async (parts: ControlParts, command: ConfigCommand): Promise<ConfigResult> => {
+/** Commits a command of the `config` group and gives its answer; throws when it is not known to be committed. */
+export const commit = async (
+  parts: ControlParts,
+  command: ConfigCommand,
+): Promise<ConfigResult> => {
   const applied = await parts.config.propose(command);
   return applied.unsafeCoerce().result;
 };
@@ -83,57 +81,3 @@
     return parts.ledgerState.findRequest(organisation, requestId) ?? null;
   }),
 });
-
-const parseBody = <T>(schema: z.ZodType<T>, body: unknown, step: string): T => {
-  const parsed = schema.safeParse(body);
-  if (parsed.success) return parsed.data;
-  const lines = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
-  throw createError({ type: 'invalid_request', message: lines.join('; '), step });
-};
-
-/** Registers the operators' routes below `/admin`, behind the operators' secret. */
-export const registerAdminRoutes = (
-  app: FastifyInstance,
-  parts: ControlParts,
-  secret: string,
-): void => {
-  app.register(async (admin) => {
-    admin.addHook('onRequest', async (request) => checkSecret(request, secret, 'admin.authorise'));
-
-    admin.get('/admin/inventory', async () => {
-      (await parts.config.confirmRead()).unsafeCoerce();
-      const { configState } = parts;
-      return {
-        revision: configState.inventoryRevision(),
-        inventory: configState.inventory() ?? null,
-      };
-    });
-
-    admin.put('/admin/inventory', async (request, reply) => {
-      const body = parseBody(putInventorySchema, request.body, 'admin.inventory');
-      const result = await commit(parts, { type: 'putInventory', ...body });
-      if (result.type === 'conflict') {
-        throw createError({
-          type: 'conflict',
-          message: `change '${result.winner}' took revision ${result.inventoryRevision}`,
-          step: 'admin.inventory',
-          peer: result.winner,
-        });
-      }
-      parts.log.info({ change: body.changeId, result }, 'inventory accepted');
-      return reply.send(result);
-    });
-
-    admin.get('/admin/status', async () => ({
-      config: parts.config.status(),
-      ledger: parts.ledger.status(),
-      revision: parts.configState.revision(),
-      nodes: parts.configState.listNodes(),
-    }));
-
-    admin.get('/admin/bills', async () => {
-      (await parts.ledger.confirmRead()).unsafeCoerce();
-      return { bills: parts.ledgerState.listBills() };
-    });
-  });
-};
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -6,7 +6,8 @@
 import { createHttpServer, registerRpc, startHttpServer } from '../rpc';
 import type { ControlSettings } from '../settings';
 import { createConfigState } from './configState';
-import { createControlMethods, registerAdminRoutes, type ControlParts } from './controlApi';
+import { registerAdminRoutes } from './adminApi';
+import { createControlMethods, type ControlParts } from './controlApi';
 
 const createGroupsService = (settings: ControlSettings): Service => ({
   name: 'groups',
--- a/src/node/control/index.ts
+++ b/src/node/control/index.ts
@@ -1,3 +1,4 @@
+export * from './adminApi';
 export * from './configState';
 export * from './controlApi';
 export * from './controlServices';
