Make renewals long polls with deltas, and changes safe to resend

Cause: a renewal every half second costs two calls a second per node and tells of a change only at the next one; change ids without a bound on age could be applied twice. Ruled out: pushing changes to nodes (a missed push would leave a node behind for good). Change: a renewal is held back until the view changes or a second has passed; the read is confirmed after the renewal has come in and the lease counts from its sending.

--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -45,7 +45,8 @@
     const log = createPartLogger(find<Logger>('log'), 'agent');
     const { node, zone, control, queueLimit } = settings;
     const announcements = createAnnouncementStore(settings.announcementTimeoutMs);
-    const lease = createLeaseClient({ node, role: 'agent', zone, control, rpc, log });
+    const host = settings.host ?? node;
+    const lease = createLeaseClient({ node, role: 'agent', zone, host, control, rpc, log });
     const store = createAttemptStore({ lease, announcements, queueLimit, log });
     const internal = createHttpServer();
     const announcePort = createHttpServer();
--- a/src/node/control/adminApi.ts
+++ b/src/node/control/adminApi.ts
@@ -4,6 +4,7 @@
 import { checkSecret } from '../rpc';
 import { putInventorySchema } from './configState';
 import { commit, type ControlParts } from './controlApi';
+import type { Members } from './members';
 
 const parseBody = <T>(schema: z.ZodType<T>, body: unknown, step: string): T => {
   const parsed = schema.safeParse(body);
@@ -16,6 +17,7 @@
 export const registerAdminRoutes = (
   app: FastifyInstance,
   parts: ControlParts,
+  members: Members,
   secret: string,
 ): void => {
   app.register(async (admin) => {
@@ -46,10 +48,10 @@
     });
 
     admin.get('/admin/status', async () => ({
+      nodes: await members.listNodeStates(),
       config: parts.config.status(),
       ledger: parts.ledger.status(),
       revision: parts.configState.revision(),
-      nodes: parts.configState.listNodes(),
     }));
 
     admin.get('/admin/bills', async () => {
--- /dev/null
+++ b/src/node/control/changeLog.ts
@@ -0,0 +1,47 @@
+import type { ViewEntry } from '../view';
+
+/** The latest changes of the view in order of revision, bounded in number. */
+export interface ChangeLog {
+  readonly append: (entry: ViewEntry) => void;
+  /** Gives the last change of each entry after a revision, or nothing if some are gone. */
+  readonly readSince: (revision: number) => readonly ViewEntry[] | undefined;
+}
+
+const CHANGES_KEPT = 20_000;
+
+/** Creates a log that knows every change after `start`. */
+export const createChangeLog = (start: number, limit = CHANGES_KEPT): ChangeLog => {
+  let changes: ViewEntry[] = [];
+  let knownAfter = start;
+
+  const append = (entry: ViewEntry): void => {
+    changes.push(entry);
+    // Half of the log is dropped at a time, so that an append costs constant time on average.
+    if (changes.length <= limit) return;
+    const dropped = changes.slice(0, Math.floor(limit / 2));
+    knownAfter = dropped.at(-1)!.revision;
+    changes = changes.slice(dropped.length);
+  };
+
+  const findFirst = (revision: number): number => {
+    let low = 0;
+    let high = changes.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if (changes[middle]!.revision > revision) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  };
+
+  const readSince = (revision: number): readonly ViewEntry[] | undefined => {
+    if (revision < knownAfter) return undefined;
+    const latest = new Map<string, ViewEntry>();
+    for (const entry of changes.slice(findFirst(revision))) {
+      latest.set(`${entry.kind}/${entry.name}`, entry);
+    }
+    return [...latest.values()];
+  };
+
+  return { append, readSince };
+};
--- a/src/node/control/configState.ts
+++ b/src/node/control/configState.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import { inventorySchema, servedVersion, type Inventory } from '../inventory';
 import type { StateMachine } from '../replication';
@@ -11,6 +12,8 @@
   type ViewUpdate,
   type Withdrawal,
 } from '../view';
+import { createChangeLog, type ChangeLog } from './changeLog';
+import { resolveScope, type ViewScope } from './viewScope';
 
 const changeId = z.string().min(1).max(128);
 
@@ -38,19 +41,31 @@
       readonly changeId: string;
       readonly inventory: Inventory;
     }
-  | { readonly type: 'withdraw'; readonly changeId: string; readonly withdrawal: Withdrawal }
+  | {
+      readonly type: 'withdraw';
+      readonly base: number;
+      readonly changeId: string;
+      readonly withdrawal: Withdrawal;
+    }
   | {
       readonly type: 'restore';
+      readonly base: number;
       readonly changeId: string;
       readonly model: string;
       readonly version: string;
     }
-  | { readonly type: 'setRollout'; readonly changeId: string; readonly rollout: Rollout }
+  | {
+      readonly type: 'setRollout';
+      readonly base: number;
+      readonly changeId: string;
+      readonly rollout: Rollout;
+    }
   | {
       readonly type: 'register';
       readonly node: string;
       readonly role: string;
       readonly zone: string;
+      readonly host: string;
       readonly address: string;
       readonly bootId: string;
     }
@@ -66,7 +81,16 @@
 export type ConfigResult =
   | { readonly type: 'accepted'; readonly revision: number; readonly inventoryRevision: number }
   | { readonly type: 'conflict'; readonly winner: string; readonly inventoryRevision: number }
-  | { readonly type: 'registered'; readonly incarnation: number }
+  /** The change id was used for another change. */
+  | { readonly type: 'reused'; readonly changeId: string }
+  /** The change was drawn up before the oldest answer that is still kept. */
+  | { readonly type: 'expired'; readonly oldestBase: number }
+  | {
+      readonly type: 'registered';
+      readonly incarnation: number;
+      /** A process of the same name at another address may still hold a lease. */
+      readonly mayOverlap: boolean;
+    }
   | { readonly type: 'stale'; readonly incarnation: number }
   | { readonly type: 'done'; readonly revision: number };
 
@@ -75,6 +99,7 @@
   readonly node: string;
   readonly role: string;
   readonly zone: string;
+  readonly host: string;
   readonly address: string;
   readonly bootId: string;
   readonly incarnation: number;
@@ -83,9 +108,11 @@
 /** The `config` state machine with its reads. */
 export interface ConfigState extends StateMachine<ConfigCommand, ConfigResult> {
   readonly revision: () => number;
+  /** Calls a listener after every change of the view. */
+  readonly watch: (listener: () => void) => void;
   readonly inventoryRevision: () => number;
   readonly inventory: () => Inventory | undefined;
-  readonly readUpdate: (since: number) => ViewUpdate;
+  readonly readUpdate: (since: number, scope: ViewScope) => ViewUpdate;
   readonly findNode: (node: string) => NodeRecord | undefined;
   readonly listNodes: () => readonly NodeRecord[];
 }
@@ -95,29 +122,41 @@
   .strictObject({ base: z.number().int().min(0), changeId, inventory: inventorySchema })
   .readonly();
 
+interface KeptAnswer {
+  readonly hash: string;
+  readonly revision: number;
+  readonly result: ConfigResult;
+}
+
 interface ConfigSnapshot {
   readonly revision: number;
   readonly inventoryRevision: number;
   readonly inventory?: Inventory;
   readonly lastChange: string;
   readonly entries: readonly ViewEntry[];
-  readonly answers: readonly (readonly [string, ConfigResult])[];
+  readonly oldestBase: number;
+  readonly answers: readonly (readonly [string, KeptAnswer])[];
   readonly nodes: readonly NodeRecord[];
   readonly nextIncarnation: number;
 }
 
 interface Tables {
+  /** Index of the command being applied. */
+  index: number;
   revision: number;
   inventoryRevision: number;
   inventory: Inventory | undefined;
   lastChange: string;
   nextIncarnation: number;
   readonly entries: Map<string, ViewEntry>;
-  readonly answers: Map<string, ConfigResult>;
+  /** The revision up to which answers to operators' changes have been dropped. */
+  oldestBase: number;
+  readonly answers: Map<string, KeptAnswer>;
+  changes: ChangeLog;
   readonly nodes: Map<string, NodeRecord>;
 }
 
-const ANSWERS_KEPT = 10_000;
+const ANSWERS_KEPT = 20_000;
 
 const formatKey = (kind: ViewKind, name: string): string => `${kind}/${name}`;
 
@@ -125,8 +164,11 @@
   const key = formatKey(kind, name);
   const known = tables.entries.get(key);
   if (JSON.stringify(known?.value) === JSON.stringify(value)) return;
-  tables.entries.delete(key);
-  tables.entries.set(key, { kind, name, revision: tables.revision, value } as ViewEntry);
+  tables.revision = tables.index;
+  const entry = { kind, name, revision: tables.revision, value } as ViewEntry;
+  if (value === undefined) tables.entries.delete(key);
+  else tables.entries.set(key, entry);
+  tables.changes.append(entry);
 };
 
 const listInventoryEntries = (
@@ -162,12 +204,26 @@
   next.forEach(([kind, name, value]) => writeEntry(tables, kind, name, value));
 };
 
-const recordAnswer = (tables: Tables, id: string, answer: ConfigResult): ConfigResult => {
-  tables.answers.set(id, answer);
-  if (tables.answers.size > ANSWERS_KEPT) {
-    tables.answers.delete(tables.answers.keys().next().value!);
-  }
-  return answer;
+type OperatorCommand = Extract<ConfigCommand, { readonly changeId: string }>;
+
+const computeHash = (command: OperatorCommand): string =>
+  createHash('sha256').update(JSON.stringify(command)).digest('hex');
+
+const removeOldestAnswer = (tables: Tables): void => {
+  const [oldest, kept] = tables.answers.entries().next().value!;
+  tables.answers.delete(oldest);
+  tables.oldestBase = kept.revision;
+};
+
+const recordAnswer = (
+  tables: Tables,
+  command: OperatorCommand,
+  result: ConfigResult,
+): ConfigResult => {
+  const hash = computeHash(command);
+  tables.answers.set(command.changeId, { hash, revision: tables.revision, result });
+  if (tables.answers.size > ANSWERS_KEPT) removeOldestAnswer(tables);
+  return result;
 };
 
 type Handlers = {
@@ -194,41 +250,40 @@
   putInventory: (tables, command) => {
     if (command.base !== tables.inventoryRevision) {
       const { lastChange: winner, inventoryRevision } = tables;
-      return recordAnswer(tables, command.changeId, {
-        type: 'conflict',
-        winner,
-        inventoryRevision,
-      });
+      return { type: 'conflict', winner, inventoryRevision };
     }
     tables.inventoryRevision += 1;
     tables.inventory = command.inventory;
     tables.lastChange = command.changeId;
     writeInventory(tables, command.inventory);
-    return recordAnswer(tables, command.changeId, formatAccepted(tables));
+    return formatAccepted(tables);
   },
   withdraw: (tables, command) => {
     const { model, version } = command.withdrawal;
     writeEntry(tables, 'withdrawal', formatVersionName(model, version), command.withdrawal);
-    return recordAnswer(tables, command.changeId, formatAccepted(tables));
+    return formatAccepted(tables);
   },
   restore: (tables, command) => {
     const name = formatVersionName(command.model, command.version);
     writeEntry(tables, 'withdrawal', name, undefined);
-    return recordAnswer(tables, command.changeId, formatAccepted(tables));
+    return formatAccepted(tables);
   },
   setRollout: (tables, command) => {
     writeEntry(tables, 'rollout', command.rollout.model, command.rollout);
-    return recordAnswer(tables, command.changeId, formatAccepted(tables));
+    return formatAccepted(tables);
   },
   register: (tables, command) => {
-    const { node, role, zone, address, bootId } = command;
+    const { node, role, zone, host, address, bootId } = command;
     const known = tables.nodes.get(node);
-    if (known?.bootId === bootId) return { type: 'registered', incarnation: known.incarnation };
+    const mayOverlap = known !== undefined && known.address !== address;
+    if (known?.bootId === bootId) {
+      return { type: 'registered', incarnation: known.incarnation, mayOverlap: false };
+    }
     tables.nextIncarnation += 1;
     const incarnation = tables.nextIncarnation;
-    tables.nodes.set(node, { node, role, zone, address, bootId, incarnation });
+    tables.nodes.set(node, { node, role, zone, host, address, bootId, incarnation });
     removeMembers(tables, node);
-    return { type: 'registered', incarnation };
+    return { type: 'registered', incarnation, mayOverlap };
   },
   announce: (tables, command) => {
     const record = tables.nodes.get(command.node);
@@ -236,6 +291,12 @@
       return { type: 'stale', incarnation: record?.incarnation ?? 0 };
     }
     const { announcement } = command;
+    const holder = tables.entries.get(formatKey('member', announcement.endpoint));
+    const other = holder?.value as Member | undefined;
+    // An endpoint that moved belongs to whoever registered last.
+    if (other !== undefined && other.incarnation > record.incarnation) {
+      return { type: 'stale', incarnation: other.incarnation };
+    }
     const member: Member = {
       ...announcement,
       node: record.node,
@@ -263,6 +324,9 @@
   inventory: undefined,
   lastChange: '',
   nextIncarnation: 0,
+  index: 0,
+  oldestBase: -1,
+  changes: createChangeLog(0),
   entries: new Map(),
   answers: new Map(),
   nodes: new Map(),
@@ -271,34 +335,58 @@
 const convertSnapshot = (state: ConfigSnapshot): Tables => ({
   ...state,
   inventory: state.inventory,
+  index: state.revision,
+  changes: createChangeLog(state.revision),
   entries: new Map(state.entries.map((entry) => [formatKey(entry.kind, entry.name), entry])),
   answers: new Map(state.answers),
   nodes: new Map(state.nodes.map((record) => [record.node, record])),
 });
 
-const findAnswer = (tables: Tables, command: ConfigCommand): ConfigResult | undefined =>
-  'changeId' in command ? tables.answers.get(command.changeId) : undefined;
+const isOperatorCommand = (command: ConfigCommand): command is OperatorCommand =>
+  'changeId' in command;
+
+// A change drawn up before the oldest kept answer may have been applied already.
+const checkOperatorCommand = (
+  tables: Tables,
+  command: OperatorCommand,
+): ConfigResult | undefined => {
+  const kept = tables.answers.get(command.changeId);
+  if (kept?.hash === computeHash(command)) return kept.result;
+  if (kept) return { type: 'reused', changeId: command.changeId };
+  const isExpired = command.type !== 'putInventory' && command.base <= tables.oldestBase;
+  return isExpired ? { type: 'expired', oldestBase: tables.oldestBase } : undefined;
+};
 
-/** Creates an empty `config` state machine. The log index is the view's revision. */
+/** Creates an empty `config` state machine. The view's revision is the index of its last change. */
 export const createConfigState = (): ConfigState => {
   let tables = createTables();
+  const listeners: (() => void)[] = [];
 
-  const apply = (index: number, command: ConfigCommand): ConfigResult => {
-    const first = findAnswer(tables, command);
-    tables.revision = index;
-    if (first) return first;
+  const runCommand = (command: ConfigCommand): ConfigResult => {
     const handle = handlers[command.type] as (t: Tables, c: ConfigCommand) => ConfigResult;
     return handle(tables, command);
   };
 
-  const readUpdate = (since: number): ViewUpdate => {
-    const all = [...tables.entries.values()];
+  const runOnce = (command: ConfigCommand): ConfigResult => {
+    if (!isOperatorCommand(command)) return runCommand(command);
+    const early = checkOperatorCommand(tables, command);
+    return early ?? recordAnswer(tables, command, runCommand(command));
+  };
+
+  const apply = (index: number, command: ConfigCommand): ConfigResult => {
+    const before = tables.revision;
+    tables.index = index;
+    const result = runOnce(command);
+    if (tables.revision !== before) listeners.forEach((listener) => listener());
+    return result;
+  };
+
+  const readUpdate = (since: number, scope: ViewScope): ViewUpdate => {
     const { revision } = tables;
-    if (since === 0 || since > revision) {
-      const entries = all.filter((entry) => entry.value !== undefined);
-      return { type: 'snapshot', revision, entries };
-    }
-    return { type: 'delta', revision, entries: all.filter((entry) => entry.revision > since) };
+    const changes = since > 0 && since <= revision ? tables.changes.readSince(since) : undefined;
+    const type = changes ? 'delta' : 'snapshot';
+    const entries = changes ?? [...tables.entries.values()];
+    return { type, revision, entries: resolveScope(entries, scope) };
   };
 
   const snapshot = (): ConfigSnapshot => ({
@@ -306,6 +394,7 @@
     inventoryRevision: tables.inventoryRevision,
     inventory: tables.inventory,
     lastChange: tables.lastChange,
+    oldestBase: tables.oldestBase,
     nextIncarnation: tables.nextIncarnation,
     entries: [...tables.entries.values()],
     answers: [...tables.answers],
@@ -317,8 +406,12 @@
     snapshot,
     restore: (state) => {
       tables = convertSnapshot(state as ConfigSnapshot);
+      listeners.forEach((listener) => listener());
     },
     revision: () => tables.revision,
+    watch: (listener) => {
+      listeners.push(listener);
+    },
     inventoryRevision: () => tables.inventoryRevision,
     inventory: () => tables.inventory,
     readUpdate,
--- a/src/node/control/controlApi.ts
+++ b/src/node/control/controlApi.ts
@@ -1,19 +1,23 @@
-import type { z } from 'zod';
+import { z } from 'zod';
 import { createError } from '../errors';
 import type { LedgerCommand, LedgerResult, LedgerState } from '../ledger';
 import type { Logger } from '../log';
 import type { Replica } from '../replication';
 import { createMethod, type RpcMethods } from '../rpc';
 import {
+  acquireLoadParams,
   announceParams,
   leaveParams,
   ledgerFindParams,
   ledgerProposeParams,
+  membersReportParams,
   registerParams,
   renewParams,
+  type RegisterAnswer,
   type RenewAnswer,
 } from '../shared';
 import type { ConfigCommand, ConfigResult, ConfigState } from './configState';
+import type { Members } from './members';
 
 /** The groups and states that the control services work on. */
 export interface ControlParts {
@@ -43,29 +47,43 @@
   });
 };
 
-const handleRenew = async (
+const register = async (
   parts: ControlParts,
+  params: z.infer<typeof registerParams>,
+): Promise<RegisterAnswer> => {
+  const result = await commit(parts, { type: 'register', ...params });
+  if (result.type !== 'registered') {
+    const message = `unexpected answer '${result.type}'`;
+    throw createError({ type: 'internal', message, step: 'control.register' });
+  }
+  const waitMs = result.mayOverlap ? parts.leaseMs : 0;
+  return { incarnation: result.incarnation, waitMs };
+};
+
+const renew = async (
+  parts: ControlParts,
+  members: Members,
   params: z.infer<typeof renewParams>,
 ): Promise<RenewAnswer> => {
-  const point = (await parts.config.confirmRead()).unsafeCoerce();
-  const record = parts.configState.findNode(params.node);
-  if (record?.incarnation !== params.incarnation) {
-    throw createError({
-      type: 'stale_revision',
-      message: `incarnation ${params.incarnation} of '${params.node}' is not registered`,
-      step: 'control.renew',
-    });
-  }
-  const update = parts.configState.readUpdate(params.revision);
-  return { term: point.term, leaseMs: parts.leaseMs, update };
+  const { term, update } = await members.renew(params);
+  return { term, leaseMs: parts.leaseMs, update };
 };
 
 /** Creates the methods that control answers to entries and agents. */
-export const createControlMethods = (parts: ControlParts): RpcMethods => ({
-  'control.register': createMethod(registerParams, (params) =>
-    commit(parts, { type: 'register', ...params }),
+export const createControlMethods = (parts: ControlParts, members: Members): RpcMethods => ({
+  'control.register': createMethod(registerParams, (params) => register(parts, params)),
+  'control.renew': createMethod(renewParams, (params) => renew(parts, members, params)),
+  'control.acquireLoad': createMethod(acquireLoadParams, ({ node, incarnation }) =>
+    members.acquireLoad(node, incarnation),
+  ),
+  'members.acquireLoad': createMethod(leaveParams, ({ node, incarnation }) =>
+    members.acquireLoad(node, incarnation),
   ),
-  'control.renew': createMethod(renewParams, (params) => handleRenew(parts, params)),
+  'members.list': createMethod(z.strictObject({}), () => members.listNodeStates()),
+  'members.report': createMethod(membersReportParams, ({ sightings }) => {
+    members.handleReport(sightings);
+    return { type: 'recorded' };
+  }),
   'control.announce': createMethod(announceParams, async (params) =>
     checkStale(await commit(parts, { type: 'announce', ...params }), 'control.announce'),
   ),
--- /dev/null
+++ b/src/node/control/members/index.ts
@@ -0,0 +1,3 @@
+export * from './members';
+export * from './loadPermits';
+export * from './nodeTracker';
--- /dev/null
+++ b/src/node/control/members/readBatcher.ts
@@ -0,0 +1,29 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Either } from 'purify-ts';
+import type { RouterError } from '../../errors';
+import type { ReadPoint, Replica } from '../../replication';
+
+/** Shares one quorum-confirmed read between all callers of a short window. */
+export interface ReadBatcher {
+  readonly confirm: () => Promise<Either<RouterError, ReadPoint>>;
+}
+
+const WINDOW_MS = 30;
+
+/** Creates a batcher; a caller joins only a read that has not begun yet. */
+export const createReadBatcher = <C, R>(replica: Replica<C, R>): ReadBatcher => {
+  let next: Promise<Either<RouterError, ReadPoint>> | undefined;
+
+  const runBatch = async (): Promise<Either<RouterError, ReadPoint>> => {
+    await sleep(WINDOW_MS);
+    next = undefined;
+    return replica.confirmRead();
+  };
+
+  return {
+    confirm: () => {
+      next ??= runBatch();
+      return next;
+    },
+  };
+};
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -35,7 +35,8 @@
     const root = find<Logger>('log');
     const log = createPartLogger(root, 'entry');
     const { node, zone, control, limits } = settings;
-    const lease = createLeaseClient({ node, role: 'entry', zone, control, rpc, log });
+    const host = settings.host ?? node;
+    const lease = createLeaseClient({ node, role: 'entry', zone, host, control, rpc, log });
     const ledger = createLedgerClient(rpc, lease);
     const { answerTimeoutMs } = limits;
     const decisions = createPartLogger(root, 'decision');
--- a/src/node/inventory/schema.ts
+++ b/src/node/inventory/schema.ts
@@ -123,6 +123,13 @@
     explorationShare: share.default(0.02),
     retryBudget: share.default(0.1),
     tasks: z.array(taskSchema).readonly().default([]),
+    weightStore: z
+      .strictObject({
+        /** Loads that the weight store may be asked for, over all agents. */
+        loadsPerMinute: z.number().positive().default(60),
+      })
+      .readonly()
+      .prefault({}),
     rollout: rolloutRulesSchema.prefault({}),
   })
   .readonly();
--- a/src/node/lease/leaseClient.ts
+++ b/src/node/lease/leaseClient.ts
@@ -1,8 +1,11 @@
 import { randomUUID } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+import murmurhash from 'murmurhash';
+import type { RouterError } from '../errors';
 import type { Logger } from '../log';
 import type { RpcClient } from '../rpc';
-import type { RenewAnswer } from '../shared';
+import type { RegisterAnswer, RenewAnswer, StaleIncarnation } from '../shared';
 import { createViewStore, type View } from '../view';
 
 /** What a lease client needs. */
@@ -10,6 +13,7 @@
   readonly node: string;
   readonly role: 'entry' | 'agent';
   readonly zone: string;
+  readonly host: string;
   readonly control: readonly string[];
   readonly rpc: RpcClient;
   readonly log: Logger;
@@ -21,99 +25,159 @@
   readonly incarnation: () => number;
   /** False once the lease has run out: nothing new may be admitted or started. */
   readonly isValid: () => boolean;
+  /** True once a newer process took this one's name; the lease does not come back. */
+  readonly isReplaced: () => boolean;
   /** The control host that answered last. */
   readonly controlAddress: () => string;
   /** Gives up on the current control host; the next call goes to another. */
   readonly chooseNextControl: () => void;
   /** Registers with the address of this process's internal port and renews from then on. */
   readonly start: (address: string) => Promise<void>;
+  /** Stops renewing and ends the registration. */
   readonly stop: () => Promise<void>;
 }
 
-const RENEW_INTERVAL_MS = 500;
+interface LeaseState {
+  bootId: string;
+  address: string;
+  incarnation: number;
+  validFrom: number;
+  validUntil: number;
+  controlIndex: number;
+  isReplaced: boolean;
+  isStopped: boolean;
+}
+
+const RENEW_WAIT_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_000;
+const LEAVE_TIMEOUT_MS = 500;
+const RETRY_INTERVAL_MS = 100;
+const LEAVE_TRIES = 3;
 
 /** Creates a lease client; `start` resolves once the first lease is held. */
 export const createLeaseClient = (options: LeaseClientOptions): LeaseClient => {
-  const { node, role, zone, control, rpc, log } = options;
+  const { node, role, zone, host, control, rpc, log } = options;
   const view = createViewStore();
-  const bootId = randomUUID();
-  let address = '';
-  let incarnation = 0;
-  let validUntil = 0;
-  let controlIndex = 0;
-  let timer: NodeJS.Timeout | undefined;
-  let isStopped = false;
+  const stopping = new AbortController();
+  const state: LeaseState = {
+    bootId: randomUUID(),
+    address: '',
+    incarnation: 0,
+    validFrom: 0,
+    validUntil: 0,
+    // Nodes begin at different control hosts, so that renewals are spread over them.
+    controlIndex: murmurhash.v3(node) % control.length,
+    isReplaced: false,
+    isStopped: false,
+  };
+  let loop: Promise<void> | undefined;
 
-  const readControl = (): string => control[controlIndex % control.length]!;
+  const readControl = (): string => control[state.controlIndex % control.length]!;
+
+  const isValid = (): boolean => {
+    const now = performance.now();
+    return now >= state.validFrom && now < state.validUntil;
+  };
 
   const chooseNextControl = (): void => {
-    controlIndex += 1;
+    state.controlIndex += 1;
+  };
+
+  const handleRegistered = (answer: RegisterAnswer): void => {
+    state.incarnation = answer.incarnation;
+    state.validFrom = performance.now() + answer.waitMs;
+    const { incarnation, waitMs } = answer;
+    log.info({ incarnation, control: readControl(), waitMs }, 'registered');
+  };
+
+  const handleFailure = (error: RouterError): void => {
+    const { step, peer, message } = error;
+    log.warn({ step, peer, reason: message }, 'lease not renewed');
+    chooseNextControl();
   };
 
   const register = async (): Promise<boolean> => {
-    const params = { node, role, zone, address, bootId };
-    const answer = await rpc.call<{ readonly incarnation: number }>(
-      readControl(),
-      'control.register',
-      params,
-      { timeoutMs: CALL_TIMEOUT_MS },
-    );
-    answer.ifRight((value) => {
-      incarnation = value.incarnation;
-      log.info({ incarnation, control: readControl() }, 'registered');
-    });
-    answer.ifLeft((error) => {
-      log.warn({ step: error.step, peer: error.peer, reason: error.message }, 'not registered');
-      chooseNextControl();
+    const { bootId, address } = state;
+    const params = { node, role, zone, host, address, bootId };
+    const answer = await rpc.call<RegisterAnswer>(readControl(), 'control.register', params, {
+      timeoutMs: CALL_TIMEOUT_MS,
     });
+    answer.ifRight(handleRegistered).ifLeft(handleFailure);
     return answer.isRight();
   };
 
-  const renew = async (): Promise<void> => {
+  const handleStale = (stale: StaleIncarnation): void => {
+    state.validUntil = 0;
+    state.isReplaced = stale.isReplaced;
+    // A process whose registration expired is a new one to control, with a new incarnation.
+    state.incarnation = 0;
+    state.bootId = randomUUID();
+    log.warn({ isReplaced: stale.isReplaced }, 'incarnation is not current');
+  };
+
+  const renew = async (): Promise<boolean> => {
     // The lease counts from the sending, so that a slow answer cannot stretch it.
     const sentAt = performance.now();
-    const params = { node, incarnation, revision: view.revision() };
+    const { incarnation } = state;
+    const waitMs = isValid() ? RENEW_WAIT_MS : 0;
+    const params = { node, incarnation, revision: view.revision(), waitMs };
     const answer = await rpc.call<RenewAnswer>(readControl(), 'control.renew', params, {
-      timeoutMs: CALL_TIMEOUT_MS,
+      timeoutMs: waitMs + CALL_TIMEOUT_MS,
+      signal: stopping.signal,
     });
     answer.ifRight((value) => {
-      if (view.apply(value.update)) validUntil = sentAt + value.leaseMs;
+      if (view.apply(value.update)) state.validUntil = sentAt + value.leaseMs;
     });
     answer.ifLeft((error) => {
-      log.warn({ step: error.step, peer: error.peer, reason: error.message }, 'lease not renewed');
-      chooseNextControl();
+      if (state.isStopped) return;
+      if (error.type === 'stale_revision') handleStale(error.data as StaleIncarnation);
+      else handleFailure(error);
     });
+    return answer.isRight();
   };
 
   const advance = async (): Promise<void> => {
-    if (incarnation === 0) await register();
-    if (incarnation !== 0) await renew();
+    const isRegistered = state.incarnation !== 0 || (await register());
+    const isRenewed = isRegistered && (await renew());
+    if (!isRenewed && !state.isStopped) await sleep(RETRY_INTERVAL_MS);
   };
 
-  const schedule = (): void => {
-    if (isStopped) return;
-    timer = setTimeout(() => {
-      advance().finally(schedule);
-    }, RENEW_INTERVAL_MS);
+  const runLoop = async (): Promise<void> => {
+    while (!state.isStopped && !state.isReplaced) await advance();
+  };
+
+  const releaseRegistration = async (): Promise<void> => {
+    const { incarnation } = state;
+    for (let attempt = 0; attempt < LEAVE_TRIES && incarnation !== 0; attempt += 1) {
+      const callOptions = { timeoutMs: LEAVE_TIMEOUT_MS };
+      const answer = await rpc.call(
+        readControl(),
+        'control.leave',
+        { node, incarnation },
+        callOptions,
+      );
+      if (answer.isRight()) return;
+      chooseNextControl();
+    }
   };
 
   return {
     view,
-    incarnation: () => incarnation,
-    isValid: () => performance.now() < validUntil,
+    incarnation: () => state.incarnation,
+    isValid,
+    isReplaced: () => state.isReplaced,
     controlAddress: readControl,
     chooseNextControl,
-    start: async (ownAddress) => {
-      address = ownAddress;
-      await advance();
-      schedule();
+    start: async (address) => {
+      state.address = address;
+      while (!isValid() && !state.isReplaced && !state.isStopped) await advance();
+      loop = runLoop();
     },
     stop: async () => {
-      isStopped = true;
-      clearTimeout(timer);
-      if (incarnation === 0) return;
-      await rpc.call(readControl(), 'control.leave', { node, incarnation });
+      state.isStopped = true;
+      stopping.abort();
+      await loop;
+      await releaseRegistration();
     },
   };
 };
--- a/src/node/rpc/rpcClient.ts
+++ b/src/node/rpc/rpcClient.ts
@@ -5,6 +5,7 @@
 /** How one call is made. */
 export interface CallOptions {
   readonly timeoutMs?: number;
+  readonly signal?: AbortSignal;
 }
 
 /** Calls methods of peers by address. Errors come back as a `Left`, with step and peer. */
@@ -52,6 +53,34 @@
   );
 };
 
+interface CallLimit {
+  readonly signal: AbortSignal;
+  readonly isTimedOut: () => boolean;
+  readonly close: () => void;
+}
+
+// One controller a call: a combined signal would stay registered with a long-lived one.
+const createCallLimit = (options: CallOptions): CallLimit => {
+  const controller = new AbortController();
+  let isTimedOut = false;
+  const handleAbort = (): void => controller.abort();
+  const handleTimeout = (): void => {
+    isTimedOut = true;
+    controller.abort();
+  };
+  const timer = setTimeout(handleTimeout, options.timeoutMs ?? CALL_TIMEOUT_MS);
+  if (options.signal?.aborted) handleAbort();
+  options.signal?.addEventListener('abort', handleAbort, { once: true });
+  return {
+    signal: controller.signal,
+    isTimedOut: () => isTimedOut,
+    close: () => {
+      clearTimeout(timer);
+      options.signal?.removeEventListener('abort', handleAbort);
+    },
+  };
+};
+
 /** Creates a client with one connection pool per peer. */
 export const createRpcClient = (options: RpcClientOptions): RpcClient => {
   const pools = new Map<string, Pool>();
@@ -89,21 +118,23 @@
     callOptions: CallOptions = {},
   ) => {
     nextId += 1;
-    const signal = AbortSignal.timeout(callOptions.timeoutMs ?? CALL_TIMEOUT_MS);
+    const limit = createCallLimit(callOptions);
     try {
       const response = await request(address, {
         path: '/rpc',
         method: 'POST',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ jsonrpc: '2.0', id: nextId, method, params }),
-        signal,
+        signal: limit.signal,
       });
       return parseAnswer<T>((await response.body.json()) as RpcAnswer, method, address);
     } catch (cause) {
-      if (signal.aborted) removePool(address);
+      if (limit.isTimedOut()) removePool(address);
       const message = cause instanceof Error ? cause.message : String(cause);
-      const type = signal.aborted ? 'timeout' : 'peer_failed';
+      const type = limit.isTimedOut() ? 'timeout' : 'peer_failed';
       return Left(createError({ type, message, step: method, peer: address, outcome: 'unknown' }));
+    } finally {
+      limit.close();
     }
   };
 
--- a/src/node/shared/protocol.ts
+++ b/src/node/shared/protocol.ts
@@ -8,6 +8,7 @@
   node: z.string(),
   role: z.enum(['entry', 'agent']),
   zone: z.string(),
+  host: z.string(),
   address: z.string(),
   bootId: z.string(),
 });
@@ -17,6 +18,28 @@
   node: z.string(),
   incarnation: z.number().int(),
   revision: z.number().int(),
+  /** How long the answer may be held back while nothing changes, in milliseconds. */
+  waitMs: z.number().int().min(0).max(5_000),
+});
+
+/** `members.report`: a control host tells the leader whose leases it renewed. */
+export const membersReportParams = z.strictObject({
+  sightings: z.array(
+    z.strictObject({
+      node: z.string(),
+      incarnation: z.number().int(),
+      revision: z.number().int(),
+      ageMs: z.number().min(0),
+    }),
+  ),
+});
+
+/** `control.acquireLoad`: an agent asks for a permit to load weights from the store. */
+export const acquireLoadParams = z.strictObject({
+  node: z.string(),
+  incarnation: z.number().int(),
+  model: z.string(),
+  version: z.string(),
 });
 
 /** `control.announce`: an agent says what its endpoint serves. */
@@ -37,6 +60,39 @@
 /** `ledger.find`: reads one request of an organisation. */
 export const ledgerFindParams = z.strictObject({ organisation: z.string(), requestId: z.string() });
 
+/** The answer of `control.register`. */
+export interface RegisterAnswer {
+  readonly incarnation: number;
+  /** How long the process must wait until an older one of its name holds no lease. */
+  readonly waitMs: number;
+}
+
+/** Data of the error that tells a process that its incarnation is not the current one. */
+export interface StaleIncarnation {
+  /** True when a newer process took the name, false when the registration expired. */
+  readonly isReplaced: boolean;
+}
+
+/** What control knows of a registered node. */
+export interface NodeState {
+  readonly node: string;
+  readonly role: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly address: string;
+  readonly incarnation: number;
+  /** Revision that the node told with its last renewal. */
+  readonly revision: number;
+  /** Milliseconds until the node's lease has certainly run out. */
+  readonly leaseLeftMs: number;
+}
+
+/** The answer of `control.acquireLoad`. */
+export interface LoadPermit {
+  readonly isGranted: boolean;
+  readonly waitMs: number;
+}
+
 /** The answer of `control.renew`. */
 export interface RenewAnswer {
   readonly term: number;
