Give engines their orders from the desired state, behind a fencing number

Cause: nothing turned the inventory's endpoints into loads, and an endpoint that fell silent stayed live. Change: the agent compares what its engine announces with the inventory and gives one order at a time, never without a lease; the fencing number is its incarnation, which control commits. Not shown by a run yet: two agents on one slot, an engine that refuses.

--- /dev/null
+++ b/src/node/agent/__tests__/orderPlan.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import type { Endpoint } from '../../inventory';
+import { listOrders } from '../orderPlan';
+
+const V1 = { model: 'small', version: 'v1' } as const;
+const V2 = { model: 'small', version: 'v2' } as const;
+const FREE = { isWithdrawn: () => false, hasWork: () => false } as const;
+
+const createEndpoint = (fields: Partial<Endpoint>): Endpoint => ({
+  name: 'e1',
+  host: 'h1',
+  state: 'active',
+  ...fields,
+});
+
+const CASES = [
+  { title: 'no desired state', desired: undefined, serves: [V1], limits: FREE, orders: [] },
+  {
+    title: 'nothing said of versions',
+    desired: createEndpoint({}),
+    serves: [V1],
+    limits: FREE,
+    orders: [],
+  },
+  {
+    title: 'a version more',
+    desired: createEndpoint({ load: [V1, V2] }),
+    serves: [V1],
+    limits: FREE,
+    orders: [{ type: 'load', ...V2 }],
+  },
+  {
+    title: 'a version less, idle',
+    desired: createEndpoint({ load: [V2] }),
+    serves: [V1, V2],
+    limits: FREE,
+    orders: [{ type: 'unload', ...V1 }],
+  },
+  {
+    title: 'a version less, at work',
+    desired: createEndpoint({ load: [V2] }),
+    serves: [V1, V2],
+    limits: { ...FREE, hasWork: () => true },
+    orders: [],
+  },
+  {
+    title: 'a withdrawn version is not loaded',
+    desired: createEndpoint({ load: [V1, V2] }),
+    serves: [V1],
+    limits: { ...FREE, isWithdrawn: (_model: string, version: string) => version === 'v2' },
+    orders: [],
+  },
+  {
+    title: 'a role and an adapter',
+    desired: createEndpoint({ role: 'prefill', adapters: ['a1'] }),
+    serves: [],
+    limits: FREE,
+    orders: [
+      { type: 'setRole', role: 'prefill' },
+      { type: 'loadAdapter', adapter: 'a1' },
+    ],
+  },
+] as const;
+
+for (const { title, desired, serves, limits, orders } of CASES) {
+  test(`orders: ${title}`, (t) => {
+    t.deepEqual(listOrders(desired, { serves }, limits), [...orders]);
+  });
+}
--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -1,5 +1,5 @@
 import type { Service } from '../kernel';
-import { createLeaseClient, type LeaseClient } from '../lease';
+import { createLeaseClient } from '../lease';
 import { createPartLogger, type Logger } from '../log';
 import {
   createHttpServer,
@@ -9,7 +9,9 @@
   type RpcClient,
 } from '../rpc';
 import type { AgentSettings } from '../settings';
-import { createAnnouncementStore, type EngineAnnouncement } from './announcements';
+import { createAnnouncementStore } from './announcements';
+import { createEndpointAnnouncer } from './endpointAnnouncer';
+import { createOrders } from './orders';
 import { createAttemptStore } from './attemptStore';
 import { createAgentMethods, registerAnnounceRoute, registerAttemptRoutes } from './agentServer';
 
@@ -22,21 +24,6 @@
   },
 });
 
-const sendAnnouncement = async (
-  rpc: RpcClient,
-  lease: LeaseClient,
-  settings: AgentSettings,
-  announced: EngineAnnouncement,
-  state: 'live' | 'leaving',
-): Promise<boolean> => {
-  const { endpoint, serves, service, slots, checksFencing } = announced;
-  const host = settings.host ?? settings.node;
-  const announcement = { endpoint, serves, service, slots, checksFencing, host, state };
-  const params = { node: settings.node, incarnation: lease.incarnation(), announcement };
-  const answer = await rpc.call(lease.controlAddress(), 'control.announce', params);
-  return answer.isRight();
-};
-
 const createAgentService = (settings: AgentSettings): Service => ({
   name: 'agent',
   needs: ['rpc', 'log'],
@@ -50,31 +37,23 @@
     const store = createAttemptStore({ lease, announcements, queueLimit, log });
     const internal = createHttpServer();
     const announcePort = createHttpServer();
-    const sent = new Map<string, string>();
-
-    const handleAnnouncement = (announced: EngineAnnouncement): void => {
-      announcements.add(announced);
-      const text = JSON.stringify(announced);
-      if (sent.get(announced.endpoint) === text) return;
-      sent.set(announced.endpoint, text);
-      sendAnnouncement(rpc, lease, settings, announced, 'live').then((isSent) => {
-        if (!isSent) sent.delete(announced.endpoint);
-      });
-    };
+    const announcer = createEndpointAnnouncer({ node, host, lease, announcements, rpc, log });
+    const hasWork = (): boolean => store.countActive() > 0;
+    const orders = createOrders({ node, lease, announcements, rpc, log, hasWork });
 
     registerRpc(internal, createAgentMethods(store), settings.secrets.internal);
     registerAttemptRoutes(internal, store, settings.secrets.internal);
-    registerAnnounceRoute(announcePort, handleAnnouncement);
+    registerAnnounceRoute(announcePort, announcements.add);
     const address = await startHttpServer(internal, settings.listen);
     await lease.start(address);
     const announceAddress = await startHttpServer(announcePort, settings.announceListen);
+    announcer.start();
+    orders.start();
     log.info({ address, announceAddress }, 'listening');
 
     const stop = async (): Promise<void> => {
-      const live = announcements.list();
-      await Promise.all(
-        live.map((item) => sendAnnouncement(rpc, lease, settings, item, 'leaving')),
-      );
+      await orders.stop();
+      await announcer.stop();
       await store.drain();
       await lease.stop();
       await announcePort.close();
--- a/src/node/agent/announcements.ts
+++ b/src/node/agent/announcements.ts
@@ -9,6 +9,8 @@
     address: z.string(),
     serves: z.array(servedVersion).readonly().default([]),
     service: z.string().optional(),
+    role: z.string().optional(),
+    adapters: z.array(z.string()).readonly().optional(),
     slots: z.number().int().positive(),
     checksFencing: z.boolean().default(false),
   })
--- /dev/null
+++ b/src/node/agent/endpointAnnouncer.ts
@@ -0,0 +1,88 @@
+import type { LeaseClient } from '../lease';
+import type { Logger } from '../log';
+import type { RpcClient } from '../rpc';
+import type { AnnouncementStore, EngineAnnouncement } from './announcements';
+
+/** What the announcer needs. */
+export interface EndpointAnnouncerOptions {
+  readonly node: string;
+  readonly host: string;
+  readonly lease: LeaseClient;
+  readonly announcements: AnnouncementStore;
+  readonly rpc: RpcClient;
+  readonly log: Logger;
+}
+
+/** Tells control what the endpoints beside this agent serve, whenever it changes. */
+export interface EndpointAnnouncer {
+  readonly start: () => void;
+  /** Tells control that every endpoint is leaving; gives up after a bounded time. */
+  readonly stop: () => Promise<void>;
+}
+
+type EndpointState = 'live' | 'leaving';
+
+const TICK_MS = 200;
+const LEAVE_TRIES = 3;
+
+/** Creates the announcer of one agent. */
+export const createEndpointAnnouncer = (options: EndpointAnnouncerOptions): EndpointAnnouncer => {
+  const { node, host, lease, announcements, rpc, log } = options;
+  const known = new Map<string, EngineAnnouncement>();
+  const sent = new Map<string, string>();
+  let timer: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  const sendState = async (
+    announced: EngineAnnouncement,
+    state: EndpointState,
+  ): Promise<boolean> => {
+    const { endpoint, serves, service, slots, checksFencing } = announced;
+    const announcement = { endpoint, serves, service, slots, checksFencing, host, state };
+    const params = { node, incarnation: lease.incarnation(), announcement };
+    const text = JSON.stringify(params);
+    if (sent.get(endpoint) === text) return true;
+    const answer = await rpc.call(lease.controlAddress(), 'control.announce', params);
+    answer.ifRight(() => {
+      sent.set(endpoint, text);
+      log.info({ endpoint, state, serves }, 'endpoint announced');
+    });
+    answer.ifLeft((error) => {
+      const { step, peer, message } = error;
+      log.warn({ endpoint, state, step, peer, reason: message }, 'endpoint not announced');
+      lease.chooseNextControl();
+    });
+    return answer.isRight();
+  };
+
+  const advance = async (): Promise<void> => {
+    if (!lease.isValid()) return;
+    announcements.list().forEach((item) => known.set(item.endpoint, item));
+    for (const announced of known.values()) {
+      const isLive = announcements.find(announced.endpoint) !== undefined;
+      await sendState(announced, isLive ? 'live' : 'leaving');
+    }
+  };
+
+  const schedule = (): void => {
+    if (isStopped) return;
+    timer = setTimeout(() => {
+      advance().finally(schedule);
+    }, TICK_MS);
+  };
+
+  const sendLeaving = async (announced: EngineAnnouncement): Promise<void> => {
+    for (let attempt = 0; attempt < LEAVE_TRIES; attempt += 1) {
+      if (await sendState(announced, 'leaving')) return;
+    }
+  };
+
+  return {
+    start: schedule,
+    stop: async () => {
+      isStopped = true;
+      clearTimeout(timer);
+      await Promise.all([...known.values()].map(sendLeaving));
+    },
+  };
+};
--- a/src/node/dev/dev.ts
+++ b/src/node/dev/dev.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createAgentServices, type AgentAddresses } from '../agent';
 import { createControlServices } from '../control';
 import { createEntryServices, type EntryAddresses } from '../entry';
@@ -32,6 +33,8 @@
 const ZONE = 'dev-zone';
 const FREE_PORT = { host: HOST, port: 0 } as const;
 const SECRET_BYTES = 16;
+const DEV_ENDPOINTS = 2;
+const READY_POLL_MS = 20;
 
 interface DevContext {
   readonly options: DevOptions;
@@ -171,6 +174,16 @@
   },
 });
 
+const createReadinessService = (): Service => ({
+  name: 'readiness',
+  needs: ['entry', 'engine', 'bookings'],
+  start: async (find) => {
+    const { countEndpoints } = find<EntryAddresses>('entry');
+    while (countEndpoints() < DEV_ENDPOINTS) await sleep(READY_POLL_MS);
+    return { value: true };
+  },
+});
+
 /** Starts control, entry, agents and stand-ins in this process. */
 export const startDev = async (options: DevOptions): Promise<Dev> => {
   const createSecret = (): string => randomBytes(SECRET_BYTES).toString('hex');
@@ -187,6 +200,7 @@
     createAgent(context, 'agent-1'),
     createAgent(context, 'agent-2'),
     createEntry(context),
+    createReadinessService(),
   ]);
   await kernel.start();
   return {
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -70,7 +70,8 @@
       await lease.stop();
       await internal.close();
     };
-    return { value: { address, internalAddress }, stop };
+    const countEndpoints = (): number => view.list('member').length;
+    return { value: { address, internalAddress, countEndpoints }, stop };
   },
 });
 
@@ -78,6 +79,8 @@
 export interface EntryAddresses {
   readonly address: string;
   readonly internalAddress: string;
+  /** Live endpoints that this entry knows of. */
+  readonly countEndpoints: () => number;
 }
 
 /** The services of the `entry` role. */
--- a/src/node/inventory/schema.ts
+++ b/src/node/inventory/schema.ts
@@ -58,6 +58,8 @@
     load: z.array(servedVersionSchema).readonly().optional(),
     service: name.optional(),
     role: z.string().optional(),
+    /** Adapters that the engine shall have loaded; absent leaves them as they are. */
+    adapters: z.array(name).readonly().optional(),
     state: z.enum(['active', 'leaving']).default('active'),
   })
   .readonly();
--- a/src/node/standin/engine.ts
+++ b/src/node/standin/engine.ts
@@ -5,6 +5,7 @@
 import { createError } from '../errors';
 import type { ServedVersion } from '../inventory';
 import { createHttpServer, startHttpServer, type ListenAddress } from '../rpc';
+import { registerOrders, type StandinOrder } from './orders';
 import { startAnnouncing } from './standinServer';
 
 /** How a stand-in engine behaves. */
@@ -38,6 +39,7 @@
 export interface StandinEngine {
   readonly address: string;
   readonly listRuns: () => readonly StandinRun[];
+  readonly listOrders: () => readonly StandinOrder[];
   readonly stop: () => Promise<void>;
 }
 
@@ -182,13 +184,17 @@
     return reply.send(formatAnswer(run));
   });
 
-  app.get('/record', async () => ({ runs }));
+  const loads = registerOrders(app, options.serves, options.checksFencing ?? false);
+
+  app.get('/record', async () => ({ runs, orders: loads.listOrders() }));
 
   const address = await startHttpServer(app, options.listen);
   const stopAnnouncing = startAnnouncing(options.agentAddress, () => ({
     endpoint: options.endpoint,
     address,
-    serves: options.serves,
+    serves: loads.listServed(),
+    role: loads.readRole(),
+    adapters: loads.listAdapters(),
     slots,
     checksFencing: options.checksFencing ?? false,
   }));
@@ -196,6 +202,7 @@
   return {
     address,
     listRuns: () => runs,
+    listOrders: loads.listOrders,
     stop: async () => {
       stopAnnouncing();
       await app.close();
--- /dev/null
+++ b/src/node/standin/orders.ts
@@ -0,0 +1,79 @@
+import type { FastifyInstance } from 'fastify';
+import { z } from 'zod';
+import { createError } from '../errors';
+import type { ServedVersion } from '../inventory';
+
+const orderSchema = z.object({
+  fence: z.number().int(),
+  endpoint: z.string(),
+  order: z.discriminatedUnion('type', [
+    z.object({ type: z.literal('load'), model: z.string(), version: z.string() }),
+    z.object({ type: z.literal('unload'), model: z.string(), version: z.string() }),
+    z.object({ type: z.literal('setRole'), role: z.string() }),
+    z.object({ type: z.literal('loadAdapter'), adapter: z.string() }),
+    z.object({ type: z.literal('unloadAdapter'), adapter: z.string() }),
+  ]),
+});
+
+/** One order in the stand-in's own record. */
+export type StandinOrder = Readonly<z.infer<typeof orderSchema>> & { readonly isTaken: boolean };
+
+/** What a stand-in engine has loaded, changed by orders. */
+export interface StandinLoads {
+  readonly listServed: () => readonly ServedVersion[];
+  readonly readRole: () => string | undefined;
+  readonly listAdapters: () => readonly string[];
+  readonly listOrders: () => readonly StandinOrder[];
+}
+
+/** Registers `POST /orders`; with `checksFencing` a number lower than one seen is refused. */
+export const registerOrders = (
+  app: FastifyInstance,
+  serves: readonly ServedVersion[],
+  checksFencing: boolean,
+): StandinLoads => {
+  const orders: StandinOrder[] = [];
+  let served = [...serves];
+  let adapters: string[] = [];
+  let role: string | undefined;
+  let highest = 0;
+
+  const isOther = (item: ServedVersion, model: string, version: string): boolean =>
+    item.model !== model || item.version !== version;
+
+  const applyOrder = ({ order }: z.infer<typeof orderSchema>): void => {
+    if (order.type === 'setRole') role = order.role;
+    if (order.type === 'loadAdapter') adapters = [...adapters, order.adapter];
+    if (order.type === 'unloadAdapter') {
+      adapters = adapters.filter((item) => item !== order.adapter);
+    }
+    if (order.type !== 'load' && order.type !== 'unload') return;
+    const { model, version } = order;
+    served = served.filter((item) => isOther(item, model, version));
+    if (order.type === 'load') served = [...served, { model, version }];
+  };
+
+  app.post('/orders', async (request) => {
+    const parsed = orderSchema.safeParse(request.body);
+    if (!parsed.success) {
+      const message = parsed.error.issues[0]?.message ?? 'no match';
+      throw createError({ type: 'invalid_request', message, step: 'engine.order' });
+    }
+    const isTaken = !checksFencing || parsed.data.fence >= highest;
+    orders.push({ ...parsed.data, isTaken });
+    if (!isTaken) {
+      const message = `fencing number ${parsed.data.fence} is lower than ${highest}`;
+      throw createError({ type: 'conflict', message, step: 'engine.order' });
+    }
+    highest = Math.max(highest, parsed.data.fence);
+    applyOrder(parsed.data);
+    return { type: 'done' };
+  });
+
+  return {
+    listServed: () => served,
+    readRole: () => role,
+    listAdapters: () => adapters,
+    listOrders: () => orders,
+  };
+};
--- a/src/node/standin/standinServer.ts
+++ b/src/node/standin/standinServer.ts
@@ -7,6 +7,8 @@
   readonly address: string;
   readonly serves?: readonly ServedVersion[];
   readonly service?: string;
+  readonly role?: string;
+  readonly adapters?: readonly string[];
   readonly slots: number;
   readonly checksFencing: boolean;
 }
