--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -24,6 +24,7 @@
 
 const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 10_000;
+const CLOSE_IDLE_INTERVAL_MS = 50;
 const HEADER_LIMIT_BYTES = 16 * 1024;
 
 const TYPE_BY_STATUS: Readonly<Record<number, ErrorType>> = {
@@ -49,6 +50,14 @@
   });
 };
 
+// A connection that was busy when the close began would else stay open until its keep-alive ends.
+const registerClosing = (app: FastifyInstance): void => {
+  app.addHook('preClose', async () => {
+    const timer = setInterval(() => app.server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS);
+    app.server.once('close', () => clearInterval(timer));
+  });
+};
+
 /** Creates an HTTP server that answers every error in the wire form. */
 export const createHttpServer = (options: HttpServerOptions = {}): FastifyInstance => {
   const app = fastify({
@@ -60,6 +69,7 @@
     http: { maxHeaderSize: HEADER_LIMIT_BYTES },
     ...(options.tls ? { https: { ...options.tls, maxHeaderSize: HEADER_LIMIT_BYTES } } : {}),
   } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
+  registerClosing(app);
   app.setErrorHandler((failure, request, reply) => {
     const error = convertFailure(failure as FastifyFailure);
     if (error.retryAfterSeconds !== undefined) reply.header('retry-after', error.retryAfterSeconds);
