--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -2,37 +2,55 @@
 import type { Service } from '../kernel';
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import { createSoloReplica } from '../replication';
-import { createHttpServer, registerRpc, startHttpServer } from '../rpc';
+import { createReplicationHost, type ReplicationHost } from '../replication';
+import { createHttpServer, createRpcClient, registerRpc, startHttpServer } from '../rpc';
 import type { ControlSettings } from '../settings';
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
 
-const createGroupsService = (settings: ControlSettings): Service => ({
-  name: 'groups',
+const DISK_FAILURE_EXIT = 1;
+
+const createReplicationService = (settings: ControlSettings): Service => ({
+  name: 'replication',
   needs: ['log'],
   start: (find) => {
+    const log = createPartLogger(find<Logger>('log'), 'replication');
+    const { node, peers, data, secrets } = settings;
+    const value = createReplicationHost({
+      node,
+      peers,
+      data,
+      log,
+      rpc: createRpcClient({ secret: secrets.internal }),
+      handleFailure: (cause) => {
+        log.fatal({ err: cause }, 'a write failed, the process ends');
+        process.exit(DISK_FAILURE_EXIT);
+      },
+    });
+    return { value, stop: value.stop };
+  },
+});
+
+const createGroupsService = (settings: ControlSettings): Service => ({
+  name: 'groups',
+  needs: ['log', 'replication'],
+  start: async (find) => {
     const configState = createConfigState();
     const ledgerState = createLedgerState();
-    const config = createSoloReplica('config', configState);
-    const ledger = createSoloReplica('ledger-0', ledgerState);
+    const replication = find<ReplicationHost>('replication');
+    const config = await replication.openGroup('config', configState);
+    const ledger = await replication.openGroup('ledger-0', ledgerState);
     const log = createPartLogger(find<Logger>('log'), 'control');
     const { leaseMs } = settings;
     const value: ControlParts = { config, configState, ledger, ledgerState, leaseMs, log };
-    return {
-      value,
-      stop: async () => {
-        await config.stop();
-        await ledger.stop();
-      },
-    };
+    return { value };
   },
 });
 
 const createControlServerService = (settings: ControlSettings): Service => ({
   name: 'control-server',
-  needs: ['groups', 'log'],
+  needs: ['groups', 'replication'],
   start: async (find) => {
     const parts = find<ControlParts>('groups');
     const { operator } = settings.secrets;
@@ -44,7 +62,11 @@
       });
     }
     const app = createHttpServer();
-    registerRpc(app, createControlMethods(parts), settings.secrets.internal);
+    const methods = {
+      ...createControlMethods(parts),
+      ...find<ReplicationHost>('replication').methods,
+    };
+    registerRpc(app, methods, settings.secrets.internal);
     registerAdminRoutes(app, parts, operator);
     const address = await startHttpServer(app, settings.listen);
     parts.log.info({ address }, 'listening');
@@ -54,6 +76,7 @@
 
 /** The services of the `control` role. */
 export const createControlServices = (settings: ControlSettings): readonly Service[] => [
+  createReplicationService(settings),
   createGroupsService(settings),
   createControlServerService(settings),
 ];
--- /dev/null
+++ b/src/node/replication/core/core.ts
@@ -0,0 +1,256 @@
+import { advanceElection, handleVote, handleVoteAnswer } from './election';
+import { createLog } from './log';
+import {
+  advanceJoining,
+  advanceMembership,
+  handleForm,
+  handleHello,
+  handleHelloAnswer,
+  handleInvitation,
+  replaceMember,
+  type ReplaceRefusal,
+} from './membership';
+import { addRead, advanceReads, handleRead, handleReadAnswer } from './reads';
+import {
+  advanceCommit,
+  advanceHeartbeat,
+  appendAsLeader,
+  handleAppend,
+  handleAppendAnswer,
+  handleUnreachable,
+  sendToAll,
+} from './replicate';
+import { handleSnapshot, handleSnapshotAnswer, isSendingSnapshot } from './snapshotTransfer';
+import { findSelf, sampleElectionTicks, sendUrgent, type CoreState } from './state';
+import type {
+  Body,
+  CoreOptions,
+  Entry,
+  Member,
+  Message,
+  Peer,
+  Proposal,
+  ProposeBody,
+  Ready,
+  SnapshotMeta,
+} from './types';
+
+/** What became of proposals: in the leader's log, on their way to it, or nowhere. */
+export type ProposeOutcome = 'appended' | 'sent' | 'no_leader' | 'overloaded';
+
+/** What a core knows of its group. */
+export interface CoreStatus {
+  readonly role: 'leader' | 'follower' | 'candidate' | 'learner';
+  readonly term: number;
+  readonly leader: Peer | undefined;
+  readonly commit: number;
+  readonly lastIndex: number;
+  readonly baseIndex: number;
+  readonly groupId: string;
+  readonly members: readonly Member[];
+  readonly isSendingSnapshot: boolean;
+}
+
+/** The consensus of one group on one host: messages in, a `Ready` out, no clock and no I/O. */
+export interface Core {
+  readonly tick: () => void;
+  readonly receive: (message: Message) => void;
+  readonly propose: (items: readonly Proposal[]) => ProposeOutcome;
+  /** Begins a read with an id of the caller; false when no leader is known. */
+  readonly read: (id: number) => boolean;
+  readonly replaceMember: (node: string, by: Omit<Peer, 'store'>) => ReplaceRefusal | undefined;
+  /** Reports that the writes of a `Ready` are synced. */
+  readonly handleStored: (stored: Ready['stored']) => void;
+  readonly handleUnreachable: (store: string) => void;
+  readonly compact: (snapshot: SnapshotMeta, keepFrom: number) => void;
+  readonly takeReady: () => Ready | undefined;
+  readonly listEntries: (from: number, to: number) => readonly Entry[];
+  readonly findTerm: (index: number) => number | undefined;
+  readonly findMembers: (index: number) => readonly Member[];
+  readonly status: () => CoreStatus;
+}
+
+const UNCOMMITTED_LIMIT = 20_000;
+
+const createState = (options: CoreOptions): CoreState => {
+  const { identity, hardState, snapshot, entries } = options.initial;
+  const log = createLog(
+    snapshot.index === 0 ? { ...snapshot, members: identity.members } : snapshot,
+  );
+  log.append(entries);
+  return {
+    options,
+    log,
+    identity,
+    role: 'follower',
+    isTrial: false,
+    term: hardState.term,
+    vote: hardState.vote,
+    leader: undefined,
+    commit: snapshot.index,
+    tick: 0,
+    heardAt: 0,
+    electionTicks: 0,
+    votes: new Map(),
+    progress: new Map(),
+    storedIndex: 0,
+    roundNumber: 0,
+    round: undefined,
+    waitingReads: [],
+    incoming: undefined,
+    hellos: new Map(),
+    answers: new Map(),
+    urgent: [],
+    messages: [],
+    appended: [],
+    reads: [],
+    install: undefined,
+    hasNewHardState: false,
+    hasNewIdentity: false,
+    reportedCommit: snapshot.index,
+  };
+};
+
+const proposeItems = (state: CoreState, items: readonly Proposal[]): ProposeOutcome => {
+  if (state.role === 'leader') {
+    if (state.log.lastIndex() - state.commit >= UNCOMMITTED_LIMIT) return 'overloaded';
+    appendAsLeader(
+      state,
+      items.map(({ id, base, data }) => ({ kind: 'command', id, base, data })),
+    );
+    return 'appended';
+  }
+  if (!state.leader) return 'no_leader';
+  sendUrgent(state, state.leader, { type: 'propose', items });
+  return 'sent';
+};
+
+const handlePropose = (state: CoreState, message: Message<ProposeBody>): void => {
+  if (state.role === 'leader') proposeItems(state, message.body.items);
+};
+
+type Handle = (state: CoreState, message: Message<never>) => void;
+
+const HANDLERS: Readonly<Record<Body['type'], Handle>> = {
+  vote: handleVote,
+  voteAnswer: handleVoteAnswer,
+  append: handleAppend,
+  appendAnswer: handleAppendAnswer,
+  snapshot: handleSnapshot,
+  snapshotAnswer: handleSnapshotAnswer,
+  hello: handleHello,
+  helloAnswer: handleHelloAnswer,
+  form: handleForm,
+  propose: handlePropose,
+  read: handleRead,
+  readAnswer: handleReadAnswer,
+};
+
+const BEFORE_MEMBERSHIP: ReadonlySet<Body['type']> = new Set(['hello', 'helloAnswer', 'form']);
+
+const handleMessage = (state: CoreState, message: Message): void => {
+  const { to, body } = message;
+  if (to.store !== '' && to.store !== state.identity.store) return;
+  handleInvitation(state, message);
+  const isOwnGroup = message.groupId === state.identity.groupId && message.groupId !== '';
+  if (!isOwnGroup && !BEFORE_MEMBERSHIP.has(body.type)) return;
+  HANDLERS[body.type](state, message as Message<never>);
+  advanceReads(state);
+  if (state.role === 'leader') sendToAll(state);
+};
+
+const advanceTick = (state: CoreState): void => {
+  state.tick += 1;
+  advanceJoining(state);
+  advanceElection(state);
+  advanceHeartbeat(state);
+  advanceMembership(state);
+  if (state.role === 'leader') sendToAll(state);
+};
+
+const hasWork = (state: CoreState): boolean =>
+  state.urgent.length > 0 ||
+  state.messages.length > 0 ||
+  state.appended.length > 0 ||
+  state.reads.length > 0 ||
+  state.install !== undefined ||
+  state.hasNewHardState ||
+  state.hasNewIdentity ||
+  state.commit > state.reportedCommit;
+
+const createReady = (state: CoreState): Ready | undefined => {
+  if (!hasWork(state)) return undefined;
+  const { term, vote, identity } = state;
+  const ready: Ready = {
+    urgent: state.urgent,
+    identity: state.hasNewIdentity ? identity : undefined,
+    install: state.install,
+    hardState: state.hasNewHardState ? { term, vote } : undefined,
+    entries: state.appended,
+    messages: state.messages,
+    commit: state.commit,
+    reads: state.reads,
+    stored: { term, index: state.log.lastIndex() },
+  };
+  state.urgent = [];
+  state.messages = [];
+  state.appended = [];
+  state.reads = [];
+  state.install = undefined;
+  state.hasNewHardState = false;
+  state.hasNewIdentity = false;
+  state.reportedCommit = state.commit;
+  return ready;
+};
+
+const handleStored = (state: CoreState, stored: Ready['stored']): void => {
+  if (state.role !== 'leader' || stored.term !== state.term) return;
+  state.storedIndex = Math.max(state.storedIndex, stored.index);
+  advanceCommit(state);
+  advanceReads(state);
+  if (state.role === 'leader') sendToAll(state);
+};
+
+const readStatus = (state: CoreState): CoreStatus => {
+  const isLearner = findSelf(state)?.role !== 'voter';
+  return {
+    role: isLearner && state.role === 'follower' ? 'learner' : state.role,
+    term: state.term,
+    leader: state.leader,
+    commit: state.commit,
+    lastIndex: state.log.lastIndex(),
+    baseIndex: state.log.baseIndex(),
+    groupId: state.identity.groupId,
+    members: state.log.members().members,
+    isSendingSnapshot: isSendingSnapshot(state),
+  };
+};
+
+/** Creates the core of one group from what its store holds. */
+export const createCore = (options: CoreOptions): Core => {
+  const state = createState(options);
+  state.electionTicks = sampleElectionTicks(state);
+  return {
+    tick: () => advanceTick(state),
+    receive: (message) => handleMessage(state, message),
+    propose: (items) => {
+      const outcome = proposeItems(state, items);
+      if (outcome === 'appended') sendToAll(state);
+      return outcome;
+    },
+    read: (id) => {
+      const isBegun = addRead(state, { id, origin: undefined });
+      advanceReads(state);
+      return isBegun;
+    },
+    replaceMember: (node, by) => replaceMember(state, node, by),
+    handleStored: (stored) => handleStored(state, stored),
+    handleUnreachable: (store) => handleUnreachable(state, store),
+    compact: (snapshot, keepFrom) => state.log.compact(snapshot, keepFrom),
+    takeReady: () => createReady(state),
+    listEntries: (from, to) => state.log.list(from, to),
+    findTerm: (index) => state.log.findTerm(index),
+    findMembers: (index) => state.log.findMembers(index),
+    status: () => readStatus(state),
+  };
+};
--- /dev/null
+++ b/src/node/replication/core/election.ts
@@ -0,0 +1,116 @@
+import { appendAsLeader, createProgress, sendToAll } from './replicate';
+import {
+  ELECTION_TICKS,
+  hasQuorum,
+  isSelf,
+  isVoter,
+  listVoters,
+  QUORUM_TICKS,
+  readSelf,
+  sampleElectionTicks,
+  sendLater,
+  updateFollower,
+  type CoreState,
+} from './state';
+import type { Message, VoteAnswerBody, VoteBody } from './types';
+
+const startLeading = (state: CoreState): void => {
+  state.role = 'leader';
+  state.leader = readSelf(state);
+  state.storedIndex = 0;
+  state.progress.clear();
+  for (const member of state.log.members().members) {
+    state.progress.set(member.store, createProgress(state));
+  }
+  // An entry of the own term is what lets older entries count as committed.
+  appendAsLeader(state, [{ kind: 'noop', id: '', base: 0, data: '' }]);
+  sendToAll(state);
+};
+
+const hasWon = (state: CoreState): boolean =>
+  hasQuorum(state, (member) => state.votes.get(member.store) === true);
+
+/** Asks all voters for their vote; a trial comes first and changes no term. */
+export const campaign = (state: CoreState, isTrial: boolean): void => {
+  state.role = 'candidate';
+  state.isTrial = isTrial;
+  state.leader = undefined;
+  state.heardAt = state.tick;
+  state.electionTicks = sampleElectionTicks(state);
+  if (!isTrial) {
+    state.term += 1;
+    state.vote = state.identity.store;
+    state.hasNewHardState = true;
+  }
+  state.votes = new Map([[state.identity.store, true]]);
+  const term = isTrial ? state.term + 1 : state.term;
+  const lastIndex = state.log.lastIndex();
+  const lastTerm = state.log.lastTerm();
+  for (const member of listVoters(state)) {
+    if (isSelf(state, member)) continue;
+    sendLater(state, member, { type: 'vote', isTrial, lastIndex, lastTerm }, term);
+  }
+  if (!hasWon(state)) return;
+  if (isTrial) campaign(state, false);
+  else startLeading(state);
+};
+
+/** Answers a candidate. A voter that hears a leader keeps to it. */
+export const handleVote = (state: CoreState, message: Message<VoteBody>): void => {
+  const { body, from, term } = message;
+  const isRecent = state.tick - state.heardAt < ELECTION_TICKS;
+  const hasLeader = state.role === 'leader' || (state.leader !== undefined && isRecent);
+  if (hasLeader && term > state.term) return;
+  if (!body.isTrial && term > state.term) updateFollower(state, term, undefined);
+  const isCurrent =
+    body.lastTerm > state.log.lastTerm() ||
+    (body.lastTerm === state.log.lastTerm() && body.lastIndex >= state.log.lastIndex());
+  const isFree = state.vote === '' || state.vote === from.store;
+  const isGranted = body.isTrial
+    ? term > state.term && isCurrent
+    : term === state.term && isFree && isCurrent;
+  if (isGranted && !body.isTrial) {
+    state.vote = from.store;
+    state.hasNewHardState = true;
+    state.heardAt = state.tick;
+  }
+  const answerTerm = isGranted ? term : state.term;
+  sendLater(state, from, { type: 'voteAnswer', isTrial: body.isTrial, isGranted }, answerTerm);
+};
+
+/** Counts an answer to the campaign under way. */
+export const handleVoteAnswer = (state: CoreState, message: Message<VoteAnswerBody>): void => {
+  const { body, from, term } = message;
+  if (!body.isGranted && term > state.term) {
+    updateFollower(state, term, undefined);
+    return;
+  }
+  if (state.role !== 'candidate' || state.isTrial !== body.isTrial) return;
+  if (term !== (body.isTrial ? state.term + 1 : state.term)) return;
+  state.votes.set(from.store, body.isGranted);
+  if (!hasWon(state)) return;
+  if (state.isTrial) campaign(state, false);
+  else startLeading(state);
+};
+
+const hasAnsweringQuorum = (state: CoreState): boolean =>
+  hasQuorum(
+    state,
+    (member) =>
+      isSelf(state, member) ||
+      state.tick - (state.progress.get(member.store)?.answeredAt ?? -QUORUM_TICKS) < QUORUM_TICKS,
+  );
+
+/** Lets a leader without a quorum step down and a voter without a leader campaign. */
+export const advanceElection = (state: CoreState): void => {
+  if (state.role === 'leader') {
+    if (!hasAnsweringQuorum(state)) {
+      state.heardAt = state.tick;
+      updateFollower(state, state.term, undefined);
+    }
+    return;
+  }
+  if (!isVoter(state)) return;
+  const isAlone = listVoters(state).length === 1;
+  if (isAlone || state.tick - state.heardAt >= state.electionTicks) campaign(state, true);
+};
--- /dev/null
+++ b/src/node/replication/core/index.ts
@@ -0,0 +1,2 @@
+export * from './core';
+export * from './types';
--- /dev/null
+++ b/src/node/replication/core/log.ts
@@ -0,0 +1,109 @@
+import type { Entry, Member, SnapshotMeta } from './types';
+
+interface MembersAt {
+  readonly index: number;
+  readonly members: readonly Member[];
+}
+
+/** The part of the log that is held in memory, above a snapshot. */
+export interface Log {
+  readonly snapshot: () => SnapshotMeta;
+  /** Index of the entry below the first one held; at most the snapshot's. */
+  readonly baseIndex: () => number;
+  readonly lastIndex: () => number;
+  readonly lastTerm: () => number;
+  /** Term of an entry, or undefined when it is not held. */
+  readonly findTerm: (index: number) => number | undefined;
+  readonly list: (from: number, to: number) => readonly Entry[];
+  /** Entries from an index on, up to a count and a size in characters. */
+  readonly listBatch: (from: number, count: number, size: number) => readonly Entry[];
+  /** Appends entries; the first one cuts the log at its index. */
+  readonly append: (entries: readonly Entry[]) => void;
+  /** Notes a newer snapshot of this log and drops entries up to `keepFrom`. */
+  readonly compact: (snapshot: SnapshotMeta, keepFrom: number) => void;
+  /** Replaces the whole log by a snapshot. */
+  readonly restore: (snapshot: SnapshotMeta) => void;
+  /** The member list in force with the index of its entry. */
+  readonly members: () => MembersAt;
+  /** The member list as of an index. */
+  readonly findMembers: (index: number) => readonly Member[];
+}
+
+/** Creates a log above a snapshot. */
+export const createLog = (initial: SnapshotMeta): Log => {
+  let snapshot = initial;
+  let base = { index: initial.index, term: initial.term };
+  let entries: Entry[] = [];
+  let lists: MembersAt[] = [{ index: initial.index, members: initial.members }];
+
+  const readLastIndex = (): number => base.index + entries.length;
+
+  const findTerm = (index: number): number | undefined => {
+    if (index === base.index) return base.term;
+    if (index === snapshot.index) return snapshot.term;
+    return entries[index - base.index - 1]?.term;
+  };
+
+  const list = (from: number, to: number): readonly Entry[] =>
+    entries.slice(Math.max(0, from - base.index - 1), Math.max(0, to - base.index));
+
+  const listBatch = (from: number, count: number, size: number): readonly Entry[] => {
+    const found: Entry[] = [];
+    let total = 0;
+    for (let at = from - base.index - 1; at < entries.length && found.length < count; at += 1) {
+      const entry = entries[at]!;
+      total += entry.data.length;
+      if (found.length > 0 && total > size) break;
+      found.push(entry);
+    }
+    return found;
+  };
+
+  const append = (added: readonly Entry[]): void => {
+    const first = added[0];
+    if (!first) return;
+    entries.length = first.index - base.index - 1;
+    lists = lists.filter((item) => item.index < first.index);
+    for (const entry of added) {
+      entries.push(entry);
+      if (entry.kind !== 'members') continue;
+      lists.push({ index: entry.index, members: JSON.parse(entry.data) as readonly Member[] });
+    }
+  };
+
+  const findMembers = (index: number): readonly Member[] =>
+    lists.findLast((item) => item.index <= index)?.members ?? [];
+
+  const compact = (newer: SnapshotMeta, keepFrom: number): void => {
+    if (newer.index <= snapshot.index) return;
+    const newBase = Math.max(base.index, Math.min(keepFrom - 1, newer.index));
+    const term = findTerm(newBase) ?? newer.term;
+    entries = entries.slice(newBase - base.index);
+    base = { index: newBase, term };
+    snapshot = newer;
+    const kept = lists.filter((item) => item.index > newer.index);
+    lists = [{ index: newer.index, members: newer.members }, ...kept];
+  };
+
+  const restore = (newer: SnapshotMeta): void => {
+    snapshot = newer;
+    base = { index: newer.index, term: newer.term };
+    entries = [];
+    lists = [{ index: newer.index, members: newer.members }];
+  };
+
+  return {
+    snapshot: () => snapshot,
+    baseIndex: () => base.index,
+    lastIndex: readLastIndex,
+    lastTerm: () => findTerm(readLastIndex())!,
+    findTerm,
+    list,
+    listBatch,
+    append,
+    compact,
+    restore,
+    members: () => lists.at(-1)!,
+    findMembers,
+  };
+};
--- /dev/null
+++ b/src/node/replication/core/membership.ts
@@ -0,0 +1,185 @@
+import { appendAsLeader } from './replicate';
+import { isSelf, sendLater, type CoreState, type KnownStore } from './state';
+import type { FormBody, HelloAnswerBody, HelloBody, Member, Message, Peer } from './types';
+
+const HELLO_TICKS = 10;
+/** Ticks without a leader after which a member makes itself known again. */
+const LOST_TICKS = 40;
+/** Ticks that a store must be silent before another takes its place. */
+const SILENT_TICKS = 40;
+/** Entries that a learner may lack when it becomes a voter. */
+const CATCH_UP_ENTRIES = 200;
+
+const isBlank = (state: CoreState): boolean => state.identity.groupId === '';
+
+const updateIdentity = (state: CoreState, groupId: string, members: readonly Member[]): void => {
+  state.identity = { ...state.identity, groupId, members };
+  state.hasNewIdentity = true;
+  if (members.length > 0) state.log.restore({ index: 0, term: 0, members, size: 0 });
+};
+
+/** Lets a blank store join the group whose leader has called it by its store id. */
+export const handleInvitation = (state: CoreState, message: Message): void => {
+  const { type } = message.body;
+  const isCall = type === 'append' || type === 'snapshot';
+  if (isBlank(state) && isCall && message.groupId !== '') {
+    updateIdentity(state, message.groupId, []);
+  }
+};
+
+const convertToKnown = (state: CoreState, message: Message, blank: boolean): KnownStore => ({
+  peer: message.from,
+  groupId: message.groupId,
+  isBlank: blank,
+  at: state.tick,
+});
+
+/** Answers a store without a leader; a leader remembers it as one that may want to join. */
+export const handleHello = (state: CoreState, message: Message<HelloBody>): void => {
+  const { groupId, from } = message;
+  const isOwn = groupId === '' || groupId === state.identity.groupId;
+  if (state.role === 'leader' && isOwn) {
+    state.hellos.set(from.node, convertToKnown(state, message, groupId === ''));
+  }
+  const canForm = isBlank(state) && state.identity.canForm;
+  sendLater(state, from, { type: 'helloAnswer', isBlank: canForm });
+};
+
+const hasAllBlank = (state: CoreState): boolean =>
+  state.options.peers.every(({ node }) => {
+    if (node === state.options.self.node) return true;
+    const answer = state.answers.get(node);
+    return answer !== undefined && answer.isBlank && state.tick - answer.at < 2 * HELLO_TICKS;
+  });
+
+const isFirstPeer = (state: CoreState): boolean =>
+  state.options.peers.every(({ node }) => state.options.self.node <= node);
+
+const createGroup = (state: CoreState): void => {
+  const groupId = state.options.createGroupId();
+  const members = state.options.peers.map(({ node, address }): Member => {
+    const isOwn = node === state.options.self.node;
+    const store = isOwn ? state.identity.store : state.answers.get(node)!.peer.store;
+    return { node, store, address, role: 'voter' };
+  });
+  updateIdentity(state, groupId, members);
+  const others = members.filter((member) => !isSelf(state, member));
+  others.forEach((member) => sendLater(state, member, { type: 'form', members }));
+};
+
+/** Notes the state of another store; the first host forms the group once all are blank. */
+export const handleHelloAnswer = (state: CoreState, message: Message<HelloAnswerBody>): void => {
+  const { from, body } = message;
+  state.answers.set(from.node, convertToKnown(state, message, body.isBlank));
+};
+
+/** Takes a blank store into the group that the first host forms. */
+export const handleForm = (state: CoreState, message: Message<FormBody>): void => {
+  const isListed = message.body.members.some((member) => isSelf(state, member));
+  if (!isBlank(state) || !state.identity.canForm || !isListed) return;
+  updateIdentity(state, message.groupId, message.body.members);
+};
+
+/** Makes a store without a leader known to the others, and forms a group of blank stores. */
+export const advanceJoining = (state: CoreState): void => {
+  if (state.role === 'leader') return;
+  if (isBlank(state) && state.identity.canForm && isFirstPeer(state) && hasAllBlank(state)) {
+    createGroup(state);
+    return;
+  }
+  const isLost = isBlank(state) || state.tick - state.heardAt >= LOST_TICKS;
+  const isDue = state.tick % HELLO_TICKS === 1 || state.tick === 1;
+  if (!isLost || !isDue) return;
+  const known = state.log.members().members.filter((member) => !isSelf(state, member));
+  const listed = state.options.peers.filter(({ node }) => node !== state.options.self.node);
+  const byAddress = new Map([...listed, ...known].map((peer) => [peer.address, peer.node]));
+  for (const [address, node] of byAddress) {
+    sendLater(state, { node, store: '', address }, { type: 'hello' });
+  }
+};
+
+const isSilent = (state: CoreState, member: Member): boolean => {
+  if (isSelf(state, member)) return false;
+  const progress = state.progress.get(member.store);
+  return progress !== undefined && state.tick - progress.answeredAt >= SILENT_TICKS;
+};
+
+const isCaughtUp = (state: CoreState, member: Member): boolean => {
+  const progress = state.progress.get(member.store);
+  if (!progress || progress.mode !== 'replicate') return false;
+  return progress.match >= state.commit - CATCH_UP_ENTRIES && progress.match > 0;
+};
+
+type Plan = readonly Member[] | undefined;
+
+const choosePromotion = (state: CoreState, members: readonly Member[]): Plan => {
+  const learner = members.find((member) => member.role === 'learner' && isCaughtUp(state, member));
+  if (!learner) return undefined;
+  const old = members.find((member) => member.node === learner.node && member.role === 'voter');
+  // Two steps, since one that removes and adds a voter could leave two quorums without a common host.
+  if (old) return isSilent(state, old) ? members.filter((member) => member !== old) : undefined;
+  return members.map((member) => (member === learner ? { ...member, role: 'voter' } : member));
+};
+
+const chooseJoin = (state: CoreState, members: readonly Member[], known: KnownStore): Plan => {
+  const { peer } = known;
+  const same = members.find((member) => member.store === peer.store);
+  if (same) {
+    if (same.address === peer.address) return undefined;
+    return members.map((member) => (member === same ? { ...member, ...peer } : member));
+  }
+  const namesakes = members.filter((member) => member.node === peer.node);
+  if (namesakes.length === 0) return undefined;
+  if (!namesakes.every((member) => isSilent(state, member))) return undefined;
+  const kept = members.filter(
+    (member) => !(member.node === peer.node && member.role === 'learner'),
+  );
+  return [...kept, { ...peer, role: 'learner' }];
+};
+
+const hasPendingChange = (state: CoreState): boolean => {
+  const { index } = state.log.members();
+  return index > state.commit || state.log.findTerm(state.commit) !== state.term;
+};
+
+const appendMembers = (state: CoreState, members: readonly Member[]): void => {
+  appendAsLeader(state, [{ kind: 'members', id: '', base: 0, data: JSON.stringify(members) }]);
+};
+
+/** Takes the next step of membership at the leader: one change at a time. */
+export const advanceMembership = (state: CoreState): void => {
+  if (state.role !== 'leader' || hasPendingChange(state)) return;
+  const { members } = state.log.members();
+  const recent = [...state.hellos.values()].filter(
+    (known) => state.tick - known.at < 4 * HELLO_TICKS,
+  );
+  const joins = recent.map((known) => chooseJoin(state, members, known));
+  const plan = choosePromotion(state, members) ?? joins.find((join) => join !== undefined);
+  if (plan) appendMembers(state, plan);
+};
+
+/** Why a host cannot be replaced now. */
+export type ReplaceRefusal = 'no_leader' | 'pending_change' | 'unknown_node' | 'still_answering';
+
+/**
+ * Gives a host's place to another node for good. The lost store keeps its vote until a blank store
+ * of the new node has caught up.
+ */
+export const replaceMember = (
+  state: CoreState,
+  node: string,
+  by: Omit<Peer, 'store'>,
+): ReplaceRefusal | undefined => {
+  if (state.role !== 'leader') return 'no_leader';
+  if (hasPendingChange(state)) return 'pending_change';
+  const { members } = state.log.members();
+  const old = members.find((member) => member.node === node && member.role === 'voter');
+  const isTaken = by.node !== node && members.some((member) => member.node === by.node);
+  if (!old || isTaken) return 'unknown_node';
+  if (!isSilent(state, old)) return 'still_answering';
+  appendMembers(
+    state,
+    members.map((member) => (member.node === node ? { ...member, ...by } : member)),
+  );
+  return undefined;
+};
--- /dev/null
+++ b/src/node/replication/core/reads.ts
@@ -0,0 +1,71 @@
+import { sendHeartbeats } from './replicate';
+import {
+  hasQuorum,
+  isSelf,
+  sendLater,
+  sendUrgent,
+  type CoreState,
+  type PendingRead,
+} from './state';
+import type { Message, ReadAnswerBody, ReadBody } from './types';
+
+const WAITING_LIMIT = 10_000;
+
+const settleRead = (state: CoreState, read: PendingRead, index: number): void => {
+  const { id, origin } = read;
+  if (origin) sendLater(state, origin, { type: 'readAnswer', id, index });
+  else state.reads.push({ id, index, term: state.term });
+};
+
+const startRound = (state: CoreState): void => {
+  const hasOwnCommit = state.log.findTerm(state.commit) === state.term;
+  if (state.round || state.waitingReads.length === 0 || !hasOwnCommit) return;
+  state.roundNumber += 1;
+  state.round = { index: state.commit, reads: state.waitingReads };
+  state.waitingReads = [];
+  sendHeartbeats(state);
+};
+
+const isRoundConfirmed = (state: CoreState): boolean =>
+  state.options.broken?.readsWithoutQuorum === true ||
+  hasQuorum(
+    state,
+    (member) =>
+      isSelf(state, member) ||
+      (state.progress.get(member.store)?.readRound ?? 0) >= state.roundNumber,
+  );
+
+/** Ends the read round under way if a quorum has answered it, and starts the next. */
+export const advanceReads = (state: CoreState): void => {
+  if (state.role !== 'leader') return;
+  startRound(state);
+  while (state.round && isRoundConfirmed(state)) {
+    const { index, reads } = state.round;
+    state.round = undefined;
+    reads.forEach((read) => settleRead(state, read, index));
+    startRound(state);
+  }
+};
+
+/** Begins a read; false when no leader is known. */
+export const addRead = (state: CoreState, read: PendingRead): boolean => {
+  if (state.role === 'leader') {
+    if (state.waitingReads.length >= WAITING_LIMIT) return false;
+    state.waitingReads.push(read);
+    return true;
+  }
+  if (!state.leader || read.origin) return false;
+  sendUrgent(state, state.leader, { type: 'read', id: read.id });
+  return true;
+};
+
+/** Takes a follower's read at the leader. */
+export const handleRead = (state: CoreState, message: Message<ReadBody>): void => {
+  addRead(state, { id: message.body.id, origin: message.from });
+};
+
+/** Takes a confirmed read point from the leader. */
+export const handleReadAnswer = (state: CoreState, message: Message<ReadAnswerBody>): void => {
+  const { id, index } = message.body;
+  state.reads.push({ id, index, term: message.term });
+};
--- /dev/null
+++ b/src/node/replication/core/replicate.ts
@@ -0,0 +1,245 @@
+import {
+  HEARTBEAT_TICKS,
+  isAnswering,
+  isSelf,
+  listVoters,
+  sendLater,
+  sendUrgent,
+  updateFollower,
+  type CoreState,
+  type Progress,
+} from './state';
+import { sendChunk } from './snapshotTransfer';
+import type { AppendAnswerBody, AppendBody, Entry, Member, Message } from './types';
+
+const BATCH_ENTRIES = 512;
+const BATCH_CHARACTERS = 512 * 1024;
+const IN_FLIGHT_LIMIT = 4;
+/** Ticks without progress after which entries on their way count as lost. */
+const STALL_TICKS = 10;
+
+/** The progress of a member that the leader knows nothing of yet. */
+export const createProgress = (state: CoreState): Progress => ({
+  match: 0,
+  next: state.log.lastIndex() + 1,
+  mode: 'probe',
+  inFlight: [],
+  isWaiting: false,
+  answeredAt: state.tick,
+  matchedAt: state.tick,
+  readRound: 0,
+  sentCommit: 0,
+  snapshotIndex: 0,
+  snapshotOffset: 0,
+  snapshotSentAt: 0,
+});
+
+// A heartbeat may overtake entries on their way, so it names the entry that is known to be there.
+const findPrevIndex = (state: CoreState, progress: Progress, entries: readonly Entry[]): number => {
+  if (progress.mode === 'snapshot') return 0;
+  const isOvertaking = entries.length === 0 && progress.inFlight.length > 0;
+  const isHeld = state.log.findTerm(progress.match) !== undefined;
+  return isOvertaking && isHeld ? progress.match : progress.next - 1;
+};
+
+type Update = Partial<Progress>;
+
+const sendAppend = (
+  state: CoreState,
+  member: Member,
+  progress: Progress,
+  entries: readonly Entry[],
+): void => {
+  const prevIndex = findPrevIndex(state, progress, entries);
+  const body: AppendBody = {
+    type: 'append',
+    prevIndex,
+    prevTerm: state.log.findTerm(prevIndex) ?? 0,
+    entries,
+    commit: state.commit,
+    readRound: state.roundNumber,
+  };
+  Object.assign(progress, { sentCommit: state.commit } satisfies Update);
+  sendUrgent(state, member, body);
+};
+
+const sendEntries = (state: CoreState, member: Member, progress: Progress): void => {
+  if (progress.next <= state.log.baseIndex()) {
+    sendChunk(state, member, progress);
+    return;
+  }
+  const isProbe = progress.mode === 'probe';
+  if (isProbe && (progress.isWaiting || !isAnswering(state, progress))) return;
+  while (progress.next <= state.log.lastIndex() && progress.inFlight.length < IN_FLIGHT_LIMIT) {
+    const entries = state.log.listBatch(progress.next, BATCH_ENTRIES, BATCH_CHARACTERS);
+    sendAppend(state, member, progress, entries);
+    Object.assign(progress, { isWaiting: true } satisfies Update);
+    if (isProbe) return;
+    const next = progress.next + entries.length;
+    const inFlight = [...progress.inFlight, next - 1];
+    const matchedAt = progress.inFlight.length === 0 ? state.tick : progress.matchedAt;
+    Object.assign(progress, { next, inFlight, matchedAt } satisfies Update);
+  }
+  if (progress.sentCommit < state.commit && !isProbe) sendAppend(state, member, progress, []);
+};
+
+const listOthers = (state: CoreState): readonly Member[] =>
+  state.log.members().members.filter((member) => !isSelf(state, member));
+
+const resolveProgress = (state: CoreState, member: Member): Progress => {
+  const known = state.progress.get(member.store);
+  if (known) return known;
+  const created = createProgress(state);
+  state.progress.set(member.store, created);
+  return created;
+};
+
+/** Sends to each member what it lacks and may take now. */
+export const sendToAll = (state: CoreState): void => {
+  for (const member of listOthers(state)) {
+    sendEntries(state, member, resolveProgress(state, member));
+  }
+};
+
+const updateLost = (progress: Progress, isWaiting: boolean): void => {
+  const next = progress.match + 1;
+  Object.assign(progress, { mode: 'probe', inFlight: [], isWaiting, next } satisfies Update);
+};
+
+const updateStalled = (state: CoreState, progress: Progress): void => {
+  if (progress.mode !== 'replicate' || progress.inFlight.length === 0) return;
+  if (state.tick - progress.matchedAt >= STALL_TICKS) updateLost(progress, false);
+};
+
+/** Sends a heartbeat to all members, which also carries the number of the read round. */
+export const sendHeartbeats = (state: CoreState): void => {
+  for (const member of listOthers(state)) {
+    const progress = resolveProgress(state, member);
+    Object.assign(progress, { isWaiting: false } satisfies Update);
+    updateStalled(state, progress);
+    sendAppend(state, member, progress, []);
+    if (progress.mode === 'snapshot') sendChunk(state, member, progress);
+  }
+};
+
+/** Advances the commit index to what a quorum has stored in the current term. */
+export const advanceCommit = (state: CoreState): void => {
+  const matches = listVoters(state)
+    .map((member) =>
+      isSelf(state, member) ? state.storedIndex : (state.progress.get(member.store)?.match ?? 0),
+    )
+    .sort((a, b) => b - a);
+  const agreed = matches[Math.floor(matches.length / 2)] ?? 0;
+  if (agreed <= state.commit) return;
+  const isOwnTerm = state.log.findTerm(agreed) === state.term;
+  if (!isOwnTerm && !state.options.broken?.commitsOlderTerms) return;
+  state.commit = agreed;
+  const { members, index } = state.log.members();
+  const isMember = members.some((member) => member.role === 'voter' && isSelf(state, member));
+  if (index <= agreed && !isMember) {
+    sendHeartbeats(state);
+    updateFollower(state, state.term, undefined);
+  }
+};
+
+/** Appends entries of the current term at the leader. */
+export const appendAsLeader = (
+  state: CoreState,
+  items: readonly Omit<Entry, 'index' | 'term'>[],
+): void => {
+  const first = state.log.lastIndex() + 1;
+  const { term } = state;
+  const entries = items.map((item, offset) => ({ ...item, index: first + offset, term }));
+  state.log.append(entries);
+  state.appended.push(...entries);
+};
+
+const findRetryIndex = (state: CoreState, prevIndex: number, prevTerm: number): number => {
+  let index = Math.min(state.log.lastIndex(), prevIndex - 1);
+  while (index > state.commit && (state.log.findTerm(index) ?? 0) > prevTerm) index -= 1;
+  return index;
+};
+
+const appendAsFollower = (state: CoreState, entries: readonly Entry[]): void => {
+  const isNew = (entry: Entry): boolean =>
+    entry.index > state.log.baseIndex() && state.log.findTerm(entry.index) !== entry.term;
+  const start = entries.findIndex(isNew);
+  if (start < 0) return;
+  const added = entries.slice(start);
+  if (added[0]!.index <= state.commit) throw new Error('a committed entry would be replaced');
+  state.log.append(added);
+  const { index } = added[0]!;
+  state.appended = state.appended.filter((entry) => entry.index < index);
+  state.appended.push(...added);
+};
+
+/** Takes entries from the leader. */
+export const handleAppend = (state: CoreState, message: Message<AppendBody>): void => {
+  const { body, from } = message;
+  const { readRound, prevIndex, prevTerm } = body;
+  const sendAnswer = (isAccepted: boolean, index: number): void =>
+    sendLater(state, from, { type: 'appendAnswer', isAccepted, index, readRound });
+  if (message.term < state.term) {
+    sendAnswer(false, state.log.lastIndex());
+    return;
+  }
+  updateFollower(state, message.term, from);
+  state.heardAt = state.tick;
+  if (prevIndex < state.log.baseIndex()) {
+    sendAnswer(true, prevIndex === 0 && body.entries.length === 0 ? 0 : state.log.baseIndex());
+    return;
+  }
+  if (state.log.findTerm(prevIndex) !== prevTerm) {
+    sendAnswer(false, findRetryIndex(state, prevIndex, prevTerm));
+    return;
+  }
+  appendAsFollower(state, body.entries);
+  const match = prevIndex + body.entries.length;
+  state.commit = Math.max(state.commit, Math.min(body.commit, match));
+  sendAnswer(true, match);
+};
+
+const updateRefused = (progress: Progress, index: number): void => {
+  if (progress.mode === 'snapshot') return;
+  const next = Math.max(progress.match + 1, Math.min(progress.next - 1, index + 1));
+  Object.assign(progress, { mode: 'probe', inFlight: [], isWaiting: false, next } satisfies Update);
+};
+
+const updateAccepted = (state: CoreState, progress: Progress, index: number): void => {
+  const matchedAt = index > progress.match ? state.tick : progress.matchedAt;
+  const match = Math.max(progress.match, index);
+  const inFlight = progress.inFlight.filter((last) => last > index);
+  Object.assign(progress, { match, matchedAt, inFlight, isWaiting: false } satisfies Update);
+  if (progress.mode === 'snapshot' && match < progress.snapshotIndex) return;
+  const next = Math.max(progress.next, match + 1);
+  Object.assign(progress, { mode: 'replicate', next } satisfies Update);
+};
+
+/** Takes a member's answer and goes on from there. */
+export const handleAppendAnswer = (state: CoreState, message: Message<AppendAnswerBody>): void => {
+  const { body, from, term } = message;
+  if (term > state.term) {
+    updateFollower(state, term, undefined);
+    return;
+  }
+  if (state.role !== 'leader' || term < state.term) return;
+  const progress = state.progress.get(from.store);
+  if (!progress) return;
+  const readRound = Math.max(progress.readRound, body.readRound);
+  Object.assign(progress, { answeredAt: state.tick, readRound } satisfies Update);
+  if (body.isAccepted) updateAccepted(state, progress, body.index);
+  else updateRefused(progress, body.index);
+  advanceCommit(state);
+};
+
+/** Notes that a message to a member was lost: what was on its way is sent again. */
+export const handleUnreachable = (state: CoreState, store: string): void => {
+  const progress = state.progress.get(store);
+  if (!progress || progress.mode !== 'replicate') return;
+  updateLost(progress, true);
+};
+
+/** Sends heartbeats when they are due. */
+export const advanceHeartbeat = (state: CoreState): void => {
+  if (state.role === 'leader' && state.tick % HEARTBEAT_TICKS === 0) sendHeartbeats(state);
+};
--- /dev/null
+++ b/src/node/replication/core/snapshotTransfer.ts
@@ -0,0 +1,108 @@
+import { decodeSnapshot } from '../disk/snapshotFile';
+import {
+  isAnswering,
+  sendLater,
+  sendUrgent,
+  updateFollower,
+  type CoreState,
+  type Progress,
+} from './state';
+import type { Member, Message, SnapshotAnswerBody, SnapshotBody } from './types';
+
+/** Size of a chunk in bytes. */
+export const CHUNK_BYTES = 192 * 1024;
+const RESEND_TICKS = 10;
+
+/** Sends the chunk that the member needs next; the driver fills in its bytes. */
+export const sendChunk = (state: CoreState, member: Member, progress: Progress): void => {
+  const { index, term, members, size } = state.log.snapshot();
+  const isSame = progress.mode === 'snapshot' && progress.snapshotIndex === index;
+  const isOnItsWay = isSame && state.tick - progress.snapshotSentAt < RESEND_TICKS;
+  if (isOnItsWay || !isAnswering(state, progress)) return;
+  Object.assign(progress, {
+    mode: 'snapshot',
+    inFlight: [],
+    snapshotIndex: index,
+    snapshotOffset: isSame ? progress.snapshotOffset : 0,
+    snapshotSentAt: state.tick,
+  } satisfies Partial<Progress>);
+  sendUrgent(state, member, {
+    type: 'snapshot',
+    index,
+    snapshotTerm: term,
+    members,
+    offset: progress.snapshotOffset,
+    total: size,
+    data: '',
+  });
+};
+
+const installIncoming = (state: CoreState, message: Message<SnapshotBody>): boolean => {
+  const { index, snapshotTerm, members, total } = message.body;
+  const file = Buffer.concat(state.incoming?.chunks ?? []);
+  state.incoming = undefined;
+  if (decodeSnapshot(file).isLeft()) return false;
+  state.log.restore({ index, term: snapshotTerm, members, size: total });
+  state.commit = index;
+  state.reportedCommit = index;
+  state.appended = [];
+  state.install = { index, term: snapshotTerm, file };
+  return true;
+};
+
+/** Takes a chunk; the last one replaces the log. */
+export const handleSnapshot = (state: CoreState, message: Message<SnapshotBody>): void => {
+  const { body, from } = message;
+  const { index, offset, total } = body;
+  if (message.term < state.term) {
+    const lastIndex = state.log.lastIndex();
+    const answer = { type: 'appendAnswer', isAccepted: false, index: lastIndex } as const;
+    sendLater(state, from, { ...answer, readRound: 0 });
+    return;
+  }
+  updateFollower(state, message.term, from);
+  state.heardAt = state.tick;
+  const sendMatch = (): void =>
+    sendLater(state, from, { type: 'appendAnswer', isAccepted: true, index, readRound: 0 });
+  // A log that holds the snapshot's last entry keeps what it acknowledged after it.
+  const holdsEntry = state.log.findTerm(index) === body.snapshotTerm;
+  if (holdsEntry) state.commit = Math.max(state.commit, index);
+  if (holdsEntry || index <= state.commit) {
+    sendMatch();
+    return;
+  }
+  if (state.incoming?.index !== index) state.incoming = { index, chunks: [], received: 0 };
+  const { incoming } = state;
+  if (offset === incoming.received) {
+    const chunk = Buffer.from(body.data, 'base64');
+    incoming.chunks.push(chunk);
+    incoming.received += chunk.length;
+  }
+  if (incoming.received >= total && installIncoming(state, message)) {
+    sendMatch();
+    return;
+  }
+  const received = state.incoming?.received ?? 0;
+  sendLater(state, from, { type: 'snapshotAnswer', index, offset: received });
+};
+
+/** Goes on with the chunk that the member names. */
+export const handleSnapshotAnswer = (
+  state: CoreState,
+  message: Message<SnapshotAnswerBody>,
+): void => {
+  const { body, from, term } = message;
+  if (state.role !== 'leader' || term !== state.term) return;
+  const progress = state.progress.get(from.store);
+  if (!progress || progress.mode !== 'snapshot') return;
+  progress.answeredAt = state.tick;
+  if (progress.snapshotIndex !== body.index || progress.snapshotOffset === body.offset) return;
+  progress.snapshotOffset = body.offset;
+  progress.snapshotSentAt = -RESEND_TICKS;
+};
+
+/** Whether a transfer of the current snapshot is under way. */
+export const isSendingSnapshot = (state: CoreState): boolean =>
+  [...state.progress.values()].some(
+    (progress) => progress.mode === 'snapshot' && isAnswering(state, progress),
+  );
--- /dev/null
+++ b/src/node/replication/disk/folderLock.ts
@@ -0,0 +1,76 @@
+import { randomUUID } from 'node:crypto';
+import { linkSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { createError } from '../../errors';
+
+/** A lock on a folder, held until released or until the process ends. */
+export interface FolderLock {
+  readonly release: () => void;
+}
+
+const LOCK_FILE = 'lock';
+const START_TIME_FIELD = 19;
+const heldFolders = new Set<string>();
+
+// The start time tells a process from a later one with the same number.
+const readProcess = (pid: number): string | undefined => {
+  try {
+    const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    return `${pid} ${fields[START_TIME_FIELD]}`;
+  } catch {
+    return undefined;
+  }
+};
+
+const isRunning = (holder: string): boolean => readProcess(Number.parseInt(holder, 10)) === holder;
+
+const createLockError = (folder: string, holder: string) =>
+  createError({
+    type: 'conflict',
+    message: `'${folder}' is in use by process ${holder.split(' ')[0]}`,
+    step: 'replication.lock',
+  });
+
+const removeStale = (path: string, holder: string): void => {
+  const moved = `${path}.${randomUUID()}`;
+  renameSync(path, moved);
+  // Another process may have replaced the stale lock since it was read: give it back.
+  if (readFileSync(moved, 'utf8') !== holder) linkSync(moved, path);
+  rmSync(moved);
+};
+
+const canLink = (from: string, to: string): boolean => {
+  try {
+    linkSync(from, to);
+    return true;
+  } catch (cause) {
+    if ((cause as NodeJS.ErrnoException).code === 'EEXIST') return false;
+    throw cause;
+  }
+};
+
+/** Locks a folder against other processes; throws `conflict` when a running one holds it. */
+export const acquireFolderLock = (folder: string): FolderLock => {
+  const self = readProcess(process.pid) ?? `${process.pid} 0`;
+  if (heldFolders.has(folder)) throw createLockError(folder, self);
+  const path = join(folder, LOCK_FILE);
+  const own = `${path}.${randomUUID()}`;
+  writeFileSync(own, self);
+  try {
+    while (!canLink(own, path)) {
+      const holder = readFileSync(path, 'utf8');
+      if (holder !== self && isRunning(holder)) throw createLockError(folder, holder);
+      removeStale(path, holder);
+    }
+  } finally {
+    rmSync(own);
+  }
+  heldFolders.add(folder);
+  return {
+    release: () => {
+      heldFolders.delete(folder);
+      rmSync(path, { force: true });
+    },
+  };
+};
--- /dev/null
+++ b/src/node/replication/disk/frame.ts
@@ -0,0 +1,63 @@
+import crc32 from 'crc-32';
+
+const { buf: computeCrc32 } = crc32;
+
+// Not valid in UTF-8 text, so no payload can look like the start of a frame.
+const MAGIC = Buffer.from([0xf5, 0xc0, 0xff, 0xfe]);
+const LENGTH_OFFSET = 4;
+const CRC_OFFSET = 8;
+const HEADER_BYTES = 12;
+
+/** What reading the frames of a file gave. */
+export interface FrameScan {
+  readonly payloads: readonly Buffer[];
+  /** Offset of the end of the last whole frame before any damage, in bytes. */
+  readonly end: number;
+  /** Whether a whole frame stands behind damaged bytes. */
+  readonly isDamaged: boolean;
+}
+
+/** Encodes a payload behind its magic bytes, length and checksum. */
+export const encodeFrame = (payload: Buffer): Buffer => {
+  const header = Buffer.alloc(HEADER_BYTES);
+  MAGIC.copy(header);
+  header.writeUInt32LE(payload.length, LENGTH_OFFSET);
+  header.writeInt32LE(computeCrc32(payload), CRC_OFFSET);
+  return Buffer.concat([header, payload]);
+};
+
+const findFrame = (bytes: Buffer, offset: number): Buffer | undefined => {
+  if (offset + HEADER_BYTES > bytes.length) return undefined;
+  if (bytes.compare(MAGIC, 0, MAGIC.length, offset, offset + MAGIC.length) !== 0) return undefined;
+  const start = offset + HEADER_BYTES;
+  const end = start + bytes.readUInt32LE(offset + LENGTH_OFFSET);
+  if (end > bytes.length) return undefined;
+  const payload = bytes.subarray(start, end);
+  return computeCrc32(payload) === bytes.readInt32LE(offset + CRC_OFFSET) ? payload : undefined;
+};
+
+const hasFrameAfter = (bytes: Buffer, offset: number): boolean => {
+  let at = bytes.indexOf(MAGIC, offset);
+  while (at >= 0) {
+    if (findFrame(bytes, at)) return true;
+    at = bytes.indexOf(MAGIC, at + 1);
+  }
+  return false;
+};
+
+/**
+ * Reads frames up to the first that is not whole. A frame is written only after the one before it
+ * was synced, so a whole frame behind damage means that synced bytes changed; without one the
+ * damage is a torn tail.
+ */
+export const parseFrames = (bytes: Buffer): FrameScan => {
+  const payloads: Buffer[] = [];
+  let end = 0;
+  let payload = findFrame(bytes, end);
+  while (payload) {
+    payloads.push(payload);
+    end += HEADER_BYTES + payload.length;
+    payload = findFrame(bytes, end);
+  }
+  return { payloads, end, isDamaged: end < bytes.length && hasFrameAfter(bytes, end + 1) };
+};
--- /dev/null
+++ b/src/node/replication/disk/index.ts
@@ -0,0 +1,3 @@
+export * from './files';
+export * from './snapshotFile';
+export * from './store';
--- /dev/null
+++ b/src/node/replication/disk/segments.ts
@@ -0,0 +1,172 @@
+import { open, readdir, readFile, rm, type FileHandle } from 'node:fs/promises';
+import { join } from 'node:path';
+import { Left, Right, type Either } from 'purify-ts';
+import type { Entry, HardState } from '../core/types';
+import { writeFolder, type DurableFiles } from './files';
+import { encodeFrame, parseFrames } from './frame';
+
+/** One synced write of the log. */
+export interface LogRecord {
+  readonly state?: HardState;
+  /** Empties the log; the next entry is the one after this index. */
+  readonly reset?: number;
+  /** Entries to append; the first one cuts the log at its index. */
+  readonly entries?: readonly Entry[];
+}
+
+/** What the segments of a folder held. */
+export interface LogContent {
+  readonly hardState: HardState;
+  readonly entries: readonly Entry[];
+}
+
+/** The log of one store, in files of bounded size. */
+export interface Segments {
+  /** Appends a record and syncs it. */
+  readonly append: (record: LogRecord) => Promise<void>;
+  /** Marks the bytes before as synced, so that damage to them is told from a torn tail. */
+  readonly appendMarker: () => Promise<void>;
+  /** Removes the segments that hold nothing above an index. */
+  readonly removeUpTo: (index: number) => Promise<void>;
+  readonly close: () => Promise<void>;
+}
+
+interface Segment {
+  readonly number: number;
+  lastIndex: number;
+}
+
+const SEGMENT_BYTES = 8 * 1024 * 1024;
+const NAME_PATTERN = /^log-(\d{8})$/;
+const MARKER = encodeFrame(Buffer.from('{}'));
+
+const formatName = (number: number): string => `log-${String(number).padStart(8, '0')}`;
+
+const listNumbers = async (folder: string): Promise<readonly number[]> =>
+  (await readdir(folder))
+    .map((name) => NAME_PATTERN.exec(name)?.[1])
+    .filter((digits) => digits !== undefined)
+    .map(Number)
+    .sort((a, b) => a - b);
+
+const countLastIndex = (record: LogRecord): number =>
+  record.entries?.at(-1)?.index ?? record.reset ?? 0;
+
+/** Applies records in their order; a gap between entries is damage. */
+const mergeRecords = (records: readonly LogRecord[]): Either<string, LogContent> => {
+  let hardState: HardState = { term: 0, vote: '' };
+  let entries: Entry[] = [];
+  for (const { state, reset, entries: added } of records) {
+    if (state) hardState = state;
+    if (reset !== undefined) entries = [];
+    const first = added?.[0];
+    if (!added || !first) continue;
+    const base = entries[0]?.index ?? first.index;
+    const kept = Math.max(0, first.index - base);
+    if (kept > entries.length) return Left(`entry ${first.index} follows a gap`);
+    if (first.index < base) entries = [];
+    entries.length = Math.min(entries.length, kept);
+    entries.push(...added);
+  }
+  return Right({ hardState, entries });
+};
+
+interface LoadedSegments {
+  readonly content: LogContent;
+  readonly segments: Segment[];
+  /** Bytes of the last segment that hold whole frames. */
+  readonly end: number;
+}
+
+const readSegments = async (folder: string): Promise<Either<string, LoadedSegments>> => {
+  const numbers = await listNumbers(folder);
+  const records: LogRecord[] = [];
+  const segments: Segment[] = [];
+  let end = 0;
+  for (const number of numbers) {
+    const bytes = await readFile(join(folder, formatName(number)));
+    const scan = parseFrames(bytes);
+    const isLast = number === numbers.at(-1);
+    const isGap = segments.length > 0 && segments.at(-1)!.number + 1 !== number;
+    if (isGap) return Left(`segment ${number - 1} is missing`);
+    if (scan.isDamaged || (!isLast && scan.end < bytes.length)) {
+      return Left(`segment ${number} is damaged at byte ${scan.end}`);
+    }
+    const parsed = scan.payloads.map((payload) => JSON.parse(payload.toString()) as LogRecord);
+    const lastIndex = Math.max(0, ...parsed.map(countLastIndex));
+    parsed.forEach((record) => records.push(record));
+    segments.push({ number, lastIndex });
+    end = scan.end;
+  }
+  return mergeRecords(records).map((content) => ({ content, segments, end }));
+};
+
+const openSegment = async (folder: string, number: number): Promise<FileHandle> => {
+  const handle = await open(join(folder, formatName(number)), 'a+');
+  await writeFolder(folder);
+  await handle.close();
+  return open(join(folder, formatName(number)), 'r+');
+};
+
+const createSegments = async (
+  folder: string,
+  files: DurableFiles,
+  loaded: LoadedSegments,
+): Promise<Segments> => {
+  const { segments } = loaded;
+  let { hardState } = loaded.content;
+  if (segments.length === 0) segments.push({ number: 1, lastIndex: 0 });
+  let active = segments.at(-1)!;
+  let handle = await openSegment(folder, active.number);
+  let position = loaded.end;
+  await handle.truncate(position);
+  await files.sync(handle);
+
+  const writeFrame = async (record: LogRecord): Promise<void> => {
+    const bytes = encodeFrame(Buffer.from(JSON.stringify(record)));
+    await files.write(handle, bytes, position);
+    await files.sync(handle);
+    position += bytes.length;
+    active.lastIndex = Math.max(active.lastIndex, countLastIndex(record));
+  };
+
+  const openNext = async (): Promise<void> => {
+    await handle.close();
+    active = { number: active.number + 1, lastIndex: 0 };
+    segments.push(active);
+    handle = await openSegment(folder, active.number);
+    position = 0;
+    // Each segment begins with the hard state, so that older ones can be removed.
+    await writeFrame({ state: hardState });
+  };
+
+  return {
+    append: async (record) => {
+      if (position >= SEGMENT_BYTES) await openNext();
+      if (record.state) hardState = record.state;
+      await writeFrame(record);
+    },
+    appendMarker: async () => {
+      await files.write(handle, MARKER, position);
+      position += MARKER.length;
+    },
+    removeUpTo: async (index) => {
+      while (segments.length > 1 && segments[0]!.lastIndex <= index) {
+        await rm(join(folder, formatName(segments[0]!.number)));
+        segments.shift();
+      }
+    },
+    close: () => handle.close(),
+  };
+};
+
+/** Opens the log of a folder, cuts a torn tail, and gives what it held; damage is a message. */
+export const openSegments = async (
+  folder: string,
+  files: DurableFiles,
+): Promise<Either<string, { readonly content: LogContent; readonly segments: Segments }>> => {
+  const loaded = await readSegments(folder);
+  if (loaded.isLeft()) return loaded;
+  const value = loaded.unsafeCoerce();
+  return Right({ content: value.content, segments: await createSegments(folder, files, value) });
+};
--- a/src/node/replication/index.ts
+++ b/src/node/replication/index.ts
@@ -1,2 +1,2 @@
 export * from './types';
-export * from './soloReplica';
+export * from './replicationHost';
--- /dev/null
+++ b/src/node/replication/proposals.ts
@@ -0,0 +1,179 @@
+import { randomUUID } from 'node:crypto';
+import { Left, Right, type Either } from 'purify-ts';
+import { createError, type RouterError } from '../errors';
+import { REPEAT_WINDOW, type ApplyResult } from './applier';
+import type { Core, Proposal } from './core';
+import type { Applied } from './types';
+
+type Answer<Result> = Either<RouterError, Applied<Result>>;
+
+interface Pending<Result> {
+  readonly proposal: Proposal;
+  readonly resolve: (answer: Answer<Result>) => void;
+  /** Ticks at which the caller gets an error. */
+  readonly deadline: number;
+  /** Whether a copy may be in some log. */
+  isSent: boolean;
+  /** Term in which it was sent last. */
+  sentTerm: number;
+  /** Tick at which it is sent again. */
+  retryAt: number;
+  wait: number;
+}
+
+/** The proposals of this process that are not yet applied. */
+export interface Proposals<Result> {
+  readonly add: (data: string, base: number) => Promise<Answer<Result>>;
+  /** Sends what is new or due again. */
+  readonly send: () => void;
+  /** Counts a tick: what is too old gets its error. */
+  readonly tick: () => void;
+  readonly handleApplied: (applied: ApplyResult<Result>, index: number, term: number) => void;
+  /** Settles what an installed snapshot covers; its results are not known here. */
+  readonly handleInstalled: (recent: ReadonlySet<string>, applied: number) => void;
+  readonly stop: () => void;
+}
+
+const PENDING_LIMIT = 20_000;
+const TIMEOUT_TICKS = 36;
+const RETRY_TICKS = 8;
+const BATCH_ITEMS = 1_000;
+const BATCH_CHARACTERS = 512 * 1024;
+const SESSION_CHARACTERS = 8;
+const STEP = 'replication.propose';
+
+const createRefusal = <Result>(
+  type: 'unavailable' | 'overloaded',
+  message: string,
+  isSent: boolean,
+): Answer<Result> =>
+  Left(createError({ type, message, step: STEP, outcome: isSent ? 'unknown' : 'not_run' }));
+
+const listBatches = (items: readonly Proposal[]): readonly (readonly Proposal[])[] => {
+  const batches: Proposal[][] = [];
+  let size = BATCH_CHARACTERS;
+  for (const item of items) {
+    const last = batches.at(-1);
+    if (!last || last.length >= BATCH_ITEMS || size + item.data.length > BATCH_CHARACTERS) {
+      batches.push([item]);
+      size = item.data.length;
+    } else {
+      last.push(item);
+      size += item.data.length;
+    }
+  }
+  return batches;
+};
+
+/**
+ * Creates the table of pending proposals. A proposal is sent again under its id until it is
+ * applied, so it is applied at most once; an error says `not_run` only when no copy was ever sent
+ * or when every copy has expired.
+ */
+export const createProposals = <Result>(core: Core): Proposals<Result> => {
+  const session = randomUUID().slice(0, SESSION_CHARACTERS);
+  const pending = new Map<string, Pending<Result>>();
+  let fresh: Pending<Result>[] = [];
+  let nextNumber = 0;
+  let tick = 0;
+
+  const settle = (id: string, answer: Answer<Result>): void => {
+    pending.get(id)?.resolve(answer);
+    pending.delete(id);
+  };
+
+  const sendBatch = (proposals: readonly Proposal[], term: number): void => {
+    const outcome = core.propose(proposals);
+    for (const { id } of proposals) {
+      const item = pending.get(id)!;
+      if (outcome === 'overloaded' && !item.isSent) {
+        settle(id, createRefusal('overloaded', 'too many uncommitted commands', false));
+      }
+      item.retryAt = tick + item.wait;
+      item.wait *= 2;
+      if (outcome !== 'appended' && outcome !== 'sent') continue;
+      item.isSent = true;
+      item.sentTerm = term;
+    }
+  };
+
+  const send = (): void => {
+    const { leader, term } = core.status();
+    if (!leader) return;
+    const due = fresh.filter((item) => pending.has(item.proposal.id));
+    fresh = [];
+    if (due.length === 0) return;
+    listBatches(due.map((item) => item.proposal)).forEach((batch) => sendBatch(batch, term));
+  };
+
+  const retryDue = (): void => {
+    const { leader, term, role } = core.status();
+    if (!leader) return;
+    const waiting = new Set(fresh);
+    for (const item of pending.values()) {
+      const isHeld = role === 'leader' && item.sentTerm === term;
+      const isDue = item.sentTerm !== term || item.retryAt <= tick;
+      if (item.isSent && isDue && !isHeld && !waiting.has(item)) fresh.push(item);
+    }
+  };
+
+  const advanceTick = (): void => {
+    tick += 1;
+    for (const [id, item] of pending) {
+      // The table is in order of age, so the first that is in time ends the search.
+      if (item.deadline > tick) break;
+      settle(id, createRefusal('unavailable', 'no quorum committed in time', item.isSent));
+    }
+    retryDue();
+    send();
+  };
+
+  const handleApplied: Proposals<Result>['handleApplied'] = (applied, index, term) => {
+    if (applied.type === 'applied') {
+      settle(applied.id, Right({ index, term, result: applied.result }));
+    }
+    if (applied.type === 'expired') {
+      settle(applied.id, createRefusal('unavailable', 'the command came too late', false));
+    }
+  };
+
+  const handleInstalled: Proposals<Result>['handleInstalled'] = (recent, applied) => {
+    for (const [id, item] of pending) {
+      const isCovered = recent.has(id) || applied - item.proposal.base > REPEAT_WINDOW;
+      if (!isCovered) continue;
+      settle(id, createRefusal('unavailable', 'the result is not known here', item.isSent));
+    }
+  };
+
+  return {
+    add: (data, base) => {
+      if (pending.size >= PENDING_LIMIT) {
+        return Promise.resolve(createRefusal('overloaded', 'too many pending commands', false));
+      }
+      nextNumber += 1;
+      const proposal = { id: `${session}-${nextNumber}`, base, data };
+      return new Promise((resolve) => {
+        const item: Pending<Result> = {
+          proposal,
+          resolve,
+          deadline: tick + TIMEOUT_TICKS,
+          isSent: false,
+          sentTerm: 0,
+          retryAt: 0,
+          wait: RETRY_TICKS,
+        };
+        pending.set(proposal.id, item);
+        fresh.push(item);
+      });
+    },
+    send,
+    tick: advanceTick,
+    handleApplied,
+    handleInstalled,
+    stop: () => {
+      for (const [id, item] of pending) {
+        settle(id, createRefusal('unavailable', 'the replica is stopping', item.isSent));
+      }
+    },
+  };
+};
--- /dev/null
+++ b/src/node/replication/readQueue.ts
@@ -0,0 +1,102 @@
+import { Left, Right, type Either } from 'purify-ts';
+import { createError, type RouterError } from '../errors';
+import type { ConfirmedRead, Core } from './core';
+import type { ReadPoint } from './types';
+
+type Answer = Either<RouterError, ReadPoint>;
+
+interface Reader {
+  readonly resolve: (answer: Answer) => void;
+  readonly deadline: number;
+}
+
+interface Round {
+  readonly id: number;
+  readonly readers: readonly Reader[];
+  readonly retryAt: number;
+}
+
+interface Confirmed {
+  readonly point: ReadPoint;
+  readonly readers: readonly Reader[];
+}
+
+/** The reads of this process that wait for a quorum, one round at a time. */
+export interface ReadQueue {
+  readonly add: () => Promise<Answer>;
+  /** Starts a round for the readers that wait, if none is under way. */
+  readonly send: () => void;
+  readonly tick: () => void;
+  readonly handleConfirmed: (read: ConfirmedRead, applied: number) => void;
+  /** Answers the readers whose point is applied here. */
+  readonly handleApplied: (applied: number) => void;
+  readonly stop: () => void;
+}
+
+const TIMEOUT_TICKS = 18;
+const RETRY_TICKS = 5;
+
+const createRefusal = (message: string): Answer =>
+  Left(createError({ type: 'unavailable', message, step: 'replication.read' }));
+
+/** Creates the queue of reads. */
+export const createReadQueue = (core: Core): ReadQueue => {
+  let waiting: Reader[] = [];
+  let round: Round | undefined;
+  let confirmed: Confirmed[] = [];
+  let tick = 0;
+  let nextId = 0;
+
+  const send = (): void => {
+    if (round || waiting.length === 0) return;
+    nextId += 1;
+    if (!core.read(nextId)) return;
+    round = { id: nextId, readers: waiting, retryAt: tick + RETRY_TICKS };
+    waiting = [];
+  };
+
+  const handleApplied = (applied: number): void => {
+    for (const { point, readers } of confirmed) {
+      if (point.index <= applied) readers.forEach((reader) => reader.resolve(Right(point)));
+    }
+    confirmed = confirmed.filter(({ point }) => point.index > applied);
+  };
+
+  const expireReaders = (readers: readonly Reader[]): Reader[] => {
+    const isLate = (reader: Reader): boolean => reader.deadline <= tick;
+    readers
+      .filter(isLate)
+      .forEach((reader) => reader.resolve(createRefusal('no quorum confirmed in time')));
+    return readers.filter((reader) => !isLate(reader));
+  };
+
+  return {
+    add: () =>
+      new Promise((resolve) => {
+        waiting.push({ resolve, deadline: tick + TIMEOUT_TICKS });
+      }),
+    send,
+    tick: () => {
+      tick += 1;
+      if (round && round.retryAt <= tick) {
+        waiting = [...round.readers, ...waiting];
+        round = undefined;
+      }
+      waiting = expireReaders(waiting);
+      confirmed = confirmed.map((item) => ({ ...item, readers: expireReaders(item.readers) }));
+      send();
+    },
+    handleConfirmed: ({ id, index, term }, applied) => {
+      if (round?.id !== id) return;
+      confirmed.push({ point: { term, index }, readers: round.readers });
+      round = undefined;
+      handleApplied(applied);
+      send();
+    },
+    handleApplied,
+    stop: () => {
+      const all = [...waiting, ...(round?.readers ?? []), ...confirmed.flatMap((c) => c.readers)];
+      all.forEach((reader) => reader.resolve(createRefusal('the replica is stopping')));
+    },
+  };
+};
--- /dev/null
+++ b/src/node/replication/replicationHost.ts
@@ -0,0 +1,113 @@
+import { join } from 'node:path';
+import { z } from 'zod';
+import { createError } from '../errors';
+import type { Logger } from '../log';
+import { createMethod, type RpcClient, type RpcMethods } from '../rpc';
+import type { Message } from './core';
+import { openStore, type DurableFiles } from './disk';
+import { createReplica, type DrivenReplica } from './replica';
+import { createTransport, type Delivered, type Routed } from './transport';
+import type { Replica, StateMachine } from './types';
+
+/** Parts and settings of the replication of one process. */
+export interface ReplicationHostOptions {
+  readonly node: string;
+  /** All control hosts of the first group, this one included. */
+  readonly peers: readonly { readonly node: string; readonly address: string }[];
+  /** Folder of the durable state; each group has a folder of its own in it. */
+  readonly data: string;
+  readonly rpc: RpcClient;
+  readonly log: Logger;
+  /** Called when the disk fails; the process must end. */
+  readonly handleFailure: (cause: unknown) => void;
+  readonly files?: DurableFiles;
+}
+
+/** The replicated groups of one process. */
+export interface ReplicationHost {
+  readonly openGroup: <Command, Result>(
+    group: string,
+    machine: StateMachine<Command, Result>,
+  ) => Promise<Replica<Command, Result>>;
+  /** The methods that other control hosts call. */
+  readonly methods: RpcMethods;
+  readonly stop: () => Promise<void>;
+}
+
+const TICK_MS = 50;
+
+const deliverParams = z.strictObject({
+  messages: z
+    .array(z.strictObject({ group: z.string(), message: z.custom<Message>() }))
+    .max(10_000),
+});
+
+/** Starts the replication of one process: one clock and one transport for all its groups. */
+export const createReplicationHost = (options: ReplicationHostOptions): ReplicationHost => {
+  const { node, peers, data, rpc, log } = options;
+  const address = peers.find((peer) => peer.node === node)?.address;
+  if (address === undefined) {
+    const message = `peers has no node '${node}'`;
+    throw createError({ type: 'invalid_request', message, step: 'replication.start' });
+  }
+  const replicas = new Map<string, DrivenReplica<never, unknown>>();
+
+  const handleRouted = async (messages: readonly Routed[]): Promise<void> => {
+    const groups = new Set(messages.map(({ group }) => group));
+    const received = [...groups].map((name) => {
+      const own = messages.filter(({ group }) => group === name);
+      return replicas.get(name)?.receive(own.map(({ message }) => message));
+    });
+    await Promise.all(received);
+  };
+
+  const transport = createTransport({
+    rpc,
+    receive: (messages) => {
+      handleRouted(messages).catch(options.handleFailure);
+    },
+    handleLost: ({ group, message }) => replicas.get(group)?.handleUnreachable(message.to.store),
+  });
+
+  const handleDeliver = async (messages: readonly Routed[]): Promise<Delivered> => {
+    await handleRouted(messages);
+    const caller = messages[0]?.message.from.address;
+    return { messages: caller === undefined ? [] : transport.takeWaiting(caller) };
+  };
+
+  const timer = setInterval(() => {
+    replicas.forEach((replica) => replica.tick());
+    transport.tick();
+  }, TICK_MS);
+
+  return {
+    openGroup: async (group, machine) => {
+      const isAlone = peers.length === 1;
+      const store = await openStore({ folder: join(data, group), isAlone, files: options.files });
+      if (store.damage !== undefined) {
+        log.error({ group, reason: store.damage }, 'damaged data set aside, joining as blank');
+      }
+      const replica = createReplica({
+        group,
+        self: { node, address },
+        peers,
+        machine,
+        store,
+        send: (messages) => transport.send(messages.map((message) => ({ group, message }))),
+        log,
+        handleFailure: options.handleFailure,
+      });
+      replicas.set(group, replica);
+      return replica;
+    },
+    methods: {
+      'replication.deliver': createMethod(deliverParams, ({ messages }) => handleDeliver(messages)),
+    },
+    stop: async () => {
+      clearInterval(timer);
+      transport.stop();
+      for (const replica of replicas.values()) await replica.stop();
+      await rpc.close();
+    },
+  };
+};
--- a/src/node/replication/types.ts
+++ b/src/node/replication/types.ts
@@ -45,5 +45,13 @@
   /** Waits until this host's state holds all that was committed when the call began. */
   readonly confirmRead: () => Promise<Either<RouterError, ReadPoint>>;
   readonly status: () => ReplicaStatus;
+  /**
+   * Gives the place of a host that is lost for good to another node, at the leader only. The node
+   * joins with a blank disk, catches up and then takes over the lost host's vote.
+   */
+  readonly replaceMember: (
+    lost: string,
+    by: { readonly node: string; readonly address: string },
+  ) => Promise<Either<RouterError, void>>;
   readonly stop: () => Promise<void>;
 }
