--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -8,6 +8,7 @@
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
+import { createMembers, type Members } from './members';
 
 const DISK_FAILURE_EXIT = 1;
 
@@ -48,9 +49,31 @@
   },
 });
 
+const createMembersService = (settings: ControlSettings): Service => ({
+  name: 'members',
+  needs: ['groups'],
+  start: (find) => {
+    const parts = find<ControlParts>('groups');
+    const rpc = createRpcClient({ secret: settings.secrets.internal });
+    const findLeaderAddress = (): string | undefined => {
+      const { leader, leaderAddress } = parts.config.status();
+      return leader === settings.node || leader === '' ? undefined : leaderAddress;
+    };
+    const value = createMembers({ parts, rpc, findLeaderAddress });
+    value.start();
+    return {
+      value,
+      stop: async () => {
+        value.stop();
+        await rpc.close();
+      },
+    };
+  },
+});
+
 const createControlServerService = (settings: ControlSettings): Service => ({
   name: 'control-server',
-  needs: ['groups', 'replication'],
+  needs: ['groups', 'members', 'replication'],
   start: async (find) => {
     const parts = find<ControlParts>('groups');
     const { operator } = settings.secrets;
@@ -62,12 +85,13 @@
       });
     }
     const app = createHttpServer();
+    const members = find<Members>('members');
     const methods = {
-      ...createControlMethods(parts),
+      ...createControlMethods(parts, members),
       ...find<ReplicationHost>('replication').methods,
     };
     registerRpc(app, methods, settings.secrets.internal);
-    registerAdminRoutes(app, parts, operator);
+    registerAdminRoutes(app, parts, members, operator);
     const address = await startHttpServer(app, settings.listen);
     parts.log.info({ address }, 'listening');
     return { value: address, stop: () => app.close() };
@@ -78,5 +102,6 @@
 export const createControlServices = (settings: ControlSettings): readonly Service[] => [
   createReplicationService(settings),
   createGroupsService(settings),
+  createMembersService(settings),
   createControlServerService(settings),
 ];
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -51,6 +51,7 @@
     role,
     term,
     leader: leader?.node ?? '',
+    leaderAddress: leader?.address ?? '',
     committed: commit,
     applied,
     members: members.map((member) => member.node),
--- a/src/node/replication/types.ts
+++ b/src/node/replication/types.ts
@@ -29,7 +29,9 @@
   readonly group: string;
   readonly role: 'leader' | 'follower' | 'candidate' | 'learner';
   readonly term: number;
+  /** Node name of the leader, or empty when none is known. */
   readonly leader: string;
+  readonly leaderAddress: string;
   readonly committed: number;
   readonly applied: number;
   readonly members: readonly string[];
