--- a/src/node/replication/types.ts
+++ b/src/node/replication/types.ts
@@ -29,7 +29,9 @@
   readonly group: string;
   readonly role: 'leader' | 'follower' | 'candidate' | 'learner';
   readonly term: number;
+  /** Node name of the leader, or empty when none is known. */
   readonly leader: string;
+  readonly leaderAddress: string;
   readonly committed: number;
   readonly applied: number;
   readonly members: readonly string[];
@@ -45,5 +47,13 @@
   /** Waits until this host's state holds all that was committed when the call began. */
   readonly confirmRead: () => Promise<Either<RouterError, ReadPoint>>;
   readonly status: () => ReplicaStatus;
+  /**
+   * Gives the place of a host that is lost for good to another node, at the leader only. The node
+   * joins with a blank disk, catches up and then takes over the lost host's vote.
+   */
+  readonly replaceMember: (
+    lost: string,
+    by: { readonly node: string; readonly address: string },
+  ) => Promise<Either<RouterError, void>>;
   readonly stop: () => Promise<void>;
 }
