--- a/src/node/agent/agentServer.ts
+++ b/src/node/agent/agentServer.ts
@@ -2,7 +2,7 @@
 import type { FastifyInstance, FastifyReply } from 'fastify';
 import { createError, formatErrorBody } from '../errors';
 import { checkSecret, createMethod, type RpcMethods } from '../rpc';
-import { attemptNameParams, attemptSchema } from '../shared';
+import { attemptConfirmParams, attemptNameParams, attemptSchema, type Frame } from '../shared';
 import type { Attempt } from './attempt';
 import type { AttemptStore } from './attemptStore';
 import { engineAnnouncementSchema, type EngineAnnouncement } from './announcements';
@@ -19,11 +19,14 @@
 const sendFrames = async (attempt: Attempt, from: number, stream: PassThrough): Promise<void> => {
   const stop = new AbortController();
   stream.once('close', () => stop.abort());
-  const keepAlive = setInterval(() => stream.write('{"type":"keepAlive"}\n'), KEEP_ALIVE_MS);
+  const writeLine = (frame: Frame): boolean => stream.write(`${JSON.stringify(frame)}\n`);
+  // A reader that is behind hears enough, and must not fill the memory with keep-alives.
+  const keepAlive = setInterval(() => {
+    if (!stream.writableNeedDrain) writeLine({ type: 'keepAlive' });
+  }, KEEP_ALIVE_MS);
   try {
     for await (const frame of attempt.read(from, stop.signal)) {
-      const hasRoom = stream.write(`${JSON.stringify(frame)}\n`);
-      if (!hasRoom && !stop.signal.aborted) await waitForDrain(stream);
+      if (!writeLine(frame) && !stop.signal.aborted) await waitForDrain(stream);
     }
   } finally {
     clearInterval(keepAlive);
@@ -56,8 +59,9 @@
   app.get('/attempts/:requestId/:attempt', async (request, reply) => {
     checkSecret(request, secret, 'agent.authorise');
     const { requestId, attempt } = request.params as Record<'requestId' | 'attempt', string>;
-    const { from } = request.query as { readonly from?: string };
-    const known = store.find(requestId, Number(attempt));
+    const { from, incarnation } = request.query as Record<'from' | 'incarnation', string>;
+    const name = { requestId, attempt: Number(attempt), incarnation: Number(incarnation) };
+    const known = store.find(name);
     if (known) return replyWithFrames(reply, known, Number(from ?? 0));
     const error = createError({
       type: 'not_found',
@@ -71,18 +75,12 @@
 
 /** Creates the methods that an agent answers to entries. */
 export const createAgentMethods = (store: AttemptStore): RpcMethods => ({
-  'attempt.cancel': createMethod(attemptNameParams, ({ requestId, attempt }) => {
-    store.cancel(requestId, attempt);
-    return { type: 'cancelled' };
-  }),
-  'attempt.confirm': createMethod(attemptNameParams, ({ requestId, attempt }) => {
-    store.confirm(requestId, attempt);
+  'attempt.cancel': createMethod(attemptNameParams, (name) => store.cancel(name)),
+  'attempt.confirm': createMethod(attemptConfirmParams, ({ items }) => {
+    items.forEach((item) => store.confirm(item));
     return { type: 'confirmed' };
   }),
-  'attempt.refuse': createMethod(attemptNameParams, ({ requestId, attempt }) => ({
-    type: 'refused',
-    neverRuns: store.refuse(requestId, attempt),
-  })),
+  'attempt.refuse': createMethod(attemptNameParams, (name) => store.refuse(name)),
 });
 
 /** Registers `POST /announce`, on which the engine beside the agent announces itself. */
--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -1,5 +1,6 @@
 import type { Service } from '../kernel';
 import { createLeaseClient, type LeaseClient } from '../lease';
+import { createLedgerClient } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import {
   createHttpServer,
@@ -11,6 +12,7 @@
 import type { AgentSettings } from '../settings';
 import { createAnnouncementStore, type EngineAnnouncement } from './announcements';
 import { createAttemptStore } from './attemptStore';
+import { createUsageReporter } from './usageReporter';
 import { createAgentMethods, registerAnnounceRoute, registerAttemptRoutes } from './agentServer';
 
 const createRpcService = (settings: AgentSettings): Service => ({
@@ -43,10 +45,19 @@
   start: async (find) => {
     const rpc = find<RpcClient>('rpc');
     const log = createPartLogger(find<Logger>('log'), 'agent');
-    const { node, zone, control, queueLimit } = settings;
+    const { node, zone, control, queueLimit, bufferBytes } = settings;
     const announcements = createAnnouncementStore(settings.announcementTimeoutMs);
     const lease = createLeaseClient({ node, role: 'agent', zone, control, rpc, log });
-    const store = createAttemptStore({ lease, announcements, queueLimit, log });
+    const ledger = createLedgerClient(rpc, lease);
+    const reporter = createUsageReporter({ node, ledger, view: lease.view, log });
+    const store = createAttemptStore({
+      lease,
+      announcements,
+      queueLimit,
+      bufferBytes,
+      reporter,
+      log,
+    });
     const internal = createHttpServer();
     const announcePort = createHttpServer();
     const sent = new Map<string, string>();
@@ -67,6 +78,7 @@
     const address = await startHttpServer(internal, settings.listen);
     await lease.start(address);
     const announceAddress = await startHttpServer(announcePort, settings.announceListen);
+    reporter.start();
     log.info({ address, announceAddress }, 'listening');
 
     const stop = async (): Promise<void> => {
@@ -75,6 +87,7 @@
         live.map((item) => sendAnnouncement(rpc, lease, settings, item, 'leaving')),
       );
       await store.drain();
+      await reporter.stop();
       await lease.stop();
       await announcePort.close();
       await internal.close();
--- a/src/node/agent/attempt.ts
+++ b/src/node/agent/attempt.ts
@@ -1,33 +1,68 @@
-import type { AttemptRequest, Frame } from '../shared';
+import { createError } from '../errors';
+import {
+  formatAttemptName,
+  type AttemptRequest,
+  type FrameContent,
+  type NumberedFrame,
+  type TokenCounts,
+} from '../shared';
 
 /** Where an attempt stands; `never` is a tombstone: it has not run and never will. */
 export type AttemptState = 'queued' | 'started' | 'done' | 'never';
 
-type FrameInput =
-  | Omit<Extract<Frame, { readonly type: 'head' }>, 'index'>
-  | Omit<Extract<Frame, { readonly type: 'data' }>, 'index'>
-  | Omit<Extract<Frame, { readonly type: 'end' }>, 'index'>
-  | Omit<Extract<Frame, { readonly type: 'failed' }>, 'index'>;
-
-/** One attempt with the frames of its answer so far. */
+/** One attempt with the frames of its answer that the entry may still ask for. */
 export interface Attempt {
   readonly request: AttemptRequest;
+  readonly name: string;
   readonly abort: AbortController;
   readonly state: () => AttemptState;
   readonly start: () => boolean;
-  readonly append: (frame: FrameInput) => void;
+  readonly append: (content: FrameContent) => void;
   /** Turns a queued attempt into a tombstone; false once it has started. */
   readonly refuse: () => boolean;
+  /** Takes back a start whose call reached nobody. */
+  readonly cancelStart: () => void;
+  /** Drops the frames below an index. */
+  readonly confirm: (upTo: number) => void;
+  /** Resolves when the kept frames are below the limit, or the attempt is cancelled. */
+  readonly waitForRoom: () => Promise<void>;
+  /** Resolves with the counted tokens once the last frame is there. */
+  readonly waitForEnd: () => Promise<TokenCounts | undefined>;
+  readonly countBytes: () => number;
   /** Reads frames from an index on, until the answer has ended or the reader stops. */
-  readonly read: (from: number, stop: AbortSignal) => AsyncGenerator<Frame>;
+  readonly read: (from: number, stop: AbortSignal) => AsyncGenerator<NumberedFrame>;
 }
 
-const isLast = (frame: Frame): boolean => frame.type === 'end' || frame.type === 'failed';
+const FRAME_OVERHEAD_BYTES = 128;
+
+const isLast = (frame: FrameContent | undefined): boolean =>
+  frame?.type === 'end' || frame?.type === 'failed';
 
-/** Creates a queued attempt without frames. */
-export const createAttempt = (request: AttemptRequest): Attempt => {
-  const frames: Frame[] = [];
+const countFrameBytes = (frame: FrameContent): number =>
+  FRAME_OVERHEAD_BYTES + (frame.type === 'data' ? frame.data.length : 0);
+
+const readCounts = (frame: FrameContent | undefined): TokenCounts | undefined => {
+  if (frame?.type === 'failed') return frame.counts;
+  if (frame?.type !== 'end') return undefined;
+  const { inputTokens, outputTokens } = frame;
+  return { inputTokens, outputTokens };
+};
+
+const createLostError = (from: number) =>
+  createError({
+    type: 'peer_failed',
+    message: `the frames from ${from} on are no longer kept`,
+    step: 'agent.resume',
+    outcome: 'ran',
+  });
+
+/** Creates a queued attempt; its engine is held back while `limitBytes` of frames are kept. */
+export const createAttempt = (request: AttemptRequest, limitBytes = Infinity): Attempt => {
+  const frames: NumberedFrame[] = [];
   const abort = new AbortController();
+  const name = formatAttemptName(request.requestId, request.attempt);
+  let first = 0;
+  let bytes = 0;
   let waiters: (() => void)[] = [];
   let state: AttemptState = 'queued';
 
@@ -43,13 +78,19 @@
         resolve();
         return;
       }
-      waiters.push(resolve);
-      stop.addEventListener('abort', () => resolve(), { once: true });
+      const handleAbort = (): void => resolve();
+      stop.addEventListener('abort', handleAbort, { once: true });
+      waiters.push(() => {
+        stop.removeEventListener('abort', handleAbort);
+        resolve();
+      });
     });
 
-  const append = (frame: FrameInput): void => {
-    frames.push({ ...frame, index: frames.length });
-    if (isLast(frames.at(-1)!) && state === 'started') state = 'done';
+  const append = (content: FrameContent): void => {
+    if (isLast(frames.at(-1))) return;
+    frames.push({ ...content, index: first + frames.length, name });
+    bytes += countFrameBytes(content);
+    if (isLast(content) && state === 'started') state = 'done';
     emitChange();
   };
 
@@ -59,11 +100,20 @@
     return state === 'never';
   };
 
-  async function* read(from: number, stop: AbortSignal): AsyncGenerator<Frame> {
+  const confirm = (upTo: number): void => {
+    while (first < upTo && frames.length > 0 && !isLast(frames[0])) {
+      bytes -= countFrameBytes(frames.shift()!);
+      first += 1;
+    }
+    emitChange();
+  };
+
+  async function* read(from: number, stop: AbortSignal): AsyncGenerator<NumberedFrame> {
     let next = from;
     while (!stop.aborted) {
-      if (next < frames.length) {
-        const frame = frames[next]!;
+      if (next < first) throw createLostError(next);
+      const frame = frames[next - first];
+      if (frame) {
         next += 1;
         yield frame;
         if (isLast(frame)) return;
@@ -77,6 +127,7 @@
 
   return {
     request,
+    name,
     abort,
     state: () => state,
     start: () => {
@@ -86,6 +137,19 @@
     },
     append,
     refuse,
+    cancelStart: () => {
+      if (state === 'started') state = 'never';
+    },
+    confirm,
+    waitForRoom: async () => {
+      while (bytes >= limitBytes && !abort.signal.aborted) await waitForChange(abort.signal);
+    },
+    waitForEnd: async () => {
+      const never = new AbortController().signal;
+      while (!isLast(frames.at(-1)) && state !== 'never') await waitForChange(never);
+      return readCounts(frames.at(-1));
+    },
+    countBytes: () => bytes,
     read,
   };
 };
--- a/src/node/agent/attemptStore.ts
+++ b/src/node/agent/attemptStore.ts
@@ -1,21 +1,38 @@
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Pool } from 'undici';
-import { convertToRouterError, createError } from '../errors';
+import { convertToRouterError, type Outcome, type RouterError } from '../errors';
 import type { Logger } from '../log';
 import type { LeaseClient } from '../lease';
-import { formatAttemptName, type AttemptRequest } from '../shared';
+import type {
+  AttemptConfirmation,
+  AttemptEnd,
+  AttemptName,
+  AttemptRequest,
+  TokenCounts,
+} from '../shared';
 import { isVersionWithdrawn } from '../view';
-import { createAttempt, type Attempt } from './attempt';
-import { callEngine } from './engineCall';
+import type { Attempt } from './attempt';
+import {
+  checkAdmission,
+  createAttemptTable,
+  createRefusal,
+  type AdmissionState,
+} from './attemptTable';
+import { callEngine, type EngineCall } from './engineCall';
 import type { AnnouncementStore } from './announcements';
+import type { UsageReporter } from './usageReporter';
 
 /** Admits, queues, runs and keeps attempts. */
 export interface AttemptStore {
   readonly admit: (request: AttemptRequest) => Attempt;
-  readonly find: (requestId: string, attempt: number) => Attempt | undefined;
+  /** Finds an attempt of the incarnation that the entry means. */
+  readonly find: (name: AttemptName) => Attempt | undefined;
   /** Makes sure that an attempt never starts, also one that has not arrived yet. */
-  readonly refuse: (requestId: string, attempt: number) => boolean;
-  readonly cancel: (requestId: string, attempt: number) => void;
-  readonly confirm: (requestId: string, attempt: number) => void;
+  readonly refuse: (name: AttemptName) => AttemptEnd;
+  /** Refuses an attempt or ends its engine call, and tells what has run. */
+  readonly cancel: (name: AttemptName) => Promise<AttemptEnd>;
+  readonly confirm: (item: AttemptConfirmation) => void;
   readonly countActive: () => number;
   readonly drain: () => Promise<void>;
 }
@@ -25,32 +42,35 @@
   readonly lease: LeaseClient;
   readonly announcements: AnnouncementStore;
   readonly queueLimit: number;
+  readonly bufferBytes: number;
+  readonly reporter: Pick<UsageReporter, 'add'>;
   readonly log: Logger;
+  /** Replaces the call of the engine in tests. */
+  readonly call?: EngineCall;
 }
 
 const DRAIN_POLL_MS = 20;
+const EXPIRE_INTERVAL_MS = 30_000;
+const CANCEL_WAIT_MS = 1_000;
+const ENGINE_CONNECTIONS = 256;
+const UNKNOWN_END: AttemptEnd = { type: 'ended', state: 'unknown' };
+const NEVER_END: AttemptEnd = { type: 'ended', state: 'never' };
 
-const createRefusal = (message: string, type: 'unavailable' | 'version_withdrawn' | 'overloaded') =>
-  createError({ type, message, step: 'agent.admit', outcome: 'not_run' });
-
-const checkAdmission = (options: AttemptStoreOptions, request: AttemptRequest): void => {
-  const { lease } = options;
-  if (!lease.isValid()) throw createRefusal('the agent holds no lease', 'unavailable');
-  if (request.incarnation !== lease.incarnation()) {
-    throw createRefusal('the agent has another incarnation', 'unavailable');
-  }
-  const { target } = request;
-  if (target.kind === 'model' && isVersionWithdrawn(lease.view, target.model, target.version)) {
-    throw createRefusal(`${target.model}@${target.version} is withdrawn`, 'version_withdrawn');
-  }
-};
+const CONNECT_FAILURES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const hasReachedNobody = (cause: unknown): boolean =>
+  CONNECT_FAILURES.has((cause as { readonly code?: string }).code ?? '');
 
 /** Creates the store of one agent. */
 export const createAttemptStore = (options: AttemptStoreOptions): AttemptStore => {
-  const { announcements, log, queueLimit } = options;
-  const attempts = new Map<string, Attempt>();
-  const tombstones = new Set<string>();
-  const queue: Attempt[] = [];
+  const { announcements, lease, log, reporter, call = callEngine } = options;
+  const { queueLimit, bufferBytes } = options;
+  const table = createAttemptTable({ queueLimit, bufferBytes });
   const pools = new Map<string, Pool>();
   let running = 0;
   let isDraining = false;
@@ -58,37 +78,61 @@
   const acquirePool = (address: string): Pool => {
     const known = pools.get(address);
     if (known) return known;
-    const pool = new Pool(`http://${address}`, { connections: 256 });
+    const pool = new Pool(`http://${address}`, { connections: ENGINE_CONNECTIONS });
     pools.set(address, pool);
     return pool;
   };
 
-  const runAttempt = async (attempt: Attempt): Promise<void> => {
+  const readAdmission = (): AdmissionState => ({
+    hasLease: lease.isValid(),
+    incarnation: lease.incarnation(),
+    isDraining,
+    isWithdrawn: (model, version) => isVersionWithdrawn(lease.view, model, version),
+  });
+
+  const refuseStart = (attempt: Attempt, error: RouterError): void => {
+    const { type, message, step } = error;
+    attempt.refuse();
+    attempt.append({ type: 'failed', error: { type, message, step, outcome: 'not_run' } });
+    reporter.add(attempt.request, 'never', undefined);
+  };
+
+  const settleFailure = (attempt: Attempt, cause: unknown, counts: TokenCounts): void => {
     const { requestId, endpoint } = attempt.request;
+    const error = convertToRouterError(cause, 'agent.engine', endpoint, 'ran');
+    const isCancelled = attempt.abort.signal.aborted;
+    const neverRan = !isCancelled && hasReachedNobody(cause);
+    const outcome: Outcome = neverRan || error.outcome === 'not_run' ? 'not_run' : 'ran';
+    if (outcome === 'not_run') attempt.cancelStart();
+    const type = isCancelled ? 'cancelled' : 'peer_failed';
+    const { message, step } = error;
+    const failure = { type: error.type === 'internal' ? type : error.type, message, step, outcome };
+    const ran = outcome === 'ran' ? counts : undefined;
+    attempt.append({ type: 'failed', error: failure, ...(ran ? { counts: ran } : {}) });
+    reporter.add(attempt.request, outcome === 'ran' ? 'ran' : 'never', ran);
+    log.warn({ requestId, endpoint, reason: message }, 'attempt failed');
+  };
+
+  const runAttempt = async (attempt: Attempt): Promise<void> => {
+    const { endpoint } = attempt.request;
     const announced = announcements.find(endpoint);
     try {
       if (!announced) throw createRefusal('the endpoint is gone', 'unavailable');
-      checkAdmission(options, attempt.request);
+      checkAdmission(attempt.request, readAdmission());
     } catch (cause) {
-      const { type, message, step } = convertToRouterError(cause, 'agent.start', endpoint);
-      attempt.append({ type: 'failed', error: { type, message, step, outcome: 'not_run' } });
-      attempt.refuse();
+      refuseStart(attempt, convertToRouterError(cause, 'agent.start', endpoint));
       return;
     }
     if (!attempt.start()) return;
+    const counts = { inputTokens: 0, outputTokens: 0 };
     try {
-      await callEngine({ pool: acquirePool(announced.address) }, attempt);
+      await call({ pool: acquirePool(announced.address), counts }, attempt);
+      reporter.add(attempt.request, 'ran', counts);
     } catch (cause) {
-      const error = convertToRouterError(cause, 'agent.engine', endpoint, 'unknown');
-      const type = attempt.abort.signal.aborted ? 'cancelled' : 'peer_failed';
-      const { message, step } = error;
-      attempt.append({ type: 'failed', error: { type, message, step, outcome: 'ran' } });
-      log.warn({ requestId, endpoint, reason: message }, 'attempt failed');
+      settleFailure(attempt, cause, counts);
     }
   };
 
-  const countSlots = (): number => announcements.countSlots();
-
   const handleEnd = (): void => {
     running -= 1;
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two call each other
@@ -96,52 +140,58 @@
   };
 
   const advanceQueue = (): void => {
-    while (running < countSlots() && queue.length > 0) {
-      const attempt = queue.shift()!;
+    while (running < announcements.countSlots() && table.countQueued() > 0) {
+      const attempt = table.takeNext()!;
       running += 1;
       runAttempt(attempt).finally(handleEnd);
     }
   };
 
   const admit = (request: AttemptRequest): Attempt => {
-    const name = formatAttemptName(request.requestId, request.attempt);
-    const known = attempts.get(name);
-    if (known) return known;
-    if (tombstones.has(name)) throw createRefusal('the attempt was refused before', 'unavailable');
-    if (isDraining) throw createRefusal('the agent is stopping', 'unavailable');
-    checkAdmission(options, request);
-    if (queue.length >= queueLimit) throw createRefusal('the queue is full', 'overloaded');
-    const attempt = createAttempt(request);
-    attempts.set(name, attempt);
-    queue.push(attempt);
+    const attempt = table.admit(request, readAdmission(), performance.now());
     advanceQueue();
     return attempt;
   };
 
-  const find: AttemptStore['find'] = (requestId, attempt) =>
-    attempts.get(formatAttemptName(requestId, attempt));
+  const find: AttemptStore['find'] = (name) => {
+    const known = table.find(name);
+    return known?.request.incarnation === name.incarnation ? known : undefined;
+  };
+
+  const refuse: AttemptStore['refuse'] = (name) => {
+    const isOther = !find(name) && name.incarnation !== lease.incarnation();
+    if (isOther) return UNKNOWN_END;
+    return table.refuse(name, performance.now()) ? NEVER_END : UNKNOWN_END;
+  };
+
+  const cancel: AttemptStore['cancel'] = async (name) => {
+    const refused = refuse(name);
+    const known = find(name);
+    if (refused.state === 'never' || !known) return refused;
+    known.abort.abort();
+    const counts = await Promise.race([known.waitForEnd(), sleep(CANCEL_WAIT_MS, undefined)]);
+    if (known.state() === 'never') return NEVER_END;
+    return { type: 'ended', state: 'ran', ...(counts ? { counts } : {}) };
+  };
+
+  const expiry = setInterval(() => table.expire(performance.now()), EXPIRE_INTERVAL_MS);
+  expiry.unref();
 
   return {
     admit,
     find,
-    refuse: (requestId, attempt) => {
-      const known = find(requestId, attempt);
-      if (known) return known.refuse();
-      tombstones.add(formatAttemptName(requestId, attempt));
-      return true;
-    },
-    cancel: (requestId, attempt) => find(requestId, attempt)?.abort.abort(),
-    confirm: (requestId, attempt) => {
-      attempts.delete(formatAttemptName(requestId, attempt));
+    refuse,
+    cancel,
+    confirm: (item) => {
+      if (item.upTo === undefined) {
+        if (find(item)) table.confirm(item, performance.now());
+      } else find(item)?.confirm(item.upTo);
     },
-    countActive: () => running + queue.length,
+    countActive: () => running + table.countQueued(),
     drain: async () => {
       isDraining = true;
-      while (running + queue.length > 0) {
-        await new Promise((resolve) => {
-          setTimeout(resolve, DRAIN_POLL_MS);
-        });
-      }
+      clearInterval(expiry);
+      while (running + table.countQueued() > 0) await sleep(DRAIN_POLL_MS);
       await Promise.all([...pools.values()].map((pool) => pool.close()));
     },
   };
--- /dev/null
+++ b/src/node/agent/attemptTable.ts
@@ -0,0 +1,176 @@
+import { createError, type RouterError } from '../errors';
+import { formatAttemptName, type AttemptName, type AttemptRequest } from '../shared';
+import { createAttempt, type Attempt } from './attempt';
+
+/** What decides whether an agent admits an attempt at this moment. */
+export interface AdmissionState {
+  readonly hasLease: boolean;
+  readonly incarnation: number;
+  readonly isDraining: boolean;
+  readonly isWithdrawn: (model: string, version: string) => boolean;
+}
+
+/** Bounds of an attempt table. */
+export interface AttemptTableLimits {
+  readonly queueLimit: number;
+  /** Bytes of answers kept for entries, over all attempts. */
+  readonly bufferBytes: number;
+}
+
+/** The attempts of one agent as a state machine: every call that needs the time is given it. */
+export interface AttemptTable {
+  /** Gives the attempt of that name, or admits it; throws a refusal that is `not_run`. */
+  readonly admit: (request: AttemptRequest, state: AdmissionState, nowMs: number) => Attempt;
+  readonly find: (name: Omit<AttemptName, 'incarnation'>) => Attempt | undefined;
+  /** Makes sure that an attempt never starts, also one that has not arrived yet. */
+  readonly refuse: (name: Omit<AttemptName, 'incarnation'>, nowMs: number) => boolean;
+  /** Drops an attempt that its entry has settled; its name stays spent. */
+  readonly confirm: (name: Omit<AttemptName, 'incarnation'>, nowMs: number) => void;
+  /** Takes the next attempt to start off the queue. */
+  readonly takeNext: () => Attempt | undefined;
+  readonly expire: (nowMs: number) => void;
+  readonly countQueued: () => number;
+  readonly countBytes: () => number;
+  readonly countSpent: () => number;
+}
+
+/** An attempt is kept for its entry at most this long. */
+export const ATTEMPT_KEPT_MS = 3_600_000;
+/** A spent name is kept longer than the network can hold a message of a closed connection. */
+export const SPENT_KEPT_MS = 1_200_000;
+/** Spent names that are kept; at this number the agent admits nothing new. */
+export const SPENT_LIMIT = 200_000;
+
+const ATTEMPT_SHARE = 16;
+const MIN_ATTEMPT_BYTES = 65_536;
+
+type RefusalType = 'unavailable' | 'version_withdrawn' | 'overloaded';
+
+/** Builds a refusal of an attempt that has not run. */
+export const createRefusal = (message: string, type: RefusalType): RouterError =>
+  createError({ type, message, step: 'agent.admit', outcome: 'not_run' });
+
+/** Throws unless an attempt may be admitted or started. */
+export const checkAdmission = (request: AttemptRequest, state: AdmissionState): void => {
+  if (!state.hasLease) throw createRefusal('the agent holds no lease', 'unavailable');
+  if (request.incarnation !== state.incarnation) {
+    throw createRefusal('the agent has another incarnation', 'unavailable');
+  }
+  const { target } = request;
+  if (target.kind === 'model' && state.isWithdrawn(target.model, target.version)) {
+    throw createRefusal(`${target.model}@${target.version} is withdrawn`, 'version_withdrawn');
+  }
+};
+
+interface SpentName {
+  readonly at: number;
+  readonly neverRuns: boolean;
+}
+
+interface KeptAttempt {
+  readonly attempt: Attempt;
+  readonly at: number;
+}
+
+/** Creates an empty table. */
+export const createAttemptTable = (limits: AttemptTableLimits): AttemptTable => {
+  const attempts = new Map<string, KeptAttempt>();
+  const spent = new Map<string, SpentName>();
+  let queue: Attempt[] = [];
+  const attemptBytes = Math.max(limits.bufferBytes / ATTEMPT_SHARE, MIN_ATTEMPT_BYTES);
+
+  const countBytes = (): number =>
+    [...attempts.values()].reduce((sum, { attempt }) => sum + attempt.countBytes(), 0);
+
+  const addSpent = (name: string, neverRuns: boolean, nowMs: number): boolean => {
+    if (spent.size >= SPENT_LIMIT) return false;
+    spent.set(name, { at: nowMs, neverRuns });
+    return true;
+  };
+
+  const removeAttempt = (name: string, attempt: Attempt, nowMs: number): boolean => {
+    if (!addSpent(name, attempt.state() === 'never', nowMs)) return false;
+    return attempts.delete(name);
+  };
+
+  const isEnded = (attempt: Attempt): boolean =>
+    attempt.state() === 'done' || attempt.state() === 'never';
+
+  // The oldest answers that nobody fetched go first.
+  const removeOldest = (nowMs: number): void => {
+    let bytes = countBytes();
+    for (const [name, { attempt }] of attempts) {
+      if (bytes < limits.bufferBytes) return;
+      if (!isEnded(attempt)) continue;
+      if (!removeAttempt(name, attempt, nowMs)) return;
+      bytes -= attempt.countBytes();
+    }
+  };
+
+  const checkRoom = (name: string, nowMs: number): void => {
+    if (spent.has(name)) throw createRefusal('the attempt was refused or has ended', 'unavailable');
+    if (queue.length >= limits.queueLimit) throw createRefusal('the queue is full', 'overloaded');
+    if (spent.size + attempts.size >= SPENT_LIMIT) {
+      throw createRefusal('too many names of attempts are kept', 'overloaded');
+    }
+    if (countBytes() < limits.bufferBytes) return;
+    removeOldest(nowMs);
+    if (countBytes() >= limits.bufferBytes) {
+      throw createRefusal('the answer buffer is full', 'overloaded');
+    }
+  };
+
+  const admit: AttemptTable['admit'] = (request, state, nowMs) => {
+    const name = formatAttemptName(request.requestId, request.attempt);
+    const known = attempts.get(name);
+    if (known?.attempt.request.incarnation === request.incarnation) return known.attempt;
+    if (state.isDraining) throw createRefusal('the agent is stopping', 'unavailable');
+    checkAdmission(request, state);
+    checkRoom(name, nowMs);
+    const attempt = createAttempt(request, attemptBytes);
+    attempts.set(name, { attempt, at: nowMs });
+    queue.push(attempt);
+    return attempt;
+  };
+
+  const find: AttemptTable['find'] = ({ requestId, attempt }) =>
+    attempts.get(formatAttemptName(requestId, attempt))?.attempt;
+
+  const refuse: AttemptTable['refuse'] = (named, nowMs) => {
+    const name = formatAttemptName(named.requestId, named.attempt);
+    const known = find(named);
+    if (!known) return spent.get(name)?.neverRuns ?? addSpent(name, true, nowMs);
+    const neverRuns = known.refuse();
+    if (neverRuns) queue = queue.filter((item) => item !== known);
+    return neverRuns;
+  };
+
+  const confirm: AttemptTable['confirm'] = (named, nowMs) => {
+    const name = formatAttemptName(named.requestId, named.attempt);
+    const known = attempts.get(name);
+    if (known && isEnded(known.attempt)) removeAttempt(name, known.attempt, nowMs);
+  };
+
+  const expire = (nowMs: number): void => {
+    for (const [name, { at }] of spent) {
+      if (nowMs - at <= SPENT_KEPT_MS) break;
+      spent.delete(name);
+    }
+    for (const [name, { attempt, at }] of attempts) {
+      if (nowMs - at <= ATTEMPT_KEPT_MS) break;
+      if (isEnded(attempt)) removeAttempt(name, attempt, nowMs);
+    }
+  };
+
+  return {
+    admit,
+    find,
+    refuse,
+    confirm,
+    takeNext: () => queue.shift(),
+    expire,
+    countQueued: () => queue.length,
+    countBytes,
+    countSpent: () => spent.size,
+  };
+};
--- /dev/null
+++ b/src/node/agent/engineBody.ts
@@ -0,0 +1,58 @@
+import { applyEdits, findNodeAtLocation, modify, parseTree, type Node } from 'jsonc-parser';
+import { createError } from '../errors';
+
+/** A chat body as the engine gets it. */
+export interface EngineBody {
+  readonly body: Buffer;
+  readonly isStream: boolean;
+  /** The caller asked for the usage chunk itself. */
+  readonly wantsUsage: boolean;
+  /** Estimate for an answer that is cut before the engine tells its usage. */
+  readonly inputTokens: number;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+const NO_FORMAT = { formattingOptions: {} } as const;
+
+const createBodyError = (message: string) =>
+  createError({ type: 'invalid_request', message, step: 'agent.engine', outcome: 'not_run' });
+
+const checkKeys = (root: Node): void => {
+  const names = (root.children ?? []).map((property) => String(property.children?.[0]?.value));
+  const repeated = names.find((name, index) => names.indexOf(name) !== index);
+  if (repeated !== undefined) throw createBodyError(`field '${repeated}' stands twice`);
+};
+
+const parseObject = (text: string): Node => {
+  const root = parseTree(text);
+  if (root?.type !== 'object') throw createBodyError('the body is not a JSON object');
+  checkKeys(root);
+  return root;
+};
+
+const readFlag = (root: Node, path: readonly string[]): boolean =>
+  findNodeAtLocation(root, [...path])?.value === true;
+
+const replaceField = (text: string, path: readonly string[], value: unknown): string =>
+  applyEdits(text, modify(text, [...path], value, NO_FORMAT));
+
+/**
+ * Puts the served model into a chat body and asks for usage in streams. All other text stays as
+ * the caller sent it, so that numbers keep their digits.
+ */
+export const createEngineBody = (bytes: Buffer, model: string): EngineBody => {
+  const text = bytes.toString('utf8');
+  const root = parseObject(text);
+  const isStream = readFlag(root, ['stream']);
+  const wantsUsage = readFlag(root, ['stream_options', 'include_usage']);
+  const messages = findNodeAtLocation(root, ['messages']);
+  const inputTokens = Math.ceil((messages?.length ?? 0) / CHARACTERS_PER_TOKEN);
+  const hasOptions = findNodeAtLocation(root, ['stream_options'])?.type === 'object';
+  let sent = replaceField(text, ['model'], model);
+  if (isStream && !wantsUsage) {
+    sent = hasOptions
+      ? replaceField(sent, ['stream_options', 'include_usage'], true)
+      : replaceField(sent, ['stream_options'], { include_usage: true });
+  }
+  return { body: Buffer.from(sent), isStream, wantsUsage, inputTokens };
+};
--- a/src/node/agent/engineCall.ts
+++ b/src/node/agent/engineCall.ts
@@ -1,127 +1,192 @@
 import { createParser, type EventSourceMessage } from 'eventsource-parser';
 import { z } from 'zod';
-import { Pool } from 'undici';
+import type { Dispatcher, Pool } from 'undici';
+import type { PassedHeaders } from '../shared';
 import type { Attempt } from './attempt';
+import { createEngineBody } from './engineBody';
 
-/** Where and how the agent reaches what it guards. */
+/** Tokens of a call, counted while it runs. */
+export interface RunningCounts {
+  inputTokens: number;
+  outputTokens: number;
+}
+
+/** Where the agent reaches what it guards, and where it counts. */
 export interface EngineTarget {
   readonly pool: Pool;
+  readonly counts: RunningCounts;
 }
 
-const usageChunk = z.object({
+/** Runs a started attempt at its engine or plain service. */
+export type EngineCall = (target: EngineTarget, attempt: Attempt) => Promise<void>;
+
+const chunkSchema = z.object({
   choices: z.array(z.unknown()).optional(),
   usage: z
     .object({ prompt_tokens: z.number().int().min(0), completion_tokens: z.number().int().min(0) })
     .nullish(),
 });
 
-interface TokenCounts {
-  readonly inputTokens: number;
-  readonly outputTokens: number;
+const choiceSchema = z.object({ delta: z.object({ content: z.string().nullish() }) });
+
+interface ParsedChunk {
+  readonly isOnlyUsage: boolean;
+  readonly hasContent: boolean;
+  readonly usage?: RunningCounts;
 }
 
-const NO_TOKENS: TokenCounts = { inputTokens: 0, outputTokens: 0 };
+const NO_CHUNK: ParsedChunk = { isOnlyUsage: false, hasContent: false };
 
-const readUsage = (
-  text: string,
-): { readonly isOnlyUsage: boolean; readonly counts?: TokenCounts } => {
-  let value: unknown;
+const parseJson = (text: string): unknown => {
   try {
-    value = JSON.parse(text);
+    return JSON.parse(text);
   } catch {
-    return { isOnlyUsage: false };
+    return undefined;
   }
-  const parsed = usageChunk.safeParse(value);
-  if (!parsed.success || !parsed.data.usage) return { isOnlyUsage: false };
-  const { prompt_tokens: inputTokens, completion_tokens: outputTokens } = parsed.data.usage;
-  const isOnlyUsage = parsed.data.choices?.length === 0;
-  return { isOnlyUsage, counts: { inputTokens, outputTokens } };
 };
 
-interface ChatBody {
-  readonly stream?: boolean;
-  readonly stream_options?: { readonly include_usage?: boolean };
-}
-
-interface PreparedCall {
-  readonly body: Buffer;
-  readonly isStream: boolean;
-  readonly wantsUsage: boolean;
-}
+const parseChunk = (text: string): ParsedChunk => {
+  const parsed = chunkSchema.safeParse(parseJson(text));
+  if (!parsed.success) return NO_CHUNK;
+  const choices = parsed.data.choices ?? [];
+  const choice = choiceSchema.safeParse(choices[0]);
+  const hasContent = choice.success && (choice.data.delta.content ?? '') !== '';
+  const { usage } = parsed.data;
+  if (!usage) return { isOnlyUsage: false, hasContent };
+  const { prompt_tokens: inputTokens, completion_tokens: outputTokens } = usage;
+  const isOnlyUsage = choices.length === 0;
+  return { isOnlyUsage, hasContent, usage: { inputTokens, outputTokens } };
+};
 
-const createCall = (attempt: Attempt): PreparedCall => {
-  const { target, body } = attempt.request;
-  const bytes = Buffer.from(body, 'base64');
-  if (target.kind === 'service') return { body: bytes, isStream: false, wantsUsage: false };
-  const chat = JSON.parse(bytes.toString('utf8')) as ChatBody;
-  const isStream = chat.stream === true;
-  const wantsUsage = chat.stream_options?.include_usage === true;
-  const options = { ...chat.stream_options, include_usage: true };
-  const sent = {
-    ...chat,
-    model: `${target.model}@${target.version}`,
-    ...(isStream ? { stream_options: options } : {}),
-  };
-  return { body: Buffer.from(JSON.stringify(sent)), isStream, wantsUsage };
+const updateCounts = (target: EngineTarget, chunk: ParsedChunk): void => {
+  const { counts } = target;
+  if (chunk.usage) Object.assign(counts, chunk.usage);
+  else if (chunk.hasContent) counts.outputTokens += 1;
 };
 
 const encodeData = (text: string): string => Buffer.from(text).toString('base64');
 
 // The event stream is parsed so that the usage chunk can be read, and dropped if not asked for.
 const relayEvents = async (
+  target: EngineTarget,
   attempt: Attempt,
   chunks: AsyncIterable<Buffer>,
   wantsUsage: boolean,
-): Promise<TokenCounts> => {
-  let counts = NO_TOKENS;
+): Promise<void> => {
   const handleEvent = (event: EventSourceMessage): void => {
-    const usage = readUsage(event.data);
-    counts = usage.counts ?? counts;
-    if (usage.isOnlyUsage && !wantsUsage) return;
+    const chunk = parseChunk(event.data);
+    updateCounts(target, chunk);
+    if (chunk.isOnlyUsage && !wantsUsage) return;
     const name = event.event ? `event: ${event.event}\n` : '';
     const lines = event.data.split('\n').map((line) => `data: ${line}\n`);
     attempt.append({ type: 'data', data: encodeData(`${name}${lines.join('')}\n`) });
   };
   const parser = createParser({ onEvent: handleEvent });
   const decoder = new TextDecoder();
-  for await (const chunk of chunks) parser.feed(decoder.decode(chunk, { stream: true }));
-  return counts;
+  for await (const chunk of chunks) {
+    parser.feed(decoder.decode(chunk, { stream: true }));
+    await attempt.waitForRoom();
+  }
 };
 
+const USAGE_SCAN_BYTES = 8_388_608;
+
 const relayWhole = async (
+  target: EngineTarget,
   attempt: Attempt,
   chunks: AsyncIterable<Buffer>,
-): Promise<TokenCounts> => {
+): Promise<void> => {
+  const isModel = attempt.request.target.kind === 'model';
   const parts: Buffer[] = [];
+  let bytes = 0;
   for await (const chunk of chunks) {
-    parts.push(chunk);
+    bytes += chunk.length;
+    if (isModel && bytes <= USAGE_SCAN_BYTES) parts.push(chunk);
     attempt.append({ type: 'data', data: chunk.toString('base64') });
+    await attempt.waitForRoom();
   }
-  if (attempt.request.target.kind === 'service') return NO_TOKENS;
-  return readUsage(Buffer.concat(parts).toString('utf8')).counts ?? NO_TOKENS;
+  if (isModel) updateCounts(target, parseChunk(Buffer.concat(parts).toString('utf8')));
+};
+
+const NOT_PASSED: ReadonlySet<string> = new Set([
+  'connection',
+  'content-length',
+  'keep-alive',
+  'proxy-authenticate',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'date',
+]);
+
+const readPassedHeaders = (
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): PassedHeaders =>
+  Object.fromEntries(
+    Object.entries(headers).flatMap(([name, value]) =>
+      value === undefined || NOT_PASSED.has(name) ? [] : [[name, value] as const],
+    ),
+  );
+
+interface PreparedCall {
+  readonly body: Buffer;
+  readonly isStream: boolean;
+  readonly wantsUsage: boolean;
+  readonly inputTokens: number;
+}
+
+const createCall = (attempt: Attempt): PreparedCall => {
+  const { target, body } = attempt.request;
+  const bytes = Buffer.from(body, 'base64');
+  if (target.kind === 'model') return createEngineBody(bytes, `${target.model}@${target.version}`);
+  return { body: bytes, isStream: false, wantsUsage: false, inputTokens: 0 };
+};
+
+const convertHeaders = (headers: PassedHeaders): Record<string, string | string[]> =>
+  Object.fromEntries(
+    Object.entries(headers).map(([name, value]) => [
+      name,
+      typeof value === 'string' ? value : [...value],
+    ]),
+  );
+
+const ERROR_STATUS_FROM = 400;
+
+const appendHead = (attempt: Attempt, response: Dispatcher.ResponseData): string => {
+  const { statusCode: status, headers } = response;
+  const contentType = String(headers['content-type'] ?? 'application/octet-stream');
+  const isService = attempt.request.target.kind === 'service';
+  const passed = isService ? { headers: readPassedHeaders(headers) } : {};
+  attempt.append({ type: 'head', status, contentType, ...passed });
+  return contentType;
 };
 
 /** Sends a started attempt to the engine and appends the answer's frames as they come. */
-export const callEngine = async (target: EngineTarget, attempt: Attempt): Promise<void> => {
+export const callEngine: EngineCall = async (target, attempt) => {
   const { request, abort } = attempt;
   const call = createCall(attempt);
-  const hasBody = request.method !== 'GET' && request.method !== 'HEAD';
+  const { counts } = target;
+  // The engine reads the prompt before it answers, so a cancelled call has used it.
+  counts.inputTokens = call.inputTokens;
   const response = await target.pool.request({
     method: request.method,
     path: request.path,
     headers: {
-      ...request.headers,
+      ...convertHeaders(request.headers),
       'x-request-id': request.requestId,
       'x-attempt': String(request.attempt),
     },
-    body: hasBody ? call.body : undefined,
+    body: call.body.length > 0 ? call.body : undefined,
     signal: abort.signal,
+    headersTimeout: request.deadlineMs,
+    bodyTimeout: request.deadlineMs,
   });
-  const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
-  attempt.append({ type: 'head', status: response.statusCode, contentType });
+  if (response.statusCode >= ERROR_STATUS_FROM) counts.inputTokens = 0;
+  const contentType = appendHead(attempt, response);
   const isEvents = call.isStream && contentType.startsWith('text/event-stream');
-  const counts = isEvents
-    ? await relayEvents(attempt, response.body, call.wantsUsage)
-    : await relayWhole(attempt, response.body);
+  if (isEvents) await relayEvents(target, attempt, response.body, call.wantsUsage);
+  else await relayWhole(target, attempt, response.body);
+  if (abort.signal.aborted) throw new Error('the attempt was cancelled');
   attempt.append({ type: 'end', ...counts });
 };
--- /dev/null
+++ b/src/node/agent/usageReporter.ts
@@ -0,0 +1,94 @@
+import { convertToRouterError } from '../errors';
+import { computeUsage, type AttemptReport, type LedgerClient, type LedgerCommand } from '../ledger';
+import type { Logger } from '../log';
+import type { AttemptRequest, TokenCounts } from '../shared';
+import type { View } from '../view';
+
+/** Tells the ledger how each attempt of this agent ended, until the ledger has it. */
+export interface UsageReporter {
+  readonly add: (
+    request: AttemptRequest,
+    outcome: AttemptReport['outcome'],
+    counts: TokenCounts | undefined,
+  ) => void;
+  readonly start: () => void;
+  /** Sends what waits, within a bounded number of tries. */
+  readonly stop: () => Promise<void>;
+  readonly countWaiting: () => number;
+}
+
+/** What a usage reporter needs. */
+export interface UsageReporterOptions {
+  readonly node: string;
+  readonly ledger: Pick<LedgerClient, 'propose'>;
+  readonly view: View;
+  readonly log: Logger;
+}
+
+const REPORT_INTERVAL_MS = 500;
+const WAITING_LIMIT = 100_000;
+const STOP_TRIES = 5;
+
+type Report = Extract<LedgerCommand, { readonly type: 'report' }>;
+
+/** Creates a reporter that sends a batch every half second. */
+export const createUsageReporter = (options: UsageReporterOptions): UsageReporter => {
+  const { node, ledger, view, log } = options;
+  let waiting: Report[] = [];
+  let timer: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  const add: UsageReporter['add'] = (request, outcome, counts) => {
+    const { requestId, attempt, incarnation, organisation, entry, target } = request;
+    const isModel = target.kind === 'model';
+    const model = isModel ? target.model : '';
+    const version = isModel ? target.version : '';
+    const prices = view.find('model', model);
+    const usage = counts && computeUsage(prices, { model, version, ...counts });
+    const report = { attempt, agent: node, incarnation, model, version, outcome, usage };
+    waiting.push({ type: 'report', organisation, requestId, report, owner: entry, at: Date.now() });
+    if (waiting.length <= WAITING_LIMIT) return;
+    waiting.shift();
+    log.error({ requestId }, 'usage report dropped');
+  };
+
+  const sendReport = async (command: Report): Promise<Report | undefined> => {
+    try {
+      const result = await ledger.propose(command);
+      if (result.type === 'recorded' && result.differs === true) {
+        const { requestId, report } = command;
+        log.warn({ requestId, report }, 'usage differs from the one in the ledger');
+      }
+      return undefined;
+    } catch (cause) {
+      const { message, peer } = convertToRouterError(cause, 'agent.report');
+      log.warn({ requestId: command.requestId, peer, reason: message }, 'usage not reported');
+      return command;
+    }
+  };
+
+  const sendAll = async (): Promise<void> => {
+    const batch = waiting;
+    waiting = [];
+    const left = await Promise.all(batch.map(sendReport));
+    waiting.unshift(...left.filter((item) => item !== undefined));
+  };
+
+  const schedule = (): void => {
+    if (isStopped) return;
+    timer = setTimeout(() => {
+      sendAll().finally(schedule);
+    }, REPORT_INTERVAL_MS);
+  };
+
+  return {
+    add,
+    start: schedule,
+    stop: async () => {
+      isStopped = true;
+      clearTimeout(timer);
+      for (let tries = 0; tries < STOP_TRIES && waiting.length > 0; tries += 1) await sendAll();
+    },
+    countWaiting: () => waiting.length,
+  };
+};
--- a/src/node/control/controlApi.ts
+++ b/src/node/control/controlApi.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod';
+import { z } from 'zod';
 import { createError } from '../errors';
 import type { LedgerCommand, LedgerResult, LedgerState } from '../ledger';
 import type { Logger } from '../log';
@@ -76,6 +76,7 @@
     const applied = await Promise.all(commands.map((command) => parts.ledger.propose(command)));
     return applied.map((item) => item.unsafeCoerce().result);
   }),
+  'ledger.countQueues': createMethod(z.strictObject({}), () => parts.ledgerState.countQueues()),
   'ledger.find': createMethod(ledgerFindParams, async ({ organisation, requestId }) => {
     (await parts.ledger.confirmRead()).unsafeCoerce();
     return parts.ledgerState.findRequest(organisation, requestId) ?? null;
--- a/src/node/entry/attemptClient.ts
+++ b/src/node/entry/attemptClient.ts
@@ -1,115 +1,256 @@
-import { createInterface } from 'node:readline';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Readable } from 'node:stream';
-import { createError, type ErrorType, type RouterError, type RouterErrorFields } from '../errors';
+import { createError, RouterError, type ErrorType, type RouterErrorFields } from '../errors';
 import type { RpcClient } from '../rpc';
-import type { AttemptRequest, Frame } from '../shared';
+import {
+  formatAttemptName,
+  type AttemptConfirmation,
+  type AttemptEnd,
+  type AttemptName,
+  type AttemptRequest,
+  type Frame,
+  type NumberedFrame,
+} from '../shared';
 
 /** A frame that carries a part of an answer. */
-export type AnswerFrame = Exclude<Frame, { readonly type: 'keepAlive' | 'failed' }>;
+export type AnswerFrame = Exclude<NumberedFrame, { readonly type: 'failed' }>;
+
+/** Starts attempts at agents and follows them. */
+export interface AttemptClient {
+  /**
+   * Starts an attempt, or follows one that was `started` before, and yields its frames in order,
+   * each once. The outcome of a thrown error is that of the attempt.
+   */
+  readonly open: (
+    address: string,
+    attempt: AttemptRequest,
+    signal: AbortSignal,
+    isStarted?: boolean,
+  ) => AsyncGenerator<AnswerFrame>;
+  /** Makes sure that an attempt never starts; tells `never` only on the agent's word. */
+  readonly refuse: (address: string, name: AttemptName) => Promise<AttemptEnd>;
+  /** Refuses an attempt or ends its engine call. */
+  readonly cancel: (address: string, name: AttemptName) => Promise<AttemptEnd>;
+  /** Tells an agent what it need not keep any more; sent in batches. */
+  readonly confirm: (address: string, item: AttemptConfirmation) => void;
+}
 
 const SILENCE_LIMIT_MS = 3_000;
-const CONNECT_LIMIT_MS = 3_000;
+const ANSWER_LIMIT_MS = 3_000;
 const RESUME_TRIES = 3;
+const RESUME_PAUSE_MS = 100;
+const CONFIRM_DELAY_MS = 50;
+
+const CONNECT_FAILURES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
 
 interface RunState {
   next: number;
-  hasReached: boolean;
+  /** The agent has answered for the attempt. */
+  isStarted: boolean;
+  /** Messages that may have reached the agent. */
+  sends: number;
 }
 
-const readError = async (body: { readonly json: () => Promise<unknown> }, peer: string) => {
+const readError = async (
+  body: { readonly json: () => Promise<unknown> },
+  peer: string,
+): Promise<RouterError> => {
   const value = (await body.json()) as { readonly error?: RouterErrorFields };
   const fields = value.error;
   if (!fields?.type) {
     const message = 'the agent answered without an error body';
-    return createError({ type: 'peer_failed', message, step: 'entry.dispatch', peer });
+    const outcome = 'unknown';
+    return createError({ type: 'peer_failed', message, step: 'entry.dispatch', peer, outcome });
   }
   return createError({ ...fields, peer });
 };
 
+// A refusal speaks for the message that it answers. If another one may have reached the agent,
+// or an earlier incarnation of it, only a tombstone tells that the attempt never runs.
+const resolveRefusal = (error: RouterError, state: RunState): RouterError => {
+  const isSure = state.sends === 1 && !state.isStarted;
+  if (error.outcome !== 'not_run' || isSure) return error;
+  const { type, message, step, peer } = error;
+  return createError({ type, message, step, peer, outcome: 'unknown' });
+};
+
 const parseFrame = (line: string, peer: string): Frame => {
   try {
     return JSON.parse(line) as Frame;
   } catch {
     const message = 'the agent sent a broken frame';
-    throw createError({ type: 'peer_failed', message, step: 'entry.stream', peer, outcome: 'ran' });
+    const outcome = 'unknown';
+    throw createError({ type: 'peer_failed', message, step: 'entry.stream', peer, outcome });
   }
 };
 
-const openStream = async (
-  rpc: RpcClient,
-  address: string,
-  attempt: AttemptRequest,
-  state: RunState,
-  signal: AbortSignal,
-): Promise<Readable> => {
-  const path = `/attempts/${attempt.requestId}/${attempt.attempt}?from=${state.next}`;
-  const headers = { 'content-type': 'application/json' };
-  const response = state.hasReached
-    ? await rpc.request(address, { path, method: 'GET', signal, bodyTimeout: SILENCE_LIMIT_MS })
-    : await rpc.request(address, {
-        path: '/attempts',
-        method: 'POST',
-        headers,
-        body: JSON.stringify(attempt),
-        signal,
-        headersTimeout: CONNECT_LIMIT_MS,
-        bodyTimeout: SILENCE_LIMIT_MS,
-      });
-  if (response.statusCode !== 200) throw await readError(response.body, address);
-  return response.body;
+async function* readLines(body: Readable): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const chunk of body) {
+    const lines = (rest + decoder.decode(chunk as Buffer, { stream: true })).split('\n');
+    rest = lines.pop()!;
+    yield* lines;
+  }
+}
+
+const checkName = (frame: NumberedFrame, expected: string, peer: string): void => {
+  if (frame.name === expected) return;
+  const message = `a frame of '${frame.name}' came in the stream of '${expected}'`;
+  const outcome = 'unknown';
+  throw createError({ type: 'peer_failed', message, step: 'entry.stream', peer, outcome });
+};
+
+const checkOrder = (frame: NumberedFrame, next: number, peer: string): void => {
+  if (frame.index === next) return;
+  const message = `frame ${next} is missing`;
+  const outcome = 'unknown';
+  throw createError({ type: 'peer_failed', message, step: 'entry.stream', peer, outcome });
 };
 
 async function* readFrames(
   body: Readable,
+  attempt: AttemptRequest,
   state: RunState,
   peer: string,
 ): AsyncGenerator<AnswerFrame> {
-  const lines = createInterface({ input: body, crlfDelay: Infinity });
-  for await (const line of lines) {
+  const expected = formatAttemptName(attempt.requestId, attempt.attempt);
+  for await (const line of readLines(body)) {
     const frame = parseFrame(line, peer);
-    if (frame.type === 'keepAlive' || frame.index < state.next) continue;
+    if (frame.type === 'keepAlive') continue;
+    checkName(frame, expected, peer);
+    if (frame.index < state.next) continue;
+    checkOrder(frame, state.next, peer);
     state.next = frame.index + 1;
     if (frame.type === 'failed') {
       const type = frame.error.type as ErrorType;
-      throw createError({ ...frame.error, type, peer });
+      throw createError({ ...frame.error, type, peer, data: frame.counts });
     }
     yield frame;
     if (frame.type === 'end') return;
   }
-  const message = 'the stream ended early';
-  throw createError({
-    type: 'peer_failed',
-    message,
-    step: 'entry.stream',
-    peer,
-    outcome: 'unknown',
-  });
+  throw new Error('the stream ended early');
 }
 
-const canResume = (error: unknown, signal: AbortSignal): boolean =>
-  !signal.aborted && (error as RouterError).type === undefined;
+const hasReachedNobody = (cause: unknown): boolean =>
+  CONNECT_FAILURES.has((cause as { readonly code?: string }).code ?? '');
 
-/**
- * Starts an attempt and yields its frames in order, each once. A silent or broken connection
- * is replaced by a new one that goes on at the next index.
- */
-export async function* runAttempt(
-  rpc: RpcClient,
-  address: string,
-  attempt: AttemptRequest,
-  signal: AbortSignal,
-): AsyncGenerator<AnswerFrame> {
-  const state: RunState = { next: 0, hasReached: false };
-  let failures = 0;
-  for (;;) {
+const createLostError = (cause: unknown, state: RunState, peer: string): RouterError => {
+  const message = cause instanceof Error ? cause.message : String(cause);
+  const outcome = state.sends === 0 ? 'not_run' : 'unknown';
+  return createError({ type: 'peer_failed', message, step: 'entry.dispatch', peer, outcome });
+};
+
+const createStreams = (rpc: RpcClient) => {
+  const openStream = async (
+    address: string,
+    attempt: AttemptRequest,
+    state: RunState,
+    signal: AbortSignal,
+  ): Promise<Readable> => {
+    const { requestId, incarnation } = attempt;
+    const query = `from=${state.next}&incarnation=${incarnation}`;
+    const path = `/attempts/${requestId}/${attempt.attempt}?${query}`;
+    const limits = { signal, headersTimeout: ANSWER_LIMIT_MS, bodyTimeout: SILENCE_LIMIT_MS };
+    const response = state.isStarted
+      ? await rpc.request(address, { path, method: 'GET', ...limits })
+      : await rpc.request(address, {
+          path: '/attempts',
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(attempt),
+          ...limits,
+        });
+    if (response.statusCode !== 200) throw await readError(response.body, address);
+    return response.body;
+  };
+
+  async function* openOnce(
+    address: string,
+    attempt: AttemptRequest,
+    state: RunState,
+    signal: AbortSignal,
+  ): AsyncGenerator<AnswerFrame> {
+    state.sends += 1;
+    let body: Readable;
     try {
-      const body = await openStream(rpc, address, attempt, state, signal);
-      state.hasReached = true;
-      yield* readFrames(body, state, address);
-      return;
+      body = await openStream(address, attempt, state, signal);
     } catch (cause) {
-      failures += 1;
-      if (!canResume(cause, signal) || failures > RESUME_TRIES) throw cause;
+      if (hasReachedNobody(cause)) state.sends -= 1;
+      throw cause instanceof RouterError ? resolveRefusal(cause, state) : cause;
     }
+    state.isStarted = true;
+    yield* readFrames(body, attempt, state, address);
   }
-}
+
+  return openOnce;
+};
+
+const createConfirmer = (rpc: RpcClient): AttemptClient['confirm'] => {
+  const waiting = new Map<string, AttemptConfirmation[]>();
+  const sendConfirmations = (address: string): void => {
+    const items = waiting.get(address) ?? [];
+    waiting.delete(address);
+    rpc.call(address, 'attempt.confirm', { items }).catch(() => {});
+  };
+  return (address, item) => {
+    const items = waiting.get(address);
+    if (items) items.push(item);
+    else {
+      waiting.set(address, [item]);
+      setTimeout(() => sendConfirmations(address), CONFIRM_DELAY_MS);
+    }
+  };
+};
+
+const UNKNOWN_END: AttemptEnd = { type: 'ended', state: 'unknown' };
+
+/** Creates the client of one entry. */
+export const createAttemptClient = (rpc: RpcClient): AttemptClient => {
+  const openOnce = createStreams(rpc);
+
+  async function* open(
+    address: string,
+    attempt: AttemptRequest,
+    signal: AbortSignal,
+    isStarted = false,
+  ): AsyncGenerator<AnswerFrame> {
+    const state: RunState = { next: 0, isStarted, sends: 0 };
+    let failures = 0;
+    for (;;) {
+      const before = state.next;
+      try {
+        yield* openOnce(address, attempt, state, signal);
+        return;
+      } catch (cause) {
+        failures = state.next > before ? 1 : failures + 1;
+        if (cause instanceof RouterError) throw cause;
+        if (signal.aborted || failures > RESUME_TRIES) throw createLostError(cause, state, address);
+        // The connection may have gone silent for good, so the next one must be new.
+        rpc.replaceConnections(address);
+        await sleep(RESUME_PAUSE_MS * failures);
+      }
+    }
+  }
+
+  const callEnd = async (
+    method: 'attempt.refuse' | 'attempt.cancel',
+    address: string,
+    name: AttemptName,
+  ): Promise<AttemptEnd> => {
+    const answer = await rpc.call<AttemptEnd>(address, method, name);
+    return answer.orDefault(UNKNOWN_END);
+  };
+
+  return {
+    open,
+    refuse: (address, name) => callEnd('attempt.refuse', address, name),
+    cancel: (address, name) => callEnd('attempt.cancel', address, name),
+    confirm: createConfirmer(rpc),
+  };
+};
--- a/src/node/entry/chatRequest.ts
+++ b/src/node/entry/chatRequest.ts
@@ -11,16 +11,39 @@
   metadata: z.looseObject({ task: z.string().max(64).optional() }).nullish(),
 });
 
-/** A chat request; fields that the router does not know pass through to the engine. */
+/** The fields of a chat request that the router reads. */
 export type ChatBody = z.infer<typeof chatSchema>;
 
-/** Parses the body of a chat request. */
-export const parseChatBody = (body: unknown): ChatBody => {
-  const parsed = chatSchema.safeParse(body);
-  if (parsed.success) return parsed.data;
-  const faults = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
-  const message = faults.join('; ');
-  throw createError({ type: 'invalid_request', message, step: 'entry.parse' });
+const createParseError = (message: string) =>
+  createError({ type: 'invalid_request', message, step: 'entry.parse' });
+
+const decodeText = (body: Buffer): string => {
+  try {
+    return new TextDecoder('utf-8', { fatal: true }).decode(body);
+  } catch {
+    throw createParseError('the body is not UTF-8 text');
+  }
+};
+
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    throw createParseError(`the body is not JSON: ${(cause as Error).message}`);
+  }
+};
+
+/** Parses the body of a chat request; the engine gets the body as it was sent. */
+export const parseChatBody = (body: Buffer): ChatBody => {
+  const parsed = chatSchema.safeParse(parseJson(decodeText(body)));
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
+    throw createParseError(faults.join('; '));
+  }
+  if (parsed.data.stream_options && parsed.data.stream !== true) {
+    throw createParseError('stream_options: allowed only when stream is true');
+  }
+  return parsed.data;
 };
 
 const DEFAULT_TASK: Task = {
--- /dev/null
+++ b/src/node/entry/chatRoutes.ts
@@ -0,0 +1,97 @@
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { listAllowedModels } from '../decisions';
+import { createError } from '../errors';
+import type { Organisation } from '../inventory';
+import { findOrganisation } from './authorise';
+import { findTask, parseChatBody } from './chatRequest';
+import {
+  checkReady,
+  createCallerSignal,
+  hasPreferAsync,
+  readHeader,
+  sendAnswer,
+  type CallerApiParts,
+} from './replies';
+import { deferRequest } from './requestRoutes';
+import type { RunRequest } from './runTypes';
+
+/** The path of chat completions, towards callers and engines. */
+export const CHAT_PATH = '/v1/chat/completions';
+
+const checkModel = (parts: CallerApiParts, organisation: Organisation, model: string): void => {
+  const allowed = listAllowedModels(parts.lease.view, organisation);
+  if (model === 'auto' || allowed.some((item) => item.name === model)) return;
+  const message = `model '${model}' is unknown or not allowed`;
+  throw createError({ type: 'not_allowed', message, step: 'entry.choose' });
+};
+
+const readBody = (request: FastifyRequest): Buffer =>
+  Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
+
+const createChatRequest = (
+  parts: CallerApiParts,
+  request: FastifyRequest,
+  reply: FastifyReply,
+  organisation: Organisation,
+): RunRequest => {
+  const isAsync = hasPreferAsync(request);
+  const body = readBody(request);
+  const chat = parseChatBody(body);
+  checkModel(parts, organisation, chat.model);
+  if (isAsync && chat.stream === true) {
+    const message = 'a deferred request cannot be streamed';
+    throw createError({ type: 'invalid_request', message, step: 'entry.parse' });
+  }
+  const task = findTask(parts.lease.view, chat.metadata?.task);
+  const key = readHeader(request, 'idempotency-key');
+  const keepsAnswer = isAsync || key !== undefined;
+  return {
+    requestId: request.id,
+    organisation,
+    task,
+    model: chat.model,
+    session: readHeader(request, 'x-session-id'),
+    key,
+    idempotent: task.idempotent,
+    keepsAnswer,
+    isWhole: chat.stream !== true,
+    isDeferred: isAsync,
+    firstAttempt: 0,
+    method: 'POST',
+    path: CHAT_PATH,
+    headers: { 'content-type': 'application/json' },
+    body,
+    signal: createCallerSignal(parts, reply, keepsAnswer),
+  };
+};
+
+const registerModelsRoute = (app: FastifyInstance, parts: CallerApiParts): void => {
+  app.get('/v1/models', async (request) => {
+    const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+    const data = listAllowedModels(parts.lease.view, organisation).map((model) => ({
+      id: model.name,
+      object: 'model',
+      created: 0,
+      owned_by: 'oleanderfront',
+    }));
+    return { object: 'list', data };
+  });
+};
+
+/** Registers chat completions and the list of models. */
+export const registerChatRoutes = (app: FastifyInstance, parts: CallerApiParts): void => {
+  registerModelsRoute(app, parts);
+  app.register(async (scope) => {
+    scope.removeAllContentTypeParsers();
+    scope.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
+      done(null, body),
+    );
+    scope.post(CHAT_PATH, async (request, reply) => {
+      const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+      checkReady(parts);
+      const runRequest = createChatRequest(parts, request, reply, organisation);
+      if (runRequest.isDeferred) return deferRequest(parts, reply, runRequest);
+      return sendAnswer(reply, request.id, await parts.runner.run(runRequest));
+    });
+  });
+};
--- /dev/null
+++ b/src/node/entry/deferredRunner.ts
@@ -0,0 +1,144 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { convertToRouterError, createError } from '../errors';
+import type { LeaseClient } from '../lease';
+import type { LedgerClient, Owner, RequestRecord } from '../ledger';
+import type { Logger } from '../log';
+import { findTask, parseChatBody } from './chatRequest';
+import type { RequestRunner } from './requestRunner';
+import { EMPTY_REQUEST } from './requestState';
+import type { RunRequest } from './runTypes';
+import type { Settlement } from './settlement';
+
+/** Takes deferred requests from the ledger and runs them. */
+export interface DeferredRunner {
+  readonly start: () => void;
+  /** Looks for work at once. */
+  readonly handleDeferred: () => void;
+  /** Takes nothing more and waits for what runs; what waits stays in the ledger. */
+  readonly stop: () => Promise<void>;
+  readonly countActive: () => number;
+}
+
+/** What a deferred runner needs. */
+export interface DeferredRunnerOptions {
+  readonly ledger: Pick<LedgerClient, 'propose' | 'countQueues'>;
+  readonly runner: Pick<RequestRunner, 'run'>;
+  readonly settlement: Settlement;
+  readonly lease: LeaseClient;
+  readonly readOwner: () => Owner;
+  readonly answerTimeoutMs: number;
+  readonly log: Logger;
+}
+
+const POLL_INTERVAL_MS = 1_000;
+const RUNS_AT_ONCE = 8;
+const STOP_POLL_MS = 20;
+
+const createRunRequest = (
+  options: DeferredRunnerOptions,
+  record: RequestRecord,
+): RunRequest | undefined => {
+  const { view } = options.lease;
+  const organisation = view.find('organisation', record.organisation);
+  if (!organisation) return undefined;
+  const { path, headers, body: text } = record.request!;
+  const body = Buffer.from(text, 'base64');
+  const chat = parseChatBody(body);
+  return {
+    requestId: record.requestId,
+    organisation,
+    task: findTask(view, chat.metadata?.task),
+    model: chat.model,
+    session: headers['x-session-id'],
+    key: record.key,
+    idempotent: record.idempotent ?? false,
+    keepsAnswer: true,
+    isWhole: true,
+    isDeferred: true,
+    firstAttempt: record.attempts.reduce((top, item) => Math.max(top, item.attempt + 1), 0),
+    method: 'POST',
+    path,
+    headers: { 'content-type': 'application/json' },
+    body,
+    signal: AbortSignal.timeout(options.answerTimeoutMs),
+  };
+};
+
+/** Creates the deferred runner of one entry. */
+export const createDeferredRunner = (options: DeferredRunnerOptions): DeferredRunner => {
+  const { ledger, runner, settlement, lease, readOwner, log } = options;
+  let active = 0;
+  let isTaking = false;
+  let isStopped = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  const settleRemoved = async (record: RequestRecord): Promise<void> => {
+    const organisation = { name: record.organisation };
+    const request = { ...record, organisation, isDeferred: true } as unknown as RunRequest;
+    const message = 'the organisation is no longer in the inventory';
+    const error = createError({ type: 'not_allowed', message, step: 'entry.deferred' });
+    await settlement.settle(request, EMPTY_REQUEST, { outcome: 'not_run', error });
+  };
+
+  const runRecord = async (record: RequestRecord): Promise<void> => {
+    const { requestId } = record;
+    try {
+      const request = createRunRequest(options, record);
+      if (!request) return await settleRemoved(record);
+      const answer = await runner.run(request);
+      await answer.pieces.return(undefined);
+      log.info({ requestId, status: answer.status }, 'deferred request done');
+    } catch (cause) {
+      const { message, outcome } = convertToRouterError(cause, 'entry.deferred');
+      log.warn({ requestId, outcome, reason: message }, 'deferred request not done');
+    }
+    return undefined;
+  };
+
+  const handleEnd = (): void => {
+    active -= 1;
+    // The next request of the same session may wait for this one.
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two call each other
+    handleDeferred();
+  };
+
+  const acquireWork = async (): Promise<void> => {
+    const limit = RUNS_AT_ONCE - active;
+    if (limit <= 0 || !lease.isValid()) return;
+    if ((await ledger.countQueues()) === 0) return;
+    const result = await ledger.propose({
+      type: 'take',
+      owner: readOwner(),
+      limit,
+      at: Date.now(),
+    });
+    const records = result.type === 'taken' ? result.records : [];
+    active += records.length;
+    records.forEach((record) => {
+      runRecord(record).finally(handleEnd);
+    });
+  };
+
+  const handleDeferred = (): void => {
+    if (isTaking || isStopped) return;
+    isTaking = true;
+    acquireWork()
+      .catch(() => {})
+      .finally(() => {
+        isTaking = false;
+      });
+  };
+
+  return {
+    start: () => {
+      timer = setInterval(handleDeferred, POLL_INTERVAL_MS);
+    },
+    handleDeferred,
+    stop: async () => {
+      isStopped = true;
+      clearInterval(timer);
+      while (active > 0 || isTaking) await sleep(STOP_POLL_MS);
+    },
+    countActive: () => active,
+  };
+};
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -1,12 +1,15 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
 import type { Service } from '../kernel';
 import { createLeaseClient } from '../lease';
+import { createLedgerClient, type Owner } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import { registerMetrics, type Metrics } from '../metrics';
 import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
 import type { EntrySettings } from '../settings';
-import { registerCallerApi, registerHealthRoutes, waitForIdle } from './callerApi';
-import { createLedgerClient } from './ledgerClient';
+import { createAttemptClient } from './attemptClient';
+import { createPlainPolicy } from './attemptPolicy';
+import { registerCallerApi, registerHealthRoutes, waitForIdle, waitForSettled } from './callerApi';
+import { createDeferredRunner } from './deferredRunner';
 import { createRequestRunner } from './requestRunner';
 import { createSettlement } from './settlement';
 import { createTargetChooser } from './targetChoice';
@@ -41,8 +44,29 @@
     const decisions = createPartLogger(root, 'decision');
     const { view } = lease;
     const chooser = createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions });
-    const settlement = createSettlement(ledger, view);
-    const runner = createRequestRunner({ rpc, lease, settlement, chooser, answerTimeoutMs });
+    const readOwner = (): Owner => ({ node, incarnation: lease.incarnation() });
+    const settlement = createSettlement({ ledger, view, readOwner, log });
+    const { streamBytes, inFlight } = limits;
+    const runner = createRequestRunner({
+      client: createAttemptClient(rpc),
+      lease,
+      settlement,
+      chooser,
+      policy: createPlainPolicy(),
+      readOwner,
+      answerTimeoutMs,
+      streamBytes,
+      inFlight,
+    });
+    const deferred = createDeferredRunner({
+      ledger,
+      runner,
+      settlement,
+      lease,
+      readOwner,
+      answerTimeoutMs,
+      log,
+    });
     let isStopping = false;
     const isReady = (): boolean => lease.isValid() && !isStopping;
 
@@ -53,18 +77,29 @@
       requestTimeoutMs,
       createRequestId: runner.createRequestId,
     });
-    registerCallerApi(callers, { lease, ledger, runner, log, isStopping: () => isStopping });
+    registerCallerApi(callers, {
+      lease,
+      ledger,
+      runner,
+      log,
+      answerTimeoutMs,
+      isStopping: () => isStopping,
+      handleDeferred: deferred.handleDeferred,
+    });
     registerHealthRoutes(callers, isReady);
     registerHealthRoutes(internal, isReady);
     registerMetrics(internal, find<Metrics>('metrics'));
     const internalAddress = await startHttpServer(internal, settings.internalListen);
     await lease.start(internalAddress);
     const address = await startHttpServer(callers, settings.listen);
+    deferred.start();
     log.info({ address, internalAddress }, 'listening');
 
     const stop = async (): Promise<void> => {
       isStopping = true;
+      await deferred.stop();
       await waitForIdle(runner);
+      await waitForSettled(settlement);
       await callers.close();
       await lease.stop();
       await internal.close();
--- /dev/null
+++ b/src/node/entry/replies.ts
@@ -0,0 +1,101 @@
+import { Readable } from 'node:stream';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import { convertToRouterError, createError, formatErrorBody } from '../errors';
+import type { LeaseClient } from '../lease';
+import type { LedgerClient } from '../ledger';
+import type { Logger } from '../log';
+import type { RequestRunner } from './requestRunner';
+import type { RunAnswer } from './runTypes';
+
+/** What the caller API needs. */
+export interface CallerApiParts {
+  readonly lease: LeaseClient;
+  readonly ledger: LedgerClient;
+  readonly runner: RequestRunner;
+  readonly log: Logger;
+  readonly answerTimeoutMs: number;
+  readonly isStopping: () => boolean;
+  /** Told when a deferred request was stored. */
+  readonly handleDeferred: () => void;
+}
+
+const HEADER_LIMIT = 256;
+const PRINTABLE = /^[\x21-\x7e]+$/;
+
+/** Reads a header that names something; a broken one throws. */
+export const readHeader = (request: FastifyRequest, name: string): string | undefined => {
+  const value = request.headers[name];
+  if (value === undefined) return undefined;
+  const isValid =
+    typeof value === 'string' && value.length <= HEADER_LIMIT && PRINTABLE.test(value);
+  if (isValid) return value;
+  const message = `header '${name}' must have 1 to ${HEADER_LIMIT} printable characters`;
+  throw createError({ type: 'invalid_request', message, step: 'entry.parse' });
+};
+
+/** Says whether the caller prefers an answer for later. */
+export const hasPreferAsync = (request: FastifyRequest): boolean => {
+  const { prefer } = request.headers;
+  const text = Array.isArray(prefer) ? prefer.join(',') : (prefer ?? '');
+  return text.split(/[,;]/).some((item) => item.trim().toLowerCase() === 'respond-async');
+};
+
+/** Throws unless this entry may admit new work. */
+export const checkReady = (parts: CallerApiParts): void => {
+  if (parts.lease.isValid() && !parts.isStopping()) return;
+  throw createError({
+    type: 'unavailable',
+    message: 'this entry admits nothing now',
+    step: 'entry.admit',
+    retryAfterSeconds: 1,
+  });
+};
+
+/** Aborts when the caller has gone, unless the answer is kept, or when the answer takes too long. */
+export const createCallerSignal = (
+  parts: CallerApiParts,
+  reply: FastifyReply,
+  keepsAnswer: boolean,
+): AbortSignal => {
+  const timeout = AbortSignal.timeout(parts.answerTimeoutMs);
+  if (keepsAnswer) return timeout;
+  const controller = new AbortController();
+  reply.raw.once('close', () => {
+    if (!reply.raw.writableFinished) controller.abort();
+  });
+  return AbortSignal.any([controller.signal, timeout]);
+};
+
+// Once the head is sent, an error can only be told inside the stream.
+async function* relayWithErrors(answer: RunAnswer, requestId: string): AsyncGenerator<Buffer> {
+  try {
+    yield* answer.pieces;
+  } catch (cause) {
+    const error = convertToRouterError(cause, 'entry.stream', '', 'ran');
+    if (!answer.contentType.startsWith('text/event-stream')) throw error;
+    const body = JSON.stringify(formatErrorBody(error, requestId));
+    yield Buffer.from(`event: error\ndata: ${body}\n\n`);
+  }
+}
+
+/** Sends an answer under way. */
+export const sendAnswer = (
+  reply: FastifyReply,
+  requestId: string,
+  answer: RunAnswer,
+): FastifyReply => {
+  // A caller that is gone already must end the run as well.
+  reply.raw.once('close', () => {
+    answer.pieces.return(undefined).catch(() => {});
+  });
+  Object.entries(answer.headers).forEach(([name, value]) => reply.header(name, value));
+  if (answer.model !== '') {
+    reply.header('x-oleanderfront-model', answer.model);
+    reply.header('x-oleanderfront-version', answer.version);
+  }
+  return reply
+    .code(answer.status)
+    .header('x-request-id', requestId)
+    .header('content-type', answer.contentType)
+    .send(Readable.from(relayWithErrors(answer, requestId), { objectMode: false }));
+};
--- a/src/node/entry/requestRunner.ts
+++ b/src/node/entry/requestRunner.ts
@@ -1,194 +1,210 @@
 import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { convertToRouterError, createError, type RouterError } from '../errors';
-import type { LeaseClient } from '../lease';
-import type { Usage } from '../ledger';
-import type { RpcClient } from '../rpc';
-import type { AttemptRequest } from '../shared';
-import { runAttempt, type AnswerFrame } from './attemptClient';
-import type { RunAnswer, RunRequest } from './runTypes';
-import type { Settlement } from './settlement';
-import type { Binding, Choice, TargetChooser } from './targetChoice';
-
-/** What a request runner needs. */
-export interface RunnerParts {
-  readonly rpc: RpcClient;
-  readonly lease: LeaseClient;
-  readonly settlement: Settlement;
-  readonly chooser: TargetChooser;
-  readonly answerTimeoutMs: number;
-}
-
-/** Runs requests: choice, claim, intent, attempt, settlement. */
+import { createStreamedAnswer, createWholeAnswer, readWholeAnswer } from './answerRelay';
+import { claimOrAnswer } from './keyHolder';
+import { canRepeat, listUncertain } from './requestState';
+import {
+  closeUncertain,
+  createRun,
+  resolveAbort,
+  settleAnswer,
+  settleFailure,
+  startAttempt,
+  type OpenAttempt,
+  type Run,
+  type RunnerParts,
+} from './runContext';
+import type { RunAnswer, RunRequest, WholeAnswer } from './runTypes';
+import type { Binding, Choice } from './targetChoice';
+
+/** Runs requests: choice, claim, intent, attempts, settlement. */
 export interface RequestRunner {
   readonly run: (request: RunRequest) => Promise<RunAnswer>;
   readonly createRequestId: () => string;
   readonly countActive: () => number;
 }
 
-type HeadFrame = Extract<AnswerFrame, { readonly type: 'head' }>;
-
-interface OpenAttempt {
-  readonly request: RunRequest;
-  readonly choice: Choice;
-  readonly attempt: number;
-  readonly head: HeadFrame;
-  readonly frames: AsyncGenerator<AnswerFrame>;
-}
-
 const ATTEMPTS_PER_REQUEST = 3;
 
-const checkHead = (frame: AnswerFrame | undefined, peer: string): HeadFrame => {
-  if (frame?.type === 'head') return frame;
-  const message = 'the answer has no head';
-  const outcome = 'ran';
-  throw createError({ type: 'peer_failed', message, step: 'entry.dispatch', peer, outcome });
+// The caller's own fault is the same at every endpoint.
+const FINAL_TYPES: ReadonlySet<string> = new Set(['invalid_request', 'too_large', 'cancelled']);
+
+const checkInFlight = (parts: RunnerParts, active: number): void => {
+  if (active < parts.inFlight) return;
+  const message = 'too many requests are under way';
+  throw createError({ type: 'overloaded', message, step: 'entry.admit', retryAfterSeconds: 1 });
 };
 
-const createAttemptRequest = (
+const bindSession = async (
+  parts: RunnerParts,
   request: RunRequest,
-  choice: Choice,
-  attempt: number,
-  deadlineMs: number,
-): AttemptRequest => ({
-  requestId: request.requestId,
-  attempt,
-  organisation: request.organisation.name,
-  incarnation: choice.member.incarnation,
-  endpoint: choice.member.endpoint,
-  target: request.service
-    ? { kind: 'service', service: request.service }
-    : { kind: 'model', model: choice.model, version: choice.version },
-  class: request.task.class,
-  weight: request.organisation.weight,
-  deadlineMs: request.task.deadlineMs ?? deadlineMs,
-  method: request.method,
-  path: request.path,
-  headers: { 'content-type': request.contentType },
-  body: request.body.toString('base64'),
-});
+): Promise<Binding | undefined> => {
+  if (request.session === undefined || request.model === undefined) return undefined;
+  const { model, version } = parts.chooser.choose(request, undefined, new Set());
+  return parts.settlement.bindSession(request, { model, version });
+};
 
-/** Creates the runner of one entry. */
-export const createRequestRunner = (parts: RunnerParts): RequestRunner => {
-  const { rpc, lease, settlement, chooser } = parts;
-  let active = 0;
+/** What the attempts of one request share. */
+interface Attempts {
+  readonly run: Run;
+  readonly bound: Binding | undefined;
+  readonly excluded: Set<string>;
+}
 
-  const acquireEndpoint = (choice: Choice): void => {
-    chooser.updateLoad(choice.member.endpoint, 1);
-    active += 1;
-  };
+const chooseTarget = (parts: RunnerParts, attempts: Attempts): Choice =>
+  parts.chooser.choose(attempts.run.request, attempts.bound, attempts.excluded);
+
+const closeLoser = (opening: Promise<OpenAttempt>, winner: OpenAttempt): void => {
+  opening.then(
+    (open) => {
+      if (open === winner) return;
+      open.release();
+      open.frames.return(undefined).catch(() => {});
+    },
+    () => {},
+  );
+};
 
-  const releaseEndpoint = (choice: Choice): void => {
-    chooser.updateLoad(choice.member.endpoint, -1);
-    active -= 1;
-  };
+const startHedge = async (
+  parts: RunnerParts,
+  attempts: Attempts,
+  first: Promise<OpenAttempt>,
+): Promise<OpenAttempt> => {
+  const choice = chooseTarget(parts, attempts);
+  attempts.excluded.add(choice.member.endpoint);
+  const second = startAttempt(parts, attempts.run, choice);
+  const winner = await Promise.any([first, second]);
+  [first, second].forEach((open) => closeLoser(open, winner));
+  return winner;
+};
 
-  const bindSession = async (request: RunRequest): Promise<Binding | undefined> => {
-    if (request.session === undefined || request.model === undefined) return undefined;
-    const { model, version } = chooser.choose(request, undefined, new Set());
-    return settlement.bindSession(request, { model, version });
-  };
+// The attempt that comes second is cancelled at the settlement, and counted in the same bill.
+const openAttempt = async (
+  parts: RunnerParts,
+  attempts: Attempts,
+  choice: Choice,
+): Promise<OpenAttempt> => {
+  const { run } = attempts;
+  const delayMs = run.request.idempotent
+    ? parts.policy.computeHedgeDelayMs(run.request, choice)
+    : undefined;
+  const first = startAttempt(parts, run, choice);
+  if (delayMs === undefined) return first;
+  const early = await Promise.race([first, sleep(delayMs, undefined)]);
+  if (early) return early;
+  try {
+    return await startHedge(parts, attempts, first);
+  } catch {
+    return first;
+  }
+};
 
-  const closeAttempt = async (open: OpenAttempt, usage: Usage | undefined): Promise<void> => {
-    const { request, choice, attempt } = open;
-    const { address } = choice.member;
-    const name = { requestId: request.requestId, attempt };
-    if (!usage) {
-      await rpc.call(address, 'attempt.cancel', name);
-      await settlement.settle(request, 'ran', [settlement.computeUsage(choice, 0, 0)]);
-    }
-    await rpc.call(address, 'attempt.confirm', name);
-    releaseEndpoint(choice);
-  };
+const canRetry = (parts: RunnerParts, run: Run, error: RouterError): boolean =>
+  !FINAL_TYPES.has(error.type) &&
+  !run.request.signal.aborted &&
+  canRepeat(run.state, run.request.idempotent) &&
+  parts.policy.canRetry(run.request);
 
-  const settleEnd = async (
-    open: OpenAttempt,
-    usage: Usage,
-    kept: readonly Buffer[],
-  ): Promise<void> => {
-    const { request, choice, head } = open;
-    const { model, version } = choice;
-    const body = Buffer.concat(kept).toString('base64');
-    const answer = { status: head.status, contentType: head.contentType, body, model, version };
-    await settlement.settle(request, 'ran', [usage], request.keepsAnswer ? answer : undefined);
-  };
+interface OpenedAttempt {
+  readonly open: OpenAttempt;
+  readonly choice: Choice;
+}
 
-  async function* relayPieces(open: OpenAttempt): AsyncGenerator<Buffer> {
-    const kept: Buffer[] = [];
-    let usage: Usage | undefined;
+const openWithRetries = async <T>(
+  parts: RunnerParts,
+  attempts: Attempts,
+  use: (opened: OpenedAttempt) => Promise<T>,
+): Promise<T> => {
+  const { run, excluded } = attempts;
+  for (let left = ATTEMPTS_PER_REQUEST - 1; ; left -= 1) {
+    const choice = chooseTarget(parts, attempts);
+    excluded.add(choice.member.endpoint);
     try {
-      for await (const frame of open.frames) {
-        if (frame.type === 'end') {
-          usage = settlement.computeUsage(open.choice, frame.inputTokens, frame.outputTokens);
-          await settleEnd(open, usage, kept);
-        }
-        if (frame.type !== 'data') continue;
-        const piece = Buffer.from(frame.data, 'base64');
-        if (open.request.keepsAnswer) kept.push(piece);
-        yield piece;
-      }
-    } finally {
-      await closeAttempt(open, usage);
+      return await use({ open: await openAttempt(parts, attempts, choice), choice });
+    } catch (cause) {
+      const error = resolveAbort(run.request, cause);
+      // An attempt that may still start must not run beside the next one uncounted.
+      if (listUncertain(run.state).length > 0) await closeUncertain(parts, run);
+      if (left === 0 || !canRetry(parts, run, error)) throw error;
     }
   }
+};
 
-  const startAttempt = async (
-    request: RunRequest,
-    choice: Choice,
-    attempt: number,
-  ): Promise<RunAnswer> => {
-    const { address } = choice.member;
-    acquireEndpoint(choice);
+interface HeldAnswer {
+  readonly whole: WholeAnswer;
+  readonly choice: Choice;
+}
+
+// Each answer is whole before the policy sees it, and an escalation follows a finished run.
+const runCascade = async (parts: RunnerParts, run: Run, first: HeldAnswer): Promise<RunAnswer> => {
+  let held = first;
+  while (run.request.idempotent && parts.policy.isCascade(run.request, held.choice)) {
+    const choice = await parts.policy.chooseNext(run.request, held.whole, held.choice);
+    if (!choice) break;
     try {
-      const intent = settlement.recordIntent(request, choice, attempt);
-      if (!request.idempotent) await intent;
-      const message = createAttemptRequest(request, choice, attempt, parts.answerTimeoutMs);
-      const frames = runAttempt(rpc, address, message, request.signal);
-      const [first] = await Promise.all([frames.next(), intent]);
-      const head = checkHead(first.value as AnswerFrame | undefined, address);
-      const pieces = relayPieces({ request, choice, attempt, head, frames });
-      const { status, contentType } = head;
-      return { status, contentType, model: choice.model, version: choice.version, pieces };
-    } catch (cause) {
-      releaseEndpoint(choice);
-      throw convertToRouterError(cause, 'entry.dispatch', address, 'unknown');
+      const open = await startAttempt(parts, run, choice);
+      held = { whole: await readWholeAnswer(parts, run, open), choice };
+    } catch {
+      // The answer that is held stays good enough to give.
+      break;
     }
+  }
+  await settleAnswer(parts, run, held.whole);
+  return createWholeAnswer(held.whole);
+};
+
+/** Creates the runner of one entry. */
+export const createRequestRunner = (parts: RunnerParts): RequestRunner => {
+  let active = 0;
+
+  const handleEnd = (): void => {
+    active -= 1;
   };
 
-  const runAttempts = async (request: RunRequest): Promise<RunAnswer> => {
-    const bound = await bindSession(request);
-    const excluded = new Set<string>();
-    let last: RouterError | undefined;
-    for (let attempt = 0; attempt < ATTEMPTS_PER_REQUEST; attempt += 1) {
-      const choice = chooser.choose(request, bound, excluded);
-      chooser.log(request, choice, attempt);
-      try {
-        return await startAttempt(request, choice, attempt);
-      } catch (cause) {
-        last = cause as RouterError;
-        excluded.add(choice.member.endpoint);
-        const canRepeat = last.outcome === 'not_run' || request.idempotent;
-        if (!canRepeat || request.signal.aborted) break;
-      }
+  const runAttempts = async (run: Run): Promise<RunAnswer> => {
+    const bound = await bindSession(parts, run.request);
+    const attempts: Attempts = { run, bound, excluded: new Set() };
+    const result = await openWithRetries(parts, attempts, async ({ open, choice }) => {
+      const isWhole = run.request.isWhole || parts.policy.isCascade(run.request, choice);
+      if (!isWhole) return createStreamedAnswer(parts, run, open, handleEnd);
+      return { whole: await readWholeAnswer(parts, run, open), choice };
+    });
+    if (!('whole' in result)) return result;
+    const answer = await runCascade(parts, run, result);
+    handleEnd();
+    return answer;
+  };
+
+  const runClaimed = async (request: RunRequest): Promise<RunAnswer> => {
+    const run = createRun(request);
+    try {
+      const stored = await claimOrAnswer(parts, request);
+      if (!stored) return await runAttempts(run);
+      handleEnd();
+      return stored;
+    } catch (cause) {
+      const error = resolveAbort(request, cause);
+      if (error.step === 'entry.claim') throw error;
+      throw await settleFailure(parts, run, error);
     }
-    throw last!;
   };
 
-  const run = async (request: RunRequest): Promise<RunAnswer> => {
-    const stored = await settlement.claim(request);
-    if (stored) return stored;
+  const run: RequestRunner['run'] = async (request) => {
+    if (!request.isDeferred) checkInFlight(parts, active);
+    active += 1;
     try {
-      return await runAttempts(request);
+      return await runClaimed(request);
     } catch (cause) {
-      const error = convertToRouterError(cause, 'entry.run');
-      await settlement.settle(request, error.outcome, []).catch(() => {});
-      throw error;
+      handleEnd();
+      throw convertToRouterError(cause, 'entry.run');
     }
   };
 
   return {
     run,
     createRequestId: () =>
-      `req_${lease.incarnation().toString(36)}_${randomUUID().replaceAll('-', '')}`,
+      `req_${parts.lease.incarnation().toString(36)}_${randomUUID().replaceAll('-', '')}`,
     countActive: () => active,
   };
 };
--- /dev/null
+++ b/src/node/entry/requestState.ts
@@ -0,0 +1,85 @@
+import type { Outcome } from '../errors';
+import type { AttemptReport, Usage } from '../ledger';
+
+/**
+ * Where an attempt stands for its entry. `sent` may run; `never` has not run and never will;
+ * `unknown` may have run or still run.
+ */
+export type AttemptPhase = 'sent' | 'never' | 'ran' | 'unknown';
+
+/** An attempt as its entry knows it. */
+export interface TrackedAttempt {
+  readonly attempt: number;
+  readonly address: string;
+  readonly agent: string;
+  readonly incarnation: number;
+  readonly model: string;
+  readonly version: string;
+  readonly phase: AttemptPhase;
+  readonly usage?: Usage;
+}
+
+/** The attempts of one request, in order. */
+export interface RequestState {
+  readonly attempts: readonly TrackedAttempt[];
+}
+
+/** What an attempt's end changes. */
+export interface AttemptChange {
+  readonly phase: AttemptPhase;
+  readonly usage?: Usage;
+}
+
+/** A request without attempts. */
+export const EMPTY_REQUEST: RequestState = { attempts: [] };
+
+/** Adds an attempt that is about to be sent. */
+export const addTracked = (
+  state: RequestState,
+  attempt: Omit<TrackedAttempt, 'phase' | 'usage'>,
+): RequestState => ({ attempts: [...state.attempts, { ...attempt, phase: 'sent' }] });
+
+// What has run stays so; `never` needs the agent's word, so nothing replaces it either.
+const mergeChange = (known: TrackedAttempt, change: AttemptChange): TrackedAttempt => {
+  const isDecided = known.phase === 'ran' || known.phase === 'never';
+  const phase = isDecided ? known.phase : change.phase;
+  return { ...known, phase, usage: known.usage ?? change.usage };
+};
+
+/** Takes the end of an attempt into the state. */
+export const updateTracked = (
+  state: RequestState,
+  attempt: number,
+  change: AttemptChange,
+): RequestState => ({
+  attempts: state.attempts.map((item) =>
+    item.attempt === attempt ? mergeChange(item, change) : item,
+  ),
+});
+
+/** Gives the attempts that may still run or start. */
+export const listUncertain = (state: RequestState): readonly TrackedAttempt[] =>
+  state.attempts.filter((item) => item.phase === 'sent' || item.phase === 'unknown');
+
+/** The outcome of the whole request: `not_run` only if no attempt ran and none can any more. */
+export const computeOutcome = (state: RequestState): Outcome => {
+  const phases = state.attempts.map((item) => item.phase);
+  if (phases.every((phase) => phase === 'never')) return 'not_run';
+  return phases.includes('ran') ? 'ran' : 'unknown';
+};
+
+/** Says whether another attempt may be sent. */
+export const canRepeat = (state: RequestState, idempotent: boolean): boolean =>
+  idempotent || computeOutcome(state) === 'not_run';
+
+/** Gives what the ledger is told of each attempt. */
+export const listReports = (state: RequestState): readonly AttemptReport[] =>
+  state.attempts.map(({ attempt, agent, incarnation, model, version, phase, usage }) => ({
+    attempt,
+    agent,
+    incarnation,
+    model,
+    version,
+    outcome: phase === 'sent' ? 'unknown' : phase,
+    usage,
+  }));
--- /dev/null
+++ b/src/node/entry/runContext.ts
@@ -0,0 +1,264 @@
+import {
+  convertToRouterError,
+  createError,
+  type ErrorType,
+  type Outcome,
+  type RouterError,
+} from '../errors';
+import type { LeaseClient } from '../lease';
+import type { Owner, StoredAnswer } from '../ledger';
+import type { AttemptName, AttemptRequest, TokenCounts } from '../shared';
+import type { AnswerFrame, AttemptClient } from './attemptClient';
+import type { AttemptPolicy } from './attemptPolicy';
+import {
+  addTracked,
+  computeOutcome,
+  EMPTY_REQUEST,
+  listUncertain,
+  updateTracked,
+  type AttemptPhase,
+  type RequestState,
+  type TrackedAttempt,
+} from './requestState';
+import type { RunRequest, WholeAnswer } from './runTypes';
+import { STORED_ANSWER_BYTES, type Settlement } from './settlement';
+import type { Choice, TargetChooser } from './targetChoice';
+
+/** What a request runner needs. */
+export interface RunnerParts {
+  readonly client: AttemptClient;
+  readonly lease: Pick<LeaseClient, 'incarnation' | 'isValid' | 'view'>;
+  readonly settlement: Settlement;
+  readonly chooser: TargetChooser;
+  readonly policy: AttemptPolicy;
+  readonly readOwner: () => Owner;
+  readonly answerTimeoutMs: number;
+  /** Bytes of one answer, after which it is cut. */
+  readonly streamBytes: number;
+  /** Requests that may be under way at once. */
+  readonly inFlight: number;
+}
+
+/** One request under way, with what is known of its attempts. */
+export interface Run {
+  readonly request: RunRequest;
+  state: RequestState;
+  nextAttempt: number;
+}
+
+/** An attempt whose head has come. */
+export interface OpenAttempt {
+  readonly tracked: TrackedAttempt;
+  readonly head: Extract<AnswerFrame, { readonly type: 'head' }>;
+  readonly frames: AsyncGenerator<AnswerFrame>;
+  readonly release: () => void;
+}
+
+/** Creates a run without attempts. */
+export const createRun = (request: RunRequest): Run => ({
+  request,
+  state: EMPTY_REQUEST,
+  nextAttempt: request.firstAttempt,
+});
+
+const createName = (run: Run, { attempt, incarnation }: TrackedAttempt): AttemptName => ({
+  requestId: run.request.requestId,
+  attempt,
+  incarnation,
+});
+
+const PHASE_BY_OUTCOME: Readonly<Record<Outcome, AttemptPhase>> = {
+  not_run: 'never',
+  ran: 'ran',
+  unknown: 'unknown',
+};
+
+/** Takes the outcome of an attempt's error into its run. */
+export const recordFailure = (
+  parts: RunnerParts,
+  run: Run,
+  tracked: TrackedAttempt,
+  error: RouterError,
+): void => {
+  const counts = error.data as TokenCounts | undefined;
+  const usage = counts && parts.settlement.computeUsage(tracked, counts);
+  const phase = PHASE_BY_OUTCOME[error.outcome];
+  run.state = updateTracked(run.state, tracked.attempt, { phase, usage });
+};
+
+/** Turns attempts that may still run into tombstones, or cancels them and counts what ran. */
+export const closeUncertain = async (parts: RunnerParts, run: Run): Promise<void> => {
+  const closeOne = async (tracked: TrackedAttempt): Promise<void> => {
+    const end = await parts.client.cancel(tracked.address, createName(run, tracked));
+    const usage = end.counts && parts.settlement.computeUsage(tracked, end.counts);
+    run.state = updateTracked(run.state, tracked.attempt, { phase: end.state, usage });
+  };
+  await Promise.all(listUncertain(run.state).map(closeOne));
+};
+
+const confirmAll = (parts: RunnerParts, run: Run): void => {
+  run.state.attempts
+    .filter((item) => item.phase !== 'unknown')
+    .forEach((item) => parts.client.confirm(item.address, createName(run, item)));
+};
+
+/** Formats an answer for the ledger, unless it need not or cannot be stored. */
+export const formatStoredAnswer = (
+  request: RunRequest,
+  answer: WholeAnswer,
+): StoredAnswer | undefined => {
+  if (!request.keepsAnswer || answer.body.length > STORED_ANSWER_BYTES) return undefined;
+  const { status, contentType, headers, model, version, body } = answer;
+  return { status, contentType, headers, model, version, body: body.toString('base64') };
+};
+
+const TOO_LARGE = {
+  type: 'too_large',
+  message: 'the answer is too large to be stored',
+  step: 'entry.settle',
+} as const;
+
+/** Settles a request that has its answer. */
+export const settleAnswer = async (
+  parts: RunnerParts,
+  run: Run,
+  whole: WholeAnswer,
+): Promise<void> => {
+  await closeUncertain(parts, run);
+  const answer = formatStoredAnswer(run.request, whole);
+  const error = run.request.isDeferred && !answer ? TOO_LARGE : undefined;
+  const end = { outcome: 'ran', answer, error } as const;
+  const settled = await parts.settlement.settle(run.request, run.state, end);
+  if (settled !== undefined) confirmAll(parts, run);
+};
+
+/** Settles a request that has no answer; gives its error with an outcome that is true. */
+export const settleFailure = async (
+  parts: RunnerParts,
+  run: Run,
+  cause: unknown,
+): Promise<RouterError> => {
+  const error = convertToRouterError(cause, 'entry.run');
+  await closeUncertain(parts, run);
+  const local = computeOutcome(run.state);
+  const { type, message, step, peer, retryAfterSeconds } = error;
+  const { settlement } = parts;
+  const end = { outcome: local, error: { type, message, step } };
+  const settled = run.request.isDeferred
+    ? await settlement.releaseOrSettle(run.request, run.state, end)
+    : await settlement.settle(run.request, run.state, end);
+  if (settled !== undefined) confirmAll(parts, run);
+  return createError({ type, message, step, peer, retryAfterSeconds, outcome: settled ?? local });
+};
+
+const ABORT_TYPES: Readonly<Record<string, ErrorType>> = { TimeoutError: 'timeout' };
+
+/** Names why a request was aborted, or gives the error as it is. */
+export const resolveAbort = (request: RunRequest, cause: unknown): RouterError => {
+  const error = convertToRouterError(cause, 'entry.run');
+  if (!request.signal.aborted) return error;
+  const reason = (request.signal.reason as Error | undefined)?.name ?? '';
+  const type = ABORT_TYPES[reason] ?? 'cancelled';
+  const { outcome, peer, data } = error;
+  const message = type === 'timeout' ? 'the answer took too long' : 'the caller has gone';
+  return createError({ type, message, step: 'entry.run', peer, outcome, data });
+};
+
+const createAttemptRequest = (
+  parts: RunnerParts,
+  request: RunRequest,
+  choice: Choice,
+  attempt: number,
+): AttemptRequest => ({
+  requestId: request.requestId,
+  attempt,
+  organisation: request.organisation.name,
+  incarnation: choice.member.incarnation,
+  entry: parts.readOwner(),
+  endpoint: choice.member.endpoint,
+  target:
+    request.service === undefined
+      ? { kind: 'model', model: choice.model, version: choice.version }
+      : { kind: 'service', service: request.service },
+  class: request.task.class,
+  weight: request.organisation.weight,
+  deadlineMs: request.task.deadlineMs ?? parts.answerTimeoutMs,
+  method: request.method,
+  path: request.path,
+  headers: request.headers,
+  body: request.body.toString('base64'),
+});
+
+const recordAttempt = (run: Run, choice: Choice): TrackedAttempt => {
+  const { address, node: agent, incarnation } = choice.member;
+  const attempt = run.nextAttempt;
+  const { model, version } = choice;
+  run.nextAttempt += 1;
+  run.state = addTracked(run.state, { attempt, address, agent, incarnation, model, version });
+  return run.state.attempts.at(-1)!;
+};
+
+const checkHead = (frame: AnswerFrame | undefined, peer: string): OpenAttempt['head'] => {
+  if (frame?.type === 'head') return frame;
+  const message = 'the answer has no head';
+  const outcome = 'unknown';
+  throw createError({ type: 'peer_failed', message, step: 'entry.dispatch', peer, outcome });
+};
+
+const checkLease = (parts: RunnerParts): void => {
+  if (parts.lease.isValid()) return;
+  const message = 'this entry holds no lease';
+  throw createError({ type: 'unavailable', message, step: 'entry.dispatch', retryAfterSeconds: 1 });
+};
+
+// The first byte waits for the intent; a call that may not be repeated waits before it is sent.
+const sendAttempt = async (
+  parts: RunnerParts,
+  run: Run,
+  choice: Choice,
+  tracked: TrackedAttempt,
+): Promise<Omit<OpenAttempt, 'release'>> => {
+  const { request } = run;
+  const { address } = tracked;
+  const intent = parts.settlement.recordIntent(request, tracked);
+  if (!request.idempotent) await intent;
+  checkLease(parts);
+  const message = createAttemptRequest(parts, request, choice, tracked.attempt);
+  const frames = parts.client.open(address, message, request.signal);
+  const [first, recorded] = await Promise.allSettled([frames.next(), intent]);
+  if (first.status === 'rejected') throw first.reason;
+  if (recorded.status === 'rejected') {
+    const error = convertToRouterError(recorded.reason, 'entry.intent');
+    throw createError({ ...error, message: error.message, outcome: 'unknown' });
+  }
+  return {
+    tracked,
+    head: checkHead(first.value.value as AnswerFrame | undefined, address),
+    frames,
+  };
+};
+
+/** Starts one attempt and gives it with its head; a failure is recorded in the run. */
+export const startAttempt = async (
+  parts: RunnerParts,
+  run: Run,
+  choice: Choice,
+): Promise<OpenAttempt> => {
+  const { endpoint, address } = choice.member;
+  const tracked = recordAttempt(run, choice);
+  parts.chooser.log(run.request, choice, tracked.attempt);
+  parts.chooser.updateLoad(endpoint, 1);
+  let isReleased = false;
+  const release = (): void => {
+    if (!isReleased) parts.chooser.updateLoad(endpoint, -1);
+    isReleased = true;
+  };
+  try {
+    return { ...(await sendAttempt(parts, run, choice, tracked)), release };
+  } catch (cause) {
+    release();
+    const error = convertToRouterError(cause, 'entry.dispatch', address, 'unknown');
+    recordFailure(parts, run, tracked, error);
+    throw error;
+  }
+};
--- a/src/node/entry/runTypes.ts
+++ b/src/node/entry/runTypes.ts
@@ -1,4 +1,5 @@
 import type { Organisation, Task } from '../inventory';
+import type { PassedHeaders } from '../shared';
 
 /** A request as the caller API hands it over. */
 export interface RunRequest {
@@ -13,10 +14,17 @@
   readonly idempotent: boolean;
   /** The answer is stored with the settlement, for retries or a later fetch. */
   readonly keepsAnswer: boolean;
+  /** The answer is read to its end before its head is given, so that a cut one can be repeated. */
+  readonly isWhole: boolean;
+  /** The ledger holds the request already: it was deferred. */
+  readonly isDeferred: boolean;
+  /** The first attempt's number; greater than 0 when a deferred request is run again. */
+  readonly firstAttempt: number;
   readonly method: string;
   readonly path: string;
-  readonly contentType: string;
+  readonly headers: PassedHeaders;
   readonly body: Buffer;
+  /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
 }
 
@@ -24,7 +32,13 @@
 export interface RunAnswer {
   readonly status: number;
   readonly contentType: string;
+  readonly headers: PassedHeaders;
   readonly model: string;
   readonly version: string;
   readonly pieces: AsyncGenerator<Buffer>;
 }
+
+/** An answer that was read to its end. */
+export interface WholeAnswer extends Omit<RunAnswer, 'pieces'> {
+  readonly body: Buffer;
+}
--- /dev/null
+++ b/src/node/entry/serviceRoutes.ts
@@ -0,0 +1,134 @@
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { createError } from '../errors';
+import type { Organisation, PlainService } from '../inventory';
+import type { PassedHeaders } from '../shared';
+import { findOrganisation } from './authorise';
+import { findTask } from './chatRequest';
+import {
+  checkReady,
+  createCallerSignal,
+  readHeader,
+  sendAnswer,
+  type CallerApiParts,
+} from './replies';
+import type { RunRequest } from './runTypes';
+
+// The key is the router's own, and the rest speaks of one connection only.
+const NOT_PASSED: ReadonlySet<string> = new Set([
+  'authorization',
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'x-attempt',
+  'x-request-id',
+]);
+
+const readPassedHeaders = (request: FastifyRequest): PassedHeaders => {
+  const named = new Set(
+    (request.headers.connection ?? '').split(',').map((name) => name.trim().toLowerCase()),
+  );
+  return Object.fromEntries(
+    Object.entries(request.headers).flatMap(([name, value]) =>
+      value === undefined || NOT_PASSED.has(name) || named.has(name) ? [] : [[name, value]],
+    ),
+  );
+};
+
+const DOT_SEGMENT = /(?:^|[/\\])\.{1,2}(?:[/\\]|$)/;
+
+const decodePath = (path: string): string => {
+  try {
+    return decodeURIComponent(path);
+  } catch {
+    return '/..';
+  }
+};
+
+// A path that names another one after resolution would slip past the route rules.
+const readPath = (request: FastifyRequest, service: string): string => {
+  const path = request.url.slice(`/v1/services/${service}`.length);
+  const [bare = ''] = path.split('?');
+  const isPlain = !DOT_SEGMENT.test(decodePath(bare)) && !bare.includes('//');
+  if (isPlain && path.startsWith('/')) return path;
+  const message = 'the path must have no dot segments and no empty ones';
+  throw createError({ type: 'invalid_request', message, step: 'entry.parse' });
+};
+
+const hasPrefix = (path: string, prefix: string): boolean => {
+  if (!path.startsWith(prefix)) return false;
+  return prefix.endsWith('/') || path.length === prefix.length || path[prefix.length] === '/';
+};
+
+/** Says whether a call may be repeated, by the longest route rule that covers it. */
+export const isRouteIdempotent = (
+  service: PlainService | undefined,
+  method: string,
+  path: string,
+): boolean => {
+  const [bare = ''] = path.split('?');
+  const routes = (service?.routes ?? []).filter(
+    (item) => item.method === method && hasPrefix(bare, item.path),
+  );
+  const longest = [...routes].sort((a, b) => b.path.length - a.path.length)[0];
+  return longest?.idempotent ?? false;
+};
+
+const checkService = (organisation: Organisation, service: string): void => {
+  if (organisation.services.includes(service)) return;
+  const message = `service '${service}' is unknown or not allowed`;
+  throw createError({ type: 'not_allowed', message, step: 'entry.choose' });
+};
+
+const createServiceRequest = (
+  parts: CallerApiParts,
+  request: FastifyRequest,
+  reply: FastifyReply,
+  organisation: Organisation,
+): RunRequest => {
+  const { service } = request.params as { readonly service: string };
+  checkService(organisation, service);
+  const path = readPath(request, service);
+  const key = readHeader(request, 'idempotency-key');
+  const keepsAnswer = key !== undefined;
+  const known = parts.lease.view.find('service', service);
+  return {
+    requestId: request.id,
+    organisation,
+    task: findTask(parts.lease.view, undefined),
+    service,
+    key,
+    idempotent: isRouteIdempotent(known, request.method, path),
+    keepsAnswer,
+    isWhole: false,
+    isDeferred: false,
+    firstAttempt: 0,
+    method: request.method,
+    path,
+    headers: readPassedHeaders(request),
+    body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
+    signal: createCallerSignal(parts, reply, keepsAnswer),
+  };
+};
+
+/** Registers the routes of plain services. */
+export const registerServiceRoutes = (app: FastifyInstance, parts: CallerApiParts): void => {
+  app.register(async (scope) => {
+    scope.removeAllContentTypeParsers();
+    scope.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
+      done(null, body),
+    );
+    scope.all('/v1/services/:service/*', async (request, reply) => {
+      const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+      checkReady(parts);
+      const runRequest = createServiceRequest(parts, request, reply, organisation);
+      return sendAnswer(reply, request.id, await parts.runner.run(runRequest));
+    });
+  });
+};
--- a/src/node/entry/settlement.ts
+++ b/src/node/entry/settlement.ts
@@ -1,126 +1,246 @@
 import { createHash } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createError, type Outcome, type RouterError } from '../errors';
-import type { LedgerResult, StoredAnswer, Usage } from '../ledger';
+import {
+  computeUsage,
+  type LedgerClient,
+  type LedgerCommand,
+  type LedgerResult,
+  type Owner,
+  type RequestRecord,
+  type StoredAnswer,
+  type StoredError,
+  type Usage,
+} from '../ledger';
+import type { Logger } from '../log';
+import type { TokenCounts } from '../shared';
 import type { View } from '../view';
-import type { LedgerClient } from './ledgerClient';
-import type { RunAnswer, RunRequest } from './runTypes';
-import type { Binding, Choice } from './targetChoice';
+import { createSessionBinder } from './sessionBinder';
+import { EMPTY_REQUEST, listReports, type RequestState, type TrackedAttempt } from './requestState';
+import type { RunRequest } from './runTypes';
+import type { Binding } from './targetChoice';
+
+/** How a request ended. */
+export interface RequestEnd {
+  readonly outcome: Outcome;
+  readonly answer?: StoredAnswer;
+  readonly error?: StoredError;
+}
+
+/** What stands in the way of a key. */
+export interface KeyHolder {
+  readonly record: RequestRecord;
+  readonly isOwnerGone: boolean;
+}
 
 /** The ledger as one entry's requests use it. */
 export interface Settlement {
+  /** Binds a session to a version unless it is bound, and gives the binding. */
   readonly bindSession: (request: RunRequest, wanted: Binding) => Promise<Binding>;
-  /** Claims the request's key; gives the stored answer of an earlier request with it. */
-  readonly claim: (request: RunRequest) => Promise<RunAnswer | undefined>;
-  readonly recordIntent: (
-    request: RunRequest,
-    choice: Choice,
-    attempt: number,
-  ) => Promise<LedgerResult>;
+  /** Claims the request's key; gives the earlier request that holds it. */
+  readonly claim: (request: RunRequest) => Promise<KeyHolder | undefined>;
+  /** Records durably that an attempt may run; throws a refusal that is `not_run`. */
+  readonly recordIntent: (request: RunRequest, attempt: TrackedAttempt) => Promise<void>;
+  /** Settles a request; keeps trying in the background when the ledger does not answer. */
   readonly settle: (
     request: RunRequest,
-    outcome: Outcome,
-    usage: readonly Usage[],
-    answer?: StoredAnswer,
-  ) => Promise<LedgerResult>;
-  readonly computeUsage: (choice: Choice, inputTokens: number, outputTokens: number) => Usage;
+    state: RequestState,
+    end: RequestEnd,
+  ) => Promise<Outcome | undefined>;
+  /** Puts a deferred request back into its queue when it may run later, else settles it. */
+  readonly releaseOrSettle: (
+    request: RunRequest,
+    state: RequestState,
+    end: RequestEnd,
+  ) => Promise<Outcome | undefined>;
+  readonly takeOver: (request: RunRequest, record: RequestRecord) => Promise<boolean>;
+  readonly find: (request: RunRequest, requestId: string) => Promise<RequestRecord | undefined>;
+  readonly computeUsage: (attempt: TrackedAttempt, counts: TokenCounts) => Usage;
+  /** Settlements that the ledger has not taken yet. */
+  readonly countWaiting: () => number;
+}
+
+/** What a settlement needs. */
+export interface SettlementOptions {
+  readonly ledger: Pick<LedgerClient, 'propose' | 'find'>;
+  readonly view: View;
+  readonly readOwner: () => Owner;
+  readonly log: Logger;
+  readonly readTime?: () => number;
 }
 
-const MICRO = 1_000_000;
-const TOKENS_PER_PRICE = 1_000;
+/** A stored answer may have this many bytes. */
+export const STORED_ANSWER_BYTES = 1_048_576;
 
-const computeBodyHash = (request: RunRequest): string =>
+const SETTLE_RETRY_MS = 1_000;
+const SETTLE_TRIES = 600;
+const DEFERRED_PAUSE_MS = 5_000;
+
+/** Computes the hash that tells whether two requests with one key are the same. */
+export const computeBodyHash = (request: Pick<RunRequest, 'method' | 'path' | 'body'>): string =>
   createHash('sha256')
     .update(`${request.method} ${request.path}\n`)
     .update(request.body)
     .digest('hex');
 
-const readStoredAnswer = (answer: StoredAnswer): RunAnswer => {
-  async function* readPieces(): AsyncGenerator<Buffer> {
-    yield Buffer.from(answer.body, 'base64');
+const createKeyError = (message: string, outcome: Outcome): RouterError =>
+  createError({ type: 'conflict', message, step: 'entry.claim', outcome });
+
+const handleClaimResult = (result: LedgerResult): KeyHolder | undefined => {
+  if (result.type === 'claimed') return undefined;
+  if (result.type === 'known') return result;
+  if (result.type === 'keyConflict') {
+    throw createKeyError('the idempotency key was used with another body', 'not_run');
+  }
+  if (result.type === 'keyExpired') {
+    throw createKeyError('the idempotency key is older than its retention', 'unknown');
   }
-  const { status, contentType, model, version } = answer;
-  return { status, contentType, model, version, pieces: readPieces() };
+  const message = result.type === 'refused' ? result.reason : 'the key was not claimed';
+  throw createError({ type: 'unavailable', message, step: 'entry.claim', retryAfterSeconds: 1 });
 };
 
-const createKeyConflict = (): RouterError =>
-  createError({
-    type: 'conflict',
-    message: 'the idempotency key was used with another body',
-    step: 'entry.claim',
-  });
-
-const createKeyInUse = (): RouterError =>
-  createError({
-    type: 'conflict',
-    message: 'a request with this key runs or has ended without an answer',
-    step: 'entry.claim',
-    outcome: 'unknown',
-    retryAfterSeconds: 1,
-  });
+const OUTCOME_BY_STATE: Readonly<Record<RequestRecord['state'], Outcome>> = {
+  queued: 'unknown',
+  running: 'unknown',
+  done: 'ran',
+  failed: 'ran',
+  unknown: 'unknown',
+  not_run: 'not_run',
+};
 
-/** Creates the settlement of one entry. */
-export const createSettlement = (ledger: LedgerClient, view: View): Settlement => {
-  const bindSession: Settlement['bindSession'] = async (request, wanted) => {
-    const result = await ledger.propose({
-      type: 'bindSession',
-      organisation: request.organisation.name,
-      session: request.session!,
-      ...wanted,
-      at: Date.now(),
-    });
-    return result.type === 'bound' ? result : wanted;
+const RELEASED_TYPES: ReadonlySet<string> = new Set([
+  'unavailable',
+  'overloaded',
+  'over_cap',
+  'peer_failed',
+  'timeout',
+]);
+
+const createRetries = (ledger: SettlementOptions['ledger'], log: Logger) => {
+  let waiting = 0;
+
+  const proposeEnd = async (command: LedgerCommand, outcome: Outcome): Promise<Outcome> => {
+    const result = await ledger.propose(command);
+    return result.type === 'settled' ? OUTCOME_BY_STATE[result.state] : outcome;
+  };
+
+  const retryLater = async (command: LedgerCommand): Promise<void> => {
+    waiting += 1;
+    for (let tries = 0; tries < SETTLE_TRIES; tries += 1) {
+      await sleep(SETTLE_RETRY_MS, undefined, { ref: false });
+      const isDone = await ledger.propose(command).then(
+        () => true,
+        () => false,
+      );
+      if (isDone) break;
+    }
+    waiting -= 1;
   };
 
+  const proposeOrRetry = async (
+    request: RunRequest,
+    command: LedgerCommand,
+    outcome: Outcome,
+  ): Promise<Outcome | undefined> => {
+    try {
+      return await proposeEnd(command, outcome);
+    } catch {
+      log.warn({ requestId: request.requestId }, 'settlement waits for the ledger');
+      retryLater(command).catch(() => {});
+      return undefined;
+    }
+  };
+
+  return { proposeOrRetry, countWaiting: () => waiting };
+};
+
+/** Creates the settlement of one entry. */
+export const createSettlement = (options: SettlementOptions): Settlement => {
+  const { ledger, view, readOwner, log, readTime = Date.now } = options;
   const claim: Settlement['claim'] = async (request) => {
-    if (request.key === undefined) return undefined;
+    if (request.key === undefined || request.isDeferred) return undefined;
     const result = await ledger.propose({
       type: 'claim',
       organisation: request.organisation.name,
       key: request.key,
       bodyHash: computeBodyHash(request),
       requestId: request.requestId,
-      at: Date.now(),
+      owner: readOwner(),
+      at: readTime(),
     });
-    if (result.type === 'claimed') return undefined;
-    if (result.type === 'keyConflict') throw createKeyConflict();
-    if (result.type === 'known' && result.record.answer) {
-      return readStoredAnswer(result.record.answer);
-    }
-    throw createKeyInUse();
+    return handleClaimResult(result);
+  };
+
+  const recordIntent: Settlement['recordIntent'] = async (request, tracked) => {
+    const { attempt, agent, incarnation, model, version } = tracked;
+    const result = await ledger.propose({
+      type: 'intent',
+      organisation: request.organisation.name,
+      requestId: request.requestId,
+      attempt,
+      agent,
+      incarnation,
+      model,
+      version,
+      owner: readOwner(),
+      at: readTime(),
+    });
+    if (result.type !== 'refused') return;
+    const message = result.reason;
+    throw createError({ type: 'unavailable', message, step: 'entry.intent', outcome: 'not_run' });
+  };
+
+  const { proposeOrRetry, countWaiting } = createRetries(ledger, log);
+
+  const settle: Settlement['settle'] = async (request, state, end) => {
+    const isBlank = state === EMPTY_REQUEST && request.key === undefined && !request.isDeferred;
+    if (isBlank) return end.outcome;
+    const command: LedgerCommand = {
+      type: 'settle',
+      organisation: request.organisation.name,
+      requestId: request.requestId,
+      owner: readOwner(),
+      reports: listReports(state),
+      ...end,
+      at: readTime(),
+    };
+    return proposeOrRetry(request, command, end.outcome);
+  };
+
+  const releaseOrSettle: Settlement['releaseOrSettle'] = async (request, state, end) => {
+    if (!RELEASED_TYPES.has(end.error?.type ?? '')) return settle(request, state, end);
+    const now = readTime();
+    const command: LedgerCommand = {
+      type: 'release',
+      organisation: request.organisation.name,
+      requestId: request.requestId,
+      owner: readOwner(),
+      reports: listReports(state),
+      notBefore: now + DEFERRED_PAUSE_MS,
+      at: now,
+    };
+    return proposeOrRetry(request, command, end.outcome);
   };
 
   return {
-    bindSession,
+    bindSession: createSessionBinder(ledger, readTime),
     claim,
-    recordIntent: (request, choice, attempt) =>
-      ledger.propose({
-        type: 'intent',
-        organisation: request.organisation.name,
-        requestId: request.requestId,
-        attempt,
-        agent: choice.member.node,
-        incarnation: choice.member.incarnation,
-        model: choice.model,
-        version: choice.version,
-        at: Date.now(),
-      }),
-    settle: (request, outcome, usage, answer) =>
-      ledger.propose({
-        type: 'settle',
+    recordIntent,
+    settle,
+    releaseOrSettle,
+    takeOver: async (request, record) => {
+      const result = await ledger.propose({
+        type: 'takeOver',
         organisation: request.organisation.name,
-        requestId: request.requestId,
-        outcome,
-        usage,
-        answer,
-        reporter: 'entry',
-        at: Date.now(),
-      }),
-    computeUsage: ({ model: name, version }, inputTokens, outputTokens) => {
-      const model = view.find('model', name);
-      const input = (model?.inputCostPerThousand ?? 0) * inputTokens;
-      const output = (model?.outputCostPerThousand ?? 0) * outputTokens;
-      const cost = Math.round(((input + output) / TOKENS_PER_PRICE) * MICRO) / MICRO;
-      return { model: name, version, inputTokens, outputTokens, cost };
+        requestId: record.requestId,
+        owner: readOwner(),
+        at: readTime(),
+      });
+      return result.type === 'taken' && result.records.length > 0;
     },
+    find: (request, requestId) => ledger.find(request.organisation.name, requestId),
+    computeUsage: ({ model, version }, counts) =>
+      computeUsage(view.find('model', model), { model, version, ...counts }),
+    countWaiting,
   };
 };
--- /dev/null
+++ b/src/node/ledger/attempts.ts
@@ -0,0 +1,133 @@
+import { isFinal, isSettled, isOwnerGone, writeRequest, type Tables } from './tables';
+import type { AttemptRecord, AttemptReport, Owner, RequestRecord, Usage } from './types';
+
+const MICRO = 1_000_000;
+
+const computeCost = (usage: readonly Usage[]): number =>
+  Math.round(usage.reduce((sum, line) => sum + line.cost, 0) * MICRO) / MICRO;
+
+// One bill per request: its lines are the usages of the attempts, each taken once.
+/** Writes the bill that follows from a request's attempts, if any of them used something. */
+export const writeBill = (tables: Tables, record: RequestRecord, at: number): void => {
+  const usage = record.attempts.flatMap((item) => (item.usage ? [item.usage] : []));
+  if (usage.length === 0) return;
+  const { requestId, organisation } = record;
+  const first = tables.bills.get(requestId)?.at ?? at;
+  const bill = { requestId, organisation, usage, cost: computeCost(usage), at: first };
+  tables.bills.set(requestId, { ...bill, final: isFinal(record) });
+};
+
+interface MergedAttempt {
+  readonly attempt: AttemptRecord;
+  readonly isFirst: boolean;
+  readonly differs: boolean;
+}
+
+const isSameUsage = (a: Usage | undefined, b: Usage | undefined): boolean =>
+  a === undefined ||
+  b === undefined ||
+  (a.inputTokens === b.inputTokens && a.outputTokens === b.outputTokens && a.model === b.model);
+
+// `unknown` is no knowledge: a later report of either kind replaces it. All else is kept.
+const mergeReport = (known: AttemptRecord, report: AttemptReport): MergedAttempt => {
+  const isUndecided = known.state === 'open' || known.state === 'unknown';
+  const state = isUndecided ? report.outcome : known.state;
+  const hasRun = state === 'ran';
+  const usage = known.usage ?? (hasRun ? report.usage : undefined);
+  const contradicts =
+    !isUndecided && report.outcome !== 'unknown' && report.outcome !== known.state;
+  const differs = contradicts || !isSameUsage(known.usage, report.usage);
+  const isFirst = state !== known.state || usage !== known.usage;
+  return { attempt: { ...known, state, usage }, isFirst, differs };
+};
+
+const createAttemptRecord = (report: Omit<AttemptRecord, 'state' | 'usage'>): AttemptRecord => {
+  const { attempt, agent, incarnation, model, version } = report;
+  return { attempt, agent, incarnation, model, version, state: 'open' };
+};
+
+const replaceAttempt = (
+  attempts: readonly AttemptRecord[],
+  attempt: AttemptRecord,
+): readonly AttemptRecord[] => [
+  ...attempts.filter((item) => item.attempt !== attempt.attempt),
+  attempt,
+];
+
+/** Adds an open attempt unless it is known. */
+export const addAttempt = (
+  record: RequestRecord,
+  fields: Omit<AttemptRecord, 'state' | 'usage'>,
+): RequestRecord => {
+  if (record.attempts.some((item) => item.attempt === fields.attempt)) return record;
+  return { ...record, attempts: [...record.attempts, createAttemptRecord(fields)] };
+};
+
+/** A record after a report, and whether the report was the first and agreed. */
+export interface ReportedRecord {
+  readonly record: RequestRecord;
+  readonly isFirst: boolean;
+  readonly differs: boolean;
+}
+
+/** Takes a report into a record; the first report of an attempt is kept. */
+export const addReport = (record: RequestRecord, report: AttemptReport): ReportedRecord => {
+  const known = record.attempts.find((item) => item.attempt === report.attempt);
+  const { attempt, isFirst, differs } = mergeReport(known ?? createAttemptRecord(report), report);
+  const attempts = replaceAttempt(record.attempts, attempt);
+  return { record: { ...record, attempts }, isFirst: isFirst || !known, differs };
+};
+
+/** Takes several reports into a record and counts those that differ. */
+export const addReports = (
+  tables: Tables,
+  record: RequestRecord,
+  reports: readonly AttemptReport[],
+): RequestRecord =>
+  reports.reduce((sum, report) => {
+    const next = addReport(sum, report);
+    if (next.differs) tables.differences += 1;
+    return next.record;
+  }, record);
+
+/** The outcome that a record's attempts allow: `not_run` only if no attempt ran or can run. */
+export const computeOutcome = (record: RequestRecord): 'ran' | 'not_run' | 'unknown' => {
+  const states = record.attempts.map((item) => item.state);
+  if (states.every((state) => state === 'never')) return 'not_run';
+  return states.includes('ran') ? 'ran' : 'unknown';
+};
+
+const STATE_BY_OUTCOME = { ran: 'done', not_run: 'not_run', unknown: 'unknown' } as const;
+
+const closeGoneAttempt = (tables: Tables, item: AttemptRecord): AttemptRecord => {
+  const { agent, incarnation, model, version } = item;
+  const owner: Owner = { node: agent, incarnation };
+  if (item.state === 'never' || item.usage !== undefined) return item;
+  if (!isOwnerGone(tables, owner)) return item;
+  const usage = { model, version, inputTokens: 0, outputTokens: 0, cost: 0 };
+  return { ...item, state: item.state === 'ran' ? 'ran' : 'unknown', usage };
+};
+
+/**
+ * The rule for attempts whose agent incarnation is gone: their outcome is unknown, and their
+ * line of the bill has no tokens, since nobody is left who counted them.
+ */
+export const closeGoneAttempts = (tables: Tables, record: RequestRecord): RequestRecord => {
+  const attempts = record.attempts.map((item) => closeGoneAttempt(tables, item));
+  return { ...record, attempts };
+};
+
+/** Settles a request that lost its entry, once each of its attempts has ended. */
+export const settleOrphan = (tables: Tables, record: RequestRecord, at: number): RequestRecord => {
+  const isOrphan = record.state === 'running' && isOwnerGone(tables, record.owner);
+  const isKept = record.key !== undefined || record.request !== undefined;
+  const hasOpen = record.attempts.some((item) => item.state === 'open');
+  if (!isOrphan || isKept || hasOpen || isSettled(record)) return record;
+  return { ...record, state: STATE_BY_OUTCOME[computeOutcome(record)], settledAt: at };
+};
+
+/** Stores a record with its bill. */
+export const writeRecord = (tables: Tables, record: RequestRecord, at: number): void => {
+  writeRequest(tables, record);
+  writeBill(tables, record, at);
+};
--- /dev/null
+++ b/src/node/ledger/deferred.ts
@@ -0,0 +1,135 @@
+import { addReports, closeGoneAttempts, writeRecord } from './attempts';
+import { claimKey } from './claims';
+import { DEFERRED_LIFE_MS } from './retention';
+import {
+  formatScopedName,
+  isOwnerGone,
+  isSettled,
+  updateDeferredBytes,
+  writeRequest,
+  type Tables,
+} from './tables';
+import type { LedgerCommand, LedgerResult, RequestRecord } from './types';
+
+type Command<T extends LedgerCommand['type']> = Extract<LedgerCommand, { readonly type: T }>;
+
+/** Deferred requests of one organisation that may wait. */
+export const DEFERRED_COUNT_LIMIT = 10_000;
+/** Bytes, in base64, of the deferred requests of one organisation that may wait. */
+export const DEFERRED_BYTES_LIMIT = 67_108_864;
+
+const formatQueueName = (record: RequestRecord): string =>
+  formatScopedName(record.organisation, record.session!);
+
+const countWaiting = (tables: Tables, organisation: string): number => {
+  const prefix = formatScopedName(organisation, '');
+  let count = 0;
+  for (const [name, ids] of tables.queues) if (name.startsWith(prefix)) count += ids.length;
+  return count;
+};
+
+const findFullReason = (tables: Tables, command: Command<'defer'>): string | undefined => {
+  const { organisation, request } = command;
+  const bytes = (tables.deferredBytes.get(organisation) ?? 0) + request.body.length;
+  if (bytes > DEFERRED_BYTES_LIMIT) return 'too many bytes of deferred requests wait';
+  if (countWaiting(tables, organisation) < DEFERRED_COUNT_LIMIT) return undefined;
+  return 'too many deferred requests wait';
+};
+
+const addToQueue = (tables: Tables, record: RequestRecord): void => {
+  const name = formatQueueName(record);
+  tables.queues.set(name, [...(tables.queues.get(name) ?? []), record.requestId]);
+  updateDeferredBytes(tables, record, 1);
+};
+
+/** Takes a deferred request that has ended out of its session's queue. */
+export const removeFromQueue = (tables: Tables, record: RequestRecord): void => {
+  if (record.request === undefined) return;
+  const name = formatQueueName(record);
+  const known = tables.queues.get(name) ?? [];
+  if (!known.includes(record.requestId)) return;
+  const rest = known.filter((id) => id !== record.requestId);
+  if (rest.length > 0) tables.queues.set(name, rest);
+  else tables.queues.delete(name);
+  updateDeferredBytes(tables, record, -1);
+};
+
+/** Stores a deferred request at the end of its session's queue, or refuses it. */
+export const applyDefer = (tables: Tables, command: Command<'defer'>): LedgerResult => {
+  const { requestId, organisation, session, idempotent, request, claim, at } = command;
+  if (tables.requests.has(requestId)) return { type: 'recorded', first: false };
+  const reason = findFullReason(tables, command);
+  if (reason !== undefined) return { type: 'refused', reason };
+  const taken = claim && claimKey(tables, { organisation, requestId, at, ...claim });
+  if (taken) return taken;
+  const record: RequestRecord = {
+    requestId,
+    organisation,
+    state: 'queued',
+    attempts: [],
+    key: claim?.key,
+    session,
+    idempotent,
+    request,
+    at,
+  };
+  writeRequest(tables, record);
+  addToQueue(tables, record);
+  return { type: 'recorded', first: true };
+};
+
+const settleDeferred = (
+  tables: Tables,
+  record: RequestRecord,
+  state: 'failed' | 'unknown',
+  at: number,
+): void => {
+  writeRecord(tables, { ...record, state, settledAt: at }, at);
+  removeFromQueue(tables, record);
+};
+
+const canRepeat = (record: RequestRecord): boolean =>
+  record.idempotent === true || record.attempts.every((item) => item.state === 'never');
+
+/** Gives the request of a gone owner back to its queue, or settles it as `unknown`. */
+export const releaseOrphan = (tables: Tables, record: RequestRecord, at: number): void => {
+  const isOrphan = record.state === 'running' && isOwnerGone(tables, record.owner);
+  if (record.request === undefined || !isOrphan) return;
+  if (canRepeat(record)) writeRecord(tables, { ...record, state: 'queued', owner: undefined }, at);
+  else settleDeferred(tables, record, 'unknown', at);
+};
+
+const canTake = (record: RequestRecord, at: number): boolean =>
+  record.state === 'queued' && (record.notBefore ?? 0) <= at;
+
+/** Hands the first request of up to `limit` sessions to an owner. */
+export const applyTake = (tables: Tables, command: Command<'take'>): LedgerResult => {
+  const { owner, limit, at } = command;
+  const records: RequestRecord[] = [];
+  if (isOwnerGone(tables, owner)) return { type: 'taken', records };
+  for (const ids of tables.queues.values()) {
+    if (records.length >= limit) break;
+    const record = tables.requests.get(ids[0]!)!;
+    if (canTake(record, at)) {
+      records.push(writeRequest(tables, { ...record, state: 'running', owner }));
+    }
+  }
+  return { type: 'taken', records };
+};
+
+/** Puts a request that could not be finished back at the head of its session's queue. */
+export const applyRelease = (tables: Tables, command: Command<'release'>): LedgerResult => {
+  const { requestId, organisation, owner, reports, notBefore, at } = command;
+  const known = tables.requests.get(requestId);
+  if (known?.organisation !== organisation || known.request === undefined) {
+    return { type: 'refused', reason: 'no such deferred request' };
+  }
+  const record = closeGoneAttempts(tables, addReports(tables, known, reports));
+  writeRecord(tables, record, at);
+  const isOwn = record.owner?.node === owner.node && record.owner.incarnation === owner.incarnation;
+  if (isSettled(record) || !isOwn) return { type: 'recorded', first: false };
+  if (!canRepeat(record)) settleDeferred(tables, record, 'unknown', at);
+  else if (at - record.at > DEFERRED_LIFE_MS) settleDeferred(tables, record, 'failed', at);
+  else writeRequest(tables, { ...record, state: 'queued', owner: undefined, notBefore });
+  return { type: 'recorded', first: true };
+};
--- a/src/node/entry/ledgerClient.ts
+++ b/src/node/ledger/ledgerClient.ts
@@ -1,12 +1,15 @@
 import { createError, type RouterError } from '../errors';
 import type { LeaseClient } from '../lease';
-import type { LedgerCommand, LedgerResult, RequestRecord } from '../ledger';
 import type { RpcClient } from '../rpc';
+import type { LedgerCommand, LedgerResult, RequestRecord } from './types';
 
 /** Writes to and reads from the ledger through a control host. */
 export interface LedgerClient {
+  /** Resolves once the command is committed; an error leaves open whether it will be. */
   readonly propose: (command: LedgerCommand) => Promise<LedgerResult>;
   readonly find: (organisation: string, requestId: string) => Promise<RequestRecord | undefined>;
+  /** Sessions with deferred requests, as the asked host knows them; a hint only. */
+  readonly countQueues: () => Promise<number>;
 }
 
 interface Waiting {
@@ -16,12 +19,13 @@
 }
 
 const BATCH_LIMIT = 500;
+const BATCHES_AT_ONCE = 4;
 const TRIES = 4;
 
-/** Creates a client that sends what waits in one batch at a time. */
+/** Creates a client that sends what waits in few batches at a time. */
 export const createLedgerClient = (rpc: RpcClient, lease: LeaseClient): LedgerClient => {
   const waiting: Waiting[] = [];
-  let isSending = false;
+  let sending = 0;
 
   // Every ledger command names its request or key, so repeating one does not apply it twice.
   const callWithRetry = async <T>(method: string, params: unknown): Promise<T> => {
@@ -41,8 +45,7 @@
     });
   };
 
-  const sendBatch = async (): Promise<void> => {
-    const batch = waiting.splice(0, BATCH_LIMIT);
+  const sendBatch = async (batch: readonly Waiting[]): Promise<void> => {
     const commands = batch.map((item) => item.command);
     try {
       const results = await callWithRetry<readonly LedgerResult[]>('ledger.propose', { commands });
@@ -53,17 +56,17 @@
   };
 
   const sendAll = async (): Promise<void> => {
-    if (isSending) return;
-    isSending = true;
-    while (waiting.length > 0) await sendBatch();
-    isSending = false;
+    if (sending >= BATCHES_AT_ONCE) return;
+    sending += 1;
+    while (waiting.length > 0) await sendBatch(waiting.splice(0, BATCH_LIMIT));
+    sending -= 1;
   };
 
   return {
     propose: (command) =>
       new Promise((resolve, reject) => {
         waiting.push({ command, resolve, reject });
-        queueMicrotask(() => {
+        setImmediate(() => {
           sendAll().catch(() => {});
         });
       }),
@@ -72,5 +75,6 @@
       const record = await callWithRetry<RequestRecord | null>('ledger.find', params);
       return record ?? undefined;
     },
+    countQueues: () => callWithRetry<number>('ledger.countQueues', {}),
   };
 };
--- a/src/node/ledger/ledgerState.ts
+++ b/src/node/ledger/ledgerState.ts
@@ -1,28 +1,56 @@
 import type { StateMachine } from '../replication';
-import type { Bill, LedgerCommand, LedgerResult, RequestRecord } from './types';
+import {
+  addAttempt,
+  addReport,
+  addReports,
+  closeGoneAttempts,
+  computeOutcome,
+  settleOrphan,
+  writeRecord,
+} from './attempts';
+import { claimKey } from './claims';
+import { applyDefer, applyRelease, applyTake, releaseOrphan, removeFromQueue } from './deferred';
+import { applyExpiry } from './retention';
+import {
+  createTables,
+  formatScopedName,
+  isOwnerGone,
+  isSettled,
+  restoreTables,
+  snapshotTables,
+  writeRequest,
+  type LedgerSnapshot,
+  type Tables,
+} from './tables';
+import type {
+  Bill,
+  BillTotal,
+  LedgerCommand,
+  LedgerResult,
+  Owner,
+  RequestRecord,
+  Usage,
+} from './types';
 
-interface Binding {
+/** The version that a session is bound to. */
+export interface SessionBinding {
   readonly model: string;
   readonly version: string;
 }
 
-interface Claim {
-  readonly bodyHash: string;
-  readonly requestId: string;
-}
-
-interface Tables {
-  readonly bindings: Map<string, Binding>;
-  readonly claims: Map<string, Claim>;
-  readonly requests: Map<string, RequestRecord>;
-  readonly bills: Map<string, Bill>;
-}
-
 /** The `ledger` state machine with its reads. */
 export interface LedgerState extends StateMachine<LedgerCommand, LedgerResult> {
   readonly findRequest: (organisation: string, requestId: string) => RequestRecord | undefined;
-  readonly findBinding: (organisation: string, session: string) => Binding | undefined;
+  readonly findBinding: (organisation: string, session: string) => SessionBinding | undefined;
   readonly listBills: () => readonly Bill[];
+  /** Bills that are kept as totals per hour only. */
+  readonly listTotals: () => readonly BillTotal[];
+  /** Sessions with deferred requests that wait or run. */
+  readonly countQueues: () => number;
+  /** Requests that are not settled or whose bill is not final. */
+  readonly countOpen: () => number;
+  /** Reports that differed from the first one. */
+  readonly countDifferences: () => number;
 }
 
 type Handlers = {
@@ -32,85 +60,141 @@
   ) => LedgerResult;
 };
 
-// The separator cannot stand in an organisation's name.
-const formatKey = (organisation: string, name: string): string => `${organisation}\n${name}`;
+const NO_REQUEST: LedgerResult = { type: 'refused', reason: 'no such request' };
 
-const handleClaim: Handlers['claim'] = (tables, command) => {
-  const key = formatKey(command.organisation, command.key);
-  const known = tables.claims.get(key);
-  if (!known) {
-    tables.claims.set(key, { bodyHash: command.bodyHash, requestId: command.requestId });
-    const { requestId, organisation, at } = command;
-    tables.requests.set(requestId, { requestId, organisation, state: 'running', at });
-    return { type: 'claimed', requestId };
-  }
-  if (known.requestId === command.requestId) return { type: 'claimed', requestId: known.requestId };
-  if (known.bodyHash !== command.bodyHash) return { type: 'keyConflict' };
-  return { type: 'known', record: tables.requests.get(known.requestId)! };
+const isSameOwner = (a: Owner | undefined, b: Owner): boolean =>
+  a?.node === b.node && a.incarnation === b.incarnation;
+
+const handleBind: Handlers['bindSession'] = (tables, command) => {
+  const name = formatScopedName(command.organisation, command.session);
+  const { model, version } = tables.sessions.get(name) ?? command;
+  tables.sessions.delete(name);
+  tables.sessions.set(name, { model, version, at: command.at });
+  return { type: 'bound', model, version };
 };
 
-const handleSettle: Handlers['settle'] = (tables, command) => {
-  const { requestId, organisation, at } = command;
+const handleClaim: Handlers['claim'] = (tables, command) => {
+  const { requestId, organisation, key, owner, at } = command;
+  if (isOwnerGone(tables, owner)) return { type: 'refused', reason: 'the entry is gone' };
   const known = tables.requests.get(requestId);
-  const isSettled = known !== undefined && known.state !== 'running' && known.state !== 'queued';
-  if (isSettled && tables.bills.has(requestId)) return { type: 'recorded', first: false };
-  const state = command.outcome === 'ran' ? 'done' : command.outcome;
-  tables.requests.set(requestId, {
-    ...known,
+  if (known) return { type: 'claimed', requestId };
+  const taken = claimKey(tables, command);
+  if (taken) return taken;
+  writeRequest(tables, {
     requestId,
     organisation,
-    state,
-    answer: command.answer,
+    state: 'running',
+    attempts: [],
+    owner,
+    key,
     at,
   });
-  const cost = command.usage.reduce((sum, usage) => sum + usage.cost, 0);
-  if (command.outcome !== 'not_run') {
-    tables.bills.set(requestId, { requestId, organisation, usage: command.usage, cost, at });
+  return { type: 'claimed', requestId };
+};
+
+const createRunning = (
+  command: Pick<RequestRecord, 'requestId' | 'organisation' | 'owner' | 'at'>,
+): RequestRecord => {
+  const { requestId, organisation, owner, at } = command;
+  return { requestId, organisation, state: 'running', attempts: [], owner, at };
+};
+
+const handleIntent: Handlers['intent'] = (tables, command) => {
+  const { requestId, organisation, owner, at } = command;
+  const record = tables.requests.get(requestId) ?? createRunning(command);
+  if (record.organisation !== organisation) return NO_REQUEST;
+  const isKnown = record.attempts.some((item) => item.attempt === command.attempt);
+  if (isKnown) return { type: 'recorded', first: false };
+  if (isSettled(record)) return { type: 'refused', reason: 'the request is settled' };
+  if (isOwnerGone(tables, owner)) return { type: 'refused', reason: 'the entry is gone' };
+  if (record.owner && !isSameOwner(record.owner, owner)) {
+    return { type: 'refused', reason: 'the request has another owner' };
+  }
+  const next = closeGoneAttempts(tables, addAttempt(record, command));
+  writeRecord(tables, next, at);
+  return { type: 'recorded', first: true };
+};
+
+const handleReport: Handlers['report'] = (tables, command) => {
+  const { requestId, organisation, at } = command;
+  const known = tables.requests.get(requestId);
+  if (!known && tables.bills.has(requestId)) return { type: 'recorded', first: false };
+  const before = known ?? createRunning(command);
+  if (before.organisation !== organisation) return NO_REQUEST;
+  const { record, isFirst, differs } = addReport(before, command.report);
+  if (differs) tables.differences += 1;
+  writeRecord(tables, settleOrphan(tables, record, at), at);
+  return { type: 'recorded', first: isFirst, differs };
+};
+
+const STATE_BY_OUTCOME = { ran: 'done', not_run: 'not_run', unknown: 'unknown' } as const;
+
+// An outcome that the attempts contradict is not taken: `not_run` must be true.
+const computeState = (
+  record: RequestRecord,
+  command: Extract<LedgerCommand, { readonly type: 'settle' }>,
+): RequestRecord['state'] => {
+  const isTrue = command.outcome !== 'not_run' || computeOutcome(record) === 'not_run';
+  const outcome = isTrue ? command.outcome : computeOutcome(record);
+  if (record.request !== undefined && command.error && outcome !== 'unknown') return 'failed';
+  return STATE_BY_OUTCOME[outcome];
+};
+
+const handleSettle: Handlers['settle'] = (tables, command) => {
+  const { requestId, organisation, owner, answer, error, at } = command;
+  const before = tables.requests.get(requestId) ?? createRunning(command);
+  if (before.organisation !== organisation) return NO_REQUEST;
+  const reported = addReports(tables, before, command.reports);
+  const record = closeGoneAttempts(tables, reported);
+  const isOwn = record.owner === undefined || isSameOwner(record.owner, owner);
+  if (isSettled(record) || !isOwn) {
+    writeRecord(tables, record, at);
+    return { type: 'settled', first: false, state: record.state };
+  }
+  const state = computeState(record, command);
+  writeRecord(tables, { ...record, state, answer, error, settledAt: at }, at);
+  removeFromQueue(tables, record);
+  return { type: 'settled', first: true, state };
+};
+
+const handleTakeOver: Handlers['takeOver'] = (tables, command) => {
+  const { requestId, organisation, owner } = command;
+  const record = tables.requests.get(requestId);
+  if (record?.organisation !== organisation) return NO_REQUEST;
+  const isGone = isOwnerGone(tables, record.owner);
+  const canTake = record.state === 'running' && record.request === undefined && isGone;
+  if (!canTake || isOwnerGone(tables, owner)) return { type: 'taken', records: [] };
+  return { type: 'taken', records: [writeRequest(tables, { ...record, owner })] };
+};
+
+const handleEnd: Handlers['endIncarnation'] = (tables, { node, below, at }) => {
+  if ((tables.gone.get(node) ?? 0) >= below) return { type: 'recorded', first: false };
+  tables.gone.set(node, below);
+  for (const id of [...tables.open]) {
+    const closed = closeGoneAttempts(tables, tables.requests.get(id)!);
+    writeRecord(tables, settleOrphan(tables, closed, at), at);
+    releaseOrphan(tables, tables.requests.get(id)!, at);
   }
   return { type: 'recorded', first: true };
 };
 
 const handlers: Handlers = {
-  bindSession: (tables, command) => {
-    const key = formatKey(command.organisation, command.session);
-    const known = tables.bindings.get(key);
-    if (known) return { type: 'bound', ...known };
-    const binding = { model: command.model, version: command.version };
-    tables.bindings.set(key, binding);
-    return { type: 'bound', ...binding };
-  },
+  bindSession: handleBind,
   claim: handleClaim,
-  intent: (tables, command) => {
-    const { requestId, organisation, at } = command;
-    const known = tables.requests.get(requestId);
-    if (known) return { type: 'recorded', first: false };
-    tables.requests.set(requestId, { requestId, organisation, state: 'running', at });
-    return { type: 'recorded', first: true };
-  },
+  intent: handleIntent,
+  report: handleReport,
   settle: handleSettle,
-  defer: (tables, command) => {
-    const { requestId, organisation, session, idempotent, request, at } = command;
-    if (tables.requests.has(requestId)) return { type: 'recorded', first: false };
-    tables.requests.set(requestId, {
-      requestId,
-      organisation,
-      state: 'queued',
-      session,
-      idempotent,
-      request,
-      at,
-    });
+  takeOver: handleTakeOver,
+  defer: applyDefer,
+  take: applyTake,
+  release: applyRelease,
+  endIncarnation: handleEnd,
+  expire: (tables, { at }) => {
+    applyExpiry(tables, at);
     return { type: 'recorded', first: true };
   },
 };
 
-const createTables = (): Tables => ({
-  bindings: new Map(),
-  claims: new Map(),
-  requests: new Map(),
-  bills: new Map(),
-});
-
 /** Creates an empty `ledger` state machine. */
 export const createLedgerState = (): LedgerState => {
   let tables = createTables();
@@ -119,26 +203,39 @@
       const handle = handlers[command.type] as (t: Tables, c: LedgerCommand) => LedgerResult;
       return handle(tables, command);
     },
-    snapshot: () => ({
-      bindings: [...tables.bindings],
-      claims: [...tables.claims],
-      requests: [...tables.requests],
-      bills: [...tables.bills],
-    }),
+    snapshot: () => snapshotTables(tables),
     restore: (state) => {
-      const saved = state as Record<keyof Tables, never>;
-      tables = {
-        bindings: new Map(saved.bindings),
-        claims: new Map(saved.claims),
-        requests: new Map(saved.requests),
-        bills: new Map(saved.bills),
-      };
+      tables = restoreTables(state as LedgerSnapshot);
     },
     findRequest: (organisation, requestId) => {
       const known = tables.requests.get(requestId);
       return known?.organisation === organisation ? known : undefined;
     },
-    findBinding: (organisation, session) => tables.bindings.get(formatKey(organisation, session)),
+    findBinding: (organisation, session) => {
+      const known = tables.sessions.get(formatScopedName(organisation, session));
+      return known && { model: known.model, version: known.version };
+    },
     listBills: () => [...tables.bills.values()],
+    listTotals: () => [...tables.totals.values()],
+    countQueues: () => tables.queues.size,
+    countOpen: () => tables.open.size,
+    countDifferences: () => tables.differences,
   };
 };
+
+const MICRO = 1_000_000;
+const TOKENS_PER_PRICE = 1_000;
+
+/** Prices of a model in the operators' unit per 1,000 tokens. */
+export interface TokenPrices {
+  readonly inputCostPerThousand: number;
+  readonly outputCostPerThousand: number;
+}
+
+/** Computes the cost of one attempt, to a millionth of the unit; a plain service costs nothing. */
+export const computeUsage = (prices: TokenPrices | undefined, used: Omit<Usage, 'cost'>): Usage => {
+  const input = (prices?.inputCostPerThousand ?? 0) * used.inputTokens;
+  const output = (prices?.outputCostPerThousand ?? 0) * used.outputTokens;
+  const cost = Math.round(((input + output) / TOKENS_PER_PRICE) * MICRO) / MICRO;
+  return { ...used, cost };
+};
--- /dev/null
+++ b/src/node/ledger/retention.ts
@@ -0,0 +1,120 @@
+import { settleOrphan, computeOutcome, writeRecord } from './attempts';
+import { isOwnerGone, isSettled, type Tables } from './tables';
+import type { Bill, RequestRecord, Usage } from './types';
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 3_600_000;
+const DAY_MS = 86_400_000;
+
+/** A key is remembered this long; its answer for `ANSWER_KEPT_MS`. */
+export const KEY_KEPT_MS = 30 * DAY_MS;
+/** A settled request with a key, and its answer, is kept this long. */
+export const ANSWER_KEPT_MS = DAY_MS;
+/** The result of a deferred request is kept this long after its end. */
+export const RESULT_KEPT_MS = 7 * DAY_MS;
+/** Any other settled request is kept this long. */
+export const REQUEST_KEPT_MS = 15 * MINUTE_MS;
+/** An agent keeps an attempt for its entry at most this long. */
+export const ATTEMPT_KEPT_MS = HOUR_MS;
+/** A deferred request that could not run for this long has failed. */
+export const DEFERRED_LIFE_MS = DAY_MS;
+/** A session's binding is kept this long after its last day of use. */
+export const SESSION_KEPT_MS = 90 * DAY_MS;
+/** A final bill is kept one by one for this long, then added to its hour's total. */
+export const BILL_KEPT_MS = DAY_MS;
+/** A total is kept this long. */
+export const TOTAL_KEPT_MS = 400 * DAY_MS;
+
+const computeLife = (record: RequestRecord): number => {
+  if (record.request) return RESULT_KEPT_MS;
+  return record.key === undefined ? REQUEST_KEPT_MS : ANSWER_KEPT_MS;
+};
+
+const expireRequests = (tables: Tables): void => {
+  for (const record of tables.requests.values()) {
+    const age = tables.now - (record.settledAt ?? tables.now);
+    if (isSettled(record) && age > computeLife(record)) {
+      tables.requests.delete(record.requestId);
+      tables.open.delete(record.requestId);
+    }
+  }
+};
+
+// Its agents no longer keep what they know of it, so nobody can finish it any more.
+const settleAbandoned = (tables: Tables, record: RequestRecord): RequestRecord => {
+  const isAbandoned =
+    record.state === 'running' &&
+    isOwnerGone(tables, record.owner) &&
+    tables.now - record.at > ATTEMPT_KEPT_MS;
+  if (!isAbandoned) return record;
+  const hasNoStart = computeOutcome(record) === 'not_run';
+  return { ...record, state: hasNoStart ? 'not_run' : 'unknown', settledAt: tables.now };
+};
+
+const settleOpen = (tables: Tables): void => {
+  for (const id of [...tables.open]) {
+    const record = tables.requests.get(id)!;
+    const next = settleAbandoned(tables, settleOrphan(tables, record, tables.now));
+    if (next !== record) writeRecord(tables, next, tables.now);
+  }
+};
+
+const formatTotalName = (bill: Bill, usage: Usage, hour: number): string =>
+  [bill.organisation, usage.model, usage.version, hour].join('\n');
+
+const addToTotals = (tables: Tables, bill: Bill): void => {
+  const hour = Math.floor(bill.at / HOUR_MS) * HOUR_MS;
+  bill.usage.forEach((usage, index) => {
+    const name = formatTotalName(bill, usage, hour);
+    const { organisation } = bill;
+    const { model, version } = usage;
+    const known = tables.totals.get(name);
+    tables.totals.set(name, {
+      organisation,
+      model,
+      version,
+      hour,
+      requests: (known?.requests ?? 0) + (index === 0 ? 1 : 0),
+      inputTokens: (known?.inputTokens ?? 0) + usage.inputTokens,
+      outputTokens: (known?.outputTokens ?? 0) + usage.outputTokens,
+      cost: (known?.cost ?? 0) + usage.cost,
+    });
+  });
+};
+
+const expireBills = (tables: Tables): void => {
+  for (const bill of tables.bills.values()) {
+    if (tables.now - bill.at <= BILL_KEPT_MS) break;
+    if (tables.requests.has(bill.requestId)) continue;
+    addToTotals(tables, bill);
+    tables.bills.delete(bill.requestId);
+  }
+};
+
+// Claims and sessions stand in the order of their last use, so the oldest come first.
+const expireOldest = <T extends { readonly at: number }>(
+  table: Map<string, T>,
+  oldest: number,
+): void => {
+  for (const [name, value] of table) {
+    if (value.at >= oldest) break;
+    table.delete(name);
+  }
+};
+
+const expireTotals = (tables: Tables): void => {
+  for (const [name, total] of tables.totals) {
+    if (total.hour < tables.now - TOTAL_KEPT_MS) tables.totals.delete(name);
+  }
+};
+
+/** Takes the time into the ledger and removes what has outlived its retention. */
+export const applyExpiry = (tables: Tables, at: number): void => {
+  tables.now = Math.max(tables.now, at);
+  settleOpen(tables);
+  expireRequests(tables);
+  expireBills(tables);
+  expireTotals(tables);
+  expireOldest(tables.claims, tables.now - KEY_KEPT_MS);
+  expireOldest(tables.sessions, tables.now - SESSION_KEPT_MS);
+};
--- a/src/node/rpc/rpcClient.ts
+++ b/src/node/rpc/rpcClient.ts
@@ -19,6 +19,8 @@
     address: string,
     options: Omit<Dispatcher.RequestOptions, 'origin'>,
   ) => Promise<Dispatcher.ResponseData>;
+  /** Makes later requests to a peer use new connections; what runs on the old ones goes on. */
+  readonly replaceConnections: (address: string) => void;
   readonly close: () => Promise<void>;
 }
 
@@ -70,7 +72,7 @@
   };
 
   // A call that timed out may sit on a connection that has gone silent: the next call gets new ones.
-  const removePool = (address: string): void => {
+  const replaceConnections = (address: string): void => {
     const pool = pools.get(address);
     pools.delete(address);
     pool?.close().catch(() => {});
@@ -100,7 +102,7 @@
       });
       return parseAnswer<T>((await response.body.json()) as RpcAnswer, method, address);
     } catch (cause) {
-      if (signal.aborted) removePool(address);
+      if (signal.aborted) replaceConnections(address);
       const message = cause instanceof Error ? cause.message : String(cause);
       const type = signal.aborted ? 'timeout' : 'peer_failed';
       return Left(createError({ type, message, step: method, peer: address, outcome: 'unknown' }));
@@ -112,5 +114,5 @@
     pools.clear();
   };
 
-  return { call, request, close };
+  return { call, request, replaceConnections, close };
 };
--- a/src/node/shared/protocol.ts
+++ b/src/node/shared/protocol.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { announcementSchema } from '../control/configState';
-import { ledgerCommandSchema, usageSchema } from '../ledger';
+import { ledgerCommandSchema, ownerSchema } from '../ledger';
 import type { ViewUpdate } from '../view';
 
 /** `control.register`: a process asks for its incarnation. */
@@ -59,7 +59,9 @@
     requestId: z.string(),
     attempt: z.number().int().min(0),
     organisation: z.string(),
+    /** The agent's incarnation. */
     incarnation: z.number().int(),
+    entry: ownerSchema,
     endpoint: z.string(),
     target: z.discriminatedUnion('kind', [modelTarget, serviceTarget]),
     class: z.enum(['urgent', 'normal', 'deferrable']),
@@ -67,7 +69,7 @@
     deadlineMs: z.number().positive(),
     method: z.string(),
     path: z.string(),
-    headers: z.record(z.string(), z.string()),
+    headers: z.record(z.string(), z.union([z.string(), z.array(z.string()).readonly()])),
     /** The body in base64. */
     body: z.string(),
   })
@@ -76,41 +78,77 @@
 /** An attempt of a request at one endpoint. */
 export type AttemptRequest = z.infer<typeof attemptSchema>;
 
-/** Tokens that one attempt used, as the engine reported them. */
-export const tokenUsageSchema = usageSchema;
+/** `attempt.cancel` and `attempt.refuse` name an attempt and the agent's incarnation. */
+export const attemptNameParams = z
+  .strictObject({
+    requestId: z.string(),
+    attempt: z.number().int().min(0),
+    incarnation: z.number().int(),
+  })
+  .readonly();
 
-/** `attempt.cancel`, `attempt.confirm` and `attempt.refuse` name an attempt. */
-export const attemptNameParams = z.strictObject({
-  requestId: z.string(),
-  attempt: z.number().int().min(0),
+/** `attempt.confirm`: the entry has the frames below `upTo`, or all and has settled. */
+export const attemptConfirmParams = z.strictObject({
+  items: z
+    .array(
+      z.strictObject({
+        requestId: z.string(),
+        attempt: z.number().int().min(0),
+        incarnation: z.number().int(),
+        upTo: z.number().int().optional(),
+      }),
+    )
+    .max(1_000)
+    .readonly(),
 });
 
-/** One numbered piece of an answer, sent as a line of JSON. Keep-alives carry no number. */
-export type Frame =
+/** Names an attempt at one incarnation of its agent. */
+export type AttemptName = z.infer<typeof attemptNameParams>;
+/** A confirmation of an attempt, whole or up to a frame. */
+export type AttemptConfirmation = z.infer<typeof attemptConfirmParams>['items'][number];
+
+/** Tokens that one attempt used, as the engine reported them or the agent counted them. */
+export interface TokenCounts {
+  readonly inputTokens: number;
+  readonly outputTokens: number;
+}
+
+/** The answer of `attempt.cancel` and `attempt.refuse`. */
+export interface AttemptEnd {
+  readonly type: 'ended';
+  /** `never` is a tombstone; `unknown` also stands for another incarnation. */
+  readonly state: 'never' | 'ran' | 'unknown';
+  readonly counts?: TokenCounts;
+}
+
+/** Headers that pass between a caller and a plain service. */
+export type PassedHeaders = Readonly<Record<string, string | readonly string[]>>;
+
+/** The error of an attempt that failed. */
+export interface FrameError {
+  readonly type: string;
+  readonly message: string;
+  readonly step: string;
+  readonly outcome: 'not_run' | 'unknown' | 'ran';
+}
+
+/** What a numbered piece of an answer carries. */
+export type FrameContent =
   | {
       readonly type: 'head';
-      readonly index: number;
       readonly status: number;
       readonly contentType: string;
+      readonly headers?: PassedHeaders;
     }
-  | { readonly type: 'data'; readonly index: number; readonly data: string }
-  | {
-      readonly type: 'end';
-      readonly index: number;
-      readonly inputTokens: number;
-      readonly outputTokens: number;
-    }
-  | {
-      readonly type: 'failed';
-      readonly index: number;
-      readonly error: {
-        readonly type: string;
-        readonly message: string;
-        readonly step: string;
-        readonly outcome: 'not_run' | 'unknown' | 'ran';
-      };
-    }
-  | { readonly type: 'keepAlive' };
+  | { readonly type: 'data'; readonly data: string }
+  | ({ readonly type: 'end' } & TokenCounts)
+  | { readonly type: 'failed'; readonly error: FrameError; readonly counts?: TokenCounts };
+
+/** A numbered piece of an answer, with the name of its attempt. */
+export type NumberedFrame = FrameContent & { readonly index: number; readonly name: string };
+
+/** One line of JSON in the stream of an answer. Keep-alives carry no number. */
+export type Frame = NumberedFrame | { readonly type: 'keepAlive' };
 
 /** Formats the name of an attempt. */
 export const formatAttemptName = (requestId: string, attempt: number): string =>
