--- a/src/node/entry/chatRoutes.ts
+++ b/src/node/entry/chatRoutes.ts
@@ -21,8 +21,12 @@
 const checkModel = (parts: CallerApiParts, organisation: Organisation, model: string): void => {
   const allowed = listAllowedModels(parts.lease.view, organisation);
   if (model === 'auto' || allowed.some((item) => item.name === model)) return;
-  const message = `model '${model}' is unknown or not allowed`;
-  throw createError({ type: 'not_allowed', message, step: 'entry.choose' });
+  const isKnown = parts.lease.view.find('model', model) !== undefined;
+  const type = isKnown ? 'not_allowed' : 'not_found';
+  const message = isKnown
+    ? `model '${model}' is not allowed for this organisation`
+    : `model '${model}' does not exist`;
+  throw createError({ type, message, step: 'entry.choose' });
 };
 
 const readBody = (request: FastifyRequest): Buffer =>
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -38,7 +38,8 @@
     const root = find<Logger>('log');
     const log = createPartLogger(root, 'entry');
     const { node, zone, control, limits } = settings;
-    const lease = createLeaseClient({ node, role: 'entry', zone, control, rpc, log });
+    const host = settings.host ?? node;
+    const lease = createLeaseClient({ node, role: 'entry', zone, host, control, rpc, log });
     const ledger = createLedgerClient(rpc, lease);
     const { answerTimeoutMs } = limits;
     const decisions = createPartLogger(root, 'decision');
@@ -104,7 +105,8 @@
       await lease.stop();
       await internal.close();
     };
-    return { value: { address, internalAddress }, stop };
+    const countEndpoints = (): number => view.list('member').length;
+    return { value: { address, internalAddress, countEndpoints }, stop };
   },
 });
 
@@ -112,6 +114,8 @@
 export interface EntryAddresses {
   readonly address: string;
   readonly internalAddress: string;
+  /** Live endpoints that this entry knows of. */
+  readonly countEndpoints: () => number;
 }
 
 /** The services of the `entry` role. */
--- a/src/node/entry/requestRunner.ts
+++ b/src/node/entry/requestRunner.ts
@@ -55,6 +55,19 @@
 const chooseTarget = (parts: RunnerParts, attempts: Attempts): Choice =>
   parts.chooser.choose(attempts.run.request, attempts.bound, attempts.excluded);
 
+// Without another endpoint the first failure says more than the lack of one.
+const chooseOther = (
+  parts: RunnerParts,
+  attempts: Attempts,
+  last: RouterError | undefined,
+): Choice => {
+  try {
+    return chooseTarget(parts, attempts);
+  } catch (cause) {
+    throw last ?? cause;
+  }
+};
+
 const closeLoser = (opening: Promise<OpenAttempt>, winner: OpenAttempt): void => {
   opening.then(
     (open) => {
@@ -117,13 +130,15 @@
   use: (opened: OpenedAttempt) => Promise<T>,
 ): Promise<T> => {
   const { run, excluded } = attempts;
+  let last: RouterError | undefined;
   for (let left = ATTEMPTS_PER_REQUEST - 1; ; left -= 1) {
-    const choice = chooseTarget(parts, attempts);
+    const choice = chooseOther(parts, attempts, last);
     excluded.add(choice.member.endpoint);
     try {
       return await use({ open: await openAttempt(parts, attempts, choice), choice });
     } catch (cause) {
       const error = resolveAbort(run.request, cause);
+      last = error;
       // An attempt that may still start must not run beside the next one uncounted.
       if (listUncertain(run.state).length > 0) await closeUncertain(parts, run);
       if (left === 0 || !canRetry(parts, run, error)) throw error;
--- a/src/node/ledger/ledgerState.ts
+++ b/src/node/ledger/ledgerState.ts
@@ -49,6 +49,8 @@
   readonly countQueues: () => number;
   /** Requests that are not settled or whose bill is not final. */
   readonly countOpen: () => number;
+  /** Incarnations of entries and agents that an open request names and that are not gone. */
+  readonly listOpenOwners: () => readonly Owner[];
   /** Reports that differed from the first one. */
   readonly countDifferences: () => number;
 }
@@ -195,6 +197,25 @@
   },
 };
 
+const listOwners = (record: RequestRecord): readonly Owner[] => {
+  const agents = record.attempts
+    .filter((item) => item.state !== 'never' && item.usage === undefined)
+    .map(({ agent: node, incarnation }) => ({ node, incarnation }));
+  const isRunning = record.state === 'running' && record.owner !== undefined;
+  return isRunning ? [record.owner, ...agents] : agents;
+};
+
+const listOpenOwners = (tables: Tables): readonly Owner[] => {
+  const owners = new Map<string, Owner>();
+  for (const id of tables.open) {
+    for (const owner of listOwners(tables.requests.get(id)!)) {
+      const isNew = !isOwnerGone(tables, owner);
+      if (isNew) owners.set(`${owner.node}\n${owner.incarnation}`, owner);
+    }
+  }
+  return [...owners.values()];
+};
+
 /** Creates an empty `ledger` state machine. */
 export const createLedgerState = (): LedgerState => {
   let tables = createTables();
@@ -219,6 +240,7 @@
     listTotals: () => [...tables.totals.values()],
     countQueues: () => tables.queues.size,
     countOpen: () => tables.open.size,
+    listOpenOwners: () => listOpenOwners(tables),
     countDifferences: () => tables.differences,
   };
 };
