--- /dev/null
+++ b/src/node/decisions/rollout.ts
@@ -0,0 +1,217 @@
+import murmurhash from 'murmurhash';
+import { testFall, testRise, estimateDifference } from './sequentialTest';
+import {
+  mergeMoments,
+  readErrors,
+  readLogTimes,
+  readScores,
+  type Moments,
+  type Tally,
+} from './tally';
+
+/** The rules that a roll-out follows. */
+export interface RolloutRules {
+  /** Shares of new sessions, in order. */
+  readonly steps: readonly number[];
+  readonly minSamplesPerStep: number;
+  /** Fall in quality that must be ruled out before the last step. */
+  readonly toleratedFall: number;
+  /** Chance of halting a roll-out of a version that is as good as the one it replaces. */
+  readonly falseHaltRate: number;
+}
+
+/** What one organisation's work of one task saw of both versions since the roll-out began. */
+export interface RolloutCell {
+  readonly organisation: string;
+  readonly task: string;
+  readonly isHighValue: boolean;
+  readonly candidate: Tally;
+  readonly baseline: Tally;
+}
+
+/** What a roll-out shall do next. */
+export type RolloutVerdict =
+  | { readonly type: 'hold' }
+  | { readonly type: 'advance'; readonly reason: string }
+  | { readonly type: 'finish'; readonly reason: string }
+  | { readonly type: 'withdraw'; readonly reason: string };
+
+/** Whom a roll-out's share is asked for. */
+export interface ShareQuestion {
+  /** Names this roll-out; a new one draws other sessions. */
+  readonly rollout: string;
+  readonly organisation: string;
+  readonly zone: string;
+  /** The session, or the request when it belongs to none. */
+  readonly session: string;
+}
+
+const HASH_RANGE = 2 ** 32;
+const QUALITY_PRIOR_DEVIATION = 0.2;
+const ERROR_PRIOR_DEVIATION = 0.15;
+const LOG_TIME_PRIOR_DEVIATION = 0.5;
+/** Rise in the share of failures that is taken as noise of the endpoints. */
+const TOLERATED_ERROR_RISE = 0.01;
+/** Rise of the time, as a logarithm, that is taken as noise of the load. */
+const TOLERATED_LOG_TIME_RISE = Math.log(1.25);
+
+/**
+ * Counts the steps of a roll-out: first all shares for ordinary work, then all of them again for
+ * work of high value, which so sees a new version last.
+ */
+export const countSteps = (steps: readonly number[]): number => 2 * steps.length;
+
+/** Computes the share of new sessions that a step gives to the new version. */
+export const computeShare = (
+  steps: readonly number[],
+  step: number,
+  isHighValue: boolean,
+): number => {
+  if (isHighValue)
+    return step < steps.length ? 0 : steps[Math.min(step, 2 * steps.length - 1) - steps.length]!;
+  return steps[Math.min(step, steps.length - 1)]!;
+};
+
+/** Says whether a session is among the share that gets the new version; it stays so as the share grows. */
+export const isInShare = (question: ShareQuestion, share: number): boolean => {
+  const { rollout, organisation, zone, session } = question;
+  const hash = murmurhash.v3([rollout, organisation, zone, session].join('|'));
+  return hash / HASH_RANGE < share;
+};
+
+interface Signal {
+  readonly name: string;
+  /** Part of the false halt rate that this signal may use. */
+  readonly alphaShare: number;
+  readonly priorDeviation: number;
+  readonly read: (tally: Tally) => Moments;
+  readonly testWorse: (candidate: Moments, baseline: Moments, alpha: number) => boolean;
+}
+
+const SIGNALS: readonly Signal[] = [
+  {
+    name: 'quality',
+    alphaShare: 0.6,
+    priorDeviation: QUALITY_PRIOR_DEVIATION,
+    read: readScores,
+    testWorse: (candidate, baseline, alpha) =>
+      testFall({ candidate, baseline, alpha, priorDeviation: QUALITY_PRIOR_DEVIATION }),
+  },
+  {
+    name: 'errors',
+    alphaShare: 0.2,
+    priorDeviation: ERROR_PRIOR_DEVIATION,
+    read: readErrors,
+    testWorse: (candidate, baseline, alpha) =>
+      testRise(
+        { candidate, baseline, alpha, priorDeviation: ERROR_PRIOR_DEVIATION },
+        TOLERATED_ERROR_RISE,
+      ),
+  },
+  {
+    name: 'latency',
+    alphaShare: 0.2,
+    priorDeviation: LOG_TIME_PRIOR_DEVIATION,
+    read: readLogTimes,
+    testWorse: (candidate, baseline, alpha) =>
+      testRise(
+        { candidate, baseline, alpha, priorDeviation: LOG_TIME_PRIOR_DEVIATION },
+        TOLERATED_LOG_TIME_RISE,
+      ),
+  },
+];
+
+const NO_MOMENTS: Moments = { count: 0, sum: 0, squares: 0 };
+
+const readPooled = (
+  cells: readonly RolloutCell[],
+  arm: 'candidate' | 'baseline',
+  read: (tally: Tally) => Moments,
+): Moments => cells.reduce((sum, cell) => mergeMoments(sum, read(cell[arm])), NO_MOMENTS);
+
+// Cells differ in their mean; the baseline is weighted as the candidate's cells are, so that a
+// different mix of work cannot look like a fall.
+const readMatchedBaseline = (
+  cells: readonly RolloutCell[],
+  read: (tally: Tally) => Moments,
+): Moments => {
+  const usable = cells.filter((cell) => read(cell.baseline).count > 0);
+  const total = usable.reduce((sum, cell) => sum + read(cell.candidate).count, 0);
+  const pooled = readPooled(usable, 'baseline', read);
+  if (total <= 0 || pooled.count <= 0) return pooled;
+  const readMean = (cell: RolloutCell): number =>
+    read(cell.baseline).sum / read(cell.baseline).count;
+  const mean = usable.reduce(
+    (sum, cell) => sum + (read(cell.candidate).count / total) * readMean(cell),
+    0,
+  );
+  const shift = mean - pooled.sum / pooled.count;
+  const sum = pooled.sum + shift * pooled.count;
+  const squares = pooled.squares + 2 * shift * pooled.sum + shift * shift * pooled.count;
+  return { count: pooled.count, sum, squares };
+};
+
+const findWorse = (
+  cells: readonly RolloutCell[],
+  signal: Signal,
+  alpha: number,
+): string | undefined => {
+  const half = (alpha * signal.alphaShare) / 2;
+  const usable = cells.filter((cell) => signal.read(cell.baseline).count > 0);
+  const pooled = readPooled(usable, 'candidate', signal.read);
+  if (signal.testWorse(pooled, readMatchedBaseline(usable, signal.read), half)) {
+    return `${signal.name} is worse than before`;
+  }
+  const alphaPerCell = half / Math.max(1, cells.length);
+  const worse = usable.find((cell) =>
+    signal.testWorse(signal.read(cell.candidate), signal.read(cell.baseline), alphaPerCell),
+  );
+  return worse && `${signal.name} is worse for ${worse.organisation}, task ${worse.task}`;
+};
+
+/** Finds why a version must be withdrawn, or nothing while there is no proof that it is worse. */
+export const findRolloutFault = (
+  cells: readonly RolloutCell[],
+  falseHaltRate: number,
+): string | undefined => {
+  for (const signal of SIGNALS) {
+    const fault = findWorse(cells, signal, falseHaltRate);
+    if (fault !== undefined) return fault;
+  }
+  return undefined;
+};
+
+// Early steps put little at risk, so they need to rule out large falls only.
+const computeMargin = (rules: RolloutRules, step: number): number =>
+  rules.toleratedFall * (rules.steps.length - (step % rules.steps.length));
+
+const canAdvance = (rules: RolloutRules, cells: readonly RolloutCell[], step: number): boolean => {
+  const isHighPhase = step >= rules.steps.length;
+  const counted = cells.filter((cell) => cell.isHighValue === isHighPhase);
+  // Without work of high value its steps have nothing to wait for.
+  if (isHighPhase && counted.length === 0) return true;
+  const candidate = readPooled(counted, 'candidate', readScores);
+  const needed = rules.minSamplesPerStep * ((step % rules.steps.length) + 1);
+  if (candidate.count < needed) return false;
+  const bounds = estimateDifference({
+    candidate,
+    baseline: readMatchedBaseline(counted, readScores),
+    alpha: rules.falseHaltRate,
+    priorDeviation: QUALITY_PRIOR_DEVIATION,
+  });
+  return bounds.lower > -computeMargin(rules, step);
+};
+
+/** Judges a running roll-out from what was counted since its start. */
+export const judgeRollout = (
+  rules: RolloutRules,
+  step: number,
+  cells: readonly RolloutCell[],
+): RolloutVerdict => {
+  const fault = findRolloutFault(cells, rules.falseHaltRate);
+  if (fault !== undefined) return { type: 'withdraw', reason: fault };
+  if (!canAdvance(rules, cells, step)) return { type: 'hold' };
+  const reason = 'no worse than the version that it replaces';
+  const isLast = step + 1 >= countSteps(rules.steps);
+  return isLast ? { type: 'finish', reason } : { type: 'advance', reason };
+};
