--- a/src/node/inventory/schema.ts
+++ b/src/node/inventory/schema.ts
@@ -58,6 +58,8 @@
     load: z.array(servedVersionSchema).readonly().optional(),
     service: name.optional(),
     role: z.string().optional(),
+    /** Adapters that the engine shall have loaded; absent leaves them as they are. */
+    adapters: z.array(name).readonly().optional(),
     state: z.enum(['active', 'leaving']).default('active'),
   })
   .readonly();
@@ -123,6 +125,13 @@
     explorationShare: share.default(0.02),
     retryBudget: share.default(0.1),
     tasks: z.array(taskSchema).readonly().default([]),
+    weightStore: z
+      .strictObject({
+        /** Loads that the weight store may be asked for, over all agents. */
+        loadsPerMinute: z.number().positive().default(60),
+      })
+      .readonly()
+      .prefault({}),
     rollout: rolloutRulesSchema.prefault({}),
   })
   .readonly();
