Test the path with real processes against the stand-ins' own records

The path was shown by one request in one process. Processes are ended by their id. The stand-in engine keeps the whole body that it sent, so plain, streamed, deferred and service answers are compared byte for byte, and bills with its usage.

An agent can advertise an address other than the one it listens on, which lets a relay stand between it and the entries. (settings/schema.ts, agent/agentServices.ts.)

--- /dev/null
+++ b/src/node/__tests__/cluster/cluster.ts
@@ -0,0 +1,214 @@
+import { mkdirSync, mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import {
+  startStandinEngine,
+  startStandinService,
+  type StandinEngine,
+  type StandinEngineOptions,
+  type StandinService,
+} from '../../standin';
+import type { Inventory, ServedVersion } from '../../inventory';
+import { createClusterInventory, SERVICE } from './inventory';
+import { acquirePort } from './ports';
+import { startRelay, type Relay } from './relay';
+import { createRoleProcess, type RoleProcess } from './roleProcess';
+import { waitFor } from './waitFor';
+
+/** The shape of a cluster. */
+export interface ClusterOptions {
+  readonly controls?: number;
+  readonly entries?: number;
+  readonly engines?: readonly Partial<StandinEngineOptions>[];
+  readonly inventory?: Inventory;
+  /** Puts a relay on the links between entries and agents and between both and control. */
+  readonly hasRelays?: boolean;
+  readonly logLevel?: string;
+}
+
+/** The answer of an operators' route. */
+export interface AdminAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** A running cluster of real processes with stand-ins inside this one. */
+export interface Cluster {
+  readonly entries: readonly string[];
+  readonly controls: readonly string[];
+  readonly engines: readonly StandinEngine[];
+  readonly service: StandinService;
+  readonly processes: ReadonlyMap<string, RoleProcess>;
+  /** Relays by the node on whose side they stand. */
+  readonly relays: ReadonlyMap<string, Relay>;
+  readonly callAdmin: (
+    control: number,
+    method: 'GET' | 'PUT' | 'POST',
+    path: string,
+    body?: unknown,
+  ) => Promise<AdminAnswer>;
+  readonly stop: () => Promise<void>;
+}
+
+const HOST = '127.0.0.1';
+const ZONE = 'zone-a';
+const INTERNAL_SECRET = 'internal-secret';
+const OPERATOR_SECRET = 'operator-secret';
+const ADMIN_TIMEOUT_MS = 3_000;
+
+/** Every version that an engine of the tests serves. */
+export const SERVES: readonly ServedVersion[] = [
+  { model: 'small', version: 'v1' },
+  { model: 'small', version: 'v2' },
+  { model: 'large', version: 'v1' },
+];
+
+const createAdminCaller =
+  (controls: readonly string[]): Cluster['callAdmin'] =>
+  async (control, method, path, body) => {
+    const response = await request(`http://${controls[control % controls.length]!}${path}`, {
+      method,
+      headers: {
+        authorization: `Bearer ${OPERATOR_SECRET}`,
+        ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+      },
+      body: body === undefined ? undefined : JSON.stringify(body),
+      signal: AbortSignal.timeout(ADMIN_TIMEOUT_MS),
+    });
+    return { status: response.statusCode, body: await response.body.json() };
+  };
+
+const acquireAddress = async (): Promise<string> => `${HOST}:${await acquirePort()}`;
+
+const formatListen = (address: string) => ({ host: HOST, port: Number(address.split(':')[1]) });
+
+/** Starts the processes and stand-ins and waits until every endpoint is in every entry's view. */
+export const startCluster = async (options: ClusterOptions = {}): Promise<Cluster> => {
+  const { controls: controlCount = 1, entries: entryCount = 1, logLevel = 'info' } = options;
+  const engineOptions = options.engines ?? [{}];
+  const folder = mkdtempSync(join(tmpdir(), 'oleanderfront-cluster-'));
+  const processes = new Map<string, RoleProcess>();
+  const relays = new Map<string, Relay>();
+  const addProcess = (role: RoleProcess['role'], node: string, settings: object): void => {
+    const common = { node, zone: ZONE, logLevel };
+    const written = { ...common, ...settings };
+    processes.set(node, createRoleProcess({ role, node, folder, settings: written }));
+  };
+  const openRelay = async (node: string, target: string): Promise<string> => {
+    if (options.hasRelays !== true) return target;
+    const relay = await startRelay(target);
+    relays.set(node, relay);
+    return relay.address;
+  };
+
+  const controls = await Promise.all(Array.from({ length: controlCount }, acquireAddress));
+  const peers = controls.map((address, index) => ({ node: `control-${index + 1}`, address }));
+  peers.forEach(({ node, address }) => {
+    const data = join(folder, node);
+    mkdirSync(data);
+    const secrets = { internal: INTERNAL_SECRET, operator: OPERATOR_SECRET };
+    addProcess('control', node, { listen: formatListen(address), secrets, data, peers });
+  });
+
+  const resolveControl = async (node: string): Promise<readonly string[]> =>
+    Promise.all(
+      controls.map((address, index) => openRelay(`${node}>control-${index + 1}`, address)),
+    );
+
+  const announceAddresses: string[] = [];
+  for (let index = 0; index <= engineOptions.length; index += 1) {
+    const node = `agent-${index + 1}`;
+    const listen = await acquireAddress();
+    const announce = await acquireAddress();
+    announceAddresses.push(announce);
+    addProcess('agent', node, {
+      listen: formatListen(listen),
+      announceListen: formatListen(announce),
+      advertise: await openRelay(node, listen),
+      secrets: { internal: INTERNAL_SECRET },
+      control: await resolveControl(node),
+    });
+  }
+  const entries = await Promise.all(Array.from({ length: entryCount }, acquireAddress));
+  for (const [index, address] of entries.entries()) {
+    const node = `entry-${index + 1}`;
+    addProcess('entry', node, {
+      listen: formatListen(address),
+      internalListen: formatListen(await acquireAddress()),
+      secrets: { internal: INTERNAL_SECRET },
+      control: await resolveControl(node),
+    });
+  }
+
+  const callAdmin = createAdminCaller(controls);
+  const startRole = (role: RoleProcess['role']): Promise<unknown> =>
+    Promise.all(
+      [...processes.values()].filter((item) => item.role === role).map((item) => item.start()),
+    );
+
+  const listen = { host: HOST, port: 0 };
+  const engines: StandinEngine[] = [];
+  let service: StandinService | undefined;
+
+  const stop = async (): Promise<void> => {
+    for (const item of processes.values()) {
+      item.signal('SIGCONT');
+      item.signal('SIGKILL');
+    }
+    await Promise.all([...processes.values()].map((item) => item.waitForExit()));
+    await Promise.all([...relays.values()].map((relay) => relay.stop()));
+    await Promise.all(engines.map((engine) => engine.stop()));
+    await service?.stop();
+    rmSync(folder, { recursive: true, force: true });
+  };
+
+  const applyFirstInventory = async (): Promise<boolean> => {
+    const inventory = options.inventory ?? createClusterInventory();
+    const body = { base: 0, changeId: 'first', inventory };
+    try {
+      return (await callAdmin(0, 'PUT', '/admin/inventory', body)).status === 200;
+    } catch {
+      return false;
+    }
+  };
+
+  const isWhole = async (address: string): Promise<boolean> => {
+    try {
+      const response = await request(`http://${address}/readyz`);
+      await response.body.dump();
+      return response.statusCode === 200;
+    } catch {
+      return false;
+    }
+  };
+
+  try {
+    await startRole('control');
+    await waitFor('the first inventory', applyFirstInventory);
+    await startRole('agent');
+    for (const [index, engine] of engineOptions.entries()) {
+      engines.push(
+        await startStandinEngine({
+          endpoint: `engine-${index + 1}`,
+          listen,
+          agentAddress: announceAddresses[index]!,
+          serves: SERVES,
+          ...engine,
+        }),
+      );
+    }
+    service = await startStandinService({
+      endpoint: 'service-1',
+      service: SERVICE,
+      listen,
+      agentAddress: announceAddresses.at(-1)!,
+    });
+    await startRole('entry');
+    for (const address of entries) await waitFor('entry to be ready', () => isWhole(address));
+  } catch (cause) {
+    await stop();
+    throw cause;
+  }
+  return { entries, controls, engines, service, processes, relays, callAdmin, stop };
+};
--- /dev/null
+++ b/src/node/__tests__/cluster/index.ts
@@ -0,0 +1,6 @@
+export * from './caller';
+export * from './cluster';
+export * from './inventory';
+export * from './relay';
+export * from './roleProcess';
+export * from './waitFor';
--- /dev/null
+++ b/src/node/__tests__/cluster/waitFor.ts
@@ -0,0 +1,17 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+const POLL_MS = 20;
+const TIMEOUT_MS = 30_000;
+
+/** Waits until a condition holds; throws with its name after `timeoutMs`. */
+export const waitFor = async (
+  name: string,
+  isMet: () => Promise<boolean> | boolean,
+  timeoutMs = TIMEOUT_MS,
+): Promise<void> => {
+  const end = Date.now() + timeoutMs;
+  while (!(await isMet())) {
+    if (Date.now() > end) throw new Error(`waited ${timeoutMs} ms in vain for: ${name}`);
+    await sleep(POLL_MS);
+  }
+};
--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -65,7 +65,7 @@
     registerAttemptRoutes(internal, store, settings.secrets.internal);
     registerAnnounceRoute(announcePort, handleAnnouncement);
     const address = await startHttpServer(internal, settings.listen);
-    await lease.start(address);
+    await lease.start(settings.advertise ?? address);
     const announceAddress = await startHttpServer(announcePort, settings.announceListen);
     log.info({ address, announceAddress }, 'listening');
 
--- a/src/node/settings/schema.ts
+++ b/src/node/settings/schema.ts
@@ -58,6 +58,8 @@
     ...commonShape,
     /** Port on which the engine beside the agent announces itself. */
     announceListen: listenSchema,
+    /** Address under which entries reach this agent, where it differs from `listen`. */
+    advertise: address.optional(),
     control: z.array(address).min(1).readonly(),
     weightStore: address.optional(),
     announcementTimeoutMs: milliseconds.default(5_000),
--- a/src/node/standin/engine.ts
+++ b/src/node/standin/engine.ts
@@ -18,6 +18,8 @@
   readonly tokenMs?: number;
   readonly tokens?: number;
   readonly checksFencing?: boolean;
+  /** Runs kept in the record; the oldest go first. */
+  readonly recordLimit?: number;
 }
 
 /** One run in the stand-in's own record. */
@@ -29,9 +31,13 @@
   readonly input: string;
   /** The bytes that were sent as the answer's text. */
   readonly output: string;
+  /** The whole body of the answer, as it was sent so far. */
+  readonly sent: string;
   readonly inputTokens: number;
   readonly outputTokens: number;
   readonly state: 'running' | 'done' | 'cancelled';
+  /** Wall-clock time in milliseconds at which the run began. */
+  readonly startedAt: number;
 }
 
 /** A started stand-in. */
@@ -47,7 +53,9 @@
   readonly model: string;
   readonly input: string;
   readonly inputTokens: number;
+  readonly startedAt: number;
   output: string;
+  sent: string;
   outputTokens: number;
   state: StandinRun['state'];
 }
@@ -117,15 +125,20 @@
   usage: formatUsage(run),
 });
 
+const recordSent = (run: MutableRun, text: string): string => {
+  run.sent += text;
+  return text;
+};
+
 /** Starts a stand-in engine that speaks the chat protocol and keeps a record of every run. */
 export const startStandinEngine = async (options: StandinEngineOptions): Promise<StandinEngine> => {
   const runs: MutableRun[] = [];
   const app: FastifyInstance = createHttpServer();
-  const { firstTokenMs = 20, tokenMs = 5, slots = 8 } = options;
+  const { firstTokenMs = 20, tokenMs = 5, slots = 8, recordLimit = Infinity } = options;
 
   async function* generateWords(body: ChatBody, run: MutableRun): AsyncGenerator<string> {
     const total = Math.min(body.max_tokens ?? Infinity, options.tokens ?? DEFAULT_TOKENS);
-    await sleep(firstTokenMs);
+    if (firstTokenMs > 0) await sleep(firstTokenMs);
     for (let index = 0; index < total; index += 1) {
       if (index > 0 && tokenMs > 0) await sleep(tokenMs);
       const word = computeWord(body, index);
@@ -137,13 +150,16 @@
 
   async function* generateEvents(body: ChatBody, run: MutableRun): AsyncGenerator<string> {
     try {
-      for await (const word of generateWords(body, run)) yield formatChunk(run, word, null);
-      yield formatChunk(run, '', 'stop');
+      for await (const word of generateWords(body, run)) {
+        yield recordSent(run, formatChunk(run, word, null));
+      }
+      yield recordSent(run, formatChunk(run, '', 'stop'));
       if (body.stream_options?.include_usage === true) {
-        yield `data: ${JSON.stringify({ id: run.requestId, choices: [], usage: formatUsage(run) })}\n\n`;
+        const usage = { id: run.requestId, choices: [], usage: formatUsage(run) };
+        yield recordSent(run, `data: ${JSON.stringify(usage)}\n\n`);
       }
       run.state = 'done';
-      yield 'data: [DONE]\n\n';
+      yield recordSent(run, 'data: [DONE]\n\n');
     } finally {
       if (run.state === 'running') run.state = 'cancelled';
     }
@@ -155,12 +171,16 @@
       attempt,
       model: body.model,
       input: JSON.stringify(body),
+      startedAt: Date.now(),
       output: '',
+      sent: '',
       inputTokens: countInputTokens(body),
       outputTokens: 0,
       state: 'running',
     };
     runs.push(run);
+    // Dropped in bulk, so that a long load run does not move the array at every request.
+    if (runs.length > 2 * recordLimit) runs.splice(0, runs.length - recordLimit);
     return run;
   };
 
@@ -179,7 +199,8 @@
     }
     for await (const word of generateWords(body, run)) if (word === '') break;
     run.state = 'done';
-    return reply.send(formatAnswer(run));
+    const answer = recordSent(run, JSON.stringify(formatAnswer(run)));
+    return reply.header('content-type', 'application/json; charset=utf-8').send(answer);
   });
 
   app.get('/record', async () => ({ runs }));
--- a/src/node/standin/service.ts
+++ b/src/node/standin/service.ts
@@ -18,6 +18,8 @@
   readonly path: string;
   readonly body: string;
   readonly output: string;
+  /** Wall-clock time in milliseconds at which the call arrived. */
+  readonly startedAt: number;
 }
 
 /** A started stand-in service. */
@@ -49,6 +51,7 @@
       path: request.url,
       body,
       output,
+      startedAt: Date.now(),
     });
     return reply.header('content-type', 'application/json').send(output);
   });
