--- /dev/null
+++ b/bench/processStats.ts
@@ -0,0 +1,37 @@
+import { execFileSync } from 'node:child_process';
+import { readFileSync } from 'node:fs';
+
+/** What one process has used since its start. */
+export interface ProcessStats {
+  readonly cpuSeconds: number;
+  readonly residentMegabytes: number;
+}
+
+const TICKS_PER_SECOND = Number(execFileSync('getconf', ['CLK_TCK'], { encoding: 'utf8' }));
+const KILOBYTES_PER_MEGABYTE = 1_024;
+const USER_TICKS_FIELD = 11;
+
+/** Reads what a process has used, from `/proc`. */
+export const readProcessStats = (pid: number): ProcessStats => {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[USER_TICKS_FIELD + 1]);
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const kilobytes = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    residentMegabytes: kilobytes / KILOBYTES_PER_MEGABYTE,
+  };
+};
+
+/** Fits a line through points by least squares. */
+export const computeSlope = (
+  points: readonly (readonly [number, number])[],
+): { readonly slope: number; readonly intercept: number } => {
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+  const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
+  const variance = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+  const slope = variance === 0 ? 0 : covariance / variance;
+  return { slope, intercept: meanY - slope * meanX };
+};
--- a/src/node/__tests__/cluster/cluster.ts
+++ b/src/node/__tests__/cluster/cluster.ts
@@ -25,6 +25,9 @@
   /** Puts a relay on the links between entries and agents and between both and control. */
   readonly hasRelays?: boolean;
   readonly logLevel?: string;
+  /** Starts an engine elsewhere than in this process. */
+  readonly startEngine?: (options: StandinEngineOptions) => Promise<StandinEngine>;
+  readonly nodeArguments?: readonly string[];
 }
 
 /** The answer of an operators' route. */
@@ -86,6 +89,7 @@
 /** Starts the processes and stand-ins and waits until every endpoint is in every entry's view. */
 export const startCluster = async (options: ClusterOptions = {}): Promise<Cluster> => {
   const { controls: controlCount = 1, entries: entryCount = 1, logLevel = 'info' } = options;
+  const { startEngine = startStandinEngine, nodeArguments } = options;
   const engineOptions = options.engines ?? [{}];
   const folder = mkdtempSync(join(tmpdir(), 'oleanderfront-cluster-'));
   const processes = new Map<string, RoleProcess>();
@@ -93,7 +97,10 @@
   const addProcess = (role: RoleProcess['role'], node: string, settings: object): void => {
     const common = { node, zone: ZONE, logLevel };
     const written = { ...common, ...settings };
-    processes.set(node, createRoleProcess({ role, node, folder, settings: written }));
+    processes.set(
+      node,
+      createRoleProcess({ role, node, folder, settings: written, nodeArguments }),
+    );
   };
   const openRelay = async (node: string, target: string): Promise<string> => {
     if (options.hasRelays !== true) return target;
@@ -189,7 +196,7 @@
     await startRole('agent');
     for (const [index, engine] of engineOptions.entries()) {
       engines.push(
-        await startStandinEngine({
+        await startEngine({
           endpoint: `engine-${index + 1}`,
           listen,
           agentAddress: announceAddresses[index]!,
