--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,339 @@
+// Slopes of the control traffic: `npm run bench:capacity`. Lease clients share this process.
+import { subscribe } from 'node:diagnostics_channel';
+import type { Socket } from 'node:net';
+import { loadavg } from 'node:os';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { createLeaseClient, type LeaseClient } from '../src/node/lease';
+import { createRootLogger } from '../src/node/log';
+import { createRpcClient, type RpcClient } from '../src/node/rpc';
+import { INTERNAL_SECRET, KEYS, startCluster, type Cluster } from '../src/node/__tests__/cluster';
+import { startEngineProcess } from './engines';
+import { runLoad } from './load';
+import { computeSlope, readProcessStats } from './processStats';
+
+type Point = readonly [number, number];
+
+const SIZES = [1, 4, 16, 64] as const;
+const WINDOW_SECONDS = 8;
+const SETTLE_MS = 1_500;
+const MILLI = 1_000;
+const KILOBYTE = 1_024;
+
+const print = (line: string): void => console.log(line);
+const log = createRootLogger({ level: 'silent', node: 'bench' });
+
+const sockets = new Set<Socket>();
+subscribe('undici:client:connected', (message) => {
+  sockets.add((message as { readonly socket: Socket }).socket);
+});
+
+const countBytes = (): { readonly sent: number; readonly received: number } => {
+  let sent = 0;
+  let received = 0;
+  sockets.forEach((socket) => {
+    sent += socket.bytesWritten;
+    received += socket.bytesRead;
+  });
+  return { sent, received };
+};
+
+const formatPoints = (points: readonly Point[], digits: number): string =>
+  points.map(([x, y]) => `${x}: ${y.toFixed(digits)}`).join(', ');
+
+const printFit = (name: string, points: readonly Point[], digits: number): void => {
+  const { slope, intercept } = computeSlope(points);
+  const fit = `${slope.toPrecision(3)} per unit + ${intercept.toPrecision(3)}`;
+  print(`| ${name} | ${formatPoints(points, digits)} | ${fit} |`);
+};
+
+const printHeader = (title: string): void => {
+  print(`\n## ${title}\n`);
+  print('| figure | points (size: value) | fitted line |');
+  print('| --- | --- | --- |');
+};
+
+const createNode = (rpc: RpcClient, cluster: Cluster, name: string): LeaseClient =>
+  createLeaseClient({
+    node: name,
+    role: 'agent',
+    zone: 'zone-a',
+    control: cluster.controls,
+    rpc,
+    log,
+  });
+
+interface Window {
+  readonly controlCpu: number;
+  readonly ownCpu: number;
+  readonly sent: number;
+  readonly received: number;
+}
+
+const readControlCpu = (cluster: Cluster): number =>
+  [...cluster.processes.values()]
+    .filter((item) => item.role === 'control')
+    .reduce((sum, item) => sum + readProcessStats(item.pid()).cpuSeconds, 0);
+
+const recordWindow = async (cluster: Cluster): Promise<Window> => {
+  const bytes = countBytes();
+  const control = readControlCpu(cluster);
+  const own = readProcessStats(process.pid).cpuSeconds;
+  await sleep(WINDOW_SECONDS * MILLI);
+  const after = countBytes();
+  return {
+    controlCpu: (readControlCpu(cluster) - control) / WINDOW_SECONDS,
+    ownCpu: (readProcessStats(process.pid).cpuSeconds - own) / WINDOW_SECONDS,
+    sent: (after.sent - bytes.sent) / WINDOW_SECONDS,
+    received: (after.received - bytes.received) / WINDOW_SECONDS,
+  };
+};
+
+const startNodes = async (
+  rpc: RpcClient,
+  cluster: Cluster,
+  from: number,
+  to: number,
+): Promise<readonly LeaseClient[]> => {
+  const nodes = Array.from({ length: to - from }, (_, index) =>
+    createNode(rpc, cluster, `node-${from + index}`),
+  );
+  for (const node of nodes) await node.start('127.0.0.1:1');
+  return nodes;
+};
+
+const runRenewals = async (controls: number): Promise<void> => {
+  const cluster = await startCluster({ controls, engines: [] });
+  const rpc = createRpcClient({ secret: INTERNAL_SECRET });
+  const nodes: LeaseClient[] = [];
+  const points: (readonly [number, Window])[] = [];
+  for (const size of SIZES) {
+    nodes.push(...(await startNodes(rpc, cluster, nodes.length, size)));
+    await sleep(SETTLE_MS);
+    points.push([size, await recordWindow(cluster)]);
+  }
+  printHeader(`Renewing nodes, ${controls} control host(s)`);
+  const readPoints = (read: (window: Window) => number): readonly Point[] =>
+    points.map(([size, window]) => [size, read(window)] as const);
+  printFit(
+    'control: processor, ms/s, all hosts',
+    readPoints((item) => item.controlCpu * MILLI),
+    1,
+  );
+  printFit(
+    'node: processor, ms/s',
+    readPoints((item) => item.ownCpu * MILLI),
+    1,
+  );
+  printFit(
+    'node to control, KB/s',
+    readPoints((item) => item.sent / KILOBYTE),
+    2,
+  );
+  printFit(
+    'control to node, KB/s',
+    readPoints((item) => item.received / KILOBYTE),
+    2,
+  );
+  await Promise.all(nodes.map((node) => node.stop()));
+  await rpc.close();
+  await cluster.stop();
+};
+
+const MEMBER_COUNTS = [0, 700, 1_400, 2_800] as const;
+const STATE_NODES = 16;
+
+const announce = async (rpc: RpcClient, cluster: Cluster, index: number): Promise<void> => {
+  const node = `runner-${index}`;
+  const control = cluster.controls[0]!;
+  const registration = {
+    node,
+    role: 'agent',
+    zone: 'zone-a',
+    address: `127.0.0.1:${index}`,
+    bootId: `boot-${index}`,
+  };
+  const answer = await rpc.call<{ readonly incarnation: number }>(
+    control,
+    'control.register',
+    registration,
+  );
+  const { incarnation } = answer.unsafeCoerce();
+  const announcement = {
+    endpoint: `endpoint-${index}`,
+    host: `host-${index}`,
+    serves: [
+      { model: 'small', version: 'v1' },
+      { model: 'large', version: 'v1' },
+    ],
+    slots: 8,
+    checksFencing: false,
+    state: 'live',
+  };
+  (await rpc.call(control, 'control.announce', { node, incarnation, announcement })).unsafeCoerce();
+};
+
+const BATCH = 50;
+
+const announceAll = async (rpc: RpcClient, cluster: Cluster, from: number, to: number) => {
+  for (let index = from; index < to; index += BATCH) {
+    const batch = Array.from({ length: Math.min(BATCH, to - index) }, (_, item) => index + item);
+    await Promise.all(batch.map((item) => announce(rpc, cluster, item)));
+  }
+};
+
+const readResident = (cluster: Cluster, node: string): number =>
+  readProcessStats(cluster.processes.get(node)!.pid()).residentMegabytes;
+
+const runState = async (controls: number): Promise<void> => {
+  const cluster = await startCluster({ controls, engines: [] });
+  const rpc = createRpcClient({ secret: INTERNAL_SECRET });
+  const nodes = await startNodes(rpc, cluster, 0, STATE_NODES);
+  const cpu: Point[] = [];
+  const memory: Point[] = [];
+  const entryMemory: Point[] = [];
+  const snapshots: Point[] = [];
+  const announced: Point[] = [];
+  let count = 0;
+  for (const size of MEMBER_COUNTS) {
+    const started = readControlCpu(cluster);
+    await announceAll(rpc, cluster, count, size);
+    const added = size - count;
+    if (added > 0) announced.push([size, ((readControlCpu(cluster) - started) * MILLI) / added]);
+    count = size;
+    await sleep(SETTLE_MS);
+    cpu.push([size, ((await recordWindow(cluster)).controlCpu * MILLI) / STATE_NODES]);
+    memory.push([size, readResident(cluster, 'control-1')]);
+    entryMemory.push([size, readResident(cluster, 'entry-1')]);
+    const before = countBytes();
+    const [fresh] = await startNodes(rpc, cluster, 10_000 + size, 10_001 + size);
+    snapshots.push([size, (countBytes().received - before.received) / KILOBYTE]);
+    await fresh!.stop();
+  }
+  printHeader(`Endpoints in the state, ${controls} control host(s), ${STATE_NODES} nodes renewing`);
+  printFit('control: processor per node, ms/s, all hosts', cpu, 2);
+  printFit('control: processor per announced endpoint, ms', announced, 2);
+  printFit('control-1: resident MB', memory, 0);
+  printFit('entry-1: resident MB', entryMemory, 0);
+  printFit('first view of a node, KB', snapshots, 1);
+  await Promise.all(nodes.map((node) => node.stop()));
+  await rpc.close();
+  await cluster.stop();
+};
+
+const RATES = [50, 100, 200, 400] as const;
+const TOKENS_PER_REQUEST = [1, 16, 64, 256] as const;
+const LOAD_SECONDS = 6;
+
+interface RoleUse {
+  readonly entry: number;
+  readonly agent: number;
+  readonly control: number;
+}
+
+const readUse = (cluster: Cluster): RoleUse => {
+  const readCpu = (node: string): number =>
+    readProcessStats(cluster.processes.get(node)!.pid()).cpuSeconds;
+  return { entry: readCpu('entry-1'), agent: readCpu('agent-1'), control: readControlCpu(cluster) };
+};
+
+const recordLoad = async (
+  cluster: Cluster,
+  requestsPerSecond: number,
+  text: string,
+): Promise<RoleUse> => {
+  const before = readUse(cluster);
+  const result = await runLoad({
+    address: cluster.entries[0]!,
+    requestsPerSecond,
+    seconds: LOAD_SECONDS,
+    model: 'small',
+    isStream: true,
+    authorization: `Bearer ${KEYS.yard}`,
+    text,
+  });
+  if (result.answered !== result.sent) print(`${result.sent - result.answered} requests failed`);
+  const after = readUse(cluster);
+  const computeUse = (role: keyof RoleUse): number =>
+    ((after[role] - before[role]) * MILLI) / LOAD_SECONDS;
+  return { entry: computeUse('entry'), agent: computeUse('agent'), control: computeUse('control') };
+};
+
+const printUse = (title: string, points: readonly (readonly [number, RoleUse])[]): void => {
+  printHeader(title);
+  (['entry', 'agent', 'control'] as const).forEach((role) => {
+    printFit(
+      `${role}: processor, ms/s`,
+      points.map(([size, use]) => [size, use[role]] as const),
+      0,
+    );
+  });
+};
+
+const startLoaded = (controls: number, tokens: number): Promise<Cluster> =>
+  startCluster({
+    controls,
+    startEngine: startEngineProcess,
+    engines: [{ firstTokenMs: 5, tokenMs: 10, tokens, slots: 10_000 }],
+  });
+
+const WARM_UP_RATE = 100;
+const TOKEN_LOAD_RATE = 20;
+
+const runRequests = async (controls: number): Promise<void> => {
+  const cluster = await startLoaded(controls, 4);
+  await sleep(SETTLE_MS);
+  await recordLoad(cluster, WARM_UP_RATE, 'warm up');
+  const points: (readonly [number, RoleUse])[] = [];
+  for (const rate of RATES) points.push([rate, await recordLoad(cluster, rate, 'slope')]);
+  printUse(`Streamed requests of 4 tokens per second, ${controls} control host(s)`, points);
+  await cluster.stop();
+};
+
+const runTokens = async (controls: number): Promise<void> => {
+  const points: (readonly [number, RoleUse])[] = [];
+  for (const tokens of TOKENS_PER_REQUEST) {
+    const cluster = await startLoaded(controls, tokens);
+    await sleep(SETTLE_MS);
+    await recordLoad(cluster, TOKEN_LOAD_RATE, 'warm up');
+    points.push([tokens * TOKEN_LOAD_RATE, await recordLoad(cluster, TOKEN_LOAD_RATE, 'slope')]);
+    await cluster.stop();
+  }
+  printUse(
+    `Tokens per second at ${TOKEN_LOAD_RATE} requests/s, ${controls} control host(s)`,
+    points,
+  );
+};
+
+const runIdle = async (controls: number): Promise<void> => {
+  const cluster = await startCluster({ controls });
+  await sleep(SETTLE_MS);
+  print('\n## Resident memory of each role, idle\n');
+  for (const [node, item] of cluster.processes) {
+    print(`- ${node}: ${readProcessStats(item.pid()).residentMegabytes.toFixed(0)} MB`);
+  }
+  await cluster.stop();
+};
+
+const SECTIONS: Readonly<Record<string, (controls: number) => Promise<void>>> = {
+  idle: runIdle,
+  renewals: runRenewals,
+  state: runState,
+  requests: runRequests,
+  tokens: runTokens,
+};
+
+const [controlsText = '1', ...wanted] = process.argv.slice(2);
+print(
+  `Load of the machine before: ${loadavg()
+    .map((item) => item.toFixed(2))
+    .join(' ')}`,
+);
+for (const [name, measure] of Object.entries(SECTIONS)) {
+  if (wanted.length === 0 || wanted.includes(name)) await measure(Number(controlsText));
+}
+print(
+  `\nLoad of the machine after: ${loadavg()
+    .map((item) => item.toFixed(2))
+    .join(' ')}`,
+);
+process.exit(0);
--- a/src/node/__tests__/cluster/cluster.ts
+++ b/src/node/__tests__/cluster/cluster.ts
@@ -56,7 +56,8 @@
 
 const HOST = '127.0.0.1';
 const ZONE = 'zone-a';
-const INTERNAL_SECRET = 'internal-secret';
+/** The secret of the processes of the tests. */
+export const INTERNAL_SECRET = 'internal-secret';
 const OPERATOR_SECRET = 'operator-secret';
 const ADMIN_TIMEOUT_MS = 3_000;
 
