--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -57,6 +57,7 @@
     node: name,
     role: 'agent',
     zone: 'zone-a',
+    host: name,
     control: cluster.controls,
     rpc,
     log,
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -4,16 +4,14 @@
 const child = spawn('npx', ['ava', ...process.argv.slice(2)], {
   stdio: ['ignore', 'pipe', 'inherit'],
 });
-let tail = '';
+let output = '';
 child.stdout.on('data', (chunk) => {
   process.stdout.write(chunk);
-  tail = (tail + chunk).slice(-4000);
+  output += chunk;
 });
 child.on('close', (code) => {
-  const readCount = (word) => {
-    const match = new RegExp(`(\\d+) tests? ${word}`).exec(tail);
-    return match ? Number(match[1]) : 0;
-  };
-  console.log(`${readCount('passed')} passed, ${readCount('failed')} failed`);
+  const countLines = (mark) => output.split('\n').filter((line) => line.includes(mark)).length;
+  const failed = countLines('✘ [fail]');
+  console.log(`${countLines('  ✔ ')} passed, ${code === 0 ? failed : Math.max(1, failed)} failed`);
   process.exitCode = code ?? 1;
 });
