--- a/src/node/agent/attemptStore.ts
+++ b/src/node/agent/attemptStore.ts
@@ -11,7 +11,7 @@
   AttemptRequest,
   TokenCounts,
 } from '../shared';
-import { isVersionWithdrawn } from '../view';
+import { isEndpointLeaving, isVersionWithdrawn } from '../view';
 import type { Attempt } from './attempt';
 import {
   checkAdmission,
@@ -88,6 +88,7 @@
     incarnation: lease.incarnation(),
     isDraining,
     isWithdrawn: (model, version) => isVersionWithdrawn(lease.view, model, version),
+    isLeaving: (endpoint) => isEndpointLeaving(lease.view, endpoint),
   });
 
   const refuseStart = (attempt: Attempt, error: RouterError): void => {
--- a/src/node/agent/attemptTable.ts
+++ b/src/node/agent/attemptTable.ts
@@ -8,6 +8,8 @@
   readonly incarnation: number;
   readonly isDraining: boolean;
   readonly isWithdrawn: (model: string, version: string) => boolean;
+  /** Says whether the inventory takes an endpoint out of service. */
+  readonly isLeaving?: (endpoint: string) => boolean;
 }
 
 /** Bounds of an attempt table. */
@@ -56,6 +58,9 @@
   if (request.incarnation !== state.incarnation) {
     throw createRefusal('the agent has another incarnation', 'unavailable');
   }
+  if (state.isLeaving?.(request.endpoint)) {
+    throw createRefusal('the endpoint is leaving', 'unavailable');
+  }
   const { target } = request;
   if (target.kind === 'model' && state.isWithdrawn(target.model, target.version)) {
     throw createRefusal(`${target.model}@${target.version} is withdrawn`, 'version_withdrawn');
--- a/src/node/decisions/chooseTarget.ts
+++ b/src/node/decisions/chooseTarget.ts
@@ -1,7 +1,7 @@
 import { Left, Right, type Either } from 'purify-ts';
 import { createError, type RouterError } from '../errors';
 import type { Model, Organisation } from '../inventory';
-import { isVersionWithdrawn, type Member, type View } from '../view';
+import { isMemberLive, isVersionWithdrawn, type Member, type View } from '../view';
 
 /** What is asked of the choice of model, version and endpoint. */
 export interface TargetQuestion {
@@ -58,7 +58,7 @@
     .list('member')
     .filter(
       (member) =>
-        member.state === 'live' &&
+        isMemberLive(view, member) &&
         member.serves.some((item) => item.model === model && item.version === version),
     );
 
--- a/src/node/entry/targetChoice.ts
+++ b/src/node/entry/targetChoice.ts
@@ -1,7 +1,7 @@
 import { chooseTarget } from '../decisions';
 import { createError } from '../errors';
 import type { Logger } from '../log';
-import { RULES_NAME, type Member, type View } from '../view';
+import { isMemberLive, RULES_NAME, type Member, type View } from '../view';
 import type { RunRequest } from './runTypes';
 
 /** A chosen endpoint, with model and version unless it is a plain service. */
@@ -69,7 +69,8 @@
     const member = view
       .list('member')
       .find(
-        (item) => item.service === service && item.state === 'live' && !excluded.has(item.endpoint),
+        (item) =>
+          item.service === service && isMemberLive(view, item) && !excluded.has(item.endpoint),
       );
     if (member) return { model: '', version: '', member, reason: 'serves the service' };
     const message = `no endpoint serves '${service}'`;
--- a/src/node/view/view.ts
+++ b/src/node/view/view.ts
@@ -134,3 +134,11 @@
   const known = view.find('model', model)?.versions.find((item) => item.name === version);
   return known === undefined || known.state === 'withdrawn';
 };
+
+/** Says whether the inventory lets an endpoint take new work. */
+export const isEndpointLeaving = (view: View, endpoint: string): boolean =>
+  view.find('endpoint', endpoint)?.state === 'leaving';
+
+/** Says whether a member may get new work. */
+export const isMemberLive = (view: View, member: Member): boolean =>
+  member.state === 'live' && !isEndpointLeaving(view, member.endpoint);
