Spread the ledger over the groups that the setting asks for

Cause: ledgerShards was a setting that nothing read. Ruled out: shards by request, since key, session and request of an organisation refer to each other.

--- a/src/node/control/controlApi.ts
+++ b/src/node/control/controlApi.ts
@@ -1,6 +1,5 @@
 import { z } from 'zod';
 import { createError } from '../errors';
-import type { LedgerCommand, LedgerResult, LedgerState } from '../ledger';
 import type { Logger } from '../log';
 import type { Replica } from '../replication';
 import { createMethod, type RpcMethods } from '../rpc';
@@ -17,14 +16,17 @@
   type RenewAnswer,
 } from '../shared';
 import type { ConfigCommand, ConfigResult, ConfigState } from './configState';
+import type { createShardedLedger, LedgerReads, LedgerShard } from './ledgerShards';
 import type { Members } from './members';
 
 /** The groups and states that the control services work on. */
 export interface ControlParts {
   readonly config: Replica<ConfigCommand, ConfigResult>;
   readonly configState: ConfigState;
-  readonly ledger: Replica<LedgerCommand, LedgerResult>;
-  readonly ledgerState: LedgerState;
+  readonly ledgerShards: readonly LedgerShard[];
+  /** All ledger groups as one. */
+  readonly ledger: ReturnType<typeof createShardedLedger>;
+  readonly ledgerState: LedgerReads;
   readonly leaseMs: number;
   readonly log: Logger;
 }
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -8,6 +8,13 @@
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
+import {
+  checkShardCount,
+  createShardedLedger,
+  createShardedReads,
+  formatLedgerGroup,
+  type LedgerShard,
+} from './ledgerShards';
 import { createLedgerUpkeep } from './ledgerUpkeep';
 import { createMembers, type Members } from './members';
 
@@ -19,6 +26,7 @@
   start: (find) => {
     const log = createPartLogger(find<Logger>('log'), 'replication');
     const { node, peers, data, secrets } = settings;
+    checkShardCount(data, settings.ledgerShards);
     const value = createReplicationHost({
       node,
       peers,
@@ -34,18 +42,38 @@
   },
 });
 
+const openLedgerShards = async (
+  replication: ReplicationHost,
+  settings: ControlSettings,
+): Promise<readonly LedgerShard[]> => {
+  const shards: LedgerShard[] = [];
+  for (let shard = 0; shard < settings.ledgerShards; shard += 1) {
+    const state = createLedgerState();
+    const replica = await replication.openGroup(formatLedgerGroup(shard), state);
+    shards.push({ replica, state });
+  }
+  return shards;
+};
+
 const createGroupsService = (settings: ControlSettings): Service => ({
   name: 'groups',
   needs: ['log', 'replication'],
   start: async (find) => {
     const configState = createConfigState();
-    const ledgerState = createLedgerState();
     const replication = find<ReplicationHost>('replication');
     const config = await replication.openGroup('config', configState);
-    const ledger = await replication.openGroup('ledger-0', ledgerState);
+    const ledgerShards = await openLedgerShards(replication, settings);
     const log = createPartLogger(find<Logger>('log'), 'control');
     const { leaseMs } = settings;
-    const value: ControlParts = { config, configState, ledger, ledgerState, leaseMs, log };
+    const value: ControlParts = {
+      config,
+      configState,
+      ledgerShards,
+      ledger: createShardedLedger(ledgerShards),
+      ledgerState: createShardedReads(ledgerShards),
+      leaseMs,
+      log,
+    };
     return { value };
   },
 });
@@ -76,9 +104,10 @@
   name: 'ledger-upkeep',
   needs: ['groups'],
   start: (find) => {
-    const value = createLedgerUpkeep(find<ControlParts>('groups'));
-    value.start();
-    return { value, stop: value.stop };
+    const parts = find<ControlParts>('groups');
+    const upkeeps = parts.ledgerShards.map((shard) => createLedgerUpkeep(parts, shard));
+    upkeeps.forEach((upkeep) => upkeep.start());
+    return { value: upkeeps, stop: () => upkeeps.forEach((upkeep) => upkeep.stop()) };
   },
 });
 
--- a/src/node/control/ledgerUpkeep.ts
+++ b/src/node/control/ledgerUpkeep.ts
@@ -1,5 +1,6 @@
 import type { Owner } from '../ledger';
 import type { ControlParts } from './controlApi';
+import type { LedgerShard } from './ledgerShards';
 
 /** Tells the ledger which processes are gone and what time it is, on the ledger's leader. */
 export interface LedgerUpkeep {
@@ -12,9 +13,10 @@
 const CHECK_INTERVAL_MS = 1_000;
 const EXPIRE_INTERVAL_MS = 30_000;
 
-/** Creates the upkeep of one control host. */
-export const createLedgerUpkeep = (parts: ControlParts): LedgerUpkeep => {
-  const { config, configState, ledger, ledgerState, log } = parts;
+/** Creates the upkeep of one ledger group on one control host. */
+export const createLedgerUpkeep = (parts: ControlParts, shard: LedgerShard): LedgerUpkeep => {
+  const { config, configState, log } = parts;
+  const { replica: ledger, state: ledgerState } = shard;
   let timer: NodeJS.Timeout | undefined;
   let lastExpiry = 0;
   let isStopped = false;
