Let three control hosts run: three control hosts run as processes

Cause: the log had run in one process only.

POST /admin/control/replace gives a lost host's place to another node in every group; a host that still answers is refused.

--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -2,7 +2,7 @@
 import type { Service } from '../kernel';
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import { createReplicationHost, type ReplicationHost } from '../replication';
+import { createReplicationHost, registerReplaceRoute, type ReplicationHost } from '../replication';
 import { createHttpServer, createRpcClient, registerRpc, startHttpServer } from '../rpc';
 import type { ControlSettings } from '../settings';
 import { createConfigState } from './configState';
@@ -86,12 +86,11 @@
     }
     const app = createHttpServer();
     const members = find<Members>('members');
-    const methods = {
-      ...createControlMethods(parts, members),
-      ...find<ReplicationHost>('replication').methods,
-    };
+    const replication = find<ReplicationHost>('replication');
+    const methods = { ...createControlMethods(parts, members), ...replication.methods };
     registerRpc(app, methods, settings.secrets.internal);
     registerAdminRoutes(app, parts, members, operator);
+    registerReplaceRoute(app, replication, operator);
     const address = await startHttpServer(app, settings.listen);
     parts.log.info({ address }, 'listening');
     return { value: address, stop: () => app.close() };
--- /dev/null
+++ b/src/node/replication/__tests__/controlHosts.ts
@@ -0,0 +1,192 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { promisify } from 'node:util';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Dispatcher } from 'undici';
+import { createRpcClient } from '../../rpc';
+import type { Replaced } from '../replicationHost';
+import type { ReplicaStatus } from '../types';
+
+const INTERNAL_SECRET = 'internal-secret';
+const OPERATOR_SECRET = 'operator-secret';
+const POLL_MS = 20;
+const HOST = '127.0.0.1';
+
+/** Waits until a probe gives a value; the limit bounds a test that would never end. */
+export const waitFor = async <T>(
+  title: string,
+  probe: () => Promise<T | undefined> | T | undefined,
+  limitMs = 30_000,
+): Promise<T> => {
+  const end = Date.now() + limitMs;
+  while (Date.now() < end) {
+    const value = await probe();
+    if (value !== undefined) return value;
+    await sleep(POLL_MS);
+  }
+  throw new Error(`waited in vain for: ${title}`);
+};
+
+const findPorts = async (count: number): Promise<readonly number[]> => {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve) => {
+          const server = createServer().listen(0, HOST, () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as { port: number }).port);
+  await Promise.all(servers.map((server) => promisify(server.close.bind(server))()));
+  return ports;
+};
+
+const createInventory = (revision: number) => ({
+  zones: [{ name: `zone-${revision}`, region: 'region' }],
+  hosts: [],
+  models: [],
+  services: [],
+  endpoints: [],
+  organisations: [],
+  rules: { tasks: [] },
+});
+
+interface Status {
+  readonly config: ReplicaStatus;
+  readonly ledger: ReplicaStatus;
+}
+
+/** The zone of an inventory tells which change wrote it. */
+export interface StoredInventory {
+  readonly revision: number;
+  readonly inventory: { readonly zones: readonly { readonly name: string }[] } | null;
+}
+
+/** Control hosts in processes of their own, over loopback. */
+export const createControlHosts = async (
+  nodes: readonly string[],
+  spare: readonly string[] = [],
+) => {
+  const root = mkdtempSync(join(tmpdir(), 'oleanderfront-control-'));
+  const ports = await findPorts(nodes.length + spare.length);
+  const addresses = new Map(
+    [...nodes, ...spare].map((node, index) => [node, `${HOST}:${ports[index]}`]),
+  );
+  const running = new Map<string, ChildProcess>();
+  const rpc = createRpcClient({ secret: OPERATOR_SECRET });
+  const internal = createRpcClient({ secret: INTERNAL_SECRET });
+
+  const writeSettings = (node: string, peers: readonly string[]): string => {
+    const file = join(root, `${node}.jsonc`);
+    const [host, port] = addresses.get(node)!.split(':');
+    const settings = {
+      node,
+      zone: 'zone',
+      listen: { host, port: Number(port) },
+      secrets: { internal: INTERNAL_SECRET, operator: OPERATOR_SECRET },
+      data: join(root, node),
+      peers: peers.map((peer) => ({ node: peer, address: addresses.get(peer)! })),
+      logLevel: process.env.CONTROL_LOG ?? 'silent',
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    return file;
+  };
+
+  const start = (node: string, peers = nodes): ChildProcess => {
+    const file = writeSettings(node, peers);
+    const child = spawn(
+      process.execPath,
+      ['--import=tsx', 'src/node/main.ts', 'control', '--settings', file],
+      { stdio: ['ignore', 'ignore', 'inherit'] },
+    );
+    running.set(node, child);
+    return child;
+  };
+
+  const stopHost = async (node: string, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> => {
+    const child = running.get(node);
+    running.delete(node);
+    if (!child || child.exitCode !== null) return;
+    const ended = new Promise((resolve) => {
+      child.once('exit', resolve);
+    });
+    child.kill(signal);
+    await ended;
+  };
+
+  const request = async (
+    node: string,
+    options: Omit<Dispatcher.RequestOptions, 'origin'>,
+  ): Promise<unknown> => {
+    try {
+      const signal = AbortSignal.timeout(3_000);
+      const response = await rpc.request(addresses.get(node)!, { ...options, signal });
+      const body = await response.body.json();
+      return response.statusCode === 200 ? body : undefined;
+    } catch {
+      return undefined;
+    }
+  };
+
+  const readStatus = (node: string) =>
+    request(node, { path: '/admin/status', method: 'GET' }) as Promise<Status | undefined>;
+
+  const readInventory = (node: string) =>
+    request(node, { path: '/admin/inventory', method: 'GET' }) as Promise<
+      StoredInventory | undefined
+    >;
+
+  const requestChange = (node: string, base: number) =>
+    request(node, {
+      path: '/admin/inventory',
+      method: 'PUT',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({
+        base,
+        changeId: `change-${base}`,
+        inventory: createInventory(base + 1),
+      }),
+    });
+
+  const replaceHost = (node: string, lost: string, by: string) =>
+    request(node, {
+      path: '/admin/control/replace',
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ lost, node: by, address: addresses.get(by)! }),
+    }) as Promise<{ readonly groups: readonly Replaced[] } | undefined>;
+
+  const waitForLeader = (among: readonly string[] = nodes): Promise<string> =>
+    waitFor('a leader', async () => {
+      const found = await Promise.all(among.map(readStatus));
+      const hasLedger = found.some((status) => status?.ledger.role === 'leader');
+      return among.find((_, index) => hasLedger && found[index]?.config.role === 'leader');
+    });
+
+  return {
+    root,
+    addresses,
+    start,
+    kill: stopHost,
+    signal: (node: string, signal: NodeJS.Signals) => running.get(node)!.kill(signal),
+    pid: (node: string) => running.get(node)!.pid!,
+    removeData: (node: string) => rmSync(join(root, node), { recursive: true }),
+    call: internal.call,
+    readStatus,
+    readInventory,
+    requestChange,
+    replaceHost,
+    waitForLeader,
+    stop: async () => {
+      for (const child of running.values()) child.kill('SIGCONT');
+      await Promise.all([...running.keys()].map((node) => stopHost(node)));
+      await rpc.close();
+      await internal.close();
+      rmSync(root, { recursive: true, force: true });
+    },
+  };
+};
--- a/src/node/replication/index.ts
+++ b/src/node/replication/index.ts
@@ -1,2 +1,3 @@
 export * from './types';
 export * from './replicationHost';
+export * from './replaceRoute';
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -55,6 +55,7 @@
     committed: commit,
     applied,
     members: members.map((member) => member.node),
+    voters: members.filter((member) => member.role === 'voter').map((member) => member.node),
   };
 };
 
--- a/src/node/replication/replicationHost.ts
+++ b/src/node/replication/replicationHost.ts
@@ -23,12 +23,28 @@
   readonly files?: DurableFiles;
 }
 
+/** A node that takes a lost host's place. */
+export interface NewMember {
+  readonly node: string;
+  /** IP address and port, `host:port`. */
+  readonly address: string;
+}
+
+/** The answer of one group to a replacement. */
+export interface Replaced {
+  readonly group: string;
+  /** Why the group did not take it: `still_answering`, `pending_change`, `unknown_node`, `no_leader`. */
+  readonly refusal?: string;
+}
+
 /** The replicated groups of one process. */
 export interface ReplicationHost {
   readonly openGroup: <Command, Result>(
     group: string,
     machine: StateMachine<Command, Result>,
   ) => Promise<Replica<Command, Result>>;
+  /** Gives the place of a lost host to another node in every group, at each group's leader. */
+  readonly replaceMember: (lost: string, by: NewMember) => Promise<readonly Replaced[]>;
   /** The methods that other control hosts call. */
   readonly methods: RpcMethods;
   readonly stop: () => Promise<void>;
@@ -36,6 +52,12 @@
 
 const TICK_MS = 50;
 
+const replaceParams = z.strictObject({
+  group: z.string(),
+  lost: z.string(),
+  by: z.strictObject({ node: z.string().min(1).max(64), address: z.string() }),
+});
+
 const deliverParams = z.strictObject({
   messages: z
     .array(z.strictObject({ group: z.string(), message: z.custom<Message>() }))
@@ -75,6 +97,22 @@
     return { messages: caller === undefined ? [] : transport.takeWaiting(caller) };
   };
 
+  const replaceHere = async (group: string, lost: string, by: NewMember): Promise<Replaced> => {
+    const answer = await replicas.get(group)!.replaceMember(lost, by);
+    return answer.caseOf<Replaced>({
+      Right: () => ({ group }),
+      Left: (error) => ({ group, refusal: error.message }),
+    });
+  };
+
+  const replaceInGroup = async (group: string, lost: string, by: NewMember): Promise<Replaced> => {
+    const { leader, leaderAddress } = replicas.get(group)!.status();
+    if (leader === node || leader === '') return replaceHere(group, lost, by);
+    const params = { group, lost, by };
+    const answer = await rpc.call<Replaced>(leaderAddress, 'replication.replace', params);
+    return answer.unsafeCoerce();
+  };
+
   const timer = setInterval(() => {
     replicas.forEach((replica) => replica.tick());
     transport.tick();
@@ -100,7 +138,12 @@
       replicas.set(group, replica);
       return replica;
     },
+    replaceMember: (lost, by) =>
+      Promise.all([...replicas.keys()].map((group) => replaceInGroup(group, lost, by))),
     methods: {
+      'replication.replace': createMethod(replaceParams, ({ group, lost, by }) =>
+        replaceHere(group, lost, by),
+      ),
       'replication.deliver': createMethod(deliverParams, ({ messages }) => handleDeliver(messages)),
     },
     stop: async () => {
--- a/src/node/replication/types.ts
+++ b/src/node/replication/types.ts
@@ -35,6 +35,8 @@
   readonly committed: number;
   readonly applied: number;
   readonly members: readonly string[];
+  /** Those of the members that have a vote. */
+  readonly voters: readonly string[];
 }
 
 /** One host's part of a replicated group. */
