--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -1,5 +1,6 @@
 import type { Service } from '../kernel';
 import { createLeaseClient } from '../lease';
+import { createLedgerClient } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import {
   createHttpServer,
@@ -13,6 +14,7 @@
 import { createEndpointAnnouncer } from './endpointAnnouncer';
 import { createOrders } from './orders';
 import { createAttemptStore } from './attemptStore';
+import { createUsageReporter } from './usageReporter';
 import { createAgentMethods, registerAnnounceRoute, registerAttemptRoutes } from './agentServer';
 
 const createRpcService = (settings: AgentSettings): Service => ({
@@ -30,11 +32,20 @@
   start: async (find) => {
     const rpc = find<RpcClient>('rpc');
     const log = createPartLogger(find<Logger>('log'), 'agent');
-    const { node, zone, control, queueLimit } = settings;
+    const { node, zone, control, queueLimit, bufferBytes } = settings;
     const announcements = createAnnouncementStore(settings.announcementTimeoutMs);
     const host = settings.host ?? node;
     const lease = createLeaseClient({ node, role: 'agent', zone, host, control, rpc, log });
-    const store = createAttemptStore({ lease, announcements, queueLimit, log });
+    const ledger = createLedgerClient(rpc, lease);
+    const reporter = createUsageReporter({ node, ledger, view: lease.view, log });
+    const store = createAttemptStore({
+      lease,
+      announcements,
+      queueLimit,
+      bufferBytes,
+      reporter,
+      log,
+    });
     const internal = createHttpServer();
     const announcePort = createHttpServer();
     const announcer = createEndpointAnnouncer({ node, host, lease, announcements, rpc, log });
@@ -45,8 +56,9 @@
     registerAttemptRoutes(internal, store, settings.secrets.internal);
     registerAnnounceRoute(announcePort, announcements.add);
     const address = await startHttpServer(internal, settings.listen);
-    await lease.start(address);
+    await lease.start(settings.advertise ?? address);
     const announceAddress = await startHttpServer(announcePort, settings.announceListen);
+    reporter.start();
     announcer.start();
     orders.start();
     log.info({ address, announceAddress }, 'listening');
@@ -55,6 +67,7 @@
       await orders.stop();
       await announcer.stop();
       await store.drain();
+      await reporter.stop();
       await lease.stop();
       await announcePort.close();
       await internal.close();
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -8,6 +8,7 @@
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
+import { createLedgerUpkeep } from './ledgerUpkeep';
 import { createMembers, type Members } from './members';
 
 const DISK_FAILURE_EXIT = 1;
@@ -71,6 +72,16 @@
   },
 });
 
+const createUpkeepService = (): Service => ({
+  name: 'ledger-upkeep',
+  needs: ['groups'],
+  start: (find) => {
+    const value = createLedgerUpkeep(find<ControlParts>('groups'));
+    value.start();
+    return { value, stop: value.stop };
+  },
+});
+
 const createControlServerService = (settings: ControlSettings): Service => ({
   name: 'control-server',
   needs: ['groups', 'members', 'replication'],
@@ -102,5 +113,6 @@
   createReplicationService(settings),
   createGroupsService(settings),
   createMembersService(settings),
+  createUpkeepService(),
   createControlServerService(settings),
 ];
