--- a/src/node/dev/dev.ts
+++ b/src/node/dev/dev.ts
@@ -26,6 +26,8 @@
   readonly address: string;
   readonly controlAddress: string;
   readonly operatorSecret: string;
+  /** Every port that the roles listen on. */
+  readonly ports: readonly string[];
   readonly stop: () => Promise<void>;
 }
 
@@ -203,8 +205,16 @@
     createReadinessService(),
   ]);
   await kernel.start();
+  const { address, internalAddress } = kernel.find<EntryAddresses>('entry');
+  const agents = ['agent-1', 'agent-2'].map((name) => kernel.find<AgentAddresses>(name));
   return {
-    address: kernel.find<EntryAddresses>('entry').address,
+    address,
+    ports: [
+      address,
+      internalAddress,
+      kernel.find<string>('control'),
+      ...agents.flatMap((agent) => [agent.address, agent.announceAddress]),
+    ],
     controlAddress: kernel.find<string>('control'),
     operatorSecret: context.secrets.operator,
     stop: kernel.stop,
--- a/src/node/ledger/deferred.ts
+++ b/src/node/ledger/deferred.ts
@@ -5,7 +5,8 @@
   formatScopedName,
   isOwnerGone,
   isSettled,
-  updateDeferredBytes,
+  readDeferredLoad,
+  updateDeferredLoad,
   writeRequest,
   type Tables,
 } from './tables';
@@ -21,25 +22,17 @@
 const formatQueueName = (record: RequestRecord): string =>
   formatScopedName(record.organisation, record.session!);
 
-const countWaiting = (tables: Tables, organisation: string): number => {
-  const prefix = formatScopedName(organisation, '');
-  let count = 0;
-  for (const [name, ids] of tables.queues) if (name.startsWith(prefix)) count += ids.length;
-  return count;
-};
-
 const findFullReason = (tables: Tables, command: Command<'defer'>): string | undefined => {
-  const { organisation, request } = command;
-  const bytes = (tables.deferredBytes.get(organisation) ?? 0) + request.body.length;
-  if (bytes > DEFERRED_BYTES_LIMIT) return 'too many bytes of deferred requests wait';
-  if (countWaiting(tables, organisation) < DEFERRED_COUNT_LIMIT) return undefined;
-  return 'too many deferred requests wait';
+  const { count, bytes } = readDeferredLoad(tables, command.organisation);
+  if (count >= DEFERRED_COUNT_LIMIT) return 'too many deferred requests wait';
+  if (bytes + command.request.body.length <= DEFERRED_BYTES_LIMIT) return undefined;
+  return 'too many bytes of deferred requests wait';
 };
 
 const addToQueue = (tables: Tables, record: RequestRecord): void => {
   const name = formatQueueName(record);
   tables.queues.set(name, [...(tables.queues.get(name) ?? []), record.requestId]);
-  updateDeferredBytes(tables, record, 1);
+  updateDeferredLoad(tables, record, 1);
 };
 
 /** Takes a deferred request that has ended out of its session's queue. */
@@ -51,7 +44,7 @@
   const rest = known.filter((id) => id !== record.requestId);
   if (rest.length > 0) tables.queues.set(name, rest);
   else tables.queues.delete(name);
-  updateDeferredBytes(tables, record, -1);
+  updateDeferredLoad(tables, record, -1);
 };
 
 /** Stores a deferred request at the end of its session's queue, or refuses it. */
--- a/src/node/ledger/tables.ts
+++ b/src/node/ledger/tables.ts
@@ -14,6 +14,12 @@
   readonly at: number;
 }
 
+/** Deferred requests of one organisation that wait or run; bytes in base64. */
+export interface DeferredLoad {
+  readonly count: number;
+  readonly bytes: number;
+}
+
 /** All that the ledger keeps. Every value is JSON. */
 export interface Tables {
   /** The greatest time that an `expire` command carried, in milliseconds. */
@@ -31,8 +37,8 @@
   readonly gone: Map<string, number>;
   /** Ids of requests that are not settled or whose bill is not final; derived. */
   readonly open: Set<string>;
-  /** Bytes of the deferred requests that wait, by organisation; derived. */
-  readonly deferredBytes: Map<string, number>;
+  /** Deferred requests in queues, by organisation; derived. */
+  readonly deferredLoads: Map<string, DeferredLoad>;
 }
 
 // The separator cannot stand in an organisation's name.
@@ -52,7 +58,7 @@
   queues: new Map(),
   gone: new Map(),
   open: new Set(),
-  deferredBytes: new Map(),
+  deferredLoads: new Map(),
 });
 
 /** Says whether an incarnation was declared gone. */
@@ -76,14 +82,20 @@
   return record;
 };
 
-const countStoredBytes = (record: RequestRecord): number => record.request?.body.length ?? 0;
+const NO_LOAD: DeferredLoad = { count: 0, bytes: 0 };
+
+/** Gives the deferred requests of an organisation that are in queues. */
+export const readDeferredLoad = (tables: Tables, organisation: string): DeferredLoad =>
+  tables.deferredLoads.get(organisation) ?? NO_LOAD;
 
-/** Adds to the bytes of an organisation's deferred requests that wait. */
-export const updateDeferredBytes = (tables: Tables, record: RequestRecord, sign: 1 | -1): void => {
+/** Counts a deferred request in or out. */
+export const updateDeferredLoad = (tables: Tables, record: RequestRecord, sign: 1 | -1): void => {
   const { organisation } = record;
-  const sum = (tables.deferredBytes.get(organisation) ?? 0) + sign * countStoredBytes(record);
-  if (sum > 0) tables.deferredBytes.set(organisation, sum);
-  else tables.deferredBytes.delete(organisation);
+  const known = readDeferredLoad(tables, organisation);
+  const count = known.count + sign;
+  const bytes = known.bytes + sign * (record.request?.body.length ?? 0);
+  if (count > 0) tables.deferredLoads.set(organisation, { count, bytes });
+  else tables.deferredLoads.delete(organisation);
 };
 
 /** The JSON form of the tables. */
@@ -127,7 +139,7 @@
   };
   saved.requests.forEach((record) => writeRequest(tables, record));
   for (const id of [...tables.queues.values()].flat()) {
-    updateDeferredBytes(tables, tables.requests.get(id)!, 1);
+    updateDeferredLoad(tables, tables.requests.get(id)!, 1);
   }
   return tables;
 };
--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -1,4 +1,5 @@
-import fastify, { type FastifyInstance } from 'fastify';
+import type { Socket } from 'node:net';
+import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { randomUUID } from 'node:crypto';
 import { createError, ERROR_STATUS, formatErrorBody, RouterError, type ErrorType } from '../errors';
 
@@ -32,6 +33,37 @@
   413: 'too_large',
 };
 
+const STATUS_BY_CODE: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  HPE_HEADER_OVERFLOW: 431,
+};
+
+const REASONS: Readonly<Record<number, string>> = {
+  400: 'Bad Request',
+  408: 'Request Timeout',
+  431: 'Request Header Fields Too Large',
+};
+
+// What is not HTTP never reaches a route, so the answer is written to the socket itself.
+const replyToBrokenClient = (failure: { readonly code?: string }, socket: Socket): void => {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const status = STATUS_BY_CODE[failure.code ?? ''] ?? 400;
+  const type = TYPE_BY_STATUS[status] ?? 'invalid_request';
+  const message = `the message could not be read: ${failure.code ?? 'not HTTP'}`;
+  const error = createError({ type, message, step: 'http.receive' });
+  const body = JSON.stringify(formatErrorBody(error, randomUUID()));
+  const lines = [
+    `HTTP/1.1 ${status} ${REASONS[status]}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
+};
+
 interface FastifyFailure {
   readonly statusCode?: number;
   readonly message: string;
@@ -56,6 +88,11 @@
     requestTimeout: options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
     genReqId: options.createRequestId ?? (() => randomUUID()),
     logger: false,
+    clientErrorHandler: replyToBrokenClient,
+    frameworkErrors: (failure: FastifyFailure, request: FastifyRequest, reply: FastifyReply) => {
+      const error = convertFailure(failure);
+      reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
+    },
     forceCloseConnections: 'idle',
     http: { maxHeaderSize: HEADER_LIMIT_BYTES },
     ...(options.tls ? { https: { ...options.tls, maxHeaderSize: HEADER_LIMIT_BYTES } } : {}),
@@ -63,6 +100,7 @@
   app.setErrorHandler((failure, request, reply) => {
     const error = convertFailure(failure as FastifyFailure);
     if (error.retryAfterSeconds !== undefined) reply.header('retry-after', error.retryAfterSeconds);
+    reply.header('x-request-id', request.id);
     return reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
   });
   app.setNotFoundHandler((request, reply) => {
