Check histories of concurrent runs, one named check per promise

Thirteen checks read one history of callers' calls, stand-ins' own records, bills, operators' reads and writes, samples of the configuration shown by entries, and faults. Operators' records are searched for one order of a conditional register (Wing and Gong). Each check is fed a history that breaks its promise alone and must be the only one to find it; a whole history passes all.

The load tool's warm-up had sent 200 streams of 5 s each second before the stream section, 20 times its load, and the section did not end in time; it now warms up at the section's own rate.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -57,6 +57,7 @@
     node: name,
     role: 'agent',
     zone: 'zone-a',
+    host: name,
     control: cluster.controls,
     rpc,
     log,
@@ -149,6 +150,7 @@
     node,
     role: 'agent',
     zone: 'zone-a',
+    host: `host-${index}`,
     address: `127.0.0.1:${index}`,
     bootId: `boot-${index}`,
   };
--- a/bench/engines.ts
+++ b/bench/engines.ts
@@ -17,6 +17,7 @@
   return {
     address: line.toString('utf8').trim(),
     listRuns: () => [],
+    listOrders: () => [],
     stop: async () => {
       const exited = once(child, 'exit');
       child.kill('SIGKILL');
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -29,7 +29,10 @@
 
 const DEFAULTS = { requestsPerSecond: 200, seconds: 10, isStream: true } as const;
 
-const startBench = async (engine: Partial<StandinEngineOptions>): Promise<Bench> => {
+const startBench = async (
+  engine: Partial<StandinEngineOptions>,
+  requestsPerSecond: number = DEFAULTS.requestsPerSecond,
+): Promise<Bench> => {
   const cluster = await startCluster({
     engines: [{ slots: 10_000, ...engine }],
     startEngine: startEngineProcess,
@@ -47,8 +50,9 @@
   };
   const runPath: Bench['runPath'] = (options) => runLoad({ ...path, ...options });
   const runDirect: Bench['runDirect'] = (options) => runLoad({ ...direct, ...options });
-  await runPath({ seconds: WARM_UP_SECONDS });
-  await runDirect({ seconds: WARM_UP_SECONDS });
+  const warmUp = { seconds: WARM_UP_SECONDS, requestsPerSecond };
+  await runPath(warmUp);
+  await runDirect(warmUp);
   return { cluster, runPath, runDirect };
 };
 
@@ -113,7 +117,10 @@
 
 const runStreams = async (): Promise<void> => {
   // 10 streams begin each second and last 5 s at 20 pieces/s: 1,000 pieces/s at any time.
-  const bench = await startBench({ firstTokenMs: 20, tokenMs: 50, tokens: 100 });
+  const bench = await startBench(
+    { firstTokenMs: 20, tokenMs: 50, tokens: 100 },
+    STREAM.requestsPerSecond,
+  );
   print('## Streams of 1,000 pieces/s through one entry\n');
   print(
     '| run | pieces | pieces/s | gap p50 ms | gap p95 ms | gap p99 ms | answers out of order |',
--- /dev/null
+++ b/src/node/__tests__/history.test.ts
@@ -0,0 +1,169 @@
+import test from 'ava';
+import {
+  CHECKS,
+  checkHistory,
+  IN_FORCE_MS,
+  isLinearisable,
+  type CallRecord,
+  type ConfigSample,
+  type History,
+  type OperatorRecord,
+  type RunRecord,
+} from './history';
+
+const CALL: CallRecord = {
+  operation: 'op-1',
+  requestId: 'req-1',
+  organisation: 'rack',
+  kind: 'plain',
+  isIdempotent: true,
+  session: 'session-1',
+  entry: 'entry-address',
+  startedAt: 100,
+  endedAt: 200,
+  result: { type: 'answered', body: 'whole' },
+};
+
+const RUN: RunRecord = {
+  operation: 'op-1',
+  requestId: 'req-1',
+  endpoint: 'engine-1',
+  target: 'small@v1',
+  startedAt: 110,
+  isDone: true,
+  sent: 'whole',
+  inputTokens: 3,
+  outputTokens: 4,
+};
+
+const USAGE = { model: 'small', version: 'v1', inputTokens: 3, outputTokens: 4, cost: 1 };
+const BILL = {
+  requestId: 'req-1',
+  organisation: 'rack',
+  usage: [USAGE],
+  cost: 1,
+  at: 200,
+  final: true,
+};
+const SAMPLE: ConfigSample = { entry: 'entry-address', mark: 1, startedAt: 300, endedAt: 310 };
+
+const createWrite = (
+  startedAt: number,
+  base: number,
+  mark: number,
+  answer: 'accepted' | 'conflict' | 'unknown' = 'accepted',
+): OperatorRecord => ({
+  startedAt,
+  endedAt: answer === 'unknown' ? undefined : startedAt + 10,
+  action: { type: 'write', base, mark, answer },
+});
+
+const createRead = (startedAt: number, revision: number, mark: number): OperatorRecord => ({
+  startedAt,
+  endedAt: startedAt + 10,
+  action: { type: 'read', revision, mark },
+});
+
+const GOOD: History = {
+  calls: [CALL],
+  runs: [RUN],
+  bills: [BILL],
+  withdrawals: [{ name: 'small@v1', acceptedAt: 105 }],
+  leavings: [{ name: 'engine-1', acceptedAt: 105 }],
+  faults: [{ kind: 'plannedStop', node: 'entry-1', startedAt: 150, endedAt: 160 }],
+  samples: [SAMPLE],
+  operators: [createRead(0, 1, 0), createWrite(20, 1, 1), createRead(40, 2, 1)],
+  places: new Map([['entry-1', 'entry-address']]),
+};
+
+const NOT_RUN = { type: 'failed', errorType: 'unavailable', outcome: 'not_run' } as const;
+
+const BROKEN: Readonly<Record<keyof typeof CHECKS, Partial<History>>> = {
+  'runs only on allowed versions': { runs: [{ ...RUN, target: 'large@v1' }] },
+  'a withdrawn version gets no new work': {
+    runs: [{ ...RUN, startedAt: 106 + IN_FORCE_MS }],
+    leavings: [],
+  },
+  'a session keeps its version': { runs: [RUN, { ...RUN, target: 'small@v2' }] },
+  'each request that ran is billed once': { bills: [BILL, BILL] },
+  'the bill is the usage': { runs: [{ ...RUN, outputTokens: 5 }] },
+  'a caller gets its own whole answer': {
+    calls: [{ ...CALL, result: { type: 'answered', body: 'who' } }],
+  },
+  'not_run is true': { calls: [{ ...CALL, result: NOT_RUN }] },
+  'a non-idempotent request runs at most once': {
+    calls: [{ ...CALL, isIdempotent: false }],
+    runs: [RUN, RUN],
+  },
+  'a leaving endpoint gets no new work': {
+    runs: [{ ...RUN, startedAt: 106 + IN_FORCE_MS }],
+    withdrawals: [],
+  },
+  'a planned stop cuts nothing': {
+    calls: [{ ...CALL, result: { type: 'cut', reason: 'closed' } }],
+  },
+  'an accepted configuration is in force in time': {
+    samples: [{ ...SAMPLE, mark: 0, startedAt: 31 + IN_FORCE_MS }],
+  },
+  'a configuration never reverts': {
+    samples: [SAMPLE, { ...SAMPLE, mark: 0, startedAt: 320, endedAt: 330 }],
+  },
+  'operators see one order of changes': {
+    operators: [createWrite(20, 1, 1), createRead(40, 1, 0)],
+  },
+};
+
+const listFound = (history: History): readonly string[] =>
+  [...checkHistory(history)].filter(([, found]) => found.length > 0).map(([name]) => name);
+
+test('a history that keeps every promise passes every check', (t) => {
+  t.deepEqual(listFound(GOOD), []);
+});
+
+Object.keys(CHECKS).forEach((name) => {
+  test(`the check '${name}' finds a history that breaks it, and it alone does`, (t) => {
+    t.deepEqual(listFound({ ...GOOD, ...BROKEN[name] }), [name]);
+  });
+});
+
+const MORE_BROKEN: Readonly<Record<string, readonly [keyof typeof CHECKS, Partial<History>]>> = {
+  'a run without a bill': ['each request that ran is billed once', { bills: [] }],
+  'a bill without a run': [
+    'each request that ran is billed once',
+    { bills: [BILL, { ...BILL, requestId: 'req-2' }] },
+  ],
+  "another's answer": [
+    'a caller gets its own whole answer',
+    {
+      runs: [RUN, { ...RUN, operation: 'op-2', sent: 'other' }],
+      calls: [CALL, { ...CALL, operation: 'op-2' }],
+    },
+  ],
+};
+
+Object.entries(MORE_BROKEN).forEach(([title, [name, change]]) => {
+  test(`the check '${name}' finds ${title}`, (t) => {
+    t.true(listFound({ ...GOOD, ...change }).includes(name));
+  });
+});
+
+const FIRST = { revision: 1, mark: 0 } as const;
+
+const ORDERS: Readonly<Record<string, readonly [boolean, readonly OperatorRecord[]]>> = {
+  'two racing writes, one winner': [true, [createWrite(0, 1, 1), createWrite(5, 1, 2, 'conflict')]],
+  'two racing writes, two winners': [false, [createWrite(0, 1, 1), createWrite(5, 1, 2)]],
+  'a lost write seen later': [true, [createWrite(0, 1, 1, 'unknown'), createRead(50, 2, 1)]],
+  'a lost write never seen': [true, [createWrite(0, 1, 1, 'unknown'), createRead(50, 1, 0)]],
+  'a lost write seen and gone': [
+    false,
+    [createWrite(0, 1, 1, 'unknown'), createRead(50, 2, 1), createRead(70, 1, 0)],
+  ],
+  'a read of the past': [false, [createWrite(0, 1, 1), createRead(50, 1, 0)]],
+  'a conflict without a winner': [false, [createWrite(0, 1, 1, 'conflict')]],
+};
+
+Object.entries(ORDERS).forEach(([title, [isFitting, records]]) => {
+  test(`linearisability: ${title}`, (t) => {
+    t.is(isLinearisable(records, FIRST), isFitting);
+  });
+});
--- /dev/null
+++ b/src/node/__tests__/history/index.ts
@@ -0,0 +1,3 @@
+export * from './checks';
+export * from './linearisability';
+export * from './types';
