Prove the log by seeded runs against an oracle and by disk faults

The core, applier, proposals and reads run over a simulated network and disk, driven by fast-check: loss, delay, copies, reordering, one-way cuts, freezes, kills with part of a write on disk, lost disks, crashes at the moment of an election. The oracle: one leader a term, one entry and one state an index, accepted values applied, not_run values never applied, reads at or above what was applied when they began; at the end all hosts vote and agree.

Also closed: urgent messages no longer leave before a new term is synced.

--- /dev/null
+++ b/src/node/replication/__tests__/replica.test.ts
@@ -0,0 +1,78 @@
+import test, { type ExecutionContext } from 'ava';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createRootLogger } from '../../log';
+import { createRpcClient } from '../../rpc';
+import { diskFiles, type DurableFiles } from '../disk';
+import { createReplicationHost } from '..';
+import { waitFor } from './controlHosts';
+
+const SELF = { node: 'control-1', address: '127.0.0.1:0' };
+
+const createCounter = () => {
+  let sum = 0;
+  return {
+    apply: (_: number, value: number) => {
+      sum += value;
+      return sum;
+    },
+    snapshot: () => sum,
+    restore: (state: unknown) => {
+      sum = state as number;
+    },
+  };
+};
+
+const createHost = (data: string, files: DurableFiles, handleFailure: (cause: unknown) => void) =>
+  createReplicationHost({
+    node: SELF.node,
+    peers: [SELF],
+    data,
+    rpc: createRpcClient({ secret: 'internal-secret' }),
+    log: createRootLogger({ level: 'silent', node: SELF.node }),
+    handleFailure,
+    files,
+  });
+
+const createData = (t: ExecutionContext): string => {
+  const data = mkdtempSync(join(tmpdir(), 'oleanderfront-replica-'));
+  t.teardown(() => rmSync(data, { recursive: true, force: true }));
+  return data;
+};
+
+test('a host alone keeps its state over snapshots and restarts', async (t) => {
+  const data = createData(t);
+  const first = createHost(data, diskFiles, (cause) => t.fail(String(cause)));
+  const replica = await first.openGroup('config', createCounter());
+  for (let round = 0; round < 25; round += 1) {
+    const batch = Array.from({ length: 1_000 }, () => replica.propose(1));
+    const answers = await Promise.all(batch);
+    t.is(answers.at(-1)!.unsafeCoerce().result, (round + 1) * 1_000);
+  }
+  await first.stop();
+  const second = createHost(data, diskFiles, (cause) => t.fail(String(cause)));
+  t.teardown(second.stop);
+  const again = await second.openGroup('config', createCounter());
+  t.is((await again.propose(1)).unsafeCoerce().result, 25_001);
+  t.true((await again.confirmRead()).unsafeCoerce().index > 25_000);
+});
+
+test('a failed sync ends the process and answers no command', async (t) => {
+  const failures: unknown[] = [];
+  let isFaulty = false;
+  const files: DurableFiles = {
+    ...diskFiles,
+    sync: (handle) =>
+      isFaulty ? Promise.reject(new Error('EIO: sync failed')) : diskFiles.sync(handle),
+  };
+  const host = createHost(createData(t), files, (cause) => failures.push(cause));
+  const replica = await host.openGroup('config', createCounter());
+  (await replica.propose(1)).unsafeCoerce();
+  isFaulty = true;
+  const answer = replica.propose(2);
+  await waitFor('the failure', () => failures[0]);
+  t.regex(String(failures[0]), /EIO: sync failed/);
+  await host.stop();
+  t.is((await answer).swap().unsafeCoerce().outcome, 'unknown');
+});
--- /dev/null
+++ b/src/node/replication/__tests__/simulation.ts
@@ -0,0 +1,281 @@
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import type { BrokenRules, Message } from '../core';
+import { createOracle } from './oracle';
+import { createDisk, WRITTEN_PARTS, type SimulatedDisk } from './simulatedDisk';
+import { createSimulatedNode, type SimulatedNode } from './simulatedNode';
+
+const STEPS_PER_TICK = 4;
+const RANDOM_RANGE = 1_000_000;
+const INBOX_LIMIT = 500;
+const INBOX_BATCH = 2;
+const LOAD_INTERVAL_STEPS = 8;
+const TRAP_STEPS = 12;
+const SETTLE_STEPS = 6_000;
+
+/** Rules that a simulation may break, to show that the checks find it. */
+export interface BrokenSimulation extends BrokenRules {
+  /** A blank disk carries the host's name as its id, so it votes as the lost one. */
+  readonly ignoresStoreIds?: boolean;
+  /** A crash takes back the vote. */
+  readonly forgetsVote?: boolean;
+}
+
+export interface SimulationOptions {
+  readonly seed: number;
+  readonly size: number;
+  readonly broken?: BrokenSimulation;
+}
+
+interface Host {
+  readonly name: string;
+  disk: SimulatedDisk;
+  node: SimulatedNode | undefined;
+  isFrozen: boolean;
+  inbox: Message[];
+}
+
+interface Flying {
+  readonly message: Message;
+  readonly at: number;
+}
+
+/** How the network treats messages. */
+export interface Weather {
+  readonly loss: number;
+  readonly copies: number;
+  readonly delay: number;
+}
+
+/** What happens shortly after the next election. */
+export type Trap = 'none' | 'killLeader' | 'restartOthers';
+
+interface Sprung {
+  readonly trap: Trap;
+  readonly leader: Host;
+  readonly at: number;
+}
+
+const FAIR: Weather = { loss: 0, copies: 0, delay: 2 };
+
+/** Creates hosts with disks and a network between them, all driven by one seed. */
+export const createSimulation = ({ seed, size, broken }: SimulationOptions) => {
+  const generator = xoroshiro128plus(seed);
+  const sampleUnit = (): number =>
+    unsafeUniformIntDistribution(0, RANDOM_RANGE - 1, generator) / RANDOM_RANGE;
+  const oracle = createOracle();
+  const names = Array.from({ length: size }, (_, index) => `host-${index}`);
+  const peers = names.map((name) => ({ node: name, address: name }));
+  const cuts = new Set<string>();
+  const lostStores = new Set<string>();
+  let flying: Flying[] = [];
+  let weather = FAIR;
+  let step = 0;
+  let trap: Trap = 'none';
+  let sprung: Sprung | undefined;
+  let lastTerm = 0;
+  let nextStore = 0;
+  let nextGroup = 0;
+  let nextValue = 0;
+
+  const createStoreDisk = (name: string): SimulatedDisk => {
+    nextStore += 1;
+    return createDisk(broken?.ignoresStoreIds ? name : `${name}/${nextStore}`);
+  };
+
+  const hosts: readonly Host[] = names.map((name) => ({
+    name,
+    disk: createStoreDisk(name),
+    node: undefined,
+    isFrozen: false,
+    inbox: [],
+  }));
+
+  const send = (message: Message): void => {
+    const copies = 1 + (sampleUnit() < weather.copies ? 1 : 0);
+    for (let copy = 0; copy < copies; copy += 1) {
+      const at = step + 1 + Math.floor(sampleUnit() * weather.delay);
+      if (sampleUnit() >= weather.loss) flying.push({ message, at });
+    }
+  };
+
+  const startHost = (host: Host): void => {
+    if (host.node) return;
+    Object.assign(host, {
+      isFrozen: false,
+      inbox: [],
+      node: createSimulatedNode({
+        name: host.name,
+        peers,
+        disk: host.disk,
+        oracle,
+        random: sampleUnit,
+        createGroupId: () => {
+          nextGroup += 1;
+          return `group-${nextGroup}`;
+        },
+        broken,
+        send,
+      }),
+    });
+  };
+
+  const stopHost = (host: Host): void => {
+    if (!host.node) return;
+    oracle.counts.crashes += 1;
+    const part = WRITTEN_PARTS[Math.floor(sampleUnit() * WRITTEN_PARTS.length)]!;
+    const disk = host.node.crash(part);
+    const hardState = broken?.forgetsVote ? { ...disk.hardState, vote: '' } : disk.hardState;
+    Object.assign(host, { disk: { ...disk, hardState }, node: undefined });
+  };
+
+  const listVoterSets = (): readonly (readonly string[])[] =>
+    hosts
+      .filter((host) => host.node)
+      .map((host) => host.node!.status().members)
+      .map((members) => members.filter((m) => m.role === 'voter').map((m) => m.store));
+
+  // Losing disks faster than they are repaired may lose data by design; the runs stay below that.
+  const canLose = (host: Host): boolean => {
+    if (hosts.some((other) => !other.node || other.node.status().groupId === '')) return false;
+    const isLost = (store: string): boolean =>
+      lostStores.has(store) || store === host.disk.identity.store;
+    return listVoterSets().every(
+      (stores) => stores.filter(isLost).length < Math.ceil(stores.length / 2),
+    );
+  };
+
+  const replaceDisk = (host: Host): void => {
+    if (!canLose(host)) return;
+    stopHost(host);
+    oracle.counts.lostDisks += 1;
+    lostStores.add(host.disk.identity.store);
+    Object.assign(host, { disk: createStoreDisk(host.name) });
+    startHost(host);
+  };
+
+  const handleDue = ({ message }: Flying): void => {
+    const host = hosts.find(({ name }) => name === message.to.node);
+    if (!host?.node || cuts.has(`${message.from.node} ${host.name}`)) return;
+    if (host.isFrozen || host.inbox.length > 0) {
+      if (host.inbox.length < INBOX_LIMIT) host.inbox.push(message);
+      return;
+    }
+    host.node.receive(message);
+  };
+
+  // Faults at the moment of an election, which chance alone would seldom hit.
+  const traps: Readonly<Record<Trap, (leader: Host) => void>> = {
+    none: () => {},
+    killLeader: stopHost,
+    restartOthers: (leader) =>
+      hosts
+        .filter((host) => host !== leader && host.node && sampleUnit() < 0.5)
+        .forEach((host) => {
+          stopHost(host);
+          startHost(host);
+        }),
+  };
+
+  const handleLeader = (host: Host, term: number): void => {
+    if (term <= lastTerm) return;
+    lastTerm = term;
+    sprung = { trap, leader: host, at: step + Math.floor(sampleUnit() * TRAP_STEPS) };
+    trap = 'none';
+  };
+
+  const advanceTrap = (): void => {
+    if (!sprung || sprung.at > step) return;
+    const { trap: due, leader } = sprung;
+    sprung = undefined;
+    traps[due](leader);
+  };
+
+  const advanceHost = (host: Host): void => {
+    const { node } = host;
+    if (!node || host.isFrozen) return;
+    // A process that goes on after a freeze works through what has queued up.
+    host.inbox.splice(0, INBOX_BATCH).forEach(node.receive);
+    if (step % STEPS_PER_TICK === 0) node.tick();
+    node.advance();
+    const { role, term } = node.status();
+    if (role !== 'leader') return;
+    oracle.recordLeader(term, node.store);
+    handleLeader(host, term);
+  };
+
+  const advance = async (): Promise<void> => {
+    step += 1;
+    const due = flying.filter(({ at }) => at <= step);
+    flying = flying.filter(({ at }) => at > step);
+    due.forEach(handleDue);
+    hosts.forEach(advanceHost);
+    advanceTrap();
+    await Promise.resolve();
+  };
+
+  const propose = (host: Host): number => {
+    nextValue += 1;
+    const value = nextValue;
+    host.node?.propose(value);
+    return value;
+  };
+
+  const chooseRandomHost = (): Host => hosts[Math.floor(sampleUnit() * size)]!;
+
+  const addLoad = (): void => {
+    if (step % LOAD_INTERVAL_STEPS !== 0) return;
+    if (sampleUnit() < 0.5) propose(chooseRandomHost());
+    chooseRandomHost().node?.read();
+  };
+
+  const run = async (steps: number): Promise<void> => {
+    for (let count = 0; count < steps; count += 1) {
+      addLoad();
+      await advance();
+      if (oracle.violations.length > 0) return;
+    }
+  };
+
+  const hasSettled = (value: number): boolean =>
+    oracle.hasValue(value) &&
+    hosts.every((host) => host.node?.applied() === oracle.maxApplied()) &&
+    listVoterSets().every((stores) => stores.length === size);
+
+  /** Ends all faults and waits until every host votes and holds every entry. */
+  const settle = async (): Promise<void> => {
+    cuts.clear();
+    trap = 'none';
+    sprung = undefined;
+    weather = FAIR;
+    hosts.forEach(startHost);
+    hosts.forEach((host) => Object.assign(host, { isFrozen: false }));
+    let value = 0;
+    for (let count = 0; count < SETTLE_STEPS; count += 1) {
+      if (oracle.violations.length > 0 || hasSettled(value)) return;
+      if (!oracle.hasValue(value) && count % 400 === 0) value = propose(hosts[count % size]!);
+      await advance();
+    }
+    oracle.violations.push('the hosts did not settle');
+  };
+
+  hosts.forEach(startHost);
+  return {
+    hosts,
+    oracle,
+    cuts,
+    run,
+    settle,
+    propose,
+    startHost,
+    stopHost,
+    replaceDisk,
+    updateTrap: (next: Trap) => {
+      trap = next;
+    },
+    updateWeather: (next: Weather) => {
+      weather = next;
+    },
+  };
+};
+
+export type Simulation = ReturnType<typeof createSimulation>;
--- /dev/null
+++ b/src/node/replication/__tests__/simulationCommands.ts
@@ -0,0 +1,152 @@
+import fc, { type AsyncCommand } from 'fast-check';
+import { createSimulation, type Simulation, type SimulationOptions } from './simulation';
+
+interface Model {
+  readonly faults: number;
+}
+
+type Host = Simulation['hosts'][number];
+type Act = (simulation: Simulation, host: Host) => void;
+
+// Above the hosts' numbers a command means the host that leads at that moment.
+const LEADER_TARGETS = 4;
+const LARGEST_SIZE = 5;
+
+const chooseHost = ({ hosts }: Simulation, target: number): Host => {
+  const readLeaderTerm = ({ node }: Host): number =>
+    node?.status().role === 'leader' ? node.status().term : 0;
+  const leader = [...hosts].sort((a, b) => readLeaderTerm(b) - readLeaderTerm(a))[0]!;
+  return target >= LARGEST_SIZE ? leader : hosts[target % hosts.length]!;
+};
+
+const createCommand = (
+  title: string,
+  host: number,
+  steps: number,
+  act: Act,
+): AsyncCommand<Model, Simulation> => ({
+  check: () => true,
+  run: async (_, simulation) => {
+    act(simulation, chooseHost(simulation, host));
+    await simulation.run(steps);
+    const violation = simulation.oracle.violations[0];
+    if (violation !== undefined) throw new Error(violation);
+  },
+  toString: () => `${title}(${host}, ${steps})`,
+});
+
+const addCutsFrom = (simulation: Simulation, name: string): void =>
+  simulation.hosts.forEach((other) => simulation.cuts.add(`${name} ${other.name}`));
+
+const addCutsTo = (simulation: Simulation, name: string): void =>
+  simulation.hosts.forEach((other) => simulation.cuts.add(`${other.name} ${name}`));
+
+const ACTS: Readonly<Record<string, Act>> = {
+  run: () => {},
+  propose: (simulation, host) => {
+    for (let count = 0; count < 4; count += 1) simulation.propose(host);
+  },
+  proposeAtAll: (simulation) => simulation.hosts.forEach(simulation.propose),
+  read: (_, host) => {
+    host.node?.read();
+  },
+  readAtAll: (simulation) => simulation.hosts.forEach((host) => host.node?.read()),
+  kill: (simulation, host) => simulation.stopHost(host),
+  start: (simulation, host) => simulation.startHost(host),
+  startAll: (simulation) => simulation.hosts.forEach(simulation.startHost),
+  restart: (simulation, host) => {
+    simulation.stopHost(host);
+    simulation.startHost(host);
+  },
+  loseDisk: (simulation, host) => simulation.replaceDisk(host),
+  freeze: (_, host) => Object.assign(host, { isFrozen: true }),
+  thaw: (_, host) => Object.assign(host, { isFrozen: false }),
+  cutOutgoing: (simulation, host) => addCutsFrom(simulation, host.name),
+  cutIncoming: (simulation, host) => addCutsTo(simulation, host.name),
+  isolate: (simulation, host) => {
+    addCutsFrom(simulation, host.name);
+    addCutsTo(simulation, host.name);
+  },
+  heal: (simulation) => simulation.cuts.clear(),
+  killNextLeader: (simulation) => simulation.updateTrap('killLeader'),
+  restartAtElection: (simulation) => simulation.updateTrap('restartOthers'),
+  storm: (simulation) => simulation.updateWeather({ loss: 0.2, copies: 0.2, delay: 30 }),
+  slowNetwork: (simulation) => simulation.updateWeather({ loss: 0, copies: 0, delay: 80 }),
+  calm: (simulation) => simulation.updateWeather({ loss: 0, copies: 0, delay: 2 }),
+};
+
+type Weights = Readonly<Record<string, number>>;
+
+const MIXED_WEIGHTS: Weights = {
+  ...Object.fromEntries(Object.keys(ACTS).map((title) => [title, 1])),
+  propose: 4,
+  proposeAtAll: 3,
+  readAtAll: 3,
+  startAll: 3,
+  thaw: 3,
+  heal: 2,
+  calm: 2,
+  restart: 2,
+  freeze: 2,
+};
+
+const ELECTION_WEIGHTS: Weights = {
+  killNextLeader: 4,
+  restartAtElection: 4,
+  kill: 3,
+  startAll: 4,
+  slowNetwork: 2,
+  calm: 2,
+  proposeAtAll: 2,
+};
+
+const LONGEST_STEPS = 200;
+
+const createRunArbitrary = (weights: Weights) => {
+  const titles = Object.entries(weights).map(([title, weight]) => ({
+    arbitrary: fc.constant(title),
+    weight,
+  }));
+  const command = fc
+    .record({
+      title: fc.oneof(...titles),
+      host: fc.nat({ max: LARGEST_SIZE + LEADER_TARGETS - 1 }),
+      steps: fc.nat({ max: LONGEST_STEPS }),
+    })
+    .map(({ title, host, steps }) => createCommand(title, host, steps, ACTS[title]!));
+  return fc.record({
+    commands: fc.array(command, { minLength: 30, maxLength: 100, size: 'max' }),
+    seed: fc.integer({ min: 1, max: 1_000_000 }),
+    size: fc.constantFrom(3, 5),
+  });
+};
+
+/** Runs with every kind of fault; each carries the seed of its network. */
+export const mixedArbitrary = createRunArbitrary(MIXED_WEIGHTS);
+
+/** Runs of many elections on slow networks, with crashes at the moment of an election. */
+export const electionArbitrary = createRunArbitrary(ELECTION_WEIGHTS);
+
+/** What happened in a run. */
+export type Totals = ReturnType<Simulation['oracle']['countAll']>;
+
+const FORM_STEPS = 400;
+
+/** Runs commands against hosts that have formed a group, and checks that they settle. */
+export const runSimulation = async (
+  commands: Iterable<AsyncCommand<Model, Simulation>>,
+  options: SimulationOptions,
+  handleEnd: (totals: Totals) => void = () => {},
+): Promise<void> => {
+  const simulation = createSimulation(options);
+  const createSetup = async () => {
+    await simulation.run(FORM_STEPS);
+    return { model: { faults: 0 }, real: simulation };
+  };
+  await fc.asyncModelRun(createSetup, commands);
+  if (options.broken?.ignoresStoreIds) return;
+  await simulation.settle();
+  handleEnd(simulation.oracle.countAll());
+  const violation = simulation.oracle.violations[0];
+  if (violation !== undefined) throw new Error(violation);
+};
--- a/src/node/replication/core/core.ts
+++ b/src/node/replication/core/core.ts
@@ -57,7 +57,7 @@
   readonly receive: (message: Message) => void;
   readonly propose: (items: readonly Proposal[]) => ProposeOutcome;
   /** Begins a read with an id of the caller; false when no leader is known. */
-  readonly read: (id: number) => boolean;
+  readonly read: (id: string) => boolean;
   readonly replaceMember: (node: string, by: Omit<Peer, 'store'>) => ReplaceRefusal | undefined;
   /** Reports that the writes of a `Ready` are synced. */
   readonly handleStored: (stored: Ready['stored']) => void;
@@ -181,13 +181,15 @@
 const createReady = (state: CoreState): Ready | undefined => {
   if (!hasWork(state)) return undefined;
   const { term, vote, identity } = state;
+  // Nothing of a term leaves before the term itself is synced.
+  const isHeld = state.hasNewHardState || state.hasNewIdentity;
   const ready: Ready = {
-    urgent: state.urgent,
+    urgent: isHeld ? [] : state.urgent,
     identity: state.hasNewIdentity ? identity : undefined,
     install: state.install,
     hardState: state.hasNewHardState ? { term, vote } : undefined,
     entries: state.appended,
-    messages: state.messages,
+    messages: isHeld ? [...state.urgent, ...state.messages] : state.messages,
     commit: state.commit,
     reads: state.reads,
     stored: { term, index: state.log.lastIndex() },
--- a/src/node/replication/core/replicate.ts
+++ b/src/node/replication/core/replicate.ts
@@ -70,8 +70,9 @@
   }
   const isProbe = progress.mode === 'probe';
   if (isProbe && (progress.isWaiting || !isAnswering(state, progress))) return;
+  const count = state.options.batchEntries ?? BATCH_ENTRIES;
   while (progress.next <= state.log.lastIndex() && progress.inFlight.length < IN_FLIGHT_LIMIT) {
-    const entries = state.log.listBatch(progress.next, BATCH_ENTRIES, BATCH_CHARACTERS);
+    const entries = state.log.listBatch(progress.next, count, BATCH_CHARACTERS);
     sendAppend(state, member, progress, entries);
     Object.assign(progress, { isWaiting: true } satisfies Update);
     if (isProbe) return;
--- a/src/node/replication/core/state.ts
+++ b/src/node/replication/core/state.ts
@@ -34,7 +34,7 @@
 
 /** A read that waits for its round. */
 export interface PendingRead {
-  readonly id: number;
+  readonly id: string;
   /** Who asked; undefined for this process. */
   readonly origin: Peer | undefined;
 }
--- a/src/node/replication/core/types.ts
+++ b/src/node/replication/core/types.ts
@@ -132,13 +132,13 @@
 /** Asks the leader for a confirmed read point. */
 export interface ReadBody {
   readonly type: 'read';
-  readonly id: number;
+  readonly id: string;
 }
 
 /** Gives a confirmed read point. */
 export interface ReadAnswerBody {
   readonly type: 'readAnswer';
-  readonly id: number;
+  readonly id: string;
   readonly index: number;
 }
 
@@ -175,7 +175,7 @@
 
 /** A read that a quorum confirmed. */
 export interface ConfirmedRead {
-  readonly id: number;
+  readonly id: string;
   readonly index: number;
   readonly term: number;
 }
@@ -230,5 +230,7 @@
   readonly random: () => number;
   /** Gives a random id for a new group. */
   readonly createGroupId: () => string;
+  /** Most entries of one append; there is a default. */
+  readonly batchEntries?: number;
   readonly broken?: BrokenRules;
 }
--- a/src/node/replication/disk/store.ts
+++ b/src/node/replication/disk/store.ts
@@ -87,9 +87,9 @@
 };
 
 /** Keeps the entries above the snapshot; entries that do not join it are dropped. */
-const listAbove = (
+export const listAbove = (
   entries: readonly Entry[],
-  snapshot: Snapshot | undefined,
+  snapshot: Pick<Snapshot, 'index' | 'term'> | undefined,
 ): Either<string, readonly Entry[]> => {
   const index = snapshot?.index ?? 0;
   const first = entries[0]?.index ?? index + 1;
--- a/src/node/replication/readQueue.ts
+++ b/src/node/replication/readQueue.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { Left, Right, type Either } from 'purify-ts';
 import { createError, type RouterError } from '../errors';
 import type { ConfirmedRead, Core } from './core';
@@ -11,7 +12,7 @@
 }
 
 interface Round {
-  readonly id: number;
+  readonly id: string;
   readonly readers: readonly Reader[];
   readonly retryAt: number;
 }
@@ -41,6 +42,8 @@
 
 /** Creates the queue of reads. */
 export const createReadQueue = (core: Core): ReadQueue => {
+  // An answer to an earlier process of this host must not match a read of this one.
+  const session = randomUUID();
   let waiting: Reader[] = [];
   let round: Round | undefined;
   let confirmed: Confirmed[] = [];
@@ -50,8 +53,9 @@
   const send = (): void => {
     if (round || waiting.length === 0) return;
     nextId += 1;
-    if (!core.read(nextId)) return;
-    round = { id: nextId, readers: waiting, retryAt: tick + RETRY_TICKS };
+    const id = `${session}-${nextId}`;
+    if (!core.read(id)) return;
+    round = { id, readers: waiting, retryAt: tick + RETRY_TICKS };
     waiting = [];
   };
 
