--- a/src/node/dev/dev.ts
+++ b/src/node/dev/dev.ts
@@ -11,7 +11,12 @@
 import { createMetrics } from '../metrics';
 import { createRpcClient } from '../rpc';
 import { agentSettingsSchema, controlSettingsSchema, entrySettingsSchema } from '../settings';
-import { startStandinEngine, startStandinService } from '../standin';
+import {
+  startStandinEngine,
+  startStandinService,
+  type StandinEngine,
+  type StandinService,
+} from '../standin';
 import { createDevInventory } from './devInventory';
 
 /** Options of the quick start. */
@@ -26,6 +31,9 @@
   readonly address: string;
   readonly controlAddress: string;
   readonly operatorSecret: string;
+  /** Addresses of the stand-ins, whose records tests read. */
+  readonly engineAddress: string;
+  readonly serviceAddress: string;
   /** Every port that the roles listen on. */
   readonly ports: readonly string[];
   readonly stop: () => Promise<void>;
@@ -209,6 +217,8 @@
   const agents = ['agent-1', 'agent-2'].map((name) => kernel.find<AgentAddresses>(name));
   return {
     address,
+    engineAddress: kernel.find<StandinEngine>('engine').address,
+    serviceAddress: kernel.find<StandinService>('bookings').address,
     ports: [
       address,
       internalAddress,
--- a/src/node/entry/attemptClient.ts
+++ b/src/node/entry/attemptClient.ts
@@ -1,7 +1,7 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { Readable } from 'node:stream';
 import { createError, RouterError, type ErrorType, type RouterErrorFields } from '../errors';
 import type { RpcClient } from '../rpc';
+import { sleep, type Sleep } from './sleep';
 import {
   formatAttemptName,
   type AttemptConfirmation,
@@ -146,7 +146,7 @@
   return createError({ type: 'peer_failed', message, step: 'entry.dispatch', peer, outcome });
 };
 
-const createStreams = (rpc: RpcClient) => {
+const createStreams = (rpc: Pick<RpcClient, 'request'>) => {
   const openStream = async (
     address: string,
     attempt: AttemptRequest,
@@ -191,7 +191,7 @@
   return openOnce;
 };
 
-const createConfirmer = (rpc: RpcClient): AttemptClient['confirm'] => {
+const createConfirmer = (rpc: Pick<RpcClient, 'call'>): AttemptClient['confirm'] => {
   const waiting = new Map<string, AttemptConfirmation[]>();
   const sendConfirmations = (address: string): void => {
     const items = waiting.get(address) ?? [];
@@ -211,7 +211,10 @@
 const UNKNOWN_END: AttemptEnd = { type: 'ended', state: 'unknown' };
 
 /** Creates the client of one entry. */
-export const createAttemptClient = (rpc: RpcClient): AttemptClient => {
+export const createAttemptClient = (
+  rpc: Pick<RpcClient, 'call' | 'request' | 'replaceConnections'>,
+  wait: Sleep = sleep,
+): AttemptClient => {
   const openOnce = createStreams(rpc);
 
   async function* open(
@@ -233,7 +236,7 @@
         if (signal.aborted || failures > RESUME_TRIES) throw createLostError(cause, state, address);
         // The connection may have gone silent for good, so the next one must be new.
         rpc.replaceConnections(address);
-        await sleep(RESUME_PAUSE_MS * failures);
+        await wait(RESUME_PAUSE_MS * failures);
       }
     }
   }
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -11,6 +11,7 @@
 import { registerCallerApi, registerHealthRoutes, waitForIdle, waitForSettled } from './callerApi';
 import { createDeferredRunner } from './deferredRunner';
 import { createRequestRunner } from './requestRunner';
+import { sleep } from './sleep';
 import { createSettlement } from './settlement';
 import { createTargetChooser } from './targetChoice';
 
@@ -54,6 +55,7 @@
       settlement,
       chooser,
       policy: createPlainPolicy(),
+      wait: sleep,
       readOwner,
       answerTimeoutMs,
       streamBytes,
--- a/src/node/entry/keyHolder.ts
+++ b/src/node/entry/keyHolder.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { createError, type Outcome, type RouterError } from '../errors';
 import type { AttemptRecord, RequestRecord } from '../ledger';
 import type { AttemptRequest } from '../shared';
@@ -164,7 +163,7 @@
       const finished = await settleOrphan(parts, request, record);
       if (finished) return finished;
     } else {
-      await sleep(WAIT_STEP_MS);
+      await parts.wait(WAIT_STEP_MS);
     }
   }
   throw createHolderError(holder!.record, 'a request with this key still runs', 'unknown', 1);
--- a/src/node/entry/runContext.ts
+++ b/src/node/entry/runContext.ts
@@ -21,6 +21,7 @@
   type TrackedAttempt,
 } from './requestState';
 import type { RunRequest, WholeAnswer } from './runTypes';
+import type { Sleep } from './sleep';
 import { STORED_ANSWER_BYTES, type Settlement } from './settlement';
 import type { Choice, TargetChooser } from './targetChoice';
 
@@ -32,6 +33,7 @@
   readonly chooser: TargetChooser;
   readonly policy: AttemptPolicy;
   readonly readOwner: () => Owner;
+  readonly wait: Sleep;
   readonly answerTimeoutMs: number;
   /** Bytes of one answer, after which it is cut. */
   readonly streamBytes: number;
--- a/src/node/entry/settlement.ts
+++ b/src/node/entry/settlement.ts
@@ -1,5 +1,4 @@
 import { createHash } from 'node:crypto';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { createError, type Outcome, type RouterError } from '../errors';
 import {
   computeUsage,
@@ -15,6 +14,7 @@
 import type { Logger } from '../log';
 import type { TokenCounts } from '../shared';
 import type { View } from '../view';
+import { sleep, type Sleep } from './sleep';
 import { createSessionBinder } from './sessionBinder';
 import { EMPTY_REQUEST, listReports, type RequestState, type TrackedAttempt } from './requestState';
 import type { RunRequest } from './runTypes';
@@ -67,6 +67,7 @@
   readonly readOwner: () => Owner;
   readonly log: Logger;
   readonly readTime?: () => number;
+  readonly wait?: Sleep;
 }
 
 /** A stored answer may have this many bytes. */
@@ -116,7 +117,7 @@
   'timeout',
 ]);
 
-const createRetries = (ledger: SettlementOptions['ledger'], log: Logger) => {
+const createRetries = ({ ledger, log, wait = sleep }: SettlementOptions) => {
   let waiting = 0;
 
   const proposeEnd = async (command: LedgerCommand, outcome: Outcome): Promise<Outcome> => {
@@ -127,7 +128,7 @@
   const retryLater = async (command: LedgerCommand): Promise<void> => {
     waiting += 1;
     for (let tries = 0; tries < SETTLE_TRIES; tries += 1) {
-      await sleep(SETTLE_RETRY_MS, undefined, { ref: false });
+      await wait(SETTLE_RETRY_MS);
       const isDone = await ledger.propose(command).then(
         () => true,
         () => false,
@@ -156,7 +157,7 @@
 
 /** Creates the settlement of one entry. */
 export const createSettlement = (options: SettlementOptions): Settlement => {
-  const { ledger, view, readOwner, log, readTime = Date.now } = options;
+  const { ledger, view, readOwner, readTime = Date.now } = options;
   const claim: Settlement['claim'] = async (request) => {
     if (request.key === undefined || request.isDeferred) return undefined;
     const result = await ledger.propose({
@@ -190,7 +191,7 @@
     throw createError({ type: 'unavailable', message, step: 'entry.intent', outcome: 'not_run' });
   };
 
-  const { proposeOrRetry, countWaiting } = createRetries(ledger, log);
+  const { proposeOrRetry, countWaiting } = createRetries(options);
 
   const settle: Settlement['settle'] = async (request, state, end) => {
     const isBlank = state === EMPTY_REQUEST && request.key === undefined && !request.isDeferred;
