--- a/src/node/agent/index.ts
+++ b/src/node/agent/index.ts
@@ -3,3 +3,4 @@
 export * from './attemptStore';
 export * from './agentServer';
 export * from './agentServices';
+export * from './usageReporter';
--- /dev/null
+++ b/src/node/entry/__tests__/model/agents.ts
@@ -0,0 +1,217 @@
+import { Readable } from 'node:stream';
+import { createAttemptStore, createUsageReporter, type AttemptStore } from '../../../agent';
+import { formatErrorBody, type RouterError } from '../../../errors';
+import type { LedgerCommand } from '../../../ledger';
+import type { AttemptName, AttemptRequest } from '../../../shared';
+import type { Member } from '../../../view';
+import type { Network, Rules } from './network';
+
+/** One run in the engines' own record. */
+export interface EngineRun {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly body: string;
+  readonly version: string;
+  readonly node: string;
+  readonly incarnation: number;
+  tokens: number;
+}
+
+/** An agent with its engine; a restart gives it a new incarnation. */
+export interface ModelAgent {
+  readonly member: () => Member;
+  readonly isUp: () => boolean;
+  /** Aborted when the running incarnation is killed. */
+  readonly death: () => AbortSignal;
+  readonly store: () => AttemptStore;
+  /** Sends the usage reports that wait. */
+  readonly report: () => Promise<void>;
+  readonly freeze: () => void;
+  readonly kill: () => number;
+  readonly start: (incarnation: number) => void;
+}
+
+export const PIECES = 4;
+export const formatPiece = (body: string, index: number): string => `[${body}#${index}]`;
+
+const SLOTS = 2;
+const QUEUE_LIMIT = 6;
+const silent = { info: () => {}, warn: () => {}, error: () => {} } as never;
+const waitForEver = (): Promise<never> => new Promise(() => {});
+
+/** Creates an agent that is down until started. */
+export const createAgent = (
+  node: string,
+  network: Network,
+  runs: EngineRun[],
+  rules: Rules,
+  propose: (command: LedgerCommand) => Promise<never>,
+): ModelAgent => {
+  let incarnation = 0;
+  let hasLease = false;
+  let death = new AbortController();
+  let store: AttemptStore;
+  let sendReports = async (): Promise<void> => {};
+
+  const createMember = (): Member => ({
+    endpoint: `engine-${node}`,
+    node,
+    address: node,
+    incarnation,
+    host: node,
+    zone: 'zone',
+    serves: [],
+    slots: SLOTS,
+    checksFencing: false,
+    state: 'live',
+  });
+
+  const createStore = (own: number): AttemptStore => {
+    const isAlive = (): boolean => incarnation === own;
+    const reporter = createUsageReporter({
+      node,
+      ledger: { propose },
+      view: { find: () => undefined } as never,
+      log: silent,
+    });
+    sendReports = reporter.stop;
+    return createAttemptStore({
+      lease: {
+        isValid: () => isAlive() && hasLease,
+        incarnation: () => own,
+        view: {
+          find: (kind: string) =>
+            kind === 'model' ? { versions: [{ name: 'v1' }, { name: 'v2' }] } : undefined,
+        },
+      } as never,
+      announcements: {
+        find: () => ({ address: node }),
+        countSlots: () => SLOTS,
+      } as never,
+      queueLimit: QUEUE_LIMIT,
+      bufferBytes: 1_000_000,
+      reporter: {
+        add: (...report) => {
+          if (rules.agentReports && isAlive()) reporter.add(...report);
+        },
+      },
+      log: silent,
+      call: async ({ counts }, attempt) => {
+        if (!isAlive()) await waitForEver();
+        const { requestId, target, body, attempt: number } = attempt.request;
+        const version = target.kind === 'model' ? target.version : '';
+        const text = Buffer.from(body, 'base64').toString();
+        const run = { requestId, attempt: number, body: text, version, node, incarnation: own };
+        const record: EngineRun = { ...run, tokens: 0 };
+        runs.push(record);
+        await network.wait();
+        attempt.append({ type: 'head', status: 200, contentType: 'text/event-stream' });
+        for (let index = 0; index < PIECES; index += 1) {
+          await network.wait();
+          if (!isAlive()) await waitForEver();
+          if (attempt.abort.signal.aborted) throw new Error('cancelled');
+          const data = Buffer.from(formatPiece(text, index)).toString('base64');
+          attempt.append({ type: 'data', data });
+          record.tokens += 1;
+          Object.assign(counts, { outputTokens: record.tokens });
+        }
+        attempt.append({ type: 'end', ...counts });
+      },
+    });
+  };
+
+  return {
+    member: createMember,
+    isUp: () => incarnation !== 0,
+    death: () => death.signal,
+    store: () => store,
+    report: () => sendReports(),
+    freeze: () => {
+      hasLease = false;
+    },
+    kill: () => {
+      const old = incarnation;
+      incarnation = 0;
+      death.abort();
+      hasLease = false;
+      return old;
+    },
+    start: (next) => {
+      incarnation = next;
+      death = new AbortController();
+      hasLease = true;
+      store = createStore(next);
+    },
+  };
+};
+
+interface Answer {
+  readonly statusCode: number;
+  readonly body: unknown;
+}
+
+const formatRefusal = (cause: unknown): Answer => {
+  const body = formatErrorBody(cause as RouterError, '');
+  return { statusCode: 503, body: { json: async () => body } };
+};
+
+const CUT_PERCENT = 4;
+
+/** Answers an entry's HTTP request as the agent's internal port does. */
+export const replyToRequest = (
+  agent: ModelAgent,
+  network: Network,
+  rules: Rules,
+  options: { readonly path: string; readonly body?: unknown },
+): Answer => {
+  if (!agent.isUp()) throw Object.assign(new Error('refused'), { code: 'ECONNREFUSED' });
+  const death = agent.death();
+  const query = new URL(options.path, 'http://agent').searchParams;
+  const from = Number(query.get('from') ?? 0);
+  const find = () => {
+    const [, , requestId = '', attempt = ''] = options.path.split(/[/?]/);
+    const name = { requestId, attempt: Number(attempt) };
+    return agent.store().find({ ...name, incarnation: Number(query.get('incarnation')) });
+  };
+  try {
+    const attempt =
+      options.body === undefined
+        ? find()
+        : agent.store().admit(JSON.parse(String(options.body)) as AttemptRequest);
+    if (!attempt)
+      throw Object.assign(new Error('unknown'), { type: 'not_found', outcome: 'unknown' });
+    async function* readLines(): AsyncGenerator<Buffer> {
+      // Without the numbers, a resumed stream starts at the head again and looks new.
+      const first = rules.numbering ? from : 0;
+      for await (const frame of attempt!.read(first, death)) {
+        await network.wait();
+        if (death.aborted || network.hasChance(CUT_PERCENT)) throw new Error('the stream was cut');
+        const index = rules.numbering ? frame.index : frame.index + from;
+        yield Buffer.from(`${JSON.stringify({ ...frame, index })}\n`);
+      }
+      if (death.aborted) throw new Error('the agent is gone');
+    }
+    return { statusCode: 200, body: Readable.from(readLines()) };
+  } catch (cause) {
+    return formatRefusal(cause);
+  }
+};
+
+/** Answers the methods of an agent. */
+export const replyToMethod = async (
+  agent: ModelAgent,
+  rules: Rules,
+  method: string,
+  params: unknown,
+): Promise<unknown> => {
+  if (!agent.isUp()) throw new Error('refused');
+  const store = agent.store();
+  if (method === 'attempt.confirm') {
+    const { items } = params as { readonly items: readonly AttemptName[] };
+    return items.forEach(store.confirm);
+  }
+  // Without tombstones an agent says only what it sees now.
+  const name = params as AttemptName;
+  if (!rules.tombstones && !store.find(name)) return { type: 'ended', state: 'never' };
+  return method === 'attempt.cancel' ? store.cancel(name) : store.refuse(name);
+};
--- /dev/null
+++ b/src/node/entry/__tests__/model/network.ts
@@ -0,0 +1,83 @@
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+
+/** Which rules hold in a run of the model; each is switched off in a test of its check. */
+export interface Rules {
+  readonly claims: boolean;
+  readonly tombstones: boolean;
+  readonly agentReports: boolean;
+  readonly firstReport: boolean;
+  readonly numbering: boolean;
+  readonly bindings: boolean;
+}
+
+/** All rules in force. */
+export const ALL_RULES: Rules = {
+  claims: true,
+  tombstones: true,
+  agentReports: true,
+  firstReport: true,
+  numbering: true,
+  bindings: true,
+};
+
+/** A seeded network: every message takes some turns, and may be lost on either way. */
+export interface Network {
+  readonly draw: (below: number) => number;
+  readonly hasChance: (percent: number) => boolean;
+  /** Waits some turns of the loop. */
+  readonly wait: (turns?: number) => Promise<void>;
+  /** Carries a message and its answer, or throws what a broken connection throws. */
+  readonly call: <T>(deliver: () => T | Promise<T>) => Promise<T>;
+  /** No message is lost from now on. */
+  readonly calm: () => void;
+}
+
+const LOSS_PERCENT = 6;
+const MAX_TURNS = 5;
+const LATE_TURNS = 60;
+
+const waitTurn = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+/** Creates a network from a seed. */
+export const createNetwork = (seed: number): Network => {
+  const generator = xoroshiro128plus(seed);
+  let isCalm = false;
+  const sampleBelow = (below: number): number =>
+    unsafeUniformIntDistribution(0, below - 1, generator);
+  const hasChance = (percent: number): boolean => !isCalm && sampleBelow(100) < percent;
+
+  const wait = async (turns = sampleBelow(MAX_TURNS)): Promise<void> => {
+    for (let turn = 0; turn < turns; turn += 1) await waitTurn();
+  };
+
+  // A message whose sender has given up may still arrive much later.
+  const sendLate = async (deliver: () => unknown): Promise<void> => {
+    await wait(sampleBelow(LATE_TURNS));
+    await deliver();
+  };
+
+  const call = async <T>(deliver: () => T | Promise<T>): Promise<T> => {
+    await wait();
+    if (hasChance(LOSS_PERCENT)) {
+      if (hasChance(50)) sendLate(deliver).catch(() => {});
+      throw new Error('the connection broke');
+    }
+    const answer = await deliver();
+    await wait();
+    if (hasChance(LOSS_PERCENT)) throw new Error('the answer was lost');
+    return answer;
+  };
+
+  return {
+    draw: sampleBelow,
+    hasChance,
+    wait,
+    call,
+    calm: () => {
+      isCalm = true;
+    },
+  };
+};
--- /dev/null
+++ b/src/node/entry/__tests__/model/runModel.ts
@@ -0,0 +1,289 @@
+import { Left, Right } from 'purify-ts';
+import { createError, type RouterError } from '../../../errors';
+import {
+  createLedgerState,
+  type LedgerCommand,
+  type LedgerState,
+  type Owner,
+} from '../../../ledger';
+import { createAttemptClient } from '../../attemptClient';
+import { createPlainPolicy } from '../../attemptPolicy';
+import { createRequestRunner, type RequestRunner } from '../../requestRunner';
+import type { RunRequest } from '../../runTypes';
+import { createSettlement } from '../../settlement';
+import {
+  replyToMethod,
+  replyToRequest,
+  createAgent,
+  type EngineRun,
+  type ModelAgent,
+} from './agents';
+import { createNetwork, type Network, type Rules } from './network';
+
+/** One call of a caller: a retry with the same key is a call of its own. */
+export interface CallRecord {
+  readonly requestId: string;
+  readonly body: string;
+  readonly key?: string;
+  readonly session?: string;
+  readonly idempotent: boolean;
+  readonly answer?: string;
+  readonly version?: string;
+  readonly error?: RouterError;
+}
+
+/** What the oracle judges. */
+export interface History {
+  readonly calls: readonly CallRecord[];
+  readonly runs: readonly EngineRun[];
+  readonly ledger: LedgerState;
+  /** Incarnations of agents that were up at the end. */
+  readonly live: ReadonlySet<number>;
+}
+
+interface ModelEntry {
+  readonly runner: RequestRunner;
+  readonly owner: Owner;
+  readonly stop: () => void;
+}
+
+const ORGANISATION = { name: 'north', weight: 1 };
+const VERSIONS = ['v1', 'v2'] as const;
+const REQUESTS = 5;
+const TRIES = 3;
+const HOUR_MS = 3_600_000;
+const silent = { info: () => {}, warn: () => {}, error: () => {} } as never;
+
+const createReportFilter = (rules: Rules, command: LedgerCommand, count: number): LedgerCommand => {
+  if (rules.firstReport || command.type !== 'report') return command;
+  // Without the rule, each report of an attempt is a line of its own.
+  return { ...command, report: { ...command.report, attempt: 100 + count } };
+};
+
+/** Runs requests, faults and retries on the real cores; a seed gives one history. */
+export const runModel = async (seed: number, rules: Rules): Promise<History> => {
+  const network: Network = createNetwork(seed);
+  const ledger = createLedgerState();
+  const runs: EngineRun[] = [];
+  const calls: CallRecord[] = [];
+  let nextIncarnation = 0;
+  let nextRequest = 0;
+  let reports = 0;
+
+  const createIncarnation = (): number => {
+    nextIncarnation += 1;
+    return nextIncarnation;
+  };
+
+  const propose = (command: LedgerCommand) =>
+    network
+      .call(() => {
+        reports += 1;
+        return ledger.apply(reports, createReportFilter(rules, command, reports));
+      })
+      .catch((cause: Error) => {
+        const { message } = cause;
+        throw createError({ type: 'unavailable', message, step: 'ledger', outcome: 'unknown' });
+      });
+
+  const agents = ['agent-1', 'agent-2', 'agent-3'].map((node) =>
+    createAgent(node, network, runs, rules, propose as never),
+  );
+  agents.forEach((agent) => agent.start(createIncarnation()));
+  const findAgent = (address: string): ModelAgent =>
+    agents.find((agent) => agent.member().node === address)!;
+
+  const view = {
+    find: () => undefined,
+    list: () => agents.filter((agent) => agent.isUp()).map((agent) => agent.member()),
+  };
+
+  const createEntry = (node: string): ModelEntry => {
+    const owner = { node, incarnation: createIncarnation() };
+    let isLive = true;
+    let hasProcess = true;
+    const checkProcess = (): void => {
+      if (!hasProcess) throw new Error('this process is gone');
+    };
+    const client = createAttemptClient(
+      {
+        request: async (address, options) => {
+          checkProcess();
+          const { path, body } = options;
+          return network.call(() =>
+            replyToRequest(findAgent(address), network, rules, { path, body }),
+          ) as never;
+        },
+        call: async (address, method, params) => {
+          try {
+            checkProcess();
+            const callAgent = () => replyToMethod(findAgent(address), rules, method, params);
+            return Right((await network.call(callAgent)) as never);
+          } catch (cause) {
+            return Left(cause as RouterError);
+          }
+        },
+        replaceConnections: () => {},
+      },
+      () => network.wait(),
+    );
+    const readOwner = (): Owner => owner;
+    const settlement = createSettlement({
+      ledger: {
+        propose: async (command) => {
+          checkProcess();
+          return propose(command);
+        },
+        find: async () => undefined,
+      },
+      view: view as never,
+      readOwner,
+      log: silent,
+      wait: () => network.wait(20),
+    });
+    const chooser = {
+      choose: (
+        _request: RunRequest,
+        bound: { version: string } | undefined,
+        excluded: Set<string>,
+      ) => {
+        const free = agents.map((agent) => agent.member()).filter((m) => !excluded.has(m.endpoint));
+        const member = free[network.draw(Math.max(free.length, 1))];
+        if (!member) throw createError({ type: 'unavailable', message: 'none', step: 'choose' });
+        const version = bound?.version ?? VERSIONS[network.draw(2)]!;
+        return { model: 'm', version, member, reason: '' };
+      },
+      updateLoad: () => {},
+      log: () => {},
+    };
+    const runner = createRequestRunner({
+      client,
+      lease: { isValid: () => isLive, incarnation: () => owner.incarnation, view } as never,
+      settlement: {
+        ...settlement,
+        claim: rules.claims ? settlement.claim : async () => undefined,
+        bindSession: rules.bindings ? settlement.bindSession : async (_request, wanted) => wanted,
+      },
+      chooser: chooser as never,
+      policy: createPlainPolicy(),
+      readOwner,
+      wait: () => network.wait(8),
+      answerTimeoutMs: HOUR_MS,
+      streamBytes: 1_000_000,
+      inFlight: 100,
+    });
+    return {
+      runner,
+      owner,
+      stop: () => {
+        isLive = false;
+        // A frozen process comes back without its lease; a killed one never does.
+        hasProcess = network.draw(2) === 0;
+      },
+    };
+  };
+
+  const entries = [createEntry('entry-1'), createEntry('entry-2')];
+
+  const settleIncarnation = async (node: string, incarnation: number): Promise<void> => {
+    await network.wait(network.draw(30));
+    ledger.apply(0, { type: 'endIncarnation', node, below: incarnation + 1, at: Date.now() });
+  };
+
+  const stopEntry = async (): Promise<void> => {
+    const index = network.draw(entries.length);
+    const old = entries[index]!;
+    old.stop();
+    entries[index] = createEntry(old.owner.node);
+    await settleIncarnation(old.owner.node, old.owner.incarnation);
+  };
+
+  const stopAgent = async (): Promise<void> => {
+    const agent = agents[network.draw(agents.length)]!;
+    if (!agent.isUp()) return;
+    const { node } = agent.member();
+    if (network.draw(3) === 0) agent.freeze();
+    await network.wait(network.draw(10));
+    if (!agent.isUp()) return;
+    const old = agent.kill();
+    await network.wait(network.draw(10));
+    agent.start(createIncarnation());
+    await settleIncarnation(node, old);
+  };
+
+  const readAnswer = async (request: RunRequest, entry: ModelEntry, leaves: AbortController) => {
+    const answer = await entry.runner.run(request);
+    const pieces: Buffer[] = [];
+    for await (const piece of answer.pieces) {
+      pieces.push(piece);
+      if (request.key === undefined && network.hasChance(3)) leaves.abort();
+    }
+    return { answer: Buffer.concat(pieces).toString(), version: answer.version };
+  };
+
+  const callOnce = async (fields: Omit<CallRecord, 'requestId'>): Promise<CallRecord> => {
+    nextRequest += 1;
+    const requestId = `r${nextRequest}`;
+    const leaves = new AbortController();
+    const request = {
+      ...fields,
+      requestId,
+      organisation: ORGANISATION,
+      task: { class: 'normal' },
+      model: 'm',
+      keepsAnswer: fields.key !== undefined,
+      isWhole: network.draw(2) === 0,
+      isDeferred: false,
+      firstAttempt: 0,
+      method: 'POST',
+      path: '/',
+      headers: {},
+      body: Buffer.from(fields.body),
+      signal: leaves.signal,
+    } as unknown as RunRequest;
+    const entry = entries[network.draw(entries.length)]!;
+    try {
+      return { ...fields, requestId, ...(await readAnswer(request, entry, leaves)) };
+    } catch (cause) {
+      return { ...fields, requestId, error: cause as RouterError };
+    }
+  };
+
+  const runCaller = async (index: number): Promise<void> => {
+    const key = network.draw(2) === 0 ? `key-${index}` : undefined;
+    const session = network.draw(2) === 0 ? 'session' : undefined;
+    const fields = { body: `body-${index}`, key, session, idempotent: network.draw(2) === 0 };
+    await network.wait(network.draw(40));
+    for (let tries = 0; tries < TRIES; tries += 1) {
+      const record = await callOnce(fields);
+      calls.push(record);
+      if (record.answer !== undefined || key === undefined) return;
+      await network.wait(network.draw(20));
+    }
+  };
+
+  const runFaults = async (): Promise<void> => {
+    for (let fault = 0; fault < 3; fault += 1) {
+      await network.wait(network.draw(60));
+      await (network.draw(2) === 0 ? stopEntry() : stopAgent());
+      await Promise.all(agents.map((agent) => agent.report()));
+    }
+  };
+
+  // All that runs comes to its end, and the ledger hears of it.
+  const drainAll = async (): Promise<void> => {
+    network.calm();
+    await network.wait(400);
+    await Promise.all(agents.map((agent) => agent.report()));
+    await network.wait(50);
+    ledger.apply(0, { type: 'expire', at: Date.now() });
+  };
+
+  await Promise.all([
+    runFaults(),
+    ...Array.from({ length: REQUESTS }, (_value, index) => runCaller(index)),
+  ]);
+  await drainAll();
+  const live = new Set(agents.map((agent) => agent.member().incarnation));
+  return { calls, runs, ledger, live };
+};
--- a/src/node/entry/attemptClient.ts
+++ b/src/node/entry/attemptClient.ts
@@ -191,19 +191,20 @@
   return openOnce;
 };
 
-const createConfirmer = (rpc: Pick<RpcClient, 'call'>): AttemptClient['confirm'] => {
+const createConfirmer = (rpc: Pick<RpcClient, 'call'>, wait: Sleep): AttemptClient['confirm'] => {
   const waiting = new Map<string, AttemptConfirmation[]>();
-  const sendConfirmations = (address: string): void => {
+  const sendConfirmations = async (address: string): Promise<void> => {
+    await wait(CONFIRM_DELAY_MS);
     const items = waiting.get(address) ?? [];
     waiting.delete(address);
-    rpc.call(address, 'attempt.confirm', { items }).catch(() => {});
+    await rpc.call(address, 'attempt.confirm', { items });
   };
   return (address, item) => {
     const items = waiting.get(address);
     if (items) items.push(item);
     else {
       waiting.set(address, [item]);
-      setTimeout(() => sendConfirmations(address), CONFIRM_DELAY_MS);
+      sendConfirmations(address).catch(() => {});
     }
   };
 };
@@ -254,6 +255,6 @@
     open,
     refuse: (address, name) => callEnd('attempt.refuse', address, name),
     cancel: (address, name) => callEnd('attempt.cancel', address, name),
-    confirm: createConfirmer(rpc),
+    confirm: createConfirmer(rpc, wait),
   };
 };
--- a/src/node/entry/runContext.ts
+++ b/src/node/entry/runContext.ts
@@ -222,9 +222,13 @@
 ): Promise<Omit<OpenAttempt, 'release'>> => {
   const { request } = run;
   const { address } = tracked;
-  const intent = parts.settlement.recordIntent(request, tracked);
-  if (!request.idempotent) await intent;
   checkLease(parts);
+  const intent = parts.settlement.recordIntent(request, tracked);
+  if (!request.idempotent) {
+    await intent;
+    // The lease may have run out while the intent was written.
+    checkLease(parts);
+  }
   const message = createAttemptRequest(parts, request, choice, tracked.attempt);
   const frames = parts.client.open(address, message, request.signal);
   const [first, recorded] = await Promise.allSettled([frames.next(), intent]);
