--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -56,7 +56,7 @@
     registerAttemptRoutes(internal, store, settings.secrets.internal);
     registerAnnounceRoute(announcePort, announcements.add);
     const address = await startHttpServer(internal, settings.listen);
-    await lease.start(address);
+    await lease.start(settings.advertise ?? address);
     const announceAddress = await startHttpServer(announcePort, settings.announceListen);
     reporter.start();
     announcer.start();
