--- a/src/node/control/controlApi.ts
+++ b/src/node/control/controlApi.ts
@@ -94,6 +94,7 @@
     const applied = await Promise.all(commands.map((command) => parts.ledger.propose(command)));
     return applied.map((item) => item.unsafeCoerce().result);
   }),
+  'ledger.countQueues': createMethod(z.strictObject({}), () => parts.ledgerState.countQueues()),
   'ledger.find': createMethod(ledgerFindParams, async ({ organisation, requestId }) => {
     (await parts.ledger.confirmRead()).unsafeCoerce();
     return parts.ledgerState.findRequest(organisation, requestId) ?? null;
--- /dev/null
+++ b/src/node/control/ledgerUpkeep.ts
@@ -0,0 +1,66 @@
+import type { Owner } from '../ledger';
+import type { ControlParts } from './controlApi';
+
+/** Tells the ledger which processes are gone and what time it is, on the ledger's leader. */
+export interface LedgerUpkeep {
+  readonly start: () => void;
+  readonly stop: () => void;
+  /** Ends the incarnations that are in the ledger but no longer registered. */
+  readonly settleGone: () => Promise<void>;
+}
+
+const CHECK_INTERVAL_MS = 1_000;
+const EXPIRE_INTERVAL_MS = 30_000;
+
+/** Creates the upkeep of one control host. */
+export const createLedgerUpkeep = (parts: ControlParts): LedgerUpkeep => {
+  const { config, configState, ledger, ledgerState, log } = parts;
+  let timer: NodeJS.Timeout | undefined;
+  let lastExpiry = 0;
+  let isStopped = false;
+
+  const isGone = ({ node, incarnation }: Owner): boolean =>
+    configState.findNode(node)?.incarnation !== incarnation;
+
+  const settleIncarnation = async ({ node, incarnation }: Owner): Promise<void> => {
+    log.info({ peer: node, incarnation }, 'incarnation is gone, its requests are settled');
+    const below = incarnation + 1;
+    await ledger.propose({ type: 'endIncarnation', node, below, at: Date.now() });
+  };
+
+  // The owners are listed first: whoever is among them had registered before the read.
+  const settleGone = async (): Promise<void> => {
+    const owners = ledgerState.listOpenOwners();
+    if (owners.length === 0) return;
+    const read = await config.confirmRead();
+    if (read.isLeft()) return;
+    for (const owner of owners.filter(isGone)) await settleIncarnation(owner);
+  };
+
+  const run = async (): Promise<void> => {
+    if (ledger.status().role !== 'leader') return;
+    await settleGone();
+    const now = Date.now();
+    if (now - lastExpiry < EXPIRE_INTERVAL_MS) return;
+    lastExpiry = now;
+    await ledger.propose({ type: 'expire', at: now });
+  };
+
+  const schedule = (): void => {
+    if (isStopped) return;
+    timer = setTimeout(() => {
+      run()
+        .catch(() => {})
+        .finally(schedule);
+    }, CHECK_INTERVAL_MS);
+  };
+
+  return {
+    start: schedule,
+    stop: () => {
+      isStopped = true;
+      clearTimeout(timer);
+    },
+    settleGone,
+  };
+};
