Wire grants, ratings, estimates and roll-outs into the entry and control

Cause: the decisions were pure functions that nothing drove. Change: one exchange a second between entry and the config leader (followers pass it on): demand and whole cells of counts up, grants, the other entries' counts and this entry's part of the false halt rate down. Control confirms its leadership by a quorum before each grant; a new leader lets nothing grow until every registered entry has told what it holds. Roll-outs: advance and withdrawal are committed by the judge without a person; advanceRollout is conditional on the state that was judged, so it cannot undo an operator's pause. setRollout gives a roll-out its id, withdraw ends it. Request path (owner: requests): admit and release under the cap, one retry budget also for hedges, rating of a sampled share, of explorations and of new versions, cascade hook, outcome records. Not shown by a run yet: a live roll-out. Conclusion: the live path uses the same functions that the measurements will drive.

--- a/src/node/control/configState.ts
+++ b/src/node/control/configState.ts
@@ -60,6 +60,8 @@
       readonly changeId: string;
       readonly rollout: Rollout;
     }
+  /** Moves a roll-out on, unless it has changed since the judge saw it. */
+  | { readonly type: 'advanceRollout'; readonly from: Rollout; readonly to: Rollout }
   | {
       readonly type: 'register';
       readonly node: string;
@@ -246,6 +248,19 @@
   }
 };
 
+const findRollout = (tables: Tables, model: string): Rollout | undefined =>
+  tables.entries.get(formatKey('rollout', model))?.value as Rollout | undefined;
+
+const isUnderWay = (rollout: Rollout): boolean =>
+  rollout.state === 'running' || rollout.state === 'paused';
+
+// A finished roll-out ends too, so that new sessions go back to the version before it.
+const stopRollout = (tables: Tables, { model, version, reason }: Withdrawal): void => {
+  const rollout = findRollout(tables, model);
+  if (rollout?.to !== version || rollout.state === 'aborted') return;
+  writeEntry(tables, 'rollout', model, { ...rollout, state: 'aborted', reason });
+};
+
 const handlers: Handlers = {
   putInventory: (tables, command) => {
     if (command.base !== tables.inventoryRevision) {
@@ -261,6 +276,7 @@
   withdraw: (tables, command) => {
     const { model, version } = command.withdrawal;
     writeEntry(tables, 'withdrawal', formatVersionName(model, version), command.withdrawal);
+    stopRollout(tables, command.withdrawal);
     return formatAccepted(tables);
   },
   restore: (tables, command) => {
@@ -269,9 +285,20 @@
     return formatAccepted(tables);
   },
   setRollout: (tables, command) => {
-    writeEntry(tables, 'rollout', command.rollout.model, command.rollout);
+    const { rollout, changeId: id } = command;
+    const known = findRollout(tables, rollout.model);
+    const isSame = known?.to === rollout.to && isUnderWay(known);
+    const next = { ...rollout, id: isSame ? known.id : id };
+    writeEntry(tables, 'rollout', rollout.model, next);
     return formatAccepted(tables);
   },
+  advanceRollout: (tables, { from, to }) => {
+    const known = findRollout(tables, from.model);
+    const isCurrent =
+      known?.id === from.id && known?.step === from.step && known?.state === from.state;
+    if (isCurrent) writeEntry(tables, 'rollout', to.model, to);
+    return { type: 'done', revision: tables.revision };
+  },
   register: (tables, command) => {
     const { node, role, zone, host, address, bootId } = command;
     const known = tables.nodes.get(node);
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -10,6 +10,7 @@
 import { createControlMethods, type ControlParts } from './controlApi';
 import { createLedgerUpkeep } from './ledgerUpkeep';
 import { createMembers, type Members } from './members';
+import { createPolicyMethods, createPolicyService, type PolicyService } from './policy';
 
 const DISK_FAILURE_EXIT = 1;
 
@@ -50,16 +51,19 @@
   },
 });
 
+const createFindLeader =
+  (parts: ControlParts, settings: ControlSettings) => (): string | undefined => {
+    const { leader, leaderAddress } = parts.config.status();
+    return leader === settings.node || leader === '' ? undefined : leaderAddress;
+  };
+
 const createMembersService = (settings: ControlSettings): Service => ({
   name: 'members',
   needs: ['groups'],
   start: (find) => {
     const parts = find<ControlParts>('groups');
     const rpc = createRpcClient({ secret: settings.secrets.internal });
-    const findLeaderAddress = (): string | undefined => {
-      const { leader, leaderAddress } = parts.config.status();
-      return leader === settings.node || leader === '' ? undefined : leaderAddress;
-    };
+    const findLeaderAddress = createFindLeader(parts, settings);
     const value = createMembers({ parts, rpc, findLeaderAddress });
     value.start();
     return {
@@ -72,6 +76,25 @@
   },
 });
 
+const createPolicyControlService = (settings: ControlSettings): Service => ({
+  name: 'policy',
+  needs: ['groups'],
+  start: (find) => {
+    const parts = find<ControlParts>('groups');
+    const rpc = createRpcClient({ secret: settings.secrets.internal });
+    const findLeaderAddress = createFindLeader(parts, settings);
+    const value = createPolicyService({ parts, rpc, findLeaderAddress });
+    value.start();
+    return {
+      value,
+      stop: async () => {
+        value.stop();
+        await rpc.close();
+      },
+    };
+  },
+});
+
 const createUpkeepService = (): Service => ({
   name: 'ledger-upkeep',
   needs: ['groups'],
@@ -84,7 +107,7 @@
 
 const createControlServerService = (settings: ControlSettings): Service => ({
   name: 'control-server',
-  needs: ['groups', 'members', 'replication'],
+  needs: ['groups', 'members', 'policy', 'replication'],
   start: async (find) => {
     const parts = find<ControlParts>('groups');
     const { operator } = settings.secrets;
@@ -99,6 +122,7 @@
     const members = find<Members>('members');
     const methods = {
       ...createControlMethods(parts, members),
+      ...createPolicyMethods(find<PolicyService>('policy')),
       ...find<ReplicationHost>('replication').methods,
     };
     registerRpc(app, methods, settings.secrets.internal);
@@ -114,6 +138,7 @@
   createReplicationService(settings),
   createGroupsService(settings),
   createMembersService(settings),
+  createPolicyControlService(settings),
   createUpkeepService(),
   createControlServerService(settings),
 ];
--- /dev/null
+++ b/src/node/control/policy/cellStore.ts
@@ -0,0 +1,91 @@
+import {
+  computeDecay,
+  computeScaledTally,
+  EMPTY_TALLY,
+  formatCellName,
+  mergeTallies,
+  removeTally,
+  type CellName,
+  type CellTally,
+  type Tally,
+} from '../../decisions';
+
+/** What all entries saw, per cell, as soft state. */
+export interface CellStore {
+  /** Replaces what one entry saw of a cell. */
+  readonly update: (node: string, cell: Omit<CellTally, 'at'>, now: number) => void;
+  /** Lists what the other entries saw of the cells that changed since this entry last asked. */
+  readonly listChanged: (node: string, now: number) => readonly Omit<CellTally, 'at'>[];
+  readonly removeNode: (node: string) => void;
+}
+
+interface Part {
+  readonly tally: Tally;
+  readonly at: number;
+}
+
+interface Cell {
+  readonly name: CellName;
+  readonly parts: Map<string, Part>;
+  total: Tally;
+  totalAt: number;
+  version: number;
+}
+
+/** Below this many ratings and requests a cell says nothing any more. */
+const SMALLEST_COUNT = 0.01;
+
+/** Creates an empty store; times are in milliseconds on one monotonic clock. */
+export const createCellStore = (halfLifeMs: number): CellStore => {
+  const cells = new Map<string, Cell>();
+  const seen = new Map<string, number>();
+  let version = 0;
+
+  const readAged = (part: Part | undefined, now: number): Tally =>
+    part ? computeScaledTally(part.tally, computeDecay(now - part.at, halfLifeMs)) : EMPTY_TALLY;
+
+  const acquireCell = (name: CellName, now: number): Cell => {
+    const key = formatCellName(name);
+    const known = cells.get(key);
+    if (known) return known;
+    const cell = { name, parts: new Map(), total: EMPTY_TALLY, totalAt: now, version: 0 };
+    cells.set(key, cell);
+    return cell;
+  };
+
+  const readTotal = (cell: Cell, now: number): Tally =>
+    readAged({ tally: cell.total, at: cell.totalAt }, now);
+
+  const update: CellStore['update'] = (node, { name, tally }, now) => {
+    const cell = acquireCell(name, now);
+    const before = readAged(cell.parts.get(node), now);
+    cell.total = mergeTallies(removeTally(readTotal(cell, now), before), tally);
+    cell.totalAt = now;
+    cell.parts.set(node, { tally, at: now });
+    version += 1;
+    cell.version = version;
+  };
+
+  const listChanged: CellStore['listChanged'] = (node, now) => {
+    const since = seen.get(node) ?? 0;
+    seen.set(node, version);
+    const changed = [...cells.values()].filter((cell) => cell.version > since);
+    return changed.map((cell) => ({
+      name: cell.name,
+      tally: removeTally(readTotal(cell, now), readAged(cell.parts.get(node), now)),
+    }));
+  };
+
+  const removeNode = (node: string): void => {
+    seen.delete(node);
+    for (const [key, cell] of cells) {
+      const part = cell.parts.get(node);
+      // The counts of an entry that ended stay known, as nobody's own.
+      cell.parts.delete(node);
+      const isEmpty = cell.total.requests + cell.total.scores < SMALLEST_COUNT;
+      if (part && cell.parts.size === 0 && isEmpty) cells.delete(key);
+    }
+  };
+
+  return { update, listChanged, removeNode };
+};
--- /dev/null
+++ b/src/node/control/policy/index.ts
@@ -0,0 +1,3 @@
+export * from './cellStore';
+export * from './policyService';
+export * from './rolloutGuard';
--- a/src/node/decisions/__tests__/overload.test.ts
+++ b/src/node/decisions/__tests__/overload.test.ts
@@ -16,7 +16,7 @@
 test('repeated runs stay within the budget', (t) => {
   fc.assert(
     fc.property(fc.array(fc.boolean(), { maxLength: 2_000 }), (events) => {
-      const budget = createRetryBudget(0.1);
+      const budget = createRetryBudget(() => 0.1);
       let firsts = 0;
       let repeats = 0;
       for (const isFirst of events) {
--- a/src/node/decisions/grantHolder.ts
+++ b/src/node/decisions/grantHolder.ts
@@ -124,11 +124,12 @@
   };
 
   const acquire: GrantHolder['acquire'] = (organisation, tokens, isCapped, now) => {
+    if (!isCapped) return undefined;
     const slot = acquireSlot(organisation, now);
     advanceSlot(slot, now);
     slot.arrivedRequests += 1;
     slot.arrivedTokens += tokens;
-    const refusal = isCapped ? findRefusal(slot, tokens, now) : undefined;
+    const refusal = findRefusal(slot, tokens, now);
     if (refusal) {
       isWanting = isWanting || readGrant(slot, now) === undefined;
       if (refusal.part === 'inFlight') slot.refusedInFlight += 1;
@@ -177,7 +178,8 @@
     },
     acquire,
     release: (organisation, unusedTokens, now) => {
-      const slot = acquireSlot(organisation, now);
+      const slot = slots.get(organisation);
+      if (!slot) return;
       advanceSlot(slot, now);
       slot.inFlight = Math.max(0, slot.inFlight - 1);
       if (readGrant(slot, now)) slot.tokens.level += unusedTokens;
--- a/src/node/decisions/learning.ts
+++ b/src/node/decisions/learning.ts
@@ -31,6 +31,8 @@
   /** Says why a roll-out is stopped here, if it is. */
   readonly findBrake: (rollout: Rollout) => string | undefined;
   readonly listRollouts: () => readonly RolloutReport[];
+  /** Puts another false brake rate in force, as the number of entries changes. */
+  readonly updateFalseBrakeRate: (rate: number) => void;
   /** Forgets the roll-outs that are not among the given ones. */
   readonly removeOtherRollouts: (rollouts: readonly Rollout[]) => void;
 }
@@ -47,6 +49,9 @@
   brake: string | undefined;
 }
 
+/** Part of the false halt rate that all entries' brakes use up together; control uses the rest. */
+export const BRAKE_PART = 0.3;
+
 /** Part of the past that stays after a change was detected. */
 const WEIGHT_AFTER_CHANGE = 0.1;
 
@@ -65,7 +70,8 @@
 
 /** Creates what a process knows before its first request. */
 export const createLearning = (options: LearningOptions): Learning => {
-  const { halfLifeMs, falseBrakeRate } = options;
+  const { halfLifeMs } = options;
+  let { falseBrakeRate } = options;
   const estimates = createEstimates({ halfLifeMs });
   const detectors = new Map<string, DetectorState>();
   const rollouts = new Map<string, RolloutSlot>();
@@ -126,6 +132,9 @@
         cells: [...slot.cells.values()],
         brake: slot.brake,
       })),
+    updateFalseBrakeRate: (rate) => {
+      falseBrakeRate = rate;
+    },
     removeOtherRollouts: (kept) => {
       const names = new Set(kept.map(formatRolloutName));
       for (const name of [...rollouts.keys()]) if (!names.has(name)) rollouts.delete(name);
--- a/src/node/decisions/retryBudget.ts
+++ b/src/node/decisions/retryBudget.ts
@@ -14,11 +14,11 @@
  * Creates a budget that allows repeated runs up to a share of the first runs, plus a small reserve.
  * When many endpoints fail at once, retries so add at most that share to the load.
  */
-export const createRetryBudget = (share: number): RetryBudget => {
+export const createRetryBudget = (readShare: () => number): RetryBudget => {
   let balance = RETRY_RESERVE;
   return {
     recordFirst: () => {
-      balance = Math.min(RETRY_RESERVE, balance + share);
+      balance = Math.min(RETRY_RESERVE, balance + readShare());
     },
     acquire: () => {
       if (balance < 1) return false;
--- a/src/node/entry/answerRelay.ts
+++ b/src/node/entry/answerRelay.ts
@@ -1,4 +1,5 @@
-import { createError } from '../errors';
+import { performance } from 'node:perf_hooks';
+import { createError, type RouterError } from '../errors';
 import type { AnswerFrame } from './attemptClient';
 import { updateTracked } from './requestState';
 import {
@@ -45,6 +46,22 @@
   const { inputTokens, outputTokens } = frame;
   const usage = parts.settlement.computeUsage(open.tracked, { inputTokens, outputTokens });
   run.state = updateTracked(run.state, open.tracked.attempt, { phase: 'ran', usage });
+  if (!open.origin) return;
+  const { choice, startedAt } = open.origin;
+  const timeMs = performance.now() - startedAt;
+  const tokens = inputTokens + outputTokens;
+  parts.policy.recordAnswer(run.request, choice, { cost: usage.cost, timeMs, tokens });
+};
+
+const recordBreak = (parts: RunnerParts, run: Run, open: OpenAttempt, error: RouterError): void => {
+  recordFailure(parts, run, open.tracked, error);
+  if (open.origin) parts.policy.recordFailure(run.request, open.origin.choice, error);
+};
+
+const sendRating = (parts: RunnerParts, run: Run, open: OpenAttempt, answer: WholeAnswer): void => {
+  // A rating comes late or not at all; nobody waits for it.
+  const { origin } = open;
+  if (origin?.isRated) parts.policy.rate(run.request, answer, origin.choice).catch(() => {});
 };
 
 /** Reads the next piece of an answer; nothing at its end. */
@@ -106,10 +123,12 @@
   const progress = createProgress(true);
   try {
     await readRest(parts, run, open, progress);
-    return formatWhole(open, progress);
+    const whole = formatWhole(open, progress);
+    sendRating(parts, run, open, whole);
+    return whole;
   } catch (cause) {
     const error = resolveAbort(run.request, cause);
-    recordFailure(parts, run, open.tracked, error);
+    recordBreak(parts, run, open, error);
     throw error;
   } finally {
     open.release();
@@ -147,7 +166,7 @@
   open: OpenAttempt,
   handleEnd: () => void,
 ): AsyncGenerator<Buffer> {
-  const progress = createProgress(run.request.keepsAnswer);
+  const progress = createProgress(run.request.keepsAnswer || open.origin?.isRated === true);
   let isEnded = false;
   try {
     // Started before it is handed out, so that closing it early always reaches `finally`.
@@ -158,11 +177,13 @@
       if (piece.length > 0) yield piece;
     }
     isEnded = true;
-    await settleAnswer(parts, run, formatWhole(open, progress));
+    const whole = formatWhole(open, progress);
+    await settleAnswer(parts, run, whole);
+    sendRating(parts, run, open, whole);
   } catch (cause) {
     isEnded = true;
     const error = resolveAbort(run.request, cause);
-    recordFailure(parts, run, open.tracked, error);
+    recordBreak(parts, run, open, error);
     throw await settleFailure(parts, run, error);
   } finally {
     if (!isEnded) await closeEarly(parts, run, open, progress);
--- a/src/node/entry/attemptPolicy.ts
+++ b/src/node/entry/attemptPolicy.ts
@@ -1,3 +1,4 @@
+import type { RouterError } from '../errors';
 import type { RunRequest, WholeAnswer } from './runTypes';
 import type { Choice } from './targetChoice';
 
@@ -18,6 +19,23 @@
   readonly computeHedgeDelayMs: (request: RunRequest, choice: Choice) => number | undefined;
   /** Whether one more attempt is within the retry budget. */
   readonly canRetry: (request: RunRequest) => boolean;
+  /** Takes room under the organisation's cap, or throws `over_cap`; nothing has run then. */
+  readonly admit: (request: RunRequest) => void;
+  /** Gives the room back when the request has ended; once per admission. */
+  readonly release: (request: RunRequest) => void;
+  /** Whether the answer of this run shall be kept and rated. */
+  readonly isRated: (request: RunRequest, choice: Choice) => boolean;
+  /** Rates an answer that was given to the caller. */
+  readonly rate: (request: RunRequest, answer: WholeAnswer, choice: Choice) => Promise<void>;
+  readonly recordAnswer: (request: RunRequest, choice: Choice, end: AnswerFacts) => void;
+  readonly recordFailure: (request: RunRequest, choice: Choice, error: RouterError) => void;
+}
+
+/** What a finished run cost and took. */
+export interface AnswerFacts {
+  readonly cost: number;
+  readonly timeMs: number;
+  readonly tokens: number;
 }
 
 /** A policy without cascades and hedges. */
@@ -26,4 +44,10 @@
   chooseNext: async () => undefined,
   computeHedgeDelayMs: () => undefined,
   canRetry: () => true,
+  admit: () => {},
+  release: () => {},
+  isRated: () => false,
+  rate: async () => {},
+  recordAnswer: () => {},
+  recordFailure: () => {},
 });
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
-import { createLearning } from '../decisions';
+import { createGrantHolder, createLearning } from '../decisions';
 import type { Service } from '../kernel';
 import { createLeaseClient } from '../lease';
 import { createLedgerClient, type Owner } from '../ledger';
@@ -9,16 +9,19 @@
 import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
 import type { EntrySettings } from '../settings';
 import { createAttemptClient } from './attemptClient';
-import { createPlainPolicy } from './attemptPolicy';
 import { registerCallerApi, registerHealthRoutes, waitForIdle, waitForSettled } from './callerApi';
 import { createDeferredRunner } from './deferredRunner';
+import { createLivePolicy } from './livePolicy';
+import { createPolicyClient } from './policyClient';
+import { createRatingClient } from './ratingClient';
 import { createRequestRunner } from './requestRunner';
 import { createSettlement } from './settlement';
 import { createTargetChooser } from './targetChoice';
 
 const DRAW_STEPS = 1_000_000_000;
 const LEARNING_HALF_LIFE_MS = 6 * 3_600_000;
-const FALSE_BRAKE_RATE = 0.01;
+/** Until control tells this entry's part. */
+const FIRST_FALSE_BRAKE_RATE = 0.001;
 
 const createDraw = (): (() => number) => {
   const generator = xoroshiro128plus(Date.now());
@@ -50,18 +53,42 @@
     const { view } = lease;
     const learning = createLearning({
       halfLifeMs: LEARNING_HALF_LIFE_MS,
-      falseBrakeRate: FALSE_BRAKE_RATE,
+      falseBrakeRate: FIRST_FALSE_BRAKE_RATE,
     });
+    const holder = createGrantHolder();
+    const readNow = (): number => performance.now();
+    const policyClient = createPolicyClient({
+      node,
+      lease,
+      rpc,
+      learning,
+      holder,
+      readNow,
+      log,
+    });
+    const readDraw = createDraw();
+    const canRate = settings.ratingAddress !== undefined;
     const chooser = createTargetChooser({
       view,
       entry: node,
       zone,
       learning,
-      canRate: settings.ratingAddress !== undefined,
-      readDraw: createDraw(),
-      readNow: () => performance.now(),
+      canRate,
+      readDraw,
+      readNow,
       log: decisions,
     });
+    const policy = createLivePolicy({
+      view,
+      chooser,
+      learning,
+      holder,
+      rating: createRatingClient(settings.ratingAddress),
+      canRate,
+      requestGrants: policyClient.requestExchange,
+      readDraw,
+      readNow,
+    });
     const readOwner = (): Owner => ({ node, incarnation: lease.incarnation() });
     const settlement = createSettlement({ ledger, view, readOwner, log });
     const { streamBytes, inFlight } = limits;
@@ -70,7 +97,7 @@
       lease,
       settlement,
       chooser,
-      policy: createPlainPolicy(),
+      policy,
       readOwner,
       answerTimeoutMs,
       streamBytes,
@@ -109,6 +136,7 @@
     registerMetrics(internal, find<Metrics>('metrics'));
     const internalAddress = await startHttpServer(internal, settings.internalListen);
     await lease.start(internalAddress);
+    policyClient.start();
     const address = await startHttpServer(callers, settings.listen);
     deferred.start();
     log.info({ address, internalAddress }, 'listening');
@@ -119,6 +147,7 @@
       await waitForIdle(runner);
       await waitForSettled(settlement);
       await callers.close();
+      policyClient.stop();
       await lease.stop();
       await internal.close();
     };
--- /dev/null
+++ b/src/node/entry/livePolicy.ts
@@ -0,0 +1,170 @@
+import {
+  canHedge,
+  createRetryBudget,
+  type CapRefusal,
+  type ChainStep,
+  type GrantHolder,
+  type Learning,
+} from '../decisions';
+import { createError, type RouterError } from '../errors';
+import type { Cap } from '../inventory';
+import { RULES_NAME, type View } from '../view';
+import type { AttemptPolicy } from './attemptPolicy';
+import type { RatingClient } from './ratingClient';
+import type { RunRequest, WholeAnswer } from './runTypes';
+import type { Choice, TargetChooser } from './targetChoice';
+
+/** What the policy of the live request path needs. */
+export interface LivePolicyParts {
+  readonly view: View;
+  readonly chooser: TargetChooser;
+  readonly learning: Learning;
+  readonly holder: GrantHolder;
+  readonly rating: RatingClient;
+  /** Whether a rating service is there at all. */
+  readonly canRate: boolean;
+  /** Asks control for grants soon, when work is refused for want of one. */
+  readonly requestGrants: () => void;
+  readonly readDraw: () => number;
+  /** Gives milliseconds on a monotonic clock. */
+  readonly readNow: () => number;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+const TYPICAL_OUTPUT_TOKENS = 500;
+const DEFAULT_RETRY_SHARE = 0.1;
+const DEFAULT_RATING_SHARE = 0.1;
+
+/** Failures that say nothing about the endpoint or the version. */
+const NEUTRAL_TYPES: ReadonlySet<string> = new Set([
+  'cancelled',
+  'invalid_request',
+  'too_large',
+  'version_withdrawn',
+  'conflict',
+]);
+
+const isCapped = (cap: Cap): boolean =>
+  cap.requestsPerSecond !== undefined ||
+  cap.tokensPerSecond !== undefined ||
+  cap.inFlight !== undefined;
+
+const readTokenLimit = (request: RunRequest): number => {
+  if (request.model === undefined) return 0;
+  try {
+    const body = JSON.parse(request.body.toString('utf8')) as { readonly max_tokens?: unknown };
+    return typeof body.max_tokens === 'number' ? body.max_tokens : TYPICAL_OUTPUT_TOKENS;
+  } catch {
+    return TYPICAL_OUTPUT_TOKENS;
+  }
+};
+
+const estimateTokens = (request: RunRequest): number => {
+  if (request.organisation.cap.tokensPerSecond === undefined) return 0;
+  return request.body.length / CHARACTERS_PER_TOKEN + readTokenLimit(request);
+};
+
+const createCapError = (request: RunRequest, refusal: CapRefusal): RouterError =>
+  createError({
+    type: 'over_cap',
+    message: `organisation '${request.organisation.name}' is at its cap on ${refusal.part}`,
+    step: 'entry.admit',
+    retryAfterSeconds: refusal.retryAfterSeconds,
+  });
+
+interface Admitted {
+  readonly tokens: number;
+  used: number;
+}
+
+const findNextStep = (choice: Choice): ChainStep | undefined => {
+  const place = choice.chain.findIndex((step) => step.model === choice.model);
+  return place < 0 ? undefined : choice.chain[place + 1];
+};
+
+/** Creates the policy that uses what was learned, the caps' grants and one retry budget. */
+export const createLivePolicy = (parts: LivePolicyParts): AttemptPolicy => {
+  const { view, chooser, learning, holder, rating, canRate, readDraw, readNow } = parts;
+  const admitted = new Map<string, Admitted>();
+  const readRules = () => view.find('rules', RULES_NAME);
+  const budget = createRetryBudget(() => readRules()?.retryBudget ?? DEFAULT_RETRY_SHARE);
+
+  const fetchRating = async (
+    request: RunRequest,
+    answer: WholeAnswer,
+    choice: Choice,
+  ): Promise<number | undefined> => {
+    const score = await rating.fetchScore(request, answer);
+    if (score !== undefined) chooser.recordEnd(request, choice, { type: 'rated', score });
+    return score;
+  };
+
+  const hasNext = (choice: Choice): boolean => {
+    const step = choice.chain.find((item) => item.model === choice.model);
+    return step?.threshold !== undefined && findNextStep(choice) !== undefined;
+  };
+
+  const isInRollout = (choice: Choice): boolean => {
+    const rollout = view.find('rollout', choice.model);
+    return rollout?.state === 'running' && rollout.to === choice.version;
+  };
+
+  return {
+    isCascade: (_request, choice) => canRate && hasNext(choice),
+    chooseNext: async (request, answer, choice) => {
+      const step = choice.chain.find((item) => item.model === choice.model);
+      const next = findNextStep(choice);
+      if (step?.threshold === undefined || !next) return undefined;
+      const score = await fetchRating(request, answer, choice);
+      if (score === undefined || score >= step.threshold) return undefined;
+      return { ...chooser.chooseNext(request, next, new Set()), chain: choice.chain };
+    },
+    computeHedgeDelayMs: (request, choice) => {
+      const { class: workClass } = request.task;
+      const slowTimeMs = chooser.estimateSlowTime(request, choice);
+      const question = { class: workClass, isIdempotent: request.idempotent, hasAnswer: false };
+      const isHedged = canHedge({ ...question, waitedMs: slowTimeMs, slowTimeMs });
+      return isHedged && choice.model !== '' ? slowTimeMs : undefined;
+    },
+    canRetry: () => budget.acquire(),
+    admit: (request) => {
+      const { organisation } = request;
+      const tokens = estimateTokens(request);
+      const refusal = holder.acquire(
+        organisation.name,
+        tokens,
+        isCapped(organisation.cap),
+        readNow(),
+      );
+      if (holder.isStarved()) parts.requestGrants();
+      if (refusal) throw createCapError(request, refusal);
+      budget.recordFirst();
+      admitted.set(request.requestId, { tokens, used: 0 });
+    },
+    release: (request) => {
+      const known = admitted.get(request.requestId);
+      if (!known) return;
+      admitted.delete(request.requestId);
+      holder.release(request.organisation.name, known.tokens - known.used, readNow());
+    },
+    isRated: (_request, choice) => {
+      if (!canRate || choice.model === '' || hasNext(choice)) return false;
+      const share = readRules()?.ratingShare ?? DEFAULT_RATING_SHARE;
+      return isInRollout(choice) || choice.isExploration || readDraw() < share;
+    },
+    rate: async (request, answer, choice) => {
+      await fetchRating(request, answer, choice);
+    },
+    recordAnswer: (request, choice, { cost, timeMs, tokens }) => {
+      const known = admitted.get(request.requestId);
+      if (known && request.organisation.cap.tokensPerSecond !== undefined) known.used += tokens;
+      chooser.recordEnd(request, choice, { type: 'answered', cost, timeMs });
+      learning.removeOtherRollouts(view.list('rollout'));
+    },
+    recordFailure: (request, choice, error) => {
+      if (NEUTRAL_TYPES.has(error.type) || error.type === 'over_cap') return;
+      const type = error.type === 'overloaded' ? 'overloaded' : 'failed';
+      chooser.recordEnd(request, choice, { type });
+    },
+  };
+};
--- /dev/null
+++ b/src/node/entry/ratingClient.ts
@@ -0,0 +1,66 @@
+import { request as requestHttp } from 'undici';
+import type { RunRequest, WholeAnswer } from './runTypes';
+
+/** Asks the rating service. */
+export interface RatingClient {
+  /** Gives a score in 0..1, or nothing when the service fails or is too slow. */
+  readonly fetchScore: (request: RunRequest, answer: WholeAnswer) => Promise<number | undefined>;
+}
+
+const RATING_TIMEOUT_MS = 5_000;
+/** Ratings under way at once; more are skipped. */
+const RATINGS_LIMIT = 32;
+const ANSWER_LIMIT_BYTES = 65_536;
+
+const formatBody = (request: RunRequest, answer: WholeAnswer): string =>
+  JSON.stringify({
+    requestId: request.requestId,
+    organisation: request.organisation.name,
+    task: request.task.name,
+    model: answer.model,
+    version: answer.version,
+    input: request.body.subarray(0, ANSWER_LIMIT_BYTES).toString('utf8'),
+    answer: answer.body.subarray(0, ANSWER_LIMIT_BYTES).toString('utf8'),
+  });
+
+const readScore = (value: unknown): number | undefined => {
+  const score = (value as { readonly score?: unknown } | null)?.score;
+  const isScore = typeof score === 'number' && score >= 0 && score <= 1;
+  return isScore ? score : undefined;
+};
+
+/** Creates a client of the rating service; without an address it rates nothing. */
+export const createRatingClient = (address: string | undefined): RatingClient => {
+  let active = 0;
+
+  const callService = async (
+    to: string,
+    request: RunRequest,
+    answer: WholeAnswer,
+  ): Promise<number | undefined> => {
+    // An outside service: it must not see the secret of the system's own calls.
+    const response = await requestHttp(`http://${to}/rate`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: formatBody(request, answer),
+      signal: AbortSignal.timeout(RATING_TIMEOUT_MS),
+    });
+    if (response.statusCode === 200) return readScore(await response.body.json());
+    await response.body.dump();
+    return undefined;
+  };
+
+  return {
+    fetchScore: async (request, answer) => {
+      if (address === undefined || active >= RATINGS_LIMIT) return undefined;
+      active += 1;
+      try {
+        return await callService(address, request, answer);
+      } catch {
+        return undefined;
+      } finally {
+        active -= 1;
+      }
+    },
+  };
+};
--- a/src/node/entry/requestRunner.ts
+++ b/src/node/entry/requestRunner.ts
@@ -106,6 +106,7 @@
   if (delayMs === undefined) return first;
   const early = await Promise.race([first, sleep(delayMs, undefined)]);
   if (early) return early;
+  if (!parts.policy.canRetry(run.request)) return first;
   try {
     return await startHedge(parts, attempts, first);
   } catch {
@@ -173,8 +174,9 @@
 export const createRequestRunner = (parts: RunnerParts): RequestRunner => {
   let active = 0;
 
-  const handleEnd = (): void => {
+  const handleEnd = (request: RunRequest): void => {
     active -= 1;
+    parts.policy.release(request);
   };
 
   const runAttempts = async (run: Run): Promise<RunAnswer> => {
@@ -182,12 +184,14 @@
     const attempts: Attempts = { run, bound, excluded: new Set() };
     const result = await openWithRetries(parts, attempts, async ({ open, choice }) => {
       const isWhole = run.request.isWhole || parts.policy.isCascade(run.request, choice);
-      if (!isWhole) return createStreamedAnswer(parts, run, open, handleEnd);
+      if (!isWhole) {
+        return createStreamedAnswer(parts, run, open, () => handleEnd(run.request));
+      }
       return { whole: await readWholeAnswer(parts, run, open), choice };
     });
     if (!('whole' in result)) return result;
     const answer = await runCascade(parts, run, result);
-    handleEnd();
+    handleEnd(run.request);
     return answer;
   };
 
@@ -196,7 +200,7 @@
     try {
       const stored = await claimOrAnswer(parts, request);
       if (!stored) return await runAttempts(run);
-      handleEnd();
+      handleEnd(request);
       return stored;
     } catch (cause) {
       const error = resolveAbort(request, cause);
@@ -207,11 +211,12 @@
 
   const run: RequestRunner['run'] = async (request) => {
     if (!request.isDeferred) checkInFlight(parts, active);
+    parts.policy.admit(request);
     active += 1;
     try {
       return await runClaimed(request);
     } catch (cause) {
-      handleEnd();
+      handleEnd(request);
       throw convertToRouterError(cause, 'entry.run');
     }
   };
--- a/src/node/entry/runContext.ts
+++ b/src/node/entry/runContext.ts
@@ -1,3 +1,4 @@
+import { performance } from 'node:perf_hooks';
 import {
   convertToRouterError,
   createError,
@@ -51,9 +52,20 @@
   readonly tracked: TrackedAttempt;
   readonly head: Extract<AnswerFrame, { readonly type: 'head' }>;
   readonly frames: AsyncGenerator<AnswerFrame>;
+  /** Absent for an attempt that another entry started. */
+  readonly origin?: AttemptOrigin;
   readonly release: () => void;
 }
 
+/** How this entry came to start an attempt. */
+export interface AttemptOrigin {
+  readonly choice: Choice;
+  /** When it was sent, in milliseconds on the monotonic clock. */
+  readonly startedAt: number;
+  /** Whether its answer is kept and rated. */
+  readonly isRated: boolean;
+}
+
 /** Creates a run without attempts. */
 export const createRun = (request: RunRequest): Run => ({
   request,
@@ -217,7 +229,7 @@
   run: Run,
   choice: Choice,
   tracked: TrackedAttempt,
-): Promise<Omit<OpenAttempt, 'release'>> => {
+): Promise<Pick<OpenAttempt, 'tracked' | 'head' | 'frames'>> => {
   const { request } = run;
   const { address } = tracked;
   const intent = parts.settlement.recordIntent(request, tracked);
@@ -253,11 +265,15 @@
     if (!isReleased) parts.chooser.updateLoad(endpoint, -1);
     isReleased = true;
   };
+  const startedAt = performance.now();
   try {
-    return { ...(await sendAttempt(parts, run, choice, tracked)), release };
+    const sent = await sendAttempt(parts, run, choice, tracked);
+    const isRated = parts.policy.isRated(run.request, choice);
+    return { ...sent, origin: { choice, startedAt, isRated }, release };
   } catch (cause) {
     release();
     const error = convertToRouterError(cause, 'entry.dispatch', address, 'unknown');
+    parts.policy.recordFailure(run.request, choice, error);
     recordFailure(parts, run, tracked, error);
     throw error;
   }
--- a/src/node/entry/targetChoice.ts
+++ b/src/node/entry/targetChoice.ts
@@ -2,6 +2,8 @@
   chooseTarget,
   formatRolloutName,
   isRolloutOpen,
+  resolvePrior,
+  type CellName,
   type ChainStep,
   type Learning,
   type RunOutcome,
@@ -23,6 +25,8 @@
   readonly chain: readonly ChainStep[];
   /** True for a run after another model's answer was rated too low. */
   readonly isEscalated: boolean;
+  /** True for a cheaper model that is tried out; its answer is always rated. */
+  readonly isExploration: boolean;
 }
 
 /** The version that a session is bound to. */
@@ -54,6 +58,8 @@
   readonly updateLoad: (endpoint: string, change: number) => void;
   /** Takes note of a load that an endpoint reported. */
   readonly recordLoad: (endpoint: string, load: number) => void;
+  /** Estimates the time that 95 in 100 answers of this run keep, in milliseconds. */
+  readonly estimateSlowTime: (request: RunRequest, choice: Choice) => number;
   readonly recordEnd: (request: RunRequest, choice: Choice, end: RunEnd) => void;
   readonly log: (request: RunRequest, choice: Choice, attempt: number) => void;
 }
@@ -124,8 +130,9 @@
     excluded: ReadonlySet<string>,
   ): Choice => {
     const target = chooseTarget(createQuestion(request, excluded, bound)).unsafeCoerce();
-    const { model, version, member, reason, chain } = target;
-    return { model, version, member, reason, chain, isEscalated: false };
+    const { model, version, member, reason, chain, plan } = target;
+    const isExploration = plan?.reason === 'exploration';
+    return { model, version, member, reason, chain, isEscalated: false, isExploration };
   };
 
   const chooseService = (service: string, excluded: ReadonlySet<string>): Choice => {
@@ -135,26 +142,37 @@
       .filter((item) => !excluded.has(item.endpoint))
       .sort((a, b) => endpoints.readLoad(a.endpoint) - endpoints.readLoad(b.endpoint))[0];
     const reason = 'serves the service';
-    if (member) return { model: '', version: '', member, reason, chain: [], isEscalated: false };
+    const plain = { model: '', version: '', chain: [], isEscalated: false, isExploration: false };
+    if (member) return { ...plain, member, reason };
     const message = `no endpoint serves '${service}'`;
     throw createError({ type: 'unavailable', message, step: 'entry.choose', retryAfterSeconds: 1 });
   };
 
+  const createCellName = (request: RunRequest, choice: Choice): CellName => ({
+    organisation: request.organisation.name,
+    task: request.task.name,
+    model: choice.model,
+    version: choice.version,
+    isEscalated: choice.isEscalated,
+  });
+
+  const estimateSlowTime: TargetChooser['estimateSlowTime'] = (request, choice) => {
+    const model = view.find('model', choice.model);
+    if (!model) return Infinity;
+    const prior = resolvePrior(model, choice.version);
+    const name = createCellName(request, choice);
+    return learning.estimates.estimate(name, prior, readNow()).slowTimeMs;
+  };
+
   const recordEnd: TargetChooser['recordEnd'] = (request, choice, end) => {
-    const { model, version, member, isEscalated } = choice;
+    const { model, version, member } = choice;
     const now = readNow();
     if (end.type !== 'rated') {
       endpoints.recordOutcome(member.endpoint, model, version, HEALTH_OUTCOMES[end.type]);
     }
     if (model === '' || end.type === 'overloaded') return;
     learning.record({
-      name: {
-        organisation: request.organisation.name,
-        task: request.task.name,
-        model,
-        version,
-        isEscalated,
-      },
+      name: createCellName(request, choice),
       isHighValue: request.task.value === 'high',
       observation: end,
       rollout: view.find('rollout', model),
@@ -174,6 +192,7 @@
     },
     updateLoad: endpoints.updateLoad,
     recordLoad: endpoints.recordLoad,
+    estimateSlowTime,
     recordEnd,
     log: (request, choice, attempt) => {
       const { model, version, member, reason } = choice;
