--- a/src/node/decisions/allowed.ts
+++ b/src/node/decisions/allowed.ts
@@ -1,5 +1,5 @@
 import type { Model, Organisation } from '../inventory';
-import { isVersionWithdrawn, type Member, type View } from '../view';
+import { isMemberLive, isVersionWithdrawn, type Member, type View } from '../view';
 
 /** Lists the models that an organisation may use, in the order of the inventory. */
 export const listAllowedModels = (view: View, organisation: Organisation): readonly Model[] =>
@@ -33,6 +33,6 @@
     .list('member')
     .filter(
       (member) =>
-        member.state === 'live' &&
+        isMemberLive(view, member) &&
         member.serves.some((item) => item.model === model && item.version === version),
     );
--- a/src/node/entry/targetChoice.ts
+++ b/src/node/entry/targetChoice.ts
@@ -11,7 +11,7 @@
 } from '../decisions';
 import { createError } from '../errors';
 import type { Logger } from '../log';
-import { RULES_NAME, type Member, type View } from '../view';
+import { isMemberLive, RULES_NAME, type Member, type View } from '../view';
 import { createEndpointTable } from './endpointTable';
 import type { RunRequest } from './runTypes';
 
@@ -138,7 +138,7 @@
   const chooseService = (service: string, excluded: ReadonlySet<string>): Choice => {
     const member = view
       .list('member')
-      .filter((item) => item.service === service && item.state === 'live')
+      .filter((item) => item.service === service && isMemberLive(view, item))
       .filter((item) => !excluded.has(item.endpoint))
       .sort((a, b) => endpoints.readLoad(a.endpoint) - endpoints.readLoad(b.endpoint))[0];
     const reason = 'serves the service';
