--- a/src/node/control/policy/policyService.ts
+++ b/src/node/control/policy/policyService.ts
@@ -13,6 +13,8 @@
 /** The decisions that need all entries' counts: grants, shared estimates, roll-outs. */
 export interface PolicyService {
   readonly handleExchange: (params: PolicyExchange) => Promise<PolicyAnswer>;
+  /** Judges every roll-out once; the started service does so twice a second. */
+  readonly advance: () => Promise<void>;
   readonly start: () => void;
   readonly stop: () => void;
 }
@@ -153,7 +155,7 @@
     throw createError({ type: 'unavailable', message, step: 'policy.exchange' });
   };
 
-  const judgeAll = async (): Promise<void> => {
+  const advance = async (): Promise<void> => {
     if (!isLeader() || !leadership) return;
     const { term } = (await config.confirmRead()).unsafeCoerce();
     await judgeRollouts(parts, acquireLeadership(term).guard, new Set(listEntries()));
@@ -162,7 +164,7 @@
   const schedule = (): void => {
     if (isStopped) return;
     timer = setTimeout(() => {
-      judgeAll()
+      advance()
         .catch((cause) => {
           const { step, message } = convertToRouterError(cause, 'policy.judge');
           log.warn({ step, reason: message }, 'roll-outs not judged');
@@ -173,6 +175,7 @@
 
   return {
     handleExchange,
+    advance,
     start: schedule,
     stop: () => {
       isStopped = true;
