--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -150,6 +150,7 @@
     node,
     role: 'agent',
     zone: 'zone-a',
+    host: `host-${index}`,
     address: `127.0.0.1:${index}`,
     bootId: `boot-${index}`,
   };
--- /dev/null
+++ b/src/node/agent/__tests__/attemptQueue.test.ts
@@ -0,0 +1,77 @@
+import test from 'ava';
+import type { AttemptRequest } from '../../shared';
+import { createAttempt, type Attempt } from '../attempt';
+import { createAttemptQueue } from '../attemptQueue';
+
+const createRequest = (
+  organisation: string,
+  workClass: AttemptRequest['class'],
+  deadlineMs = 60_000,
+): AttemptRequest => ({
+  requestId: `${organisation}-${workClass}`,
+  attempt: 0,
+  organisation,
+  incarnation: 1,
+  entry: { node: 'entry-1', incarnation: 2 },
+  endpoint: 'engine-1',
+  target: { kind: 'model', model: 'small', version: 'v1' },
+  class: workClass,
+  weight: 1,
+  deadlineMs,
+  method: 'POST',
+  path: '/',
+  headers: {},
+  body: '',
+});
+
+const createQueued = (organisation: string, workClass: AttemptRequest['class']): Attempt =>
+  createAttempt(createRequest(organisation, workClass), 1_000);
+
+test('a flood of one organisation does not hold up another', (t) => {
+  const queue = createAttemptQueue();
+  for (let count = 0; count < 50; count += 1) queue.add(createQueued('flood', 'normal'), 0);
+  for (let count = 0; count < 10; count += 1) queue.takeNext(count);
+  queue.add(createQueued('small', 'normal'), 10);
+  const next = [queue.takeNext(11), queue.takeNext(12)];
+  t.true(next.some((attempt) => attempt?.request.organisation === 'small'));
+});
+
+interface Case {
+  readonly title: string;
+  readonly request: AttemptRequest;
+  readonly isRefused: boolean;
+}
+
+// Forty attempts of one organisation wait, and one is taken every 100 ms.
+const CASES: readonly Case[] = [
+  { title: 'urgent work of another', request: createRequest('b', 'urgent'), isRefused: false },
+  { title: 'urgent work of the same', request: createRequest('a', 'urgent'), isRefused: false },
+  { title: 'more of the same', request: createRequest('a', 'normal', 2_000), isRefused: true },
+  { title: 'work that may wait', request: createRequest('a', 'deferrable'), isRefused: false },
+];
+
+for (const { title, request, isRefused } of CASES) {
+  test(`early refusal behind a long queue: ${title}`, (t) => {
+    const queue = createAttemptQueue();
+    for (let count = 0; count < 50; count += 1) queue.add(createQueued('a', 'normal'), 0);
+    for (let count = 0; count < 10; count += 1) queue.takeNext(count * 100);
+    if (!isRefused) t.notThrows(() => queue.checkWait(request));
+    else
+      t.like(
+        t.throws(() => queue.checkWait(request)),
+        { type: 'overloaded', outcome: 'not_run' },
+      );
+  });
+}
+
+test('an attempt leaves the queue when its class has waited long enough', (t) => {
+  const queue = createAttemptQueue();
+  queue.add(createQueued('a', 'urgent'), 0);
+  queue.add(createQueued('a', 'deferrable'), 0);
+  t.deepEqual(queue.takeExpired(999), []);
+  t.deepEqual(
+    queue.takeExpired(1_000).map((attempt) => attempt.request.class),
+    ['urgent'],
+  );
+  t.is(queue.count(), 1);
+});
--- a/src/node/agent/attemptStore.ts
+++ b/src/node/agent/attemptStore.ts
@@ -51,6 +51,7 @@
 
 const DRAIN_POLL_MS = 20;
 const EXPIRE_INTERVAL_MS = 30_000;
+const WAITS_INTERVAL_MS = 100;
 const CANCEL_WAIT_MS = 1_000;
 const ENGINE_CONNECTIONS = 256;
 const UNKNOWN_END: AttemptEnd = { type: 'ended', state: 'unknown' };
@@ -66,6 +67,14 @@
 const hasReachedNobody = (cause: unknown): boolean =>
   CONNECT_FAILURES.has((cause as { readonly code?: string }).code ?? '');
 
+const acquirePool = (pools: Map<string, Pool>, address: string): Pool => {
+  const known = pools.get(address);
+  if (known) return known;
+  const pool = new Pool(`http://${address}`, { connections: ENGINE_CONNECTIONS });
+  pools.set(address, pool);
+  return pool;
+};
+
 /** Creates the store of one agent. */
 export const createAttemptStore = (options: AttemptStoreOptions): AttemptStore => {
   const { announcements, lease, log, reporter, call = callEngine } = options;
@@ -75,14 +84,6 @@
   let running = 0;
   let isDraining = false;
 
-  const acquirePool = (address: string): Pool => {
-    const known = pools.get(address);
-    if (known) return known;
-    const pool = new Pool(`http://${address}`, { connections: ENGINE_CONNECTIONS });
-    pools.set(address, pool);
-    return pool;
-  };
-
   const readAdmission = (): AdmissionState => ({
     hasLease: lease.isValid(),
     incarnation: lease.incarnation(),
@@ -127,7 +128,7 @@
     if (!attempt.start()) return;
     const counts = { inputTokens: 0, outputTokens: 0 };
     try {
-      await call({ pool: acquirePool(announced.address), counts }, attempt);
+      await call({ pool: acquirePool(pools, announced.address), counts }, attempt);
       reporter.add(attempt.request, 'ran', counts);
     } catch (cause) {
       settleFailure(attempt, cause, counts);
@@ -140,9 +141,17 @@
     advanceQueue();
   };
 
+  const refuseExpired = (): void =>
+    table
+      .takeExpired(performance.now())
+      .forEach((attempt) =>
+        refuseStart(attempt, createRefusal('the attempt waited too long', 'overloaded')),
+      );
+
   const advanceQueue = (): void => {
+    refuseExpired();
     while (running < announcements.countSlots() && table.countQueued() > 0) {
-      const attempt = table.takeNext()!;
+      const attempt = table.takeNext(performance.now())!;
       running += 1;
       runAttempt(attempt).finally(handleEnd);
     }
@@ -177,6 +186,8 @@
 
   const expiry = setInterval(() => table.expire(performance.now()), EXPIRE_INTERVAL_MS);
   expiry.unref();
+  const waits = setInterval(refuseExpired, WAITS_INTERVAL_MS);
+  waits.unref();
 
   return {
     admit,
@@ -192,6 +203,7 @@
     drain: async () => {
       isDraining = true;
       clearInterval(expiry);
+      clearInterval(waits);
       while (running + table.countQueued() > 0) await sleep(DRAIN_POLL_MS);
       await Promise.all([...pools.values()].map((pool) => pool.close()));
     },
--- a/src/node/control/policy/__tests__/policyService.test.ts
+++ b/src/node/control/policy/__tests__/policyService.test.ts
@@ -71,7 +71,8 @@
   const ledger = config as unknown as Replica<LedgerCommand, LedgerResult>;
   const log = createRootLogger({ level: 'silent', node: 'c1' });
   const ledgerState = createLedgerState();
-  const parts: ControlParts = { config, configState, ledger, ledgerState, leaseMs: 5_000, log };
+  const ledgerParts = { ledger, ledgerState, ledgerShards: [] };
+  const parts: ControlParts = { config, configState, ...ledgerParts, leaseMs: 5_000, log };
   propose({ type: 'putInventory', base: 0, changeId: 'first', inventory: createInventory() });
   entries.forEach((node) => {
     const place = { role: 'entry', zone: 'z', host: node, address: node, bootId: node };
