--- a/src/node/replication/__tests__/brokenRules.test.ts
+++ b/src/node/replication/__tests__/brokenRules.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type { BrokenSimulation } from './simulation';
-import { electionArbitrary, mixedArbitrary, runSimulation } from './simulationCommands';
+import { mixedArbitrary, runSimulation } from './simulationCommands';
 
 interface BrokenCase {
   readonly title: string;
