--- a/src/node/agent/engineBody.ts
+++ b/src/node/agent/engineBody.ts
@@ -12,7 +12,7 @@
 }
 
 const CHARACTERS_PER_TOKEN = 4;
-const NO_FORMAT = { formattingOptions: {} } as const;
+const NO_FORMAT = {} as const;
 
 const createBodyError = (message: string) =>
   createError({ type: 'invalid_request', message, step: 'agent.engine', outcome: 'not_run' });
