Measure cost at the quality target and mend what it showed

Cause: stock lookups went to the dearest model for good, since the prior cost of an unused model assumed answers of 500 tokens where they have 60, so it looked dearer than the dearest. Also exploration went to the model with the widest error, not to the one likely to save. Change: the size of answers is learned from all models that ran the task; a trial is worth saving times chance, and runs first in a chain where it may. Change: ratings may cost 1% of the work, so dear work is rated more, and a trial counts the upside of a chain.

--- /dev/null
+++ b/bench/policy/worlds.ts
@@ -0,0 +1,188 @@
+import type { WorkClass } from '../../src/node/decisions';
+import { computeBounded, createDraws, type Draws } from './draws';
+
+/** A model of a site, with what is true of it and what its operators state. */
+export interface WorldModel {
+  readonly name: string;
+  readonly costPerThousand: number;
+  readonly firstTokenMs: number;
+  readonly tokenMs: number;
+  /** Stated before anything is measured; off from the truth on purpose. */
+  readonly priorQuality: number;
+}
+
+/** A kind of work. */
+export interface WorldTask {
+  readonly name: string;
+  readonly class: WorkClass;
+  readonly isIdempotent: boolean;
+  readonly isHighValue: boolean;
+  readonly target: number;
+  readonly deadlineMs?: number;
+  /** Share of the requests. */
+  readonly share: number;
+  readonly tokens: number;
+  /** True mean quality per model, before the organisation's shift. */
+  readonly quality: Readonly<Record<string, number>>;
+}
+
+/** An organisation: its part of the traffic, its allowed models, how its work differs. */
+export interface WorldOrganisation {
+  readonly name: string;
+  readonly share: number;
+  readonly weight: number;
+  readonly models: readonly string[];
+  readonly shift: number;
+}
+
+/** A site with its request mix. */
+export interface World {
+  readonly name: string;
+  readonly zones: readonly string[];
+  readonly runners: number;
+  readonly requestsPerDay: number;
+  readonly models: readonly WorldModel[];
+  readonly tasks: readonly WorldTask[];
+  readonly organisations: readonly WorldOrganisation[];
+  /** Share of the requests that belong to a session, which keeps its version. */
+  readonly sessionShare: number;
+}
+
+const MODELS: readonly WorldModel[] = [
+  { name: 'small', costPerThousand: 1, firstTokenMs: 40, tokenMs: 6, priorQuality: 0.7 },
+  { name: 'medium', costPerThousand: 4, firstTokenMs: 80, tokenMs: 12, priorQuality: 0.8 },
+  { name: 'large', costPerThousand: 15, firstTokenMs: 160, tokenMs: 24, priorQuality: 0.9 },
+];
+
+const ORGANISATIONS = 10;
+const LARGE_ORGANISATIONS = 3;
+
+const createOrganisations = (seed: number): readonly WorldOrganisation[] => {
+  const draws = createDraws(seed);
+  const sizes = Array.from({ length: ORGANISATIONS }, (_unused, index) =>
+    index < LARGE_ORGANISATIONS ? 6 : 1,
+  );
+  const total = sizes.reduce((sum, size) => sum + size, 0);
+  return sizes.map((size, index) => ({
+    name: `org-${index + 1}`,
+    share: size / total,
+    weight: index < LARGE_ORGANISATIONS ? 2 : 1,
+    // Every fourth organisation may not use the largest model's cheaper neighbour.
+    models: index % 4 === 3 ? ['small', 'large'] : ['small', 'medium', 'large'],
+    shift: draws.normal(0, 0.02),
+  }));
+};
+
+const createTask = (
+  name: string,
+  workClass: WorkClass,
+  target: number,
+  share: number,
+  tokens: number,
+  quality: readonly [number, number, number],
+  rest: Partial<WorldTask> = {},
+): WorldTask => ({
+  name,
+  class: workClass,
+  target,
+  share,
+  tokens,
+  quality: { small: quality[0], medium: quality[1], large: quality[2] },
+  isIdempotent: true,
+  isHighValue: false,
+  ...rest,
+});
+
+/** Concrete bases: quotes gate a truck, checklists may wait, some orders run once. */
+export const CIMIENTOS: World = {
+  name: 'Cimientos',
+  zones: ['bajio-1', 'bajio-2', 'bajio-3'],
+  runners: 8,
+  requestsPerDay: 20_000,
+  models: MODELS,
+  sessionShare: 0.3,
+  organisations: createOrganisations(11),
+  tasks: [
+    createTask('quote-summary', 'urgent', 0.8, 0.3, 220, [0.72, 0.86, 0.93], { deadlineMs: 8_000 }),
+    createTask('site-checklist', 'deferrable', 0.7, 0.25, 300, [0.78, 0.86, 0.92]),
+    createTask('counter-reply', 'urgent', 0.65, 0.35, 90, [0.75, 0.85, 0.92], {
+      deadlineMs: 4_000,
+    }),
+    createTask('slab-plan', 'normal', 0.88, 0.1, 700, [0.55, 0.78, 0.94], { isHighValue: true }),
+  ],
+};
+
+/** Coat racks: contracts are worth most, walk-in replies come most often. */
+export const KHUNTIWALA: World = {
+  name: 'Khuntiwala',
+  zones: ['ahmedabad', 'surat', 'vadodara', 'rajkot'],
+  runners: 13,
+  requestsPerDay: 30_000,
+  models: MODELS,
+  sessionShare: 0.3,
+  organisations: createOrganisations(23),
+  tasks: [
+    createTask('walk-in-reply', 'urgent', 0.65, 0.55, 90, [0.76, 0.85, 0.92], {
+      deadlineMs: 4_000,
+    }),
+    createTask('stock-lookup', 'urgent', 0.75, 0.15, 60, [0.69, 0.86, 0.93], { deadlineMs: 3_000 }),
+    createTask('ledger-summary', 'deferrable', 0.8, 0.2, 400, [0.7, 0.87, 0.93]),
+    createTask('contract', 'deferrable', 0.88, 0.1, 900, [0.5, 0.8, 0.94], { isHighValue: true }),
+  ],
+};
+
+/** Both sites. */
+export const WORLDS: readonly World[] = [CIMIENTOS, KHUNTIWALA];
+
+/** What the answers of all models to one request are worth, and how they would be rated. */
+export interface Difficulty {
+  readonly shared: number;
+}
+
+const SHARED_DEVIATION = 0.1;
+const OWN_DEVIATION = 0.06;
+const RATING_DEVIATION = 0.06;
+/** Share of ratings that are plainly wrong. */
+const WRONG_SHARE = 0.03;
+
+/** Samples how hard a request is. */
+export const sampleDifficulty = (draws: Draws): number => draws.normal(0, SHARED_DEVIATION);
+
+/** Samples the true quality of one answer. */
+export const sampleQuality = (draws: Draws, mean: number, difficulty: number): number =>
+  computeBounded(mean + difficulty + draws.normal(0, OWN_DEVIATION));
+
+/** Samples the rating of an answer. */
+export const sampleRating = (draws: Draws, quality: number): number =>
+  draws.uniform() < WRONG_SHARE
+    ? draws.uniform()
+    : computeBounded(quality + draws.normal(0, RATING_DEVIATION));
+
+/** Reads the true mean quality of a cell. */
+export const readTrueMean = (
+  task: WorldTask,
+  organisation: WorldOrganisation,
+  model: string,
+): number => task.quality[model]! + organisation.shift;
+
+/** Samples the cost of one answer. */
+export const sampleCost = (draws: Draws, task: WorldTask, model: WorldModel): number =>
+  (model.costPerThousand * task.tokens * (0.5 + draws.uniform())) / 1_000;
+
+/** Samples the time of one answer in milliseconds on an unloaded endpoint. */
+export const sampleTime = (draws: Draws, task: WorldTask, model: WorldModel): number =>
+  (model.firstTokenMs + task.tokens * model.tokenMs * (0.5 + draws.uniform())) *
+  (0.9 + 0.2 * draws.uniform());
+
+/** Draws an item by its share. */
+export const sampleByShare = <T extends { readonly share: number }>(
+  draws: Draws,
+  items: readonly T[],
+): T => {
+  let left = draws.uniform();
+  for (const item of items) {
+    left -= item.share;
+    if (left < 0) return item;
+  }
+  return items.at(-1)!;
+};
--- a/src/node/decisions/__tests__/samples.ts
+++ b/src/node/decisions/__tests__/samples.ts
@@ -32,4 +32,5 @@
   slowTimeMs: timeMs * 2,
   bins: Array.from({ length: 10 }, (_unused, bin) => (bin === Math.floor(quality * 10) ? 1 : 0)),
   ratings: 100,
+  runs: 100,
 });
--- a/src/node/decisions/chooseChain.ts
+++ b/src/node/decisions/chooseChain.ts
@@ -33,7 +33,7 @@
   readonly deadlineMs?: number;
   /** False for work that may run once only, and for sessions, which keep their version. */
   readonly mayCascade: boolean;
-  /** False for work of high value and for work that may run once only. */
+  /** Whether another model may be tried alone; not for work of high value or that runs once only. */
   readonly mayExplore: boolean;
   readonly explorationShare: number;
   /** A number in 0..1 from the caller's generator. */
@@ -169,20 +169,65 @@
   return { steps, quality, qualityError, cost, timeMs, reason };
 };
 
-// The cheaper model whose quality could reach the target and is known least pays most to try.
+/** Computes the chance that a normal variable is above a limit, by a logistic approximation. */
+const computeChanceAbove = (mean: number, error: number, limit: number): number =>
+  1 / (1 + Math.exp((-1.702 * (mean - limit)) / Math.max(1e-6, error)));
+
+const resolveThreshold = (target: number): number =>
+  Math.min(1, Math.ceil(target * RATING_BINS - 1e-9) / RATING_BINS);
+
+// Where a second run may follow, the tried model's answer is rated first, so that trying costs
+// money and not quality. Elsewhere it runs alone, unless the work is of high value.
+const createTrial = (
+  question: ChainQuestion,
+  cheap: ChainCandidate,
+  best: Chain,
+): Chain | undefined => {
+  const last = best.steps.at(-1)!;
+  const strong = question.candidates.find((candidate) => candidate.model === last.model);
+  if (question.mayCascade && strong && strong.model !== cheap.model) {
+    const pair = createPair(question, cheap, strong, resolveThreshold(question.qualityTarget));
+    if (isInTime(question, pair)) return pair;
+  }
+  return question.mayExplore ? createSingle(cheap) : undefined;
+};
+
+const MIN_CHANCE = 0.02;
+
+// What a chain would save, weighed by the chance that it meets the target.
+const computeUpside = (question: ChainQuestion, chain: Chain, bestCost: number): number => {
+  const chance = computeChanceAbove(chain.quality, chain.qualityError, question.qualityTarget);
+  const saving = bestCost - computeWeightedCost(question, chain);
+  return chance < MIN_CHANCE || !isInTime(question, chain) ? 0 : saving * chance;
+};
+
+const listUses = (
+  question: ChainQuestion,
+  cheap: ChainCandidate,
+  best: Chain,
+): readonly Chain[] => {
+  const last = best.steps.at(-1)!;
+  const strong = question.candidates.find((candidate) => candidate.model === last.model);
+  const single = createSingle(cheap);
+  if (!question.mayCascade || !strong || strong.model === cheap.model) return [single];
+  return [single, ...THRESHOLDS.map((threshold) => createPair(question, cheap, strong, threshold))];
+};
+
+// The model whose use, alone or first in a chain, is likely to save most is tried.
 const chooseExploration = (question: ChainQuestion, best: Chain): Chain | undefined => {
-  const z = computeNormalQuantile(question.confidence);
   const bestCost = computeWeightedCost(question, best);
-  const promising = question.candidates
-    .map(createSingle)
-    .filter((chain) => isInTime(question, chain))
-    .filter((chain) => computeWeightedCost(question, chain) < bestCost)
-    .filter((chain) => chain.quality + 2 * z * chain.qualityError >= question.qualityTarget)
-    .filter((chain) => chain.steps[0]!.model !== best.steps[0]!.model);
-  return chooseLowest(
-    promising,
-    (chain) => (computeWeightedCost(question, chain) - bestCost) * chain.qualityError,
-  );
+  const trials = question.candidates.flatMap((candidate) => {
+    const isInUse = best.steps.some((step) => step.model === candidate.model);
+    const trial = isInUse ? undefined : createTrial(question, candidate, best);
+    if (!trial || !isInTime(question, trial)) return [];
+    const upsides = listUses(question, candidate, best).map((chain) =>
+      computeUpside(question, chain, bestCost),
+    );
+    return [{ trial, value: Math.max(...upsides) }];
+  });
+  const promising = trials.filter((item) => item.value > 0);
+  if (promising.length === 0) return undefined;
+  return promising.reduce((first, second) => (second.value > first.value ? second : first)).trial;
 };
 
 const chooseBest = (question: ChainQuestion): ChainPlan | undefined => {
@@ -205,7 +250,8 @@
  */
 export const chooseChain = (question: ChainQuestion): ChainPlan | undefined => {
   const plan = chooseBest(question);
-  if (!plan || !question.mayExplore || question.draw >= question.explorationShare) return plan;
+  const mayTry = question.mayExplore || question.mayCascade;
+  if (!plan || !mayTry || question.draw >= question.explorationShare) return plan;
   const best: Chain = { ...plan, slowTimeMs: plan.timeMs };
   const exploration = chooseExploration(question, best);
   return exploration ? createPlan(exploration, 'exploration') : plan;
--- a/src/node/decisions/chooseTarget.ts
+++ b/src/node/decisions/chooseTarget.ts
@@ -6,7 +6,7 @@
 import { chooseChain, type ChainCandidate, type ChainPlan, type ChainStep } from './chooseChain';
 import { chooseEndpoint, type EndpointCandidate } from './chooseEndpoint';
 import { chooseVersion } from './chooseVersion';
-import type { CellEstimate, CellName, CellPrior } from './estimates';
+import { estimateSize, type CellEstimate, type CellName, type CellPrior } from './estimates';
 
 /** What an entry knows of an endpoint. */
 export type EndpointState = Omit<EndpointCandidate, 'endpoint' | 'zone' | 'slots'>;
@@ -56,28 +56,41 @@
 }
 
 const STEP = 'entry.choose';
-const TYPICAL_TOKENS = 500;
-const TOKENS_PER_PRICE = 1_000;
+const TYPICAL_SIZE = 0.5;
 
-/** Resolves what the inventory states of a version before it is measured. */
-export const resolvePrior = (model: Model, version: string): CellPrior => {
+const computePrice = (model: Model): number =>
+  model.inputCostPerThousand + model.outputCostPerThousand;
+
+/**
+ * Resolves what the inventory states of a version before it is measured; the size of the answers
+ * is in thousands of tokens.
+ */
+export const resolvePrior = (
+  model: Model,
+  version: string,
+  size: number = TYPICAL_SIZE,
+): CellPrior => {
   const known = model.versions.find((item) => item.name === version);
-  const cost = model.inputCostPerThousand + model.outputCostPerThousand;
   return {
     quality: known?.priorQuality ?? model.priorQuality,
     timeMs: model.priorLatencyMs,
-    cost: (cost * TYPICAL_TOKENS) / TOKENS_PER_PRICE,
+    cost: computePrice(model) * size,
   };
 };
 
+interface ServedModel {
+  readonly model: Model;
+  readonly version: string;
+}
+
 const createCandidate = (
   question: TargetQuestion,
-  model: Model,
-  version: string,
+  { model, version }: ServedModel,
+  size?: number,
 ): ChainCandidate => {
   const { organisation, task, estimate } = question;
   const name = { organisation: organisation.name, task: task.name, model: model.name, version };
-  const prior = resolvePrior(model, version);
+  const prior = resolvePrior(model, version, size);
   return {
     model: model.name,
     version,
@@ -86,7 +99,7 @@
   };
 };
 
-const listCandidates = (question: TargetQuestion): readonly ChainCandidate[] => {
+const listServed = (question: TargetQuestion): readonly ServedModel[] => {
   const { view, organisation, model: wanted, excluded } = question;
   return listAllowedModels(view, organisation)
     .filter((model) => wanted === 'auto' || model.name === wanted)
@@ -95,10 +108,20 @@
       if (version === undefined) return [];
       const members = listMembers(view, model.name, version);
       const isServed = members.some((member) => !excluded.has(member.endpoint));
-      return isServed ? [createCandidate(question, model, version)] : [];
+      return isServed ? [{ model, version }] : [];
     });
 };
 
+const listCandidates = (question: TargetQuestion): readonly ChainCandidate[] => {
+  const served = listServed(question);
+  const costs = served.map((item) => {
+    const { cost, runs } = createCandidate(question, item).first;
+    return { cost, runs, price: computePrice(item.model) };
+  });
+  const size = estimateSize(costs);
+  return served.map((item) => createCandidate(question, item, size));
+};
+
 const checkModelName = (question: TargetQuestion): Either<RouterError, true> => {
   const { model, view, organisation } = question;
   if (model !== 'auto' && !view.find('model', model)) {
--- a/src/node/decisions/estimates.ts
+++ b/src/node/decisions/estimates.ts
@@ -43,6 +43,8 @@
   readonly bins: readonly number[];
   /** Ratings of this cell alone, after forgetting. */
   readonly ratings: number;
+  /** Answers whose cost is known, of all organisations, after forgetting. */
+  readonly runs: number;
 }
 
 /** A cell's tally, as of a time on the store's clock. */
@@ -75,7 +77,7 @@
 /** Ratings that the operators' prior is worth. */
 const PRIOR_SAMPLES = 6;
 /** Ratings that the mean over all organisations is worth for one of them. */
-const POOL_SAMPLES = 10;
+const POOL_SAMPLES = 30;
 const TIME_DEVIATION = 0.5;
 const SLOW_DEVIATIONS = 1.64;
 
@@ -156,8 +158,47 @@
   ...estimateTime(cell, pool, prior.timeMs),
   bins: estimateBins(cell, pool, prior.quality),
   ratings: cell.scores,
+  runs: pool.costs,
 });
 
+/** What is known of the cost of one model's answers to a kind of work. */
+export interface SizedCost {
+  readonly cost: number;
+  /** Cost units per 1,000 tokens. */
+  readonly price: number;
+  readonly runs: number;
+}
+
+/** Thousands of tokens that an answer is taken to have before any is known. */
+const TYPICAL_SIZE = 0.5;
+
+/**
+ * Estimates how large the answers to a kind of work are, in thousands of tokens, from every model
+ * that ran it, so that a model that has not run it yet is not judged by a size of other work.
+ */
+export const estimateSize = (costs: readonly SizedCost[]): number => {
+  const priced = costs.filter((item) => item.price > 0);
+  const runs = priced.reduce((sum, item) => sum + item.runs, 0);
+  const sizes = priced.reduce((sum, item) => sum + (item.runs * item.cost) / item.price, 0);
+  return (PRIOR_SAMPLES * TYPICAL_SIZE + sizes) / (PRIOR_SAMPLES + runs);
+};
+
+/** Ratings may cost this part of the work that they are about. */
+const RATING_COST_PART = 0.01;
+
+/**
+ * Computes which share of the answers is rated: the operators' share, and more of dear work, whose
+ * ratings cost little beside it and whose estimates are worth most.
+ */
+export const computeRatingShare = (
+  ratingShare: number,
+  ratingCost: number,
+  cost: number,
+): number => {
+  if (ratingShare <= 0 || ratingCost <= 0) return ratingShare;
+  return Math.max(ratingShare, Math.min(1, (RATING_COST_PART * cost) / ratingCost));
+};
+
 /** Creates empty estimates; the caller's clock is in milliseconds and monotonic. */
 export const createEstimates = ({ halfLifeMs }: EstimatesOptions): Estimates => {
   const slots = new Map<string, Slot>();
--- a/src/node/decisions/rollout.ts
+++ b/src/node/decisions/rollout.ts
@@ -72,6 +72,13 @@
   return steps[Math.min(step, steps.length - 1)]!;
 };
 
+/** Ratings of a new version come from this share of all traffic while its own share is small. */
+const RATED_TRAFFIC_SHARE = 0.02;
+
+/** Computes which share of a new version's answers is rated: all at first, fewer as it spreads. */
+export const computeRatedShare = (share: number, ratingShare: number): number =>
+  Math.max(ratingShare, Math.min(1, RATED_TRAFFIC_SHARE / Math.max(share, 1e-9)));
+
 /** Says whether a session is among the share that gets the new version; it stays so as the share grows. */
 export const isInShare = (question: ShareQuestion, share: number): boolean => {
   const { rollout, organisation, zone, session } = question;
--- a/src/node/entry/livePolicy.ts
+++ b/src/node/entry/livePolicy.ts
@@ -1,6 +1,10 @@
 import {
   canHedge,
+  computeRatedShare,
+  computeRatingShare,
+  computeShare,
   createRetryBudget,
+  isRolloutOpen,
   type CapRefusal,
   type ChainStep,
   type GrantHolder,
@@ -104,9 +108,19 @@
     return step?.threshold !== undefined && findNextStep(choice) !== undefined;
   };
 
-  const isInRollout = (choice: Choice): boolean => {
+  const resolveRatedShare = (request: RunRequest, choice: Choice): number => {
+    const rules = readRules();
+    const cost = chooser.estimate(request, choice)?.cost ?? 0;
+    const ratingShare = computeRatingShare(
+      rules?.ratingShare ?? DEFAULT_RATING_SHARE,
+      rules?.ratingCost ?? 0,
+      cost,
+    );
     const rollout = view.find('rollout', choice.model);
-    return rollout?.state === 'running' && rollout.to === choice.version;
+    if (!isRolloutOpen(rollout) || rollout.to !== choice.version) return ratingShare;
+    const isHighValue = request.task.value === 'high';
+    const share = computeShare(rules?.rollout.steps ?? [1], rollout.step, isHighValue);
+    return computeRatedShare(share, ratingShare);
   };
 
   return {
@@ -121,10 +135,11 @@
     },
     computeHedgeDelayMs: (request, choice) => {
       const { class: workClass } = request.task;
-      const slowTimeMs = chooser.estimateSlowTime(request, choice);
+      const slowTimeMs = chooser.estimate(request, choice)?.slowTimeMs;
+      if (slowTimeMs === undefined) return undefined;
       const question = { class: workClass, isIdempotent: request.idempotent, hasAnswer: false };
       const isHedged = canHedge({ ...question, waitedMs: slowTimeMs, slowTimeMs });
-      return isHedged && choice.model !== '' ? slowTimeMs : undefined;
+      return isHedged ? slowTimeMs : undefined;
     },
     canRetry: () => budget.acquire(),
     admit: (request) => {
@@ -147,10 +162,9 @@
       admitted.delete(request.requestId);
       holder.release(request.organisation.name, known.tokens - known.used, readNow());
     },
-    isRated: (_request, choice) => {
+    isRated: (request, choice) => {
       if (!canRate || choice.model === '' || hasNext(choice)) return false;
-      const share = readRules()?.ratingShare ?? DEFAULT_RATING_SHARE;
-      return isInRollout(choice) || choice.isExploration || readDraw() < share;
+      return choice.isExploration || readDraw() < resolveRatedShare(request, choice);
     },
     rate: async (request, answer, choice) => {
       await fetchRating(request, answer, choice);
--- a/src/node/entry/targetChoice.ts
+++ b/src/node/entry/targetChoice.ts
@@ -3,6 +3,7 @@
   formatRolloutName,
   isRolloutOpen,
   resolvePrior,
+  type CellEstimate,
   type CellName,
   type ChainStep,
   type Learning,
@@ -58,8 +59,8 @@
   readonly updateLoad: (endpoint: string, change: number) => void;
   /** Takes note of a load that an endpoint reported. */
   readonly recordLoad: (endpoint: string, load: number) => void;
-  /** Estimates the time that 95 in 100 answers of this run keep, in milliseconds. */
-  readonly estimateSlowTime: (request: RunRequest, choice: Choice) => number;
+  /** Estimates a run; nothing is known of plain services. */
+  readonly estimate: (request: RunRequest, choice: Choice) => CellEstimate | undefined;
   readonly recordEnd: (request: RunRequest, choice: Choice, end: RunEnd) => void;
   readonly log: (request: RunRequest, choice: Choice, attempt: number) => void;
 }
@@ -156,12 +157,11 @@
     isEscalated: choice.isEscalated,
   });
 
-  const estimateSlowTime: TargetChooser['estimateSlowTime'] = (request, choice) => {
+  const estimate: TargetChooser['estimate'] = (request, choice) => {
     const model = view.find('model', choice.model);
-    if (!model) return Infinity;
+    if (!model) return undefined;
     const prior = resolvePrior(model, choice.version);
-    const name = createCellName(request, choice);
-    return learning.estimates.estimate(name, prior, readNow()).slowTimeMs;
+    return learning.estimates.estimate(createCellName(request, choice), prior, readNow());
   };
 
   const recordEnd: TargetChooser['recordEnd'] = (request, choice, end) => {
@@ -192,7 +192,7 @@
     },
     updateLoad: endpoints.updateLoad,
     recordLoad: endpoints.recordLoad,
-    estimateSlowTime,
+    estimate,
     recordEnd,
     log: (request, choice, attempt) => {
       const { model, version, member, reason } = choice;
