--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -52,10 +52,15 @@
   print('| --- | --- | --- |');
 };
 
-const createNode = (rpc: RpcClient, cluster: Cluster, name: string): LeaseClient =>
+const createNode = (
+  rpc: RpcClient,
+  cluster: Cluster,
+  name: string,
+  role: 'entry' | 'agent' = 'agent',
+): LeaseClient =>
   createLeaseClient({
     node: name,
-    role: 'agent',
+    role,
     zone: 'zone-a',
     host: name,
     control: cluster.controls,
@@ -143,7 +148,12 @@
 const MEMBER_COUNTS = [0, 700, 1_400, 2_800] as const;
 const STATE_NODES = 16;
 
-const announce = async (rpc: RpcClient, cluster: Cluster, index: number): Promise<void> => {
+const announce = async (
+  rpc: RpcClient,
+  cluster: Cluster,
+  index: number,
+  known: Map<string, number>,
+): Promise<void> => {
   const node = `runner-${index}`;
   const control = cluster.controls[0]!;
   const registration = {
@@ -160,6 +170,7 @@
     registration,
   );
   const { incarnation } = answer.unsafeCoerce();
+  known.set(node, incarnation);
   const announcement = {
     endpoint: `endpoint-${index}`,
     host: `host-${index}`,
@@ -176,13 +187,39 @@
 
 const BATCH = 50;
 
-const announceAll = async (rpc: RpcClient, cluster: Cluster, from: number, to: number) => {
+const announceAll = async (
+  rpc: RpcClient,
+  cluster: Cluster,
+  from: number,
+  to: number,
+  known: Map<string, number>,
+): Promise<void> => {
   for (let index = from; index < to; index += BATCH) {
     const batch = Array.from({ length: Math.min(BATCH, to - index) }, (_, item) => index + item);
-    await Promise.all(batch.map((item) => announce(rpc, cluster, item)));
+    await Promise.all(batch.map((item) => announce(rpc, cluster, item, known)));
   }
 };
 
+const REPORT_INTERVAL_MS = 1_000;
+
+// Control hosts tell the leader whose leases they renewed; without that the endpoints would expire.
+const startReporting = (
+  rpc: RpcClient,
+  cluster: Cluster,
+  known: ReadonlyMap<string, number>,
+): NodeJS.Timeout =>
+  setInterval(() => {
+    const sightings = [...known].map(([node, incarnation]) => ({
+      node,
+      incarnation,
+      revision: 0,
+      ageMs: 0,
+    }));
+    cluster.controls.forEach((control) => {
+      rpc.call(control, 'members.report', { sightings }).catch(() => {});
+    });
+  }, REPORT_INTERVAL_MS);
+
 const readResident = (cluster: Cluster, node: string): number =>
   readProcessStats(cluster.processes.get(node)!.pid()).residentMegabytes;
 
@@ -195,10 +232,12 @@
   const entryMemory: Point[] = [];
   const snapshots: Point[] = [];
   const announced: Point[] = [];
+  const known = new Map<string, number>();
+  const reporting = startReporting(rpc, cluster, known);
   let count = 0;
   for (const size of MEMBER_COUNTS) {
     const started = readControlCpu(cluster);
-    await announceAll(rpc, cluster, count, size);
+    await announceAll(rpc, cluster, count, size, known);
     const added = size - count;
     if (added > 0) announced.push([size, ((readControlCpu(cluster) - started) * MILLI) / added]);
     count = size;
@@ -207,9 +246,10 @@
     memory.push([size, readResident(cluster, 'control-1')]);
     entryMemory.push([size, readResident(cluster, 'entry-1')]);
     const before = countBytes();
-    const [fresh] = await startNodes(rpc, cluster, 10_000 + size, 10_001 + size);
+    const fresh = createNode(rpc, cluster, `entry-${size}`, 'entry');
+    await fresh.start('127.0.0.1:1');
     snapshots.push([size, (countBytes().received - before.received) / KILOBYTE]);
-    await fresh!.stop();
+    await fresh.stop();
   }
   printHeader(`Endpoints in the state, ${controls} control host(s), ${STATE_NODES} nodes renewing`);
   printFit('control: processor per node, ms/s, all hosts', cpu, 2);
@@ -217,6 +257,7 @@
   printFit('control-1: resident MB', memory, 0);
   printFit('entry-1: resident MB', entryMemory, 0);
   printFit('first view of a node, KB', snapshots, 1);
+  clearInterval(reporting);
   await Promise.all(nodes.map((node) => node.stop()));
   await rpc.close();
   await cluster.stop();
--- a/src/node/__tests__/cluster/inventory.ts
+++ b/src/node/__tests__/cluster/inventory.ts
@@ -18,15 +18,48 @@
 
 const COSTS = { inputCostPerThousand: 1, outputCostPerThousand: 2, priorLatencyMs: 100 } as const;
 
-/** Creates the inventory of the tests; `mark` sets one value that tells inventories apart. */
-export const createClusterInventory = (mark = 0): Inventory =>
+/** What differs between the inventories of one test. */
+export interface InventoryFlags {
+  /** Tells inventories apart: callers of `rack` see a model `mark-N`. */
+  readonly mark: number;
+  readonly stableVersion: 'v1' | 'v2';
+  readonly isWithdrawn: boolean;
+  /** Endpoint that is leaving. */
+  readonly leaving?: string;
+}
+
+const DEFAULT_FLAGS: InventoryFlags = { mark: 0, stableVersion: 'v1', isWithdrawn: false };
+const MARK_PREFIX = 'mark-';
+
+/** Reads the mark from names of models. */
+export const readMark = (models: readonly string[]): number =>
+  Math.max(
+    0,
+    ...models
+      .filter((name) => name.startsWith(MARK_PREFIX))
+      .map((name) => Number(name.slice(MARK_PREFIX.length))),
+  );
+
+const createMarkModel = (mark: number) => ({
+  name: `${MARK_PREFIX}${mark}`,
+  stableVersion: 'v1',
+  versions: [{ name: 'v1' }],
+  priorQuality: 0,
+  ...COSTS,
+});
+
+/** Creates the inventory of the tests. */
+export const createClusterInventory = (flags: InventoryFlags = DEFAULT_FLAGS): Inventory =>
   inventorySchema.parse({
     zones: [{ name: 'zone-a', region: 'region-a' }],
     models: [
       {
         name: 'small',
-        stableVersion: 'v1',
-        versions: [{ name: 'v1' }, { name: 'v2' }],
+        stableVersion: flags.stableVersion,
+        versions: [
+          { name: 'v1' },
+          { name: 'v2', state: flags.isWithdrawn ? 'withdrawn' : 'active' },
+        ],
         priorQuality: 0.9,
         ...COSTS,
       },
@@ -38,6 +71,7 @@
         ...COSTS,
         outputCostPerThousand: 8,
       },
+      createMarkModel(flags.mark),
     ],
     services: [
       {
@@ -48,6 +82,10 @@
         ],
       },
     ],
+    endpoints:
+      flags.leaving === undefined
+        ? []
+        : [{ name: flags.leaving, host: 'agent-1', state: 'leaving' }],
     organisations: [
       {
         name: 'yard',
@@ -55,10 +93,13 @@
         models: [{ name: 'small' }, { name: 'large' }],
         services: [SERVICE],
       },
-      { name: 'rack', keyHashes: [computeKeyHash(KEYS.rack)], models: [{ name: 'small' }] },
+      {
+        name: 'rack',
+        keyHashes: [computeKeyHash(KEYS.rack)],
+        models: [{ name: 'small' }, { name: `${MARK_PREFIX}${flags.mark}` }],
+      },
     ],
     rules: {
-      latencyWeight: mark,
       tasks: [
         { name: 'quote', class: 'urgent' },
         { name: 'deposit', class: 'urgent', idempotent: false },
--- a/src/node/__tests__/cluster/relay.ts
+++ b/src/node/__tests__/cluster/relay.ts
@@ -40,11 +40,15 @@
     // The end of a connection is lost with its bytes.
     const close = (): void => {
       if (silent.has(link) || cuts.has(direction)) return;
-      links.delete(link);
       to.end();
     };
     from.on('error', () => to.destroy());
     from.on('end', close);
+    from.on('close', () => {
+      if (!to.destroyed) return;
+      links.delete(link);
+      silent.delete(link);
+    });
   };
 
   const server = createServer({ allowHalfOpen: true }, (caller) => {
--- /dev/null
+++ b/src/node/__tests__/faults/index.ts
@@ -0,0 +1,2 @@
+export * from './runSchedule';
+export * from './schedule';
--- a/src/node/__tests__/history.test.ts
+++ b/src/node/__tests__/history.test.ts
@@ -108,6 +108,10 @@
   'a configuration never reverts': {
     samples: [SAMPLE, { ...SAMPLE, mark: 0, startedAt: 320, endedAt: 330 }],
   },
+  'deferred work is not dropped': {
+    calls: [{ ...CALL, kind: 'deferred', result: { type: 'cut', reason: 'running' } }],
+    faults: [],
+  },
   'operators see one order of changes': {
     operators: [createWrite(20, 1, 1), createRead(40, 1, 0)],
   },
--- a/src/node/__tests__/history/checks.ts
+++ b/src/node/__tests__/history/checks.ts
@@ -158,6 +158,11 @@
       .map((later) => `${later.entry} went back from ${sample.mark} to ${later.mark}`),
   );
 
+const checkDeferred = (history: History): readonly Violation[] =>
+  history.calls
+    .filter((call) => call.kind === 'deferred' && call.result.type === 'cut')
+    .map((call) => `${call.operation} was accepted for later and never ended`);
+
 const FIRST_STATE = { revision: 1, mark: 0 } as const;
 
 const checkOperators = (history: History): readonly Violation[] =>
@@ -181,6 +186,7 @@
   'a planned stop cuts nothing': checkPlannedStops,
   'an accepted configuration is in force in time': checkInForce,
   'a configuration never reverts': checkNoReversal,
+  'deferred work is not dropped': checkDeferred,
   'operators see one order of changes': checkOperators,
 };
 
