--- a/src/node/__tests__/path.test.ts
+++ b/src/node/__tests__/path.test.ts
@@ -33,7 +33,7 @@
 let entry = '';
 
 test.before(async () => {
-  cluster = await startCluster({ engines: [{}, {}] });
+  cluster = await startCluster({ controls: 3, engines: [{}, {}] });
   [entry] = cluster.entries as [string];
   await waitFor('an endpoint in the view', async () => {
     const answer = await callEntry({ entry, organisation: 'yard', kind: 'plain', text: 'first' });
