--- a/src/node/dev/dev.ts
+++ b/src/node/dev/dev.ts
@@ -11,7 +11,12 @@
 import { createMetrics } from '../metrics';
 import { createRpcClient } from '../rpc';
 import { agentSettingsSchema, controlSettingsSchema, entrySettingsSchema } from '../settings';
-import { startStandinEngine, startStandinService } from '../standin';
+import {
+  startStandinEngine,
+  startStandinService,
+  type StandinEngine,
+  type StandinService,
+} from '../standin';
 import { createDevInventory } from './devInventory';
 
 /** Options of the quick start. */
@@ -26,6 +31,11 @@
   readonly address: string;
   readonly controlAddress: string;
   readonly operatorSecret: string;
+  /** Addresses of the stand-ins, whose records tests read. */
+  readonly engineAddress: string;
+  readonly serviceAddress: string;
+  /** Every port that the roles listen on. */
+  readonly ports: readonly string[];
   readonly stop: () => Promise<void>;
 }
 
@@ -203,8 +213,18 @@
     createReadinessService(),
   ]);
   await kernel.start();
+  const { address, internalAddress } = kernel.find<EntryAddresses>('entry');
+  const agents = ['agent-1', 'agent-2'].map((name) => kernel.find<AgentAddresses>(name));
   return {
-    address: kernel.find<EntryAddresses>('entry').address,
+    address,
+    engineAddress: kernel.find<StandinEngine>('engine').address,
+    serviceAddress: kernel.find<StandinService>('bookings').address,
+    ports: [
+      address,
+      internalAddress,
+      kernel.find<string>('control'),
+      ...agents.flatMap((agent) => [agent.address, agent.announceAddress]),
+    ],
     controlAddress: kernel.find<string>('control'),
     operatorSecret: context.secrets.operator,
     stop: kernel.stop,
--- a/src/node/entry/attemptClient.ts
+++ b/src/node/entry/attemptClient.ts
@@ -1,7 +1,7 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { Readable } from 'node:stream';
 import { createError, RouterError, type ErrorType, type RouterErrorFields } from '../errors';
 import type { RpcClient } from '../rpc';
+import { sleep, type Sleep } from './sleep';
 import {
   formatAttemptName,
   type AttemptConfirmation,
@@ -146,7 +146,7 @@
   return createError({ type: 'peer_failed', message, step: 'entry.dispatch', peer, outcome });
 };
 
-const createStreams = (rpc: RpcClient) => {
+const createStreams = (rpc: Pick<RpcClient, 'request'>) => {
   const openStream = async (
     address: string,
     attempt: AttemptRequest,
@@ -191,19 +191,20 @@
   return openOnce;
 };
 
-const createConfirmer = (rpc: RpcClient): AttemptClient['confirm'] => {
+const createConfirmer = (rpc: Pick<RpcClient, 'call'>, wait: Sleep): AttemptClient['confirm'] => {
   const waiting = new Map<string, AttemptConfirmation[]>();
-  const sendConfirmations = (address: string): void => {
+  const sendConfirmations = async (address: string): Promise<void> => {
+    await wait(CONFIRM_DELAY_MS);
     const items = waiting.get(address) ?? [];
     waiting.delete(address);
-    rpc.call(address, 'attempt.confirm', { items }).catch(() => {});
+    await rpc.call(address, 'attempt.confirm', { items });
   };
   return (address, item) => {
     const items = waiting.get(address);
     if (items) items.push(item);
     else {
       waiting.set(address, [item]);
-      setTimeout(() => sendConfirmations(address), CONFIRM_DELAY_MS);
+      sendConfirmations(address).catch(() => {});
     }
   };
 };
@@ -211,7 +212,10 @@
 const UNKNOWN_END: AttemptEnd = { type: 'ended', state: 'unknown' };
 
 /** Creates the client of one entry. */
-export const createAttemptClient = (rpc: RpcClient): AttemptClient => {
+export const createAttemptClient = (
+  rpc: Pick<RpcClient, 'call' | 'request' | 'replaceConnections'>,
+  wait: Sleep = sleep,
+): AttemptClient => {
   const openOnce = createStreams(rpc);
 
   async function* open(
@@ -233,7 +237,7 @@
         if (signal.aborted || failures > RESUME_TRIES) throw createLostError(cause, state, address);
         // The connection may have gone silent for good, so the next one must be new.
         rpc.replaceConnections(address);
-        await sleep(RESUME_PAUSE_MS * failures);
+        await wait(RESUME_PAUSE_MS * failures);
       }
     }
   }
@@ -251,6 +255,6 @@
     open,
     refuse: (address, name) => callEnd('attempt.refuse', address, name),
     cancel: (address, name) => callEnd('attempt.cancel', address, name),
-    confirm: createConfirmer(rpc),
+    confirm: createConfirmer(rpc, wait),
   };
 };
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -1,4 +1,6 @@
+import { performance } from 'node:perf_hooks';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { createGrantHolder, createLearning } from '../decisions';
 import type { Service } from '../kernel';
 import { createLeaseClient } from '../lease';
 import { createLedgerClient, type Owner } from '../ledger';
@@ -7,14 +9,20 @@
 import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
 import type { EntrySettings } from '../settings';
 import { createAttemptClient } from './attemptClient';
-import { createPlainPolicy } from './attemptPolicy';
 import { registerCallerApi, registerHealthRoutes, waitForIdle, waitForSettled } from './callerApi';
 import { createDeferredRunner } from './deferredRunner';
+import { createLivePolicy } from './livePolicy';
+import { createPolicyClient } from './policyClient';
+import { createRatingClient } from './ratingClient';
 import { createRequestRunner } from './requestRunner';
+import { sleep } from './sleep';
 import { createSettlement } from './settlement';
 import { createTargetChooser } from './targetChoice';
 
 const DRAW_STEPS = 1_000_000_000;
+const LEARNING_HALF_LIFE_MS = 6 * 3_600_000;
+/** Until control tells this entry's part. */
+const FIRST_FALSE_BRAKE_RATE = 0.001;
 
 const createDraw = (): (() => number) => {
   const generator = xoroshiro128plus(Date.now());
@@ -44,7 +52,44 @@
     const { answerTimeoutMs } = limits;
     const decisions = createPartLogger(root, 'decision');
     const { view } = lease;
-    const chooser = createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions });
+    const learning = createLearning({
+      halfLifeMs: LEARNING_HALF_LIFE_MS,
+      falseBrakeRate: FIRST_FALSE_BRAKE_RATE,
+    });
+    const holder = createGrantHolder();
+    const readNow = (): number => performance.now();
+    const policyClient = createPolicyClient({
+      node,
+      lease,
+      rpc,
+      learning,
+      holder,
+      readNow,
+      log,
+    });
+    const readDraw = createDraw();
+    const canRate = settings.ratingAddress !== undefined;
+    const chooser = createTargetChooser({
+      view,
+      entry: node,
+      zone,
+      learning,
+      canRate,
+      readDraw,
+      readNow,
+      log: decisions,
+    });
+    const policy = createLivePolicy({
+      view,
+      chooser,
+      learning,
+      holder,
+      rating: createRatingClient(settings.ratingAddress),
+      canRate,
+      requestGrants: policyClient.requestExchange,
+      readDraw,
+      readNow,
+    });
     const readOwner = (): Owner => ({ node, incarnation: lease.incarnation() });
     const settlement = createSettlement({ ledger, view, readOwner, log });
     const { streamBytes, inFlight } = limits;
@@ -53,7 +98,8 @@
       lease,
       settlement,
       chooser,
-      policy: createPlainPolicy(),
+      policy,
+      wait: sleep,
       readOwner,
       answerTimeoutMs,
       streamBytes,
@@ -92,6 +138,7 @@
     registerMetrics(internal, find<Metrics>('metrics'));
     const internalAddress = await startHttpServer(internal, settings.internalListen);
     await lease.start(internalAddress);
+    policyClient.start();
     const address = await startHttpServer(callers, settings.listen);
     deferred.start();
     log.info({ address, internalAddress }, 'listening');
@@ -102,6 +149,7 @@
       await waitForIdle(runner);
       await waitForSettled(settlement);
       await callers.close();
+      policyClient.stop();
       await lease.stop();
       await internal.close();
     };
