Give the attempt table's tests whole requests

Cause: the fair queue reads organisation, class, weight and deadline, which the tests' requests lacked; seven cases threw a refusal.

--- a/src/node/agent/__tests__/attemptTable.test.ts
+++ b/src/node/agent/__tests__/attemptTable.test.ts
@@ -22,6 +22,11 @@
   ({
     requestId,
     attempt: 0,
+    organisation: 'o1',
+    endpoint: 'e1',
+    class: 'normal',
+    weight: 1,
+    deadlineMs: 60_000,
     incarnation: 1,
     target: { kind: 'model', model: 'small', version: 'v1' },
     ...fields,
@@ -35,7 +40,7 @@
 
 const runWhole = (table: AttemptTable, requestId: string): void => {
   const attempt = table.admit(createRequest(requestId), READY, 0);
-  table.takeNext();
+  table.takeNext(0);
   attempt.start();
   attempt.append({ type: 'data', data });
   attempt.append({ type: 'end', inputTokens: 1, outputTokens: 1 });
@@ -154,7 +159,7 @@
 test('the engine is held back until the entry confirms what it has', async (t) => {
   const table = createTable();
   const attempt = table.admit(createRequest('r'), READY, 0);
-  table.takeNext();
+  table.takeNext(0);
   attempt.start();
   let hasRoom = false;
   attempt.append({ type: 'data', data });
