Keep the wait for an older process when a registration is sent again

Cause: the answer to a resent registration said that no older process may hold a lease, so a lost answer let the newer agent start while the older one still held its lease. Found by reading. Change: the record keeps it. The new case was seen failing (mayOverlap false) and passes. docs/CONTROL.md describes configuration, leases, members and orders, with the ways considered.

--- a/src/node/control/__tests__/configState.test.ts
+++ b/src/node/control/__tests__/configState.test.ts
@@ -112,6 +112,19 @@
       { type: 'registered', incarnation: 1, mayOverlap: false },
     ],
   },
+  {
+    title: 'a registration sent again is still told to wait for the older process',
+    commands: [
+      createRegistration('n', 'x'),
+      createRegistration('n', 'y', 'a:2'),
+      createRegistration('n', 'y', 'a:2'),
+    ],
+    answers: [
+      { type: 'registered', incarnation: 1, mayOverlap: false },
+      { type: 'registered', incarnation: 2, mayOverlap: true },
+      { type: 'registered', incarnation: 2, mayOverlap: true },
+    ],
+  },
   {
     title: 'an endpoint that moved belongs to whoever registered last',
     commands: [
--- a/src/node/control/configState.ts
+++ b/src/node/control/configState.ts
@@ -105,6 +105,8 @@
   readonly address: string;
   readonly bootId: string;
   readonly incarnation: number;
+  /** An older process of this name at another address may hold a lease for a while. */
+  readonly mayOverlap: boolean;
 }
 
 /** The `config` state machine with its reads. */
@@ -304,11 +306,11 @@
     const known = tables.nodes.get(node);
     const mayOverlap = known !== undefined && known.address !== address;
     if (known?.bootId === bootId) {
-      return { type: 'registered', incarnation: known.incarnation, mayOverlap: false };
+      return { type: 'registered', incarnation: known.incarnation, mayOverlap: known.mayOverlap };
     }
     tables.nextIncarnation += 1;
     const incarnation = tables.nextIncarnation;
-    tables.nodes.set(node, { node, role, zone, host, address, bootId, incarnation });
+    tables.nodes.set(node, { node, role, zone, host, address, bootId, incarnation, mayOverlap });
     removeMembers(tables, node);
     return { type: 'registered', incarnation, mayOverlap };
   },
