--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -1,23 +1,25 @@
 import type { Service } from '../kernel';
 import { createLeaseClient, type LeaseClient } from '../lease';
 import { createPartLogger, type Logger } from '../log';
+import { registerMetrics, type Metrics } from '../metrics';
 import {
   createHttpServer,
   createRpcClient,
+  registerHealthRoutes,
   registerRpc,
   startHttpServer,
   type RpcClient,
 } from '../rpc';
-import type { AgentSettings } from '../settings';
+import { resolveRpcOptions, type AgentConfig } from '../settings';
 import { createAnnouncementStore, type EngineAnnouncement } from './announcements';
 import { createAttemptStore } from './attemptStore';
 import { createAgentMethods, registerAnnounceRoute, registerAttemptRoutes } from './agentServer';
 
-const createRpcService = (settings: AgentSettings): Service => ({
+const createRpcService = (settings: AgentConfig): Service => ({
   name: 'rpc',
   needs: [],
   start: () => {
-    const value = createRpcClient({ secret: settings.secrets.internal });
+    const value = createRpcClient(resolveRpcOptions(settings));
     return { value, stop: value.close };
   },
 });
@@ -25,7 +27,7 @@
 const sendAnnouncement = async (
   rpc: RpcClient,
   lease: LeaseClient,
-  settings: AgentSettings,
+  settings: AgentConfig,
   announced: EngineAnnouncement,
   state: 'live' | 'leaving',
 ): Promise<boolean> => {
@@ -37,18 +39,25 @@
   return answer.isRight();
 };
 
-const createAgentService = (settings: AgentSettings): Service => ({
+const createAgentService = (settings: AgentConfig): Service => ({
   name: 'agent',
-  needs: ['rpc', 'log'],
+  needs: ['rpc', 'log', 'metrics'],
   start: async (find) => {
     const rpc = find<RpcClient>('rpc');
     const log = createPartLogger(find<Logger>('log'), 'agent');
     const { node, zone, control, queueLimit } = settings;
+    const metrics = find<Metrics>('metrics');
     const announcements = createAnnouncementStore(settings.announcementTimeoutMs);
     const host = settings.host ?? node;
     const lease = createLeaseClient({ node, role: 'agent', zone, host, control, rpc, log });
-    const store = createAttemptStore({ lease, announcements, queueLimit, log });
-    const internal = createHttpServer();
+    const store = createAttemptStore({
+      lease,
+      announcements,
+      queueLimit,
+      log,
+      recordOutcome: (outcome) => metrics.attempts.inc({ outcome }),
+    });
+    const internal = createHttpServer({ tls: settings.ports?.internal });
     const announcePort = createHttpServer();
     const sent = new Map<string, string>();
 
@@ -62,7 +71,17 @@
       });
     };
 
-    registerRpc(internal, createAgentMethods(store), settings.secrets.internal);
+    const recordCall = (method: string, result: string): void =>
+      metrics.calls.inc({ method, result });
+    let isStopping = false;
+    const isReady = (): boolean => lease.isValid() && !isStopping;
+    registerRpc(internal, createAgentMethods(store), settings.secrets.internal, recordCall);
+    registerHealthRoutes(internal, isReady);
+    registerMetrics(internal, metrics);
+    metrics.registerSource('queue', store.countQueued);
+    metrics.registerSource('running', store.countRunning);
+    metrics.registerSource('revision', lease.view.revision);
+    metrics.registerSource('lease', () => Number(isReady()));
     registerAttemptRoutes(internal, store, settings.secrets.internal);
     registerAnnounceRoute(announcePort, handleAnnouncement);
     const address = await startHttpServer(internal, settings.listen);
@@ -71,6 +90,7 @@
     log.info({ address, announceAddress }, 'listening');
 
     const stop = async (): Promise<void> => {
+      isStopping = true;
       const live = announcements.list();
       await Promise.all(
         live.map((item) => sendAnnouncement(rpc, lease, settings, item, 'leaving')),
@@ -91,7 +111,7 @@
 }
 
 /** The services of the `agent` role. */
-export const createAgentServices = (settings: AgentSettings): readonly Service[] => [
+export const createAgentServices = (settings: AgentConfig): readonly Service[] => [
   createRpcService(settings),
   createAgentService(settings),
 ];
--- a/src/node/agent/attemptStore.ts
+++ b/src/node/agent/attemptStore.ts
@@ -16,7 +16,8 @@
   readonly refuse: (requestId: string, attempt: number) => boolean;
   readonly cancel: (requestId: string, attempt: number) => void;
   readonly confirm: (requestId: string, attempt: number) => void;
-  readonly countActive: () => number;
+  readonly countQueued: () => number;
+  readonly countRunning: () => number;
   readonly drain: () => Promise<void>;
 }
 
@@ -26,8 +27,13 @@
   readonly announcements: AnnouncementStore;
   readonly queueLimit: number;
   readonly log: Logger;
+  /** Takes note of how an attempt ended. */
+  readonly recordOutcome: (outcome: AttemptOutcome) => void;
 }
 
+/** How an attempt ended; a refused one has not run. */
+export type AttemptOutcome = 'done' | 'failed' | 'cancelled' | 'refused';
+
 const DRAIN_POLL_MS = 20;
 
 const createRefusal = (message: string, type: 'unavailable' | 'version_withdrawn' | 'overloaded') =>
@@ -47,7 +53,7 @@
 
 /** Creates the store of one agent. */
 export const createAttemptStore = (options: AttemptStoreOptions): AttemptStore => {
-  const { announcements, log, queueLimit } = options;
+  const { announcements, log, queueLimit, recordOutcome } = options;
   const attempts = new Map<string, Attempt>();
   const tombstones = new Set<string>();
   const queue: Attempt[] = [];
@@ -73,14 +79,17 @@
       const { type, message, step } = convertToRouterError(cause, 'agent.start', endpoint);
       attempt.append({ type: 'failed', error: { type, message, step, outcome: 'not_run' } });
       attempt.refuse();
+      recordOutcome('refused');
       return;
     }
     if (!attempt.start()) return;
     try {
       await callEngine({ pool: acquirePool(announced.address) }, attempt);
+      recordOutcome('done');
     } catch (cause) {
       const error = convertToRouterError(cause, 'agent.engine', endpoint, 'unknown');
       const type = attempt.abort.signal.aborted ? 'cancelled' : 'peer_failed';
+      recordOutcome(type === 'cancelled' ? 'cancelled' : 'failed');
       const { message, step } = error;
       attempt.append({ type: 'failed', error: { type, message, step, outcome: 'ran' } });
       log.warn({ requestId, endpoint, reason: message }, 'attempt failed');
@@ -134,7 +143,8 @@
     confirm: (requestId, attempt) => {
       attempts.delete(formatAttemptName(requestId, attempt));
     },
-    countActive: () => running + queue.length,
+    countQueued: () => queue.length,
+    countRunning: () => running,
     drain: async () => {
       isDraining = true;
       while (running + queue.length > 0) {
--- a/src/node/cli/cli.ts
+++ b/src/node/cli/cli.ts
@@ -1,71 +1,115 @@
 import { cac, type CAC } from 'cac';
-import { startDev } from '../dev';
-import { createRootLogger } from '../log';
-import { EXIT_CODES } from './exitCodes';
-import { registerSignals, runRole, type Role } from './runRole';
+import { convertToRouterError } from '../errors';
+import { formatSuggestion } from '../inventory';
+import { createProcessIo, type CliIo } from './cliIo';
+import type { CliCommand } from './command';
+import { COMMANDS } from './commands';
+import { EXIT_CODES, EXIT_CODE_TEXTS, findExitCode } from './exitCodes';
 
+const NAME = 'oleanderfront';
 const VERSION = process.env.OLEANDERFRONT_VERSION ?? '0.0.0';
 const COMMIT = process.env.OLEANDERFRONT_COMMIT ?? 'unknown';
-const DEV_PORT = 8_080;
+const USAGE_STEP = 'cli.parse';
+const PARSER_KEYS: ReadonlySet<string> = new Set(['--', 'h', 'v']);
 
-const formatExample = (address: string): string =>
-  [
-    `curl -s http://${address}/v1/chat/completions`,
-    `-H 'authorization: Bearer dev-key' -H 'content-type: application/json'`,
-    `-d '{"model":"auto","messages":[{"role":"user","content":"How deep must the gravel be?"}]}'`,
-  ].join(' ');
+const registerCommand = (cli: CAC, command: CliCommand): void => {
+  const registered = cli.command(command.usage, command.text, { allowUnknownOptions: true });
+  command.options.forEach(({ name, text }) => registered.option(name, text));
+  registered.example(`  $ ${NAME} ${command.example}`);
+};
+
+const formatExitCodes = (): string =>
+  Object.entries(EXIT_CODES)
+    .map(([name, code]) => `  ${code}  ${EXIT_CODE_TEXTS[name as keyof typeof EXIT_CODES]}`)
+    .join('\n');
+
+const createCli = (): CAC => {
+  const cli = cac(NAME);
+  Object.values(COMMANDS).forEach((command) => registerCommand(cli, command));
+  cli.help((sections) => [...sections, { title: 'Exit codes', body: formatExitCodes() }]);
+  cli.version(`${VERSION} (${COMMIT})`);
+  return cli;
+};
+
+// `--change-id <id>` is known to the parser as `changeId`.
+const convertToFlagName = (option: string): string =>
+  option.replace(/-([a-z])/g, (_match, letter: string) => letter.toUpperCase());
 
-interface DevFlags {
-  readonly port: number;
-  readonly data?: string;
-  readonly logLevel: string;
-}
+const listOptionNames = (command: CliCommand): readonly string[] => [
+  ...command.options.map(({ name }) => /^--([a-z-]+)/.exec(name)?.[1] ?? ''),
+  'help',
+];
 
-const runDev = async (flags: DevFlags): Promise<number> => {
-  const log = createRootLogger({ level: flags.logLevel, node: 'dev' });
-  const dev = await startDev({ port: flags.port, data: flags.data, log });
-  registerSignals(dev.stop);
-  process.stdout.write(`oleanderfront dev is ready on http://${dev.address}\n`);
-  process.stdout.write(`${formatExample(dev.address)}\n`);
-  return EXIT_CODES.ok;
+const printUsageError = (io: CliIo, message: string): number => {
+  io.writeError(`${NAME}: ${message}; see ${NAME} --help\n`);
+  return EXIT_CODES.usage;
 };
 
-const registerRole = (cli: CAC, role: Role, text: string): void => {
-  cli
-    .command(role, text)
-    .option('--settings <file>', 'Settings in JSON with comments')
-    .example(`oleanderfront ${role} --settings ${role}.jsonc`)
-    .action((flags: { readonly settings?: string }) => {
-      if (flags.settings !== undefined) return runRole(role, flags.settings);
-      process.stderr.write(`${role}: --settings FILE is missing\n`);
-      return EXIT_CODES.usage;
-    });
+const findUnknownOption = (
+  command: CliCommand,
+  flags: Readonly<Record<string, unknown>>,
+): string | undefined => {
+  const names = listOptionNames(command);
+  const known = new Set(names.map(convertToFlagName));
+  const unknown = Object.keys(flags).find((flag) => !known.has(flag));
+  if (unknown === undefined) return undefined;
+  const option = unknown.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+  return `unknown option '--${option}'${formatSuggestion(option, names)}`;
 };
 
-const registerDev = (cli: CAC): void => {
-  cli
-    .command('dev', 'Run everything in one process with stand-ins')
-    .option('--port <port>', 'Port for callers', { default: DEV_PORT })
-    .option('--data <dir>', 'Folder for the state; else a temporary one')
-    .option('--log-level <level>', 'Level of the log', { default: 'warn' })
-    .example('oleanderfront dev --port 8080')
-    .action(runDev);
+// Required arguments come first, so that too few are told by their number.
+const checkArguments = (command: CliCommand, given: readonly string[]): string | undefined => {
+  const [name, ...slots] = command.usage.split(' ');
+  const required = slots.filter((slot) => slot.startsWith('<'));
+  if (given.length < required.length) return `${name} needs ${required[given.length]}`;
+  const isOpen = slots.some((slot) => slot.includes('...'));
+  if (!isOpen && given.length > slots.length) {
+    return `${name} takes no argument '${given[slots.length]}'`;
+  }
+  return undefined;
+};
+
+const createArguments = (command: CliCommand, given: readonly string[]): readonly unknown[] => {
+  const [, ...slots] = command.usage.split(' ');
+  return slots.map((slot, index) => (slot.includes('...') ? given.slice(index) : given[index]));
+};
+
+const runCommand = async (
+  name: string,
+  given: readonly string[],
+  flags: Readonly<Record<string, unknown>>,
+  io: CliIo,
+): Promise<number> => {
+  const command = COMMANDS[name];
+  if (!command) {
+    const hint = formatSuggestion(name, Object.keys(COMMANDS));
+    return printUsageError(io, name === '' ? 'name a command' : `unknown command '${name}'${hint}`);
+  }
+  const fault = findUnknownOption(command, flags) ?? checkArguments(command, given);
+  if (fault !== undefined) return printUsageError(io, fault);
+  try {
+    return await command.run(createArguments(command, given), flags, io);
+  } catch (cause) {
+    const error = convertToRouterError(cause, `cli.${name}`);
+    if (error.step === USAGE_STEP) return printUsageError(io, error.message);
+    const peer = error.peer === '' ? '' : ` (${error.peer})`;
+    io.writeError(`${NAME}: ${error.step}${peer}: ${error.message}\n`);
+    return findExitCode(error);
+  }
 };
 
 /** Runs the command line and gives the exit code of what has ended. */
-export const runCli = async (argv: readonly string[]): Promise<number> => {
-  const cli = cac('oleanderfront');
-  registerRole(cli, 'entry', 'Run an entry');
-  registerRole(cli, 'agent', 'Run an agent');
-  registerRole(cli, 'control', 'Run a control host');
-  registerDev(cli);
-  cli.help();
-  cli.version(`${VERSION} (${COMMIT})`);
+export const runCli = async (
+  argv: readonly string[],
+  io: CliIo = createProcessIo(),
+): Promise<number> => {
+  const cli = createCli();
   cli.parse([...argv], { run: false });
   if (cli.options.help === true || cli.options.version === true) return EXIT_CODES.ok;
-  if (!cli.matchedCommand) {
-    process.stderr.write(`unknown command '${cli.args[0] ?? ''}'; see --help\n`);
-    return EXIT_CODES.usage;
-  }
-  return (await cli.runMatchedCommand()) as number;
+  const [name = '', ...rest] = cli.matchedCommandName
+    ? [cli.matchedCommandName, ...cli.args]
+    : cli.args;
+  const entries = Object.entries(cli.options).filter(([key]) => !PARSER_KEYS.has(key));
+  const flags = Object.fromEntries(entries);
+  return runCommand(name, rest, flags, io);
 };
--- /dev/null
+++ b/src/node/cli/command.ts
@@ -0,0 +1,120 @@
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+import { createError } from '../errors';
+import { createAdminClient, readSecretFile, type AdminClient } from '../rpc';
+import type { CliIo } from './cliIo';
+
+/** An option of a command, as `--help` shows it. */
+export interface CommandOption {
+  /** Raw name, e.g. `--base <revision>`. */
+  readonly name: string;
+  readonly text: string;
+}
+
+/** One command of the command line. */
+export interface CliCommand {
+  /** Raw form with its arguments, e.g. `withdraw <model> <version>`. */
+  readonly usage: string;
+  readonly text: string;
+  readonly options: readonly CommandOption[];
+  readonly example: string;
+  /** Runs the command and gives its exit code; throws router errors. */
+  readonly run: (args: readonly unknown[], flags: unknown, io: CliIo) => Promise<number>;
+}
+
+/** What `createCommand` needs: the command with the schemas of its arguments and options. */
+export interface CommandSpec<Args, Flags> extends Omit<CliCommand, 'run'> {
+  readonly args: z.ZodType<Args>;
+  readonly flags: z.ZodType<Flags>;
+  readonly run: (args: Args, flags: Flags, io: CliIo) => Promise<number>;
+}
+
+const parsePart = <T>(schema: z.ZodType<T>, value: unknown): T => {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  const lines = parsed.error.issues.map((issue) =>
+    [issue.path.join('.'), issue.message].filter(Boolean).join(': '),
+  );
+  throw createError({ type: 'invalid_request', message: lines.join('; '), step: 'cli.parse' });
+};
+
+/** Creates a command whose arguments and options are checked before it runs. */
+export const createCommand = <Args, Flags>(spec: CommandSpec<Args, Flags>): CliCommand => {
+  const { usage, text, options, example } = spec;
+  return {
+    usage,
+    text,
+    options,
+    example,
+    run: async (args, flags, io) =>
+      spec.run(parsePart(spec.args, args), parsePart(spec.flags, flags), io),
+  };
+};
+
+/** Text of an argument or option; the parser turns digits into numbers. */
+export const textFlag = z.union([z.string(), z.number()]).transform(String);
+
+/** An option that may stand several times, or hold several values between commas. */
+export const listFlag = z
+  .union([textFlag, z.array(textFlag)])
+  .transform((value) => [value].flat().flatMap((item) => item.split(',')));
+
+/** The options that every operators' command takes. */
+export const OPERATOR_OPTIONS: readonly CommandOption[] = [
+  {
+    name: '--control <address>',
+    text: 'Control host as host:port, may be repeated; or OLEANDERFRONT_CONTROL',
+  },
+  {
+    name: '--secret-file <file>',
+    text: "File with the operators' secret; or OLEANDERFRONT_OPERATOR_SECRET",
+  },
+  { name: '--ca <file>', text: 'PEM file of the authority, when the port speaks TLS' },
+  { name: '--json', text: 'Print JSON' },
+];
+
+/** The schema of these options, to be extended by each command. */
+export const operatorFlags = z.object({
+  control: listFlag.optional(),
+  secretFile: textFlag.optional(),
+  ca: textFlag.optional(),
+  json: z.boolean().optional(),
+});
+
+/** The options that every operators' command takes. */
+export type OperatorFlags = z.infer<typeof operatorFlags>;
+
+const createUsageError = (message: string) =>
+  createError({ type: 'invalid_request', message, step: 'cli.parse' });
+
+const resolveSecret = (flags: OperatorFlags, io: CliIo): string => {
+  if (flags.secretFile !== undefined) return readSecretFile(flags.secretFile);
+  const secret = io.env.OLEANDERFRONT_OPERATOR_SECRET;
+  if (secret !== undefined && secret !== '') return secret;
+  throw createUsageError("give the operators' secret by --secret-file");
+};
+
+const resolveControl = (flags: OperatorFlags, io: CliIo): readonly string[] => {
+  const given = flags.control ?? io.env.OLEANDERFRONT_CONTROL?.split(',') ?? [];
+  const control = given.filter((address) => address !== '');
+  if (control.length > 0) return control;
+  throw createUsageError('give a control host by --control host:port');
+};
+
+/** Runs a task with a client for the control hosts that the options name. */
+export const runWithClient = async <T>(
+  flags: OperatorFlags,
+  io: CliIo,
+  task: (client: AdminClient) => Promise<T>,
+): Promise<T> => {
+  const client = createAdminClient({
+    control: resolveControl(flags, io),
+    secret: resolveSecret(flags, io),
+    certificateAuthority: flags.ca === undefined ? undefined : readFileSync(flags.ca, 'utf8'),
+  });
+  try {
+    return await task(client);
+  } finally {
+    await client.close();
+  }
+};
--- /dev/null
+++ b/src/node/cli/deployment.ts
@@ -0,0 +1,100 @@
+import { formatSuggestion, type Inventory } from '../inventory';
+import type { Fault } from '../settings';
+import type { CheckedFile } from './configFile';
+
+type RoleFile = Exclude<CheckedFile, { readonly kind: 'inventory' }>;
+
+const createFault = (file: string, path: string, message: string): Fault => ({
+  file,
+  line: 1,
+  path,
+  message,
+});
+
+const checkNames = (roles: readonly RoleFile[]): readonly Fault[] => {
+  const files = new Map<string, string>();
+  return roles.flatMap(({ file, value }) => {
+    const other = files.get(value.node);
+    files.set(value.node, file);
+    if (other === undefined) return [];
+    return [createFault(file, 'node', `'${value.node}' is the node of ${other} too`)];
+  });
+};
+
+const checkZones = (roles: readonly RoleFile[], inventory: Inventory): readonly Fault[] => {
+  const zones = inventory.zones.map(({ name }) => name);
+  const hosts = inventory.hosts.map(({ name }) => name);
+  return roles.flatMap(({ file, value }) => {
+    const { zone, host } = value;
+    const zoneFault = zones.includes(zone)
+      ? []
+      : [createFault(file, 'zone', `unknown zone '${zone}'${formatSuggestion(zone, zones)}`)];
+    const isKnown = host === undefined || hosts.includes(host);
+    const hostFault = isKnown
+      ? []
+      : [createFault(file, 'host', `unknown host '${host}'${formatSuggestion(host, hosts)}`)];
+    return [...zoneFault, ...hostFault];
+  });
+};
+
+const checkPeers = (roles: readonly RoleFile[]): readonly Fault[] => {
+  const controls = roles.filter((item) => item.kind === 'control');
+  const formatPeers = (peers: (typeof controls)[number]['value']['peers']): string =>
+    peers
+      .map(({ node, address }) => `${node}=${address}`)
+      .sort()
+      .join(' ');
+  const [first] = controls;
+  return controls.flatMap(({ file, value }) => {
+    const isListed = value.peers.some(({ node }) => node === value.node);
+    const own = isListed
+      ? []
+      : [createFault(file, 'peers', `'${value.node}' itself is not among the peers`)];
+    const isSame = formatPeers(value.peers) === formatPeers(first!.value.peers);
+    const other = isSame ? [] : [createFault(file, 'peers', `differs from ${first!.file}`)];
+    return [...own, ...other];
+  });
+};
+
+const checkControlLists = (roles: readonly RoleFile[]): readonly Fault[] => {
+  const peers = roles.flatMap((item) => (item.kind === 'control' ? item.value.peers : []));
+  const known = new Set(peers.map(({ address }) => address));
+  if (known.size === 0) return [];
+  return roles.flatMap((item) => {
+    if (item.kind === 'control') return [];
+    return item.value.control
+      .filter((address) => !known.has(address))
+      .map((address) =>
+        createFault(item.file, 'control', `${address} is the address of no control host`),
+      );
+  });
+};
+
+const checkShared = (roles: readonly RoleFile[]): readonly Fault[] => {
+  const [first] = roles;
+  return roles.flatMap(({ file, value }) => {
+    const isSame = value.secrets.internal === first!.value.secrets.internal;
+    const secret = isSame
+      ? []
+      : [createFault(file, 'secrets.internal', `differs from ${first!.file}`)];
+    const hasSameTls = (value.tls === undefined) === (first!.value.tls === undefined);
+    const tls = hasSameTls
+      ? []
+      : [createFault(file, 'tls', `set here or in ${first!.file}, but not in both`)];
+    return [...secret, ...tls];
+  });
+};
+
+/** Checks files against each other: names, zones, peers, control lists, secrets, TLS. */
+export const checkDeployment = (files: readonly CheckedFile[]): readonly Fault[] => {
+  const roles = files.filter((item): item is RoleFile => item.kind !== 'inventory');
+  const inventory = files.find((item) => item.kind === 'inventory');
+  const placed = inventory?.kind === 'inventory' ? checkZones(roles, inventory.value) : [];
+  return [
+    ...checkNames(roles),
+    ...placed,
+    ...checkPeers(roles),
+    ...checkControlLists(roles),
+    ...checkShared(roles),
+  ];
+};
--- a/src/node/cli/exitCodes.ts
+++ b/src/node/cli/exitCodes.ts
@@ -1,3 +1,5 @@
+import type { ErrorType, RouterError } from '../errors';
+
 /** Exit codes of the command line. */
 export const EXIT_CODES = {
   ok: 0,
@@ -8,3 +10,27 @@
   unreachable: 5,
   interrupted: 130,
 } as const;
+
+/** What each exit code says, for `--help` and the docs. */
+export const EXIT_CODE_TEXTS: Readonly<Record<keyof typeof EXIT_CODES, string>> = {
+  ok: 'done',
+  failed: 'the command failed or was refused',
+  usage: 'the command line is wrong',
+  invalid: 'a file or value has faults; all of them are printed',
+  conflict: 'another change came first; the message names it',
+  unreachable: 'no control host answered, or not in time',
+  interrupted: 'ended by a second signal',
+};
+
+const CODE_BY_TYPE: Partial<Readonly<Record<ErrorType, number>>> = {
+  invalid_request: EXIT_CODES.invalid,
+  conflict: EXIT_CODES.conflict,
+  stale_revision: EXIT_CODES.conflict,
+  unavailable: EXIT_CODES.unreachable,
+  timeout: EXIT_CODES.unreachable,
+  peer_failed: EXIT_CODES.unreachable,
+};
+
+/** Finds the exit code for an error. */
+export const findExitCode = (error: RouterError): number =>
+  CODE_BY_TYPE[error.type] ?? EXIT_CODES.failed;
--- a/src/node/cli/index.ts
+++ b/src/node/cli/index.ts
@@ -1,2 +1,3 @@
 export * from './cli';
+export * from './cliIo';
 export * from './exitCodes';
--- a/src/node/cli/runRole.ts
+++ b/src/node/cli/runRole.ts
@@ -11,13 +11,13 @@
   entrySettingsSchema,
   formatFault,
   readJsonc,
+  resolveConfig,
   type Fault,
+  type Role,
 } from '../settings';
+import type { CliIo } from './cliIo';
 import { EXIT_CODES } from './exitCodes';
 
-/** The roles that run from a settings file. */
-export type Role = 'entry' | 'agent' | 'control';
-
 interface ResolvedRole {
   readonly node: string;
   readonly logLevel: string;
@@ -26,23 +26,17 @@
 
 const ROLES: Readonly<Record<Role, (file: string) => Either<readonly Fault[], ResolvedRole>>> = {
   entry: (file) =>
-    readJsonc(file, entrySettingsSchema).map((settings) => ({
-      node: settings.node,
-      logLevel: settings.logLevel,
-      services: createEntryServices(settings),
-    })),
+    readJsonc(file, entrySettingsSchema)
+      .chain((settings) => resolveConfig(settings, file))
+      .map((config) => ({ ...config, services: createEntryServices(config) })),
   agent: (file) =>
-    readJsonc(file, agentSettingsSchema).map((settings) => ({
-      node: settings.node,
-      logLevel: settings.logLevel,
-      services: createAgentServices(settings),
-    })),
+    readJsonc(file, agentSettingsSchema)
+      .chain((settings) => resolveConfig(settings, file))
+      .map((config) => ({ ...config, services: createAgentServices(config) })),
   control: (file) =>
-    readJsonc(file, controlSettingsSchema).map((settings) => ({
-      node: settings.node,
-      logLevel: settings.logLevel,
-      services: createControlServices(settings),
-    })),
+    readJsonc(file, controlSettingsSchema)
+      .chain((settings) => resolveConfig(settings, file))
+      .map((config) => ({ ...config, services: createControlServices(config) })),
 };
 
 /** Stops on the first SIGTERM or SIGINT, and ends at once on the second. */
@@ -60,29 +54,29 @@
   process.on('SIGINT', handleSignal);
 };
 
-const createSharedServices = (log: Logger): readonly Service[] => [
+const createSharedServices = (role: Role, log: Logger): readonly Service[] => [
   { name: 'log', needs: [], start: () => ({ value: log }) },
-  { name: 'metrics', needs: [], start: () => ({ value: createMetrics() }) },
+  { name: 'metrics', needs: [], start: () => ({ value: createMetrics(role) }) },
 ];
 
-const runKernel = async (role: Role, resolved: ResolvedRole): Promise<void> => {
+const runKernel = async (role: Role, resolved: ResolvedRole, io: CliIo): Promise<void> => {
   const log = createRootLogger({ level: resolved.logLevel, node: resolved.node });
-  const kernel: Kernel = createKernel([...createSharedServices(log), ...resolved.services]);
+  const kernel: Kernel = createKernel([...createSharedServices(role, log), ...resolved.services]);
   registerSignals(kernel.stop);
   await kernel.start();
-  process.stdout.write(`${role} ${resolved.node} ready\n`);
+  io.writeOut(`${role} ${resolved.node} ready\n`);
 };
 
 /** Runs a role from its settings file until a signal stops it; gives an exit code on failure. */
-export const runRole = async (role: Role, file: string): Promise<number> => {
+export const runRole = async (role: Role, file: string, io: CliIo): Promise<number> => {
   const resolved = ROLES[role](file);
   return resolved.caseOf<Promise<number>>({
     Left: async (faults) => {
-      faults.forEach((fault) => process.stderr.write(`${formatFault(fault)}\n`));
+      faults.forEach((fault) => io.writeError(`${formatFault(fault)}\n`));
       return EXIT_CODES.invalid;
     },
     Right: async (value) => {
-      await runKernel(role, value);
+      await runKernel(role, value, io);
       return EXIT_CODES.ok;
     },
   });
--- /dev/null
+++ b/src/node/cli/table.ts
@@ -0,0 +1,26 @@
+/** A column of a printed table. */
+export interface Column<Row> {
+  readonly title: string;
+  readonly read: (row: Row) => string | number;
+  /** Right-aligned, for figures. */
+  readonly isNumber?: boolean;
+}
+
+const GAP = '  ';
+
+/** Formats rows as a table with aligned columns. */
+export const formatTable = <Row>(columns: readonly Column<Row>[], rows: readonly Row[]): string => {
+  const cells = rows.map((row) => columns.map((column) => String(column.read(row))));
+  const titles = columns.map((column) => column.title);
+  const widths = titles.map((title, index) =>
+    Math.max(title.length, ...cells.map((line) => line[index]!.length)),
+  );
+  const formatLine = (line: readonly string[]): string =>
+    line
+      .map((cell, index) =>
+        columns[index]!.isNumber ? cell.padStart(widths[index]!) : cell.padEnd(widths[index]!),
+      )
+      .join(GAP)
+      .trimEnd();
+  return [titles, ...cells].map((line) => `${formatLine(line)}\n`).join('');
+};
--- /dev/null
+++ b/src/node/cli/waitInForce.ts
@@ -0,0 +1,58 @@
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { createError } from '../errors';
+import type { AdminStatus, NodeState } from '../shared';
+import type { AdminClient } from '../rpc';
+
+/** How a change came to be in force everywhere. */
+export interface InForce {
+  readonly revision: number;
+  readonly elapsedMs: number;
+  /** Live nodes that told that they have the revision. */
+  readonly nodes: number;
+  /** Nodes that have not told so, and whose lease has run out. */
+  readonly withoutLease: readonly string[];
+}
+
+const POLL_INTERVAL_MS = 50;
+
+const isInForce = (node: NodeState, revision: number): boolean =>
+  node.revision >= revision || node.leaseLeftMs <= 0;
+
+const readStatus = async (client: AdminClient): Promise<AdminStatus> =>
+  (await client.call<AdminStatus>('GET', '/admin/status')).unsafeCoerce();
+
+/**
+ * Waits until every registered node is at the revision or without a lease. A lease that was given
+ * before the change ends within its duration, so a longer wait means that control did not answer.
+ */
+export const waitInForce = async (
+  client: AdminClient,
+  revision: number,
+  limitMs: number,
+): Promise<InForce> => {
+  const startedAt = performance.now();
+  for (;;) {
+    const { nodes } = await readStatus(client);
+    const elapsedMs = Math.round(performance.now() - startedAt);
+    const late = nodes.filter((node) => !isInForce(node, revision));
+    if (late.length === 0) {
+      const isAt = (node: NodeState): boolean => node.revision >= revision;
+      const withoutLease = nodes.filter((node) => !isAt(node)).map(({ node }) => node);
+      return { revision, elapsedMs, nodes: nodes.filter(isAt).length, withoutLease };
+    }
+    if (elapsedMs > limitMs) {
+      const names = late.map(({ node }) => node).join(', ');
+      const message = `revision ${revision} is accepted, but not in force yet on ${names}`;
+      throw createError({ type: 'timeout', message, step: 'operator.wait', outcome: 'ran' });
+    }
+    await sleep(POLL_INTERVAL_MS);
+  }
+};
+
+/** Formats how a change came to be in force. */
+export const formatInForce = (result: InForce): string => {
+  const rest = result.withoutLease.length;
+  const silent = rest === 0 ? '' : `, ${rest} without a lease: ${result.withoutLease.join(', ')}`;
+  return `in force everywhere after ${result.elapsedMs} ms (${result.nodes} nodes${silent})\n`;
+};
--- /dev/null
+++ b/src/node/control/admin/bills.ts
@@ -0,0 +1,86 @@
+import type { Usage } from '../../ledger';
+import type { BillPeriod, BillRow, BillsQuery } from '../../shared';
+
+/** The part of a bill that is summed up. */
+export interface BillItem {
+  readonly organisation: string;
+  readonly usage: readonly Usage[];
+  /** Time in milliseconds since the epoch. */
+  readonly at: number;
+}
+
+/** Bills of one hour that are kept as a total only. */
+export interface BillTotalItem extends Omit<BillRow, 'period'> {
+  /** Start of the hour in milliseconds since the epoch. */
+  readonly hour: number;
+}
+
+const PERIOD_FORMATS: Readonly<Record<BillPeriod, (time: string) => string>> = {
+  hour: (time) => `${time.slice(0, 13)}:00Z`,
+  day: (time) => time.slice(0, 10),
+  month: (time) => time.slice(0, 7),
+  all: () => 'all',
+};
+
+const MICRO = 1_000_000;
+
+const mergeRows = (known: BillRow | undefined, row: BillRow): BillRow => {
+  if (!known) return row;
+  const cost = Math.round((known.cost + row.cost) * MICRO) / MICRO;
+  return {
+    ...known,
+    requests: known.requests + row.requests,
+    inputTokens: known.inputTokens + row.inputTokens,
+    outputTokens: known.outputTokens + row.outputTokens,
+    cost,
+  };
+};
+
+// A request counts once, with the run that gave its answer; each run counts its own tokens.
+const listBillRows = (bill: BillItem, period: string): readonly BillRow[] =>
+  bill.usage.map((usage, index) => ({
+    organisation: bill.organisation,
+    period,
+    model: usage.model,
+    version: usage.version,
+    requests: index === bill.usage.length - 1 ? 1 : 0,
+    inputTokens: usage.inputTokens,
+    outputTokens: usage.outputTokens,
+    cost: usage.cost,
+  }));
+
+const isInTime = (at: number, query: BillsQuery): boolean => {
+  const isAfter = query.from === undefined || at >= Date.parse(query.from);
+  return isAfter && (query.to === undefined || at < Date.parse(query.to));
+};
+
+const compareRows = (a: BillRow, b: BillRow): number =>
+  a.organisation.localeCompare(b.organisation) ||
+  a.period.localeCompare(b.period) ||
+  a.model.localeCompare(b.model) ||
+  a.version.localeCompare(b.version);
+
+/** Sums bills up by organisation, period, model and version. */
+export const computeBillRows = (
+  bills: readonly BillItem[],
+  totals: readonly BillTotalItem[],
+  query: BillsQuery,
+): readonly BillRow[] => {
+  const formatPeriod = (at: number): string =>
+    PERIOD_FORMATS[query.period](new Date(at).toISOString());
+  const single = bills
+    .filter(({ at }) => isInTime(at, query))
+    .flatMap((bill) => listBillRows(bill, formatPeriod(bill.at)));
+  const summed = totals
+    .filter(({ hour }) => isInTime(hour, query))
+    .map(({ hour, ...row }) => ({ ...row, period: formatPeriod(hour) }));
+  const sums = new Map<string, BillRow>();
+  for (const row of [...single, ...summed]) {
+    const isWanted =
+      (query.organisation ?? row.organisation) === row.organisation &&
+      (query.model ?? row.model) === row.model;
+    const key = [row.organisation, row.period, row.model, row.version].join('\n');
+    if (isWanted) sums.set(key, mergeRows(sums.get(key), row));
+  }
+  return [...sums.values()].sort(compareRows);
+};
--- a/src/node/control/adminApi.ts
+++ b/src/node/control/adminApi.ts
@@ -1,62 +1,198 @@
-import type { FastifyInstance } from 'fastify';
+import type { FastifyInstance, FastifyReply } from 'fastify';
 import type { z } from 'zod';
-import { createError } from '../errors';
-import { checkSecret } from '../rpc';
-import { putInventorySchema } from './configState';
+import { createError, formatErrorBody } from '../errors';
+import { checkInventory, formatSuggestion, type Inventory } from '../inventory';
+import { checkSecret, type RpcClient } from '../rpc';
+import { billsQuery, restoreBody, rolloutBody, withdrawBody } from '../shared';
+import { computeBillRows } from './admin/bills';
+import { createExplanation } from './admin/explain';
+import { readStatus } from './admin/status';
+import { putInventorySchema, type ConfigCommand, type ConfigResult } from './configState';
 import { commit, type ControlParts } from './controlApi';
 import type { Members } from './members';
 
+/** What the operators' routes work on. */
+export interface AdminParts {
+  readonly parts: ControlParts;
+  readonly members: Members;
+  readonly rpc: RpcClient;
+  /** Name of this control host. */
+  readonly host: string;
+  readonly secret: string;
+}
+
+const formatFaults = (
+  faults: readonly { readonly path: readonly PropertyKey[]; readonly message: string }[],
+): string => faults.map(({ path, message }) => `${path.join('.')}: ${message}`).join('; ');
+
 const parseBody = <T>(schema: z.ZodType<T>, body: unknown, step: string): T => {
   const parsed = schema.safeParse(body);
   if (parsed.success) return parsed.data;
-  const lines = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
-  throw createError({ type: 'invalid_request', message: lines.join('; '), step });
+  const message = formatFaults(parsed.error.issues);
+  throw createError({ type: 'invalid_request', message, step });
 };
 
-/** Registers the operators' routes below `/admin`, behind the operators' secret. */
-export const registerAdminRoutes = (
-  app: FastifyInstance,
-  parts: ControlParts,
-  members: Members,
-  secret: string,
-): void => {
-  app.register(async (admin) => {
-    admin.addHook('onRequest', async (request) => checkSecret(request, secret, 'admin.authorise'));
+const checkReferences = (inventory: Inventory, step: string): void => {
+  const faults = checkInventory(inventory);
+  if (faults.length === 0) return;
+  throw createError({ type: 'invalid_request', message: formatFaults(faults), step });
+};
 
-    admin.get('/admin/inventory', async () => {
-      (await parts.config.confirmRead()).unsafeCoerce();
-      const { configState } = parts;
-      return {
-        revision: configState.inventoryRevision(),
-        inventory: configState.inventory() ?? null,
-      };
-    });
+type Refusal = Exclude<ConfigResult, { readonly type: 'accepted' }>;
 
-    admin.put('/admin/inventory', async (request, reply) => {
-      const body = parseBody(putInventorySchema, request.body, 'admin.inventory');
-      const result = await commit(parts, { type: 'putInventory', ...body });
-      if (result.type === 'conflict') {
-        throw createError({
-          type: 'conflict',
-          message: `change '${result.winner}' took revision ${result.inventoryRevision}`,
-          step: 'admin.inventory',
-          peer: result.winner,
-        });
-      }
-      parts.log.info({ change: body.changeId, result }, 'inventory accepted');
-      return reply.send(result);
-    });
+const createRefusal = (result: Refusal, step: string) => {
+  if (result.type === 'conflict') {
+    const message = `change '${result.winner}' took revision ${result.inventoryRevision}`;
+    return createError({ type: 'conflict', message, step, peer: result.winner });
+  }
+  if (result.type === 'reused') {
+    const message = `change id '${result.changeId}' was used for another change`;
+    return createError({ type: 'conflict', message, step, peer: result.changeId });
+  }
+  if (result.type === 'expired') {
+    const message =
+      `the change was drawn up before revision ${result.oldestBase}, the oldest whose answers ` +
+      'are kept; look at what is in force and send it under a new change id';
+    return createError({ type: 'conflict', message, step });
+  }
+  if (result.type === 'refused') {
+    return createError({ type: 'invalid_request', message: result.reason, step });
+  }
+  const message = `unexpected answer '${result.type}'`;
+  return createError({ type: 'internal', message, step, outcome: 'unknown' });
+};
+
+// A loser learns from the body who won and which revision it has to build on.
+const sendResult = (
+  reply: FastifyReply,
+  requestId: string,
+  result: ConfigResult,
+  step: string,
+): FastifyReply => {
+  if (result.type === 'accepted') return reply.send(result);
+  const error = createRefusal(result, step);
+  if (result.type !== 'conflict') throw error;
+  const { winner, inventoryRevision } = result;
+  return reply.code(409).send({ ...formatErrorBody(error, requestId), winner, inventoryRevision });
+};
+
+const checkVersion = (parts: ControlParts, model: string, version: string, step: string): void => {
+  const models = parts.configState.inventory()?.models ?? [];
+  const found = models.find((item) => item.name === model);
+  if (!found) {
+    const hint = formatSuggestion(
+      model,
+      models.map(({ name }) => name),
+    );
+    const message = `unknown model '${model}'${hint}`;
+    throw createError({ type: 'not_found', message, step });
+  }
+  const versions = found.versions.map(({ name }) => name);
+  if (versions.includes(version)) return;
+  const message = `unknown version '${model}@${version}'${formatSuggestion(version, versions)}`;
+  throw createError({ type: 'not_found', message, step });
+};
+
+const registerReads = (admin: FastifyInstance, adminParts: AdminParts): void => {
+  const { parts, members, rpc, host } = adminParts;
+
+  admin.get('/admin/inventory', async () => {
+    (await parts.config.confirmRead()).unsafeCoerce();
+    const { configState } = parts;
+    return {
+      revision: configState.inventoryRevision(),
+      inventory: configState.inventory() ?? null,
+    };
+  });
+
+  admin.get('/admin/status', () => readStatus(parts, members, host));
+
+  admin.get('/admin/bills', async (request) => {
+    const query = parseBody(billsQuery, request.query, 'admin.bills');
+    (await parts.ledger.confirmRead()).unsafeCoerce();
+    return { bills: computeBillRows(parts.ledgerState.listBills(), [], query) };
+  });
+
+  admin.get('/admin/explain/:requestId', async (request) => {
+    const { requestId } = request.params as { readonly requestId: string };
+    return createExplanation(parts, rpc, requestId);
+  });
+};
+
+const registerChanges = (admin: FastifyInstance, { parts }: AdminParts): void => {
+  const { configState, log } = parts;
+
+  const commitChange = async (
+    command: Extract<ConfigCommand, { readonly changeId: string }>,
+  ): Promise<ConfigResult> => {
+    const result = await commit(parts, command);
+    const { type: change, changeId } = command;
+    log.info({ change, changeId, answer: result.type }, 'change answered');
+    return result;
+  };
+
+  // Names are checked against what is in force, but a change that was answered before is answered
+  // as it was then.
+  const checkName = async (
+    changeId: string,
+    model: string,
+    version: string,
+    step: string,
+  ): Promise<void> => {
+    (await parts.config.confirmRead()).unsafeCoerce();
+    if (!configState.hasAnswer(changeId)) checkVersion(parts, model, version, step);
+  };
+
+  admin.put('/admin/inventory', async (request, reply) => {
+    const step = 'admin.inventory';
+    const body = parseBody(putInventorySchema, request.body, step);
+    checkReferences(body.inventory, step);
+    const result = await commitChange({ type: 'putInventory', ...body });
+    return sendResult(reply, request.id, result, step);
+  });
 
-    admin.get('/admin/status', async () => ({
-      nodes: await members.listNodeStates(),
-      config: parts.config.status(),
-      ledger: parts.ledger.status(),
-      revision: parts.configState.revision(),
-    }));
+  admin.post('/admin/withdraw', async (request, reply) => {
+    const step = 'admin.withdraw';
+    const body = parseBody(withdrawBody, request.body, step);
+    const { changeId, model, version, reason } = body;
+    await checkName(changeId, model, version, step);
+    const base = body.base ?? configState.revision();
+    const withdrawal = { model, version, reason };
+    const result = await commitChange({ type: 'withdraw', base, changeId, withdrawal });
+    return sendResult(reply, request.id, result, step);
+  });
+
+  admin.post('/admin/restore', async (request, reply) => {
+    const step = 'admin.restore';
+    const body = parseBody(restoreBody, request.body, step);
+    const { changeId, model, version } = body;
+    await checkName(changeId, model, version, step);
+    const base = body.base ?? configState.revision();
+    const result = await commitChange({ type: 'restore', base, changeId, model, version });
+    return sendResult(reply, request.id, result, step);
+  });
 
-    admin.get('/admin/bills', async () => {
-      (await parts.ledger.confirmRead()).unsafeCoerce();
-      return { bills: parts.ledgerState.listBills() };
+  admin.post('/admin/rollout', async (request, reply) => {
+    const step = 'admin.rollout';
+    const { base, changeId, ...change } = parseBody(rolloutBody, request.body, step);
+    const { model, version } = change;
+    if (version !== undefined) await checkName(changeId, model, version, step);
+    const result = await commitChange({
+      type: 'changeRollout',
+      base: base ?? configState.revision(),
+      changeId,
+      change,
     });
+    return sendResult(reply, request.id, result, step);
+  });
+};
+
+/** Registers the operators' routes below `/admin`, behind the operators' secret. */
+export const registerAdminRoutes = (app: FastifyInstance, adminParts: AdminParts): void => {
+  const { secret } = adminParts;
+  app.register(async (admin) => {
+    admin.addHook('onRequest', async (request) => checkSecret(request, secret, 'admin.authorise'));
+    registerReads(admin, adminParts);
+    registerChanges(admin, adminParts);
   });
 };
--- a/src/node/control/configState.ts
+++ b/src/node/control/configState.ts
@@ -13,6 +13,7 @@
   type Withdrawal,
 } from '../view';
 import { createChangeLog, type ChangeLog } from './changeLog';
+import { applyRolloutAction, type RolloutChange } from './rolloutActions';
 import { resolveScope, type ViewScope } from './viewScope';
 
 const changeId = z.string().min(1).max(128);
@@ -60,6 +61,12 @@
       readonly changeId: string;
       readonly rollout: Rollout;
     }
+  | {
+      readonly type: 'changeRollout';
+      readonly base: number;
+      readonly changeId: string;
+      readonly change: RolloutChange;
+    }
   | {
       readonly type: 'register';
       readonly node: string;
@@ -81,6 +88,7 @@
 export type ConfigResult =
   | { readonly type: 'accepted'; readonly revision: number; readonly inventoryRevision: number }
   | { readonly type: 'conflict'; readonly winner: string; readonly inventoryRevision: number }
+  | { readonly type: 'refused'; readonly reason: string }
   /** The change id was used for another change. */
   | { readonly type: 'reused'; readonly changeId: string }
   /** The change was drawn up before the oldest answer that is still kept. */
@@ -110,6 +118,8 @@
   readonly revision: () => number;
   /** Calls a listener after every change of the view. */
   readonly watch: (listener: () => void) => void;
+  /** Says whether a change of this id has been answered and the answer is kept. */
+  readonly hasAnswer: (changeId: string) => boolean;
   readonly inventoryRevision: () => number;
   readonly inventory: () => Inventory | undefined;
   readonly readUpdate: (since: number, scope: ViewScope) => ViewUpdate;
@@ -206,8 +216,11 @@
 
 type OperatorCommand = Extract<ConfigCommand, { readonly changeId: string }>;
 
+// A resent change may carry a newer base: what it changes makes it the same change.
 const computeHash = (command: OperatorCommand): string =>
-  createHash('sha256').update(JSON.stringify(command)).digest('hex');
+  createHash('sha256')
+    .update(JSON.stringify({ ...command, base: 0 }))
+    .digest('hex');
 
 const removeOldestAnswer = (tables: Tables): void => {
   const [oldest, kept] = tables.answers.entries().next().value!;
@@ -272,6 +285,21 @@
     writeEntry(tables, 'rollout', command.rollout.model, command.rollout);
     return formatAccepted(tables);
   },
+  changeRollout: (tables, { change }) => {
+    const current = tables.entries.get(formatKey('rollout', change.model))?.value as
+      Rollout | undefined;
+    const isWithdrawn = (model: string, version: string): boolean =>
+      tables.entries.has(formatKey('withdrawal', formatVersionName(model, version)));
+    const context = { inventory: tables.inventory, current, isWithdrawn };
+    const next = applyRolloutAction(context, change);
+    return next.caseOf<ConfigResult>({
+      Left: (reason) => ({ type: 'refused', reason }),
+      Right: (rollout) => {
+        writeEntry(tables, 'rollout', rollout.model, rollout);
+        return formatAccepted(tables);
+      },
+    });
+  },
   register: (tables, command) => {
     const { node, role, zone, host, address, bootId } = command;
     const known = tables.nodes.get(node);
@@ -412,6 +440,7 @@
     watch: (listener) => {
       listeners.push(listener);
     },
+    hasAnswer: (id) => tables.answers.has(id),
     inventoryRevision: () => tables.inventoryRevision,
     inventory: () => tables.inventory,
     readUpdate,
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -2,15 +2,23 @@
 import type { Service } from '../kernel';
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
+import { registerMetrics, type Metrics } from '../metrics';
 import { createSoloReplica } from '../replication';
-import { createHttpServer, createRpcClient, registerRpc, startHttpServer } from '../rpc';
-import type { ControlSettings } from '../settings';
+import {
+  createHttpServer,
+  createRpcClient,
+  registerHealthRoutes,
+  registerRpc,
+  startHttpServer,
+  type RpcClient,
+} from '../rpc';
+import { resolveRpcOptions, type ControlConfig } from '../settings';
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
 import { createMembers, type Members } from './members';
 
-const createGroupsService = (settings: ControlSettings): Service => ({
+const createGroupsService = (settings: ControlConfig): Service => ({
   name: 'groups',
   needs: ['log'],
   start: (find) => {
@@ -31,31 +39,46 @@
   },
 });
 
-const createMembersService = (settings: ControlSettings): Service => ({
+const createRpcService = (settings: ControlConfig): Service => ({
+  name: 'rpc',
+  needs: [],
+  start: () => {
+    const value = createRpcClient(resolveRpcOptions(settings));
+    return { value, stop: value.close };
+  },
+});
+
+const hasLeader = (parts: ControlParts): boolean => parts.config.status().leader !== '';
+
+const registerControlMetrics = (metrics: Metrics, parts: ControlParts): void => {
+  const { config, ledger, configState } = parts;
+  metrics.registerSource('configCommitted', () => config.status().committed);
+  metrics.registerSource('ledgerCommitted', () => ledger.status().committed);
+  metrics.registerSource('leader', () => Number(config.status().role === 'leader'));
+  metrics.registerSource('nodes', () => configState.listNodes().length);
+  metrics.registerSource('revision', configState.revision);
+  metrics.registerSource('lease', () => Number(hasLeader(parts)));
+};
+
+const createMembersService = (settings: ControlConfig): Service => ({
   name: 'members',
-  needs: ['groups'],
+  needs: ['groups', 'rpc'],
   start: (find) => {
     const parts = find<ControlParts>('groups');
-    const rpc = createRpcClient({ secret: settings.secrets.internal });
+    const rpc = find<RpcClient>('rpc');
     const findLeaderAddress = (): string | undefined => {
       const { leader } = parts.config.status();
       return settings.peers.find((peer) => peer.node === leader)?.address;
     };
     const value = createMembers({ parts, rpc, findLeaderAddress });
     value.start();
-    return {
-      value,
-      stop: async () => {
-        value.stop();
-        await rpc.close();
-      },
-    };
+    return { value, stop: value.stop };
   },
 });
 
-const createControlServerService = (settings: ControlSettings): Service => ({
+const createControlServerService = (settings: ControlConfig): Service => ({
   name: 'control-server',
-  needs: ['groups', 'members', 'log'],
+  needs: ['groups', 'members', 'rpc', 'log', 'metrics'],
   start: async (find) => {
     const parts = find<ControlParts>('groups');
     const { operator } = settings.secrets;
@@ -66,21 +89,45 @@
         step: 'control.start',
       });
     }
-    const app = createHttpServer();
-    registerRpc(
-      app,
-      createControlMethods(parts, find<Members>('members')),
-      settings.secrets.internal,
-    );
-    registerAdminRoutes(app, parts, find<Members>('members'), operator);
-    const address = await startHttpServer(app, settings.listen);
-    parts.log.info({ address }, 'listening');
-    return { value: address, stop: () => app.close() };
+    const members = find<Members>('members');
+    const rpc = find<RpcClient>('rpc');
+    const adminParts = { parts, members, rpc, host: settings.node, secret: operator };
+    const internal = createHttpServer({ tls: settings.ports?.internal });
+    const metrics = find<Metrics>('metrics');
+    const recordCall = (method: string, result: string): void =>
+      metrics.calls.inc({ method, result });
+    const methods = createControlMethods(parts, members);
+    registerRpc(internal, methods, settings.secrets.internal, recordCall);
+    registerHealthRoutes(internal, () => hasLeader(parts));
+    registerMetrics(internal, metrics);
+    registerControlMetrics(metrics, parts);
+    const { operatorListen } = settings;
+    const operators = operatorListen
+      ? createHttpServer({ tls: settings.ports?.operators })
+      : internal;
+    registerAdminRoutes(operators, adminParts);
+    const address = await startHttpServer(internal, settings.listen);
+    const operatorAddress = operatorListen
+      ? await startHttpServer(operators, operatorListen)
+      : address;
+    parts.log.info({ address, operatorAddress }, 'listening');
+    const stop = async (): Promise<void> => {
+      await internal.close();
+      if (operatorListen) await operators.close();
+    };
+    return { value: { address, operatorAddress }, stop };
   },
 });
 
+/** Addresses of a started control host. */
+export interface ControlAddresses {
+  readonly address: string;
+  readonly operatorAddress: string;
+}
+
 /** The services of the `control` role. */
-export const createControlServices = (settings: ControlSettings): readonly Service[] => [
+export const createControlServices = (settings: ControlConfig): readonly Service[] => [
+  createRpcService(settings),
   createGroupsService(settings),
   createMembersService(settings),
   createControlServerService(settings),
--- /dev/null
+++ b/src/node/control/rolloutActions.ts
@@ -0,0 +1,66 @@
+import { Left, Right, type Either } from 'purify-ts';
+import type { Inventory } from '../inventory';
+import type { RolloutAction } from '../shared';
+import type { Rollout } from '../view';
+
+/** What an operator does to the roll-out of a model. */
+export interface RolloutChange {
+  readonly action: RolloutAction;
+  readonly model: string;
+  /** The version to roll out; `start` only. */
+  readonly version?: string;
+  readonly reason: string;
+}
+
+/** What a roll-out's change depends on. */
+export interface RolloutContext {
+  readonly inventory: Inventory | undefined;
+  readonly current: Rollout | undefined;
+  readonly isWithdrawn: (model: string, version: string) => boolean;
+}
+
+type ActionHandler = (context: RolloutContext, change: RolloutChange) => Either<string, Rollout>;
+
+const isUnderWay = (rollout: Rollout | undefined): rollout is Rollout =>
+  rollout?.state === 'running' || rollout?.state === 'paused';
+
+const startRollout: ActionHandler = (context, { model: name, version, reason }) => {
+  const { inventory, current, isWithdrawn } = context;
+  const model = inventory?.models.find((item) => item.name === name);
+  if (!model) return Left(`model '${name}' does not exist`);
+  const to = model.versions.find((item) => item.name === version);
+  if (!to) return Left(`model '${name}' has no version '${version ?? ''}'`);
+  if (to.state !== 'active') return Left(`${name}@${to.name} is ${to.state}`);
+  if (isWithdrawn(name, to.name)) return Left(`${name}@${to.name} is withdrawn`);
+  if (to.name === model.stableVersion) return Left(`${name}@${to.name} is the stable version`);
+  if (isUnderWay(current)) return Left(`${name}@${current.to} is being rolled out`);
+  return Right({
+    model: name,
+    from: model.stableVersion,
+    to: to.name,
+    step: 0,
+    state: 'running',
+    reason,
+  });
+};
+
+const createTransition =
+  (from: readonly Rollout['state'][], state: Rollout['state']): ActionHandler =>
+  ({ current }, { model, action, reason }) => {
+    if (!current) return Left(`no roll-out of '${model}'`);
+    if (!from.includes(current.state)) {
+      return Left(`cannot ${action} a roll-out that is ${current.state}`);
+    }
+    return Right({ ...current, state, reason });
+  };
+
+const HANDLERS: Readonly<Record<RolloutAction, ActionHandler>> = {
+  start: startRollout,
+  pause: createTransition(['running'], 'paused'),
+  resume: createTransition(['paused'], 'running'),
+  abort: createTransition(['running', 'paused'], 'aborted'),
+};
+
+/** Applies an operator's action to a roll-out; a `Left` says why it cannot be. */
+export const applyRolloutAction: ActionHandler = (context, change) =>
+  HANDLERS[change.action](context, change);
--- a/src/node/dev/dev.ts
+++ b/src/node/dev/dev.ts
@@ -1,21 +1,28 @@
-import { randomBytes } from 'node:crypto';
-import { mkdtempSync } from 'node:fs';
-import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createAgentServices, type AgentAddresses } from '../agent';
-import { createControlServices } from '../control';
+import { createControlServices, type ControlAddresses } from '../control';
 import { createEntryServices, type EntryAddresses } from '../entry';
-import { createKernel, type Kernel, type Service } from '../kernel';
+import { createKernel, type Kernel, type Lookup, type Service } from '../kernel';
 import type { Logger } from '../log';
 import { createMetrics } from '../metrics';
-import { createRpcClient } from '../rpc';
+import { createAdminClient, createRpcClient } from '../rpc';
 import { agentSettingsSchema, controlSettingsSchema, entrySettingsSchema } from '../settings';
-import { startStandinEngine, startStandinService } from '../standin';
+import {
+  startStandinEngine,
+  startStandinRating,
+  startStandinService,
+  type StandinRating,
+} from '../standin';
+import { openDevData, type DevData } from './devData';
 import { createDevInventory } from './devInventory';
+import { waitForEndpoints } from './devReadiness';
 
 /** Options of the quick start. */
 export interface DevOptions {
   readonly port: number;
+  /** Port for operators; a free one when absent. */
+  readonly controlPort?: number;
+  /** Folder for the state, kept over restarts; a temporary one when absent. */
   readonly data?: string;
   readonly log: Logger;
 }
@@ -25,18 +32,19 @@
   readonly address: string;
   readonly controlAddress: string;
   readonly operatorSecret: string;
+  readonly secretFile: string;
   readonly stop: () => Promise<void>;
 }
 
 const HOST = '127.0.0.1';
 const ZONE = 'dev-zone';
 const FREE_PORT = { host: HOST, port: 0 } as const;
-const SECRET_BYTES = 16;
+const ENGINE = 'engine-1';
+const BOOKINGS = 'bookings-1';
 
 interface DevContext {
   readonly options: DevOptions;
-  readonly secrets: { readonly internal: string; readonly operator: string };
-  readonly data: string;
+  readonly data: DevData;
 }
 
 const createLogService = (log: Logger): Service => ({
@@ -57,16 +65,16 @@
   context: DevContext,
   name: string,
   needs: readonly string[],
-  resolveServices: (controlAddress: string) => readonly Service[],
+  resolveServices: (controlAddress: string, find: Lookup) => readonly Service[],
   main: string,
 ): Service => ({
   name,
   needs,
   start: async (find) => {
-    const control = needs.includes('control') ? find<string>('control') : '';
+    const control = needs.includes('control') ? find<ControlAddresses>('control').address : '';
     const { log } = context.options;
     const shared = [createLogService(log), createMetricsService()];
-    const kernel: Kernel = createKernel([...shared, ...resolveServices(control)]);
+    const kernel: Kernel = createKernel([...shared, ...resolveServices(control, find)]);
     await kernel.start();
     return { value: kernel.find(main), stop: kernel.stop };
   },
@@ -76,9 +84,9 @@
   const settings = controlSettingsSchema.parse({
     node: 'control-1',
     zone: ZONE,
-    listen: FREE_PORT,
-    secrets: context.secrets,
-    data: join(context.data, 'control-1'),
+    listen: { host: HOST, port: context.options.controlPort ?? 0 },
+    secrets: context.data.secrets,
+    data: join(context.data.folder, 'control-1'),
     peers: [{ node: 'control-1', address: `${HOST}:0` }],
   });
   return createRoleService(
@@ -98,7 +106,7 @@
         zone: ZONE,
         listen: FREE_PORT,
         announceListen: FREE_PORT,
-        secrets: { internal: context.secrets.internal },
+        secrets: { internal: context.data.secrets.internal },
         control: [control],
       }),
     );
@@ -106,35 +114,52 @@
 };
 
 const createEntry = (context: DevContext): Service => {
-  const resolveServices = (control: string): readonly Service[] =>
+  const resolveServices = (control: string, find: Lookup): readonly Service[] =>
     createEntryServices(
       entrySettingsSchema.parse({
         node: 'entry-1',
         zone: ZONE,
         listen: { host: HOST, port: context.options.port },
         internalListen: FREE_PORT,
-        secrets: { internal: context.secrets.internal },
+        secrets: { internal: context.data.secrets.internal },
         control: [control],
+        ratingAddress: find<StandinRating>('rating').address,
       }),
     );
-  return createRoleService(context, 'entry', ['control', 'inventory'], resolveServices, 'entry');
+  const needs = ['control', 'inventory', 'rating'];
+  return createRoleService(context, 'entry', needs, resolveServices, 'entry');
 };
 
+// The change id and base stay the same, so that a later start over the same data changes nothing.
 const createInventoryService = (context: DevContext): Service => ({
   name: 'inventory',
   needs: ['control'],
   start: async (find) => {
-    const rpc = createRpcClient({ secret: context.secrets.operator });
+    const { operatorAddress } = find<ControlAddresses>('control');
+    const client = createAdminClient({
+      control: [operatorAddress],
+      secret: context.data.secrets.operator,
+    });
     const body = { base: 0, changeId: 'dev-first', inventory: createDevInventory() };
-    const response = await rpc.request(find<string>('control'), {
-      path: '/admin/inventory',
-      method: 'PUT',
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(body),
+    const answer = await client.call('PUT', '/admin/inventory', body);
+    await client.close();
+    answer.ifLeft((error) => {
+      if (error.type !== 'conflict') throw error;
     });
-    await response.body.dump();
-    await rpc.close();
-    return { value: response.statusCode };
+    return { value: answer.isRight() };
+  },
+});
+
+const createRatingService = (): Service => ({
+  name: 'rating',
+  needs: [],
+  start: async () => {
+    const { models } = createDevInventory();
+    const value = await startStandinRating(
+      FREE_PORT,
+      ({ model }) => models.find(({ name }) => name === model)?.priorQuality ?? 0,
+    );
+    return { value, stop: value.stop };
   },
 });
 
@@ -143,7 +168,7 @@
   needs: ['agent-1'],
   start: async (find) => {
     const value = await startStandinEngine({
-      endpoint: 'engine-1',
+      endpoint: ENGINE,
       listen: FREE_PORT,
       agentAddress: find<AgentAddresses>('agent-1').announceAddress,
       serves: [
@@ -162,7 +187,7 @@
   needs: ['agent-2'],
   start: async (find) => {
     const value = await startStandinService({
-      endpoint: 'bookings-1',
+      endpoint: BOOKINGS,
       service: 'bookings',
       listen: FREE_PORT,
       agentAddress: find<AgentAddresses>('agent-2').announceAddress,
@@ -171,28 +196,51 @@
   },
 });
 
-/** Starts control, entry, agents and stand-ins in this process. */
+const createReadinessService = (context: DevContext): Service => ({
+  name: 'readiness',
+  needs: ['control', 'engine', 'bookings', 'entry'],
+  start: async (find) => {
+    const rpc = createRpcClient({ secret: context.data.secrets.operator });
+    try {
+      const { operatorAddress } = find<ControlAddresses>('control');
+      await waitForEndpoints(rpc, operatorAddress, [ENGINE, BOOKINGS]);
+    } finally {
+      await rpc.close();
+    }
+    return { value: undefined };
+  },
+});
+
+/** Starts control, entry, agents and stand-ins in this process; resolves when all can be used. */
 export const startDev = async (options: DevOptions): Promise<Dev> => {
-  const createSecret = (): string => randomBytes(SECRET_BYTES).toString('hex');
-  const context: DevContext = {
-    options,
-    secrets: { internal: createSecret(), operator: createSecret() },
-    data: options.data ?? mkdtempSync(join(tmpdir(), 'oleanderfront-')),
-  };
+  const data = openDevData(options.data);
+  const context: DevContext = { options, data };
   const kernel = createKernel([
     createControl(context),
     createInventoryService(context),
+    createRatingService(),
     createEngineService(),
     createPlainService(),
     createAgent(context, 'agent-1'),
     createAgent(context, 'agent-2'),
     createEntry(context),
+    createReadinessService(context),
   ]);
-  await kernel.start();
+  const stop = async (): Promise<void> => {
+    await kernel.stop();
+    data.close();
+  };
+  try {
+    await kernel.start();
+  } catch (cause) {
+    data.close();
+    throw cause;
+  }
   return {
     address: kernel.find<EntryAddresses>('entry').address,
-    controlAddress: kernel.find<string>('control'),
-    operatorSecret: context.secrets.operator,
-    stop: kernel.stop,
+    controlAddress: kernel.find<ControlAddresses>('control').operatorAddress,
+    operatorSecret: data.secrets.operator,
+    secretFile: data.secretFile,
+    stop,
   };
 };
--- /dev/null
+++ b/src/node/dev/devReadiness.ts
@@ -0,0 +1,31 @@
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { createError } from '../errors';
+import type { RpcClient } from '../rpc';
+import type { AdminStatus } from '../shared';
+
+const POLL_INTERVAL_MS = 20;
+const START_LIMIT_MS = 30_000;
+
+const isReady = (status: AdminStatus, endpoints: readonly string[]): boolean => {
+  const live = status.members.filter(({ state }) => state === 'live');
+  const hasAll = endpoints.every((name) => live.some(({ endpoint }) => endpoint === name));
+  return hasAll && status.nodes.every(({ revision }) => revision >= status.revision);
+};
+
+/** Waits until the endpoints are live and every process knows of them. */
+export const waitForEndpoints = async (
+  rpc: RpcClient,
+  control: string,
+  endpoints: readonly string[],
+): Promise<void> => {
+  const until = performance.now() + START_LIMIT_MS;
+  while (performance.now() < until) {
+    const response = await rpc.request(control, { path: '/admin/status', method: 'GET' });
+    const status = (await response.body.json()) as AdminStatus;
+    if (response.statusCode === 200 && isReady(status, endpoints)) return;
+    await sleep(POLL_INTERVAL_MS);
+  }
+  const message = `not live in time: ${endpoints.join(', ')}`;
+  throw createError({ type: 'timeout', message, step: 'dev.start' });
+};
--- a/src/node/entry/callerApi.ts
+++ b/src/node/entry/callerApi.ts
@@ -7,6 +7,7 @@
 import type { RequestRecord } from '../ledger';
 import type { Organisation } from '../inventory';
 import type { Logger } from '../log';
+import type { CallerMetrics } from '../metrics';
 import { findOrganisation } from './authorise';
 import { findTask, parseChatBody } from './chatRequest';
 import type { LedgerClient } from './ledgerClient';
@@ -20,6 +21,7 @@
   readonly runner: RequestRunner;
   readonly log: Logger;
   readonly isStopping: () => boolean;
+  readonly metrics: CallerMetrics;
 }
 
 const CHAT_PATH = '/v1/chat/completions';
@@ -35,6 +37,12 @@
   return text;
 };
 
+const readOrganisation = (parts: CallerApiParts, request: FastifyRequest): Organisation => {
+  const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+  parts.metrics.recordOrganisation(request, organisation.name);
+  return organisation;
+};
+
 const checkReady = (parts: CallerApiParts): void => {
   if (parts.lease.isValid() && !parts.isStopping()) return;
   throw createError({
@@ -54,9 +62,16 @@
 };
 
 // Once the head is sent, an error can only be told inside the stream.
-async function* relayWithErrors(answer: RunAnswer, requestId: string): AsyncGenerator<Buffer> {
+async function* relayWithErrors(
+  answer: RunAnswer,
+  requestId: string,
+  recordPiece: () => void,
+): AsyncGenerator<Buffer> {
   try {
-    yield* answer.pieces;
+    for await (const piece of answer.pieces) {
+      recordPiece();
+      yield piece;
+    }
   } catch (cause) {
     const error = convertToRouterError(cause, 'entry.stream', '', 'ran');
     if (!answer.contentType.startsWith('text/event-stream')) throw error;
@@ -65,16 +80,22 @@
   }
 }
 
-const sendAnswer = (reply: FastifyReply, requestId: string, answer: RunAnswer): FastifyReply => {
+const sendAnswer = (
+  parts: CallerApiParts,
+  request: FastifyRequest,
+  reply: FastifyReply,
+  answer: RunAnswer,
+): FastifyReply => {
+  const recordPiece = (): void => parts.metrics.recordPiece(request, answer.model);
   if (answer.model !== '') {
     reply.header('x-oleanderfront-model', answer.model);
     reply.header('x-oleanderfront-version', answer.version);
   }
   return reply
     .code(answer.status)
-    .header('x-request-id', requestId)
+    .header('x-request-id', request.id)
     .header('content-type', answer.contentType)
-    .send(Readable.from(relayWithErrors(answer, requestId), { objectMode: false }));
+    .send(Readable.from(relayWithErrors(answer, request.id, recordPiece), { objectMode: false }));
 };
 
 const createChatRequest = (
@@ -150,19 +171,19 @@
 
 const registerChatRoute = (app: FastifyInstance, parts: CallerApiParts): void => {
   app.post(CHAT_PATH, async (request, reply) => {
-    const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+    const organisation = readOrganisation(parts, request);
     checkReady(parts);
     const isDeferred = readHeader(request, 'prefer') === 'respond-async';
     const signal = isDeferred ? new AbortController().signal : createCallerSignal(reply);
     const runRequest = createChatRequest(parts, request, organisation, signal, isDeferred);
     if (isDeferred) return deferRequest(parts, reply, runRequest);
-    return sendAnswer(reply, request.id, await parts.runner.run(runRequest));
+    return sendAnswer(parts, request, reply, await parts.runner.run(runRequest));
   });
 };
 
 const registerModelsRoute = (app: FastifyInstance, parts: CallerApiParts): void => {
   app.get('/v1/models', async (request) => {
-    const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+    const organisation = readOrganisation(parts, request);
     const data = listAllowedModels(parts.lease.view, organisation).map((model) => ({
       id: model.name,
       object: 'model',
@@ -175,7 +196,7 @@
 
 const registerRequestRoute = (app: FastifyInstance, parts: CallerApiParts): void => {
   app.get('/v1/requests/:id', async (request) => {
-    const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+    const organisation = readOrganisation(parts, request);
     const { id } = request.params as { readonly id: string };
     const record = await parts.ledger.find(organisation.name, id);
     if (record) return formatRecord(record);
@@ -203,7 +224,7 @@
       done(null, body),
     );
     scope.all('/v1/services/:service/*', async (request, reply) => {
-      const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
+      const organisation = readOrganisation(parts, request);
       checkReady(parts);
       const { service } = request.params as { readonly service: string };
       if (!organisation.services.includes(service)) {
@@ -226,7 +247,7 @@
         body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
         signal: createCallerSignal(reply),
       });
-      return sendAnswer(reply, request.id, answer);
+      return sendAnswer(parts, request, reply, answer);
     });
   });
 };
@@ -239,15 +260,6 @@
   registerServiceRoute(app, parts);
 };
 
-/** Registers `/livez` and `/readyz`. */
-export const registerHealthRoutes = (app: FastifyInstance, isReady: () => boolean): void => {
-  app.get('/livez', async () => ({ status: 'live' }));
-  app.get('/readyz', async (_request, reply) => {
-    if (isReady()) return { status: 'ready' };
-    return reply.code(503).send({ status: 'not ready' });
-  });
-};
-
 const DRAIN_POLL_MS = 20;
 
 /** Waits until no request is under way. */
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -2,10 +2,18 @@
 import type { Service } from '../kernel';
 import { createLeaseClient } from '../lease';
 import { createPartLogger, type Logger } from '../log';
-import { registerMetrics, type Metrics } from '../metrics';
-import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
-import type { EntrySettings } from '../settings';
-import { registerCallerApi, registerHealthRoutes, waitForIdle } from './callerApi';
+import { registerCallerMetrics, registerMetrics, type Metrics } from '../metrics';
+import {
+  createHttpServer,
+  createRpcClient,
+  registerHealthRoutes,
+  registerRpc,
+  startHttpServer,
+  type RpcClient,
+} from '../rpc';
+import { resolveRpcOptions, type EntryConfig } from '../settings';
+import { registerCallerApi, waitForIdle } from './callerApi';
+import { createDecisionLog, createExplainMethods, createRecordingChooser } from './decisionLog';
 import { createLedgerClient } from './ledgerClient';
 import { createRequestRunner } from './requestRunner';
 import { createSettlement } from './settlement';
@@ -18,16 +26,16 @@
   return () => unsafeUniformIntDistribution(0, DRAW_STEPS - 1, generator) / DRAW_STEPS;
 };
 
-const createRpcService = (settings: EntrySettings): Service => ({
+const createRpcService = (settings: EntryConfig): Service => ({
   name: 'rpc',
   needs: [],
   start: () => {
-    const value = createRpcClient({ secret: settings.secrets.internal });
+    const value = createRpcClient(resolveRpcOptions(settings));
     return { value, stop: value.close };
   },
 });
 
-const createEntryService = (settings: EntrySettings): Service => ({
+const createEntryService = (settings: EntryConfig): Service => ({
   name: 'entry',
   needs: ['rpc', 'log', 'metrics'],
   start: async (find) => {
@@ -41,23 +49,41 @@
     const { answerTimeoutMs } = limits;
     const decisions = createPartLogger(root, 'decision');
     const { view } = lease;
-    const chooser = createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions });
+    const metrics = find<Metrics>('metrics');
+    const decisionLog = createDecisionLog();
+    const chooser = createRecordingChooser(
+      createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions }),
+      { decisions: decisionLog, log: decisions, recordRetry: () => metrics.retries.inc() },
+    );
     const settlement = createSettlement(ledger, view);
     const runner = createRequestRunner({ rpc, lease, settlement, chooser, answerTimeoutMs });
     let isStopping = false;
     const isReady = (): boolean => lease.isValid() && !isStopping;
 
-    const internal = createHttpServer();
+    const recordCall = (method: string, result: string): void =>
+      metrics.calls.inc({ method, result });
+    const internal = createHttpServer({ tls: settings.ports?.internal });
     const { bodyBytes: bodyLimitBytes, requestTimeoutMs } = limits;
     const callers = createHttpServer({
       bodyLimitBytes,
       requestTimeoutMs,
       createRequestId: runner.createRequestId,
+      tls: settings.ports?.callers,
+    });
+    registerCallerApi(callers, {
+      lease,
+      ledger,
+      runner,
+      log,
+      isStopping: () => isStopping,
+      metrics: registerCallerMetrics(callers, metrics),
     });
-    registerCallerApi(callers, { lease, ledger, runner, log, isStopping: () => isStopping });
     registerHealthRoutes(callers, isReady);
     registerHealthRoutes(internal, isReady);
-    registerMetrics(internal, find<Metrics>('metrics'));
+    registerRpc(internal, createExplainMethods(decisionLog), settings.secrets.internal, recordCall);
+    registerMetrics(internal, metrics);
+    metrics.registerSource('revision', view.revision);
+    metrics.registerSource('lease', () => Number(isReady()));
     const internalAddress = await startHttpServer(internal, settings.internalListen);
     await lease.start(internalAddress);
     const address = await startHttpServer(callers, settings.listen);
@@ -81,7 +107,7 @@
 }
 
 /** The services of the `entry` role. */
-export const createEntryServices = (settings: EntrySettings): readonly Service[] => [
+export const createEntryServices = (settings: EntryConfig): readonly Service[] => [
   createRpcService(settings),
   createEntryService(settings),
 ];
--- a/src/node/inventory/index.ts
+++ b/src/node/inventory/index.ts
@@ -1,1 +1,5 @@
 export * from './schema';
+export * from './closestName';
+export * from './checkInventory';
+export * from './compareInventories';
+export * from './mergeRegister';
--- a/src/node/metrics/index.ts
+++ b/src/node/metrics/index.ts
@@ -1,1 +1,3 @@
 export * from './metrics';
+export * from './definitions';
+export * from './callerMetrics';
--- a/src/node/metrics/metrics.ts
+++ b/src/node/metrics/metrics.ts
@@ -1,43 +1,61 @@
 import type { FastifyInstance } from 'fastify';
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { METRIC_DEFINITIONS, type MetricName, type MetricRole } from './definitions';
 
-/** The metrics of one process. */
+type GaugeName =
+  | 'queue'
+  | 'running'
+  | 'configCommitted'
+  | 'ledgerCommitted'
+  | 'leader'
+  | 'nodes'
+  | 'revision'
+  | 'lease';
+
+/** The metrics of one process. Those of other roles may be set, but are not served. */
 export interface Metrics {
   readonly registry: Registry;
-  /** Requests answered, by organisation, model, status. */
   readonly requests: Counter<'organisation' | 'model' | 'status'>;
-  /** Seconds to the first piece of an answer. */
   readonly firstPiece: Histogram<'model'>;
-  /** Requests under way. */
   readonly active: Gauge;
+  readonly refusals: Counter<'type'>;
+  readonly retries: Counter;
+  readonly attempts: Counter<'outcome'>;
+  readonly calls: Counter<'method' | 'result'>;
+  /** Gives a gauge its source, which is read when the metrics are asked for. */
+  readonly registerSource: (name: GaugeName, read: () => number) => void;
 }
 
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.35, 0.5, 1, 2.5, 5, 10];
 
-/** Creates the metrics of one process in a registry of its own. */
-export const createMetrics = (): Metrics => {
+/** Creates the metrics of one process in a registry of its own; without a role it serves all. */
+export const createMetrics = (role: MetricRole = 'all'): Metrics => {
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
+
+  const resolveOptions = <N extends MetricName>(name: N) => {
+    const { name: fullName, help, labels, role: owner } = METRIC_DEFINITIONS[name];
+    const isServed = role === 'all' || owner === 'all' || owner === role;
+    type Labels = (typeof METRIC_DEFINITIONS)[N]['labels'][number];
+    const labelNames = [...labels] as Labels[];
+    return { name: fullName, help, labelNames, registers: isServed ? [registry] : [] };
+  };
+
   return {
     registry,
-    requests: new Counter({
-      name: 'oleanderfront_requests_total',
-      help: 'Requests answered.',
-      labelNames: ['organisation', 'model', 'status'],
-      registers: [registry],
-    }),
-    firstPiece: new Histogram({
-      name: 'oleanderfront_first_piece_seconds',
-      help: 'Seconds from the receipt of a request to the first piece of its answer.',
-      labelNames: ['model'],
-      buckets: SECONDS_BUCKETS,
-      registers: [registry],
-    }),
-    active: new Gauge({
-      name: 'oleanderfront_requests_active',
-      help: 'Requests under way.',
-      registers: [registry],
-    }),
+    requests: new Counter(resolveOptions('requests')),
+    firstPiece: new Histogram({ ...resolveOptions('firstPiece'), buckets: SECONDS_BUCKETS }),
+    active: new Gauge(resolveOptions('active')),
+    refusals: new Counter(resolveOptions('refusals')),
+    retries: new Counter(resolveOptions('retries')),
+    attempts: new Counter(resolveOptions('attempts')),
+    calls: new Counter(resolveOptions('calls')),
+    registerSource: (name, read) => {
+      const gauge: Gauge = new Gauge({
+        ...resolveOptions(name),
+        collect: () => gauge.set(read()),
+      });
+    },
   };
 };
 
--- /dev/null
+++ b/src/node/rpc/adminClient.ts
@@ -0,0 +1,116 @@
+import { readFileSync } from 'node:fs';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Left, Right, type Either } from 'purify-ts';
+import { Agent, request, type Dispatcher } from 'undici';
+import { createError, RouterError, type ErrorBody } from '../errors';
+
+/** Where the control hosts are and how an operator proves to be one. */
+export interface AdminClientOptions {
+  /** Addresses in the form `host:port`, tried in order. */
+  readonly control: readonly string[];
+  readonly secret: string;
+  /** PEM text of the authority behind the operators' port; its presence means TLS. */
+  readonly certificateAuthority?: string;
+}
+
+/** Calls the operators' routes. Every mutation carries a change id, so that a repeat does no harm. */
+export interface AdminClient {
+  readonly call: <T>(
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body?: unknown,
+  ) => Promise<Either<RouterError, T>>;
+  readonly close: () => Promise<void>;
+}
+
+const CALL_TIMEOUT_MS = 10_000;
+const CONNECT_TIMEOUT_MS = 2_000;
+const ROUNDS = 10;
+const ROUND_PAUSE_MS = 300;
+const STEP = 'operator.call';
+
+const readErrorBody = (value: unknown, peer: string): RouterError => {
+  const { error } = (value ?? {}) as Partial<ErrorBody>;
+  if (error) return createError({ ...error, peer: error.peer || peer });
+  const message = 'the control host answered without an error body';
+  return createError({ type: 'peer_failed', message, step: STEP, peer, outcome: 'unknown' });
+};
+
+/** Reads the operators' secret from a file, without the line end. Throws when it cannot be read. */
+export const readSecretFile = (file: string): string => {
+  try {
+    return readFileSync(file, 'utf8').trim();
+  } catch (cause) {
+    const message = cause instanceof Error ? cause.message : String(cause);
+    throw createError({ type: 'invalid_request', message, step: 'operator.secret' });
+  }
+};
+
+/** Creates a client that goes to the next control host while one is silent or without a quorum. */
+export const createAdminClient = (options: AdminClientOptions): AdminClient => {
+  const { control, secret, certificateAuthority } = options;
+  const scheme = certificateAuthority === undefined ? 'http' : 'https';
+  const dispatcher = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS, ca: certificateAuthority },
+  });
+
+  const callHost = async <T>(
+    address: string,
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body: unknown,
+  ): Promise<Either<RouterError, T>> => {
+    try {
+      const response = await request(`${scheme}://${address}${path}`, {
+        method,
+        dispatcher,
+        headers: { authorization: `Bearer ${secret}`, 'content-type': 'application/json' },
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      });
+      const value = await response.body.json();
+      return response.statusCode < 300 ? Right(value as T) : Left(readErrorBody(value, address));
+    } catch (cause) {
+      const text = cause instanceof Error ? cause.message : String(cause);
+      const message = `no answer from ${address}: ${text || 'connection failed'}`;
+      return Left(
+        createError({
+          type: 'peer_failed',
+          message,
+          step: STEP,
+          peer: address,
+          outcome: 'unknown',
+        }),
+      );
+    }
+  };
+
+  const call: AdminClient['call'] = async <T>(
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body?: unknown,
+  ) => {
+    let last = createError({
+      type: 'unavailable',
+      message: 'no control address is given',
+      step: STEP,
+    });
+    for (let round = 0; round < ROUNDS; round += 1) {
+      let hasElection = false;
+      for (const address of control) {
+        const answer = await callHost<T>(address, method, path, body);
+        if (answer.isRight()) return answer;
+        last = answer.extract() as RouterError;
+        const canMoveOn = last.type === 'peer_failed' || last.type === 'unavailable';
+        if (!canMoveOn) return answer;
+        hasElection ||= last.type === 'unavailable';
+      }
+      // A host that answers without a quorum may have one soon; a dead one is not waited for.
+      if (!hasElection) break;
+      await sleep(ROUND_PAUSE_MS);
+    }
+    return Left(last);
+  };
+
+  return { call, close: () => dispatcher.close() };
+};
--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -1,4 +1,4 @@
-import fastify, { type FastifyInstance } from 'fastify';
+import fastify, { type FastifyInstance, type FastifyRequest } from 'fastify';
 import { randomUUID } from 'node:crypto';
 import { createError, ERROR_STATUS, formatErrorBody, RouterError, type ErrorType } from '../errors';
 
@@ -49,6 +49,12 @@
   });
 };
 
+const errorTypes = new WeakMap<FastifyRequest, ErrorType>();
+
+/** Finds the type of the error in which a request ended, if it did. */
+export const findErrorType = (request: FastifyRequest): ErrorType | undefined =>
+  errorTypes.get(request);
+
 /** Creates an HTTP server that answers every error in the wire form. */
 export const createHttpServer = (options: HttpServerOptions = {}): FastifyInstance => {
   const app = fastify({
@@ -62,6 +68,7 @@
   } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
   app.setErrorHandler((failure, request, reply) => {
     const error = convertFailure(failure as FastifyFailure);
+    errorTypes.set(request, error.type);
     if (error.retryAfterSeconds !== undefined) reply.header('retry-after', error.retryAfterSeconds);
     return reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
   });
--- a/src/node/rpc/index.ts
+++ b/src/node/rpc/index.ts
@@ -1,3 +1,5 @@
 export * from './rpcServer';
 export * from './rpcClient';
 export * from './httpServer';
+export * from './healthRoutes';
+export * from './adminClient';
--- a/src/node/rpc/rpcServer.ts
+++ b/src/node/rpc/rpcServer.ts
@@ -37,16 +37,27 @@
   }
 };
 
-const runMethod = async (name: string, method: RpcMethod, params: unknown): Promise<unknown> => {
+/** Takes note of an answered call; the result is `ok` or the type of the error. */
+export type CallRecorder = (method: string, result: string) => void;
+
+const runMethod = async (
+  name: string,
+  method: RpcMethod,
+  params: unknown,
+  recordCall: CallRecorder,
+): Promise<unknown> => {
   try {
     const parsed = method.params.safeParse(params);
     if (!parsed.success) {
       const message = `bad parameters: ${parsed.error.issues[0]?.message ?? 'no match'}`;
       throw createError({ type: 'invalid_request', message, step: name });
     }
-    return await method.handle(parsed.data as never);
+    const answer = await method.handle(parsed.data as never);
+    recordCall(name, 'ok');
+    return answer;
   } catch (cause) {
     const error = convertToRouterError(cause, name);
+    recordCall(name, error.type);
     const { type, message, step, peer, outcome, retryAfterSeconds, data } = error;
     const body = { type, message, step, peer, outcome, retryAfterSeconds, data };
     throw new JSONRPCErrorException(message, ROUTER_ERROR_CODE, body);
@@ -54,10 +65,15 @@
 };
 
 /** Registers `POST /rpc` with the given methods, behind the bearer secret. */
-export const registerRpc = (app: FastifyInstance, methods: RpcMethods, secret: string): void => {
+export const registerRpc = (
+  app: FastifyInstance,
+  methods: RpcMethods,
+  secret: string,
+  recordCall: CallRecorder = () => {},
+): void => {
   const server = new JSONRPCServer({ errorListener: () => {} });
   for (const [name, method] of Object.entries(methods)) {
-    server.addMethod(name, (params: unknown) => runMethod(name, method, params));
+    server.addMethod(name, (params: unknown) => runMethod(name, method, params, recordCall));
   }
   app.post('/rpc', async (request, reply) => {
     checkSecret(request, secret, 'rpc.authorise');
--- a/src/node/settings/index.ts
+++ b/src/node/settings/index.ts
@@ -1,2 +1,4 @@
 export * from './schema';
 export * from './loadJsonc';
+export * from './resolveConfig';
+export * from './formatReference';
--- a/src/node/settings/loadJsonc.ts
+++ b/src/node/settings/loadJsonc.ts
@@ -8,7 +8,8 @@
   type ParseError,
 } from 'jsonc-parser';
 import { Left, Right, type Either } from 'purify-ts';
-import type { ZodType } from 'zod';
+import { z, type ZodType } from 'zod';
+import { formatSuggestion } from '../inventory';
 
 /** One fault of a file, with its place. */
 export interface Fault {
@@ -35,11 +36,45 @@
   return 1;
 };
 
-/** Parses JSON with comments against a schema and gives all faults at once. */
+interface SchemaNode {
+  readonly properties?: Readonly<Record<string, SchemaNode>>;
+  readonly items?: SchemaNode;
+}
+
+const listKnownKeys = (schema: ZodType, path: readonly PropertyKey[]): readonly string[] => {
+  const top = z.toJSONSchema(schema, { io: 'input', unrepresentable: 'any' }) as SchemaNode;
+  const found = path.reduce<SchemaNode | undefined>(
+    (node, key) => (typeof key === 'number' ? node?.items : node?.properties?.[String(key)]),
+    top,
+  );
+  return Object.keys(found?.properties ?? {});
+};
+
+interface Place {
+  readonly path: readonly PropertyKey[];
+  readonly message: string;
+}
+
+// One fault for each unknown key, so that each gets its own line.
+const listPlaces = (schema: ZodType, issue: z.core.$ZodIssue): readonly Place[] => {
+  const { path, message } = issue;
+  if (issue.code !== 'unrecognized_keys') return [{ path, message }];
+  const known = listKnownKeys(schema, path);
+  return issue.keys.map((key) => ({
+    path: [...path, key],
+    message: `unknown key '${key}'${formatSuggestion(key, known)}`,
+  }));
+};
+
+/** Checks beyond the schema's reach, on the value as it was read. */
+export type ValueCheck = (value: unknown) => readonly Place[];
+
+/** Parses JSON with comments against a schema and further checks, and gives all faults at once. */
 export const parseJsonc = <T>(
   file: string,
   text: string,
   schema: ZodType<T>,
+  checkValue: ValueCheck = () => [],
 ): Either<readonly Fault[], T> => {
   const errors: ParseError[] = [];
   const options = { allowTrailingComma: true };
@@ -55,22 +90,27 @@
     );
   }
   const parsed = schema.safeParse(value);
-  if (parsed.success) return Right(parsed.data);
+  const issues = parsed.error?.issues ?? [];
+  const places = [...issues.flatMap((issue) => listPlaces(schema, issue)), ...checkValue(value)];
+  if (parsed.success && places.length === 0) return Right(parsed.data);
   const tree = parseTree(text, [], options);
-  return Left(
-    parsed.error.issues.map((issue) => ({
-      file,
-      line: findLine(text, tree, issue.path),
-      path: issue.path.join('.'),
-      message: issue.message,
-    })),
-  );
+  const faults = places.map(({ path, message }) => ({
+    file,
+    line: findLine(text, tree, path),
+    path: path.join('.'),
+    message,
+  }));
+  return Left(faults.sort((a, b) => a.line - b.line));
 };
 
 /** Reads a file of JSON with comments; a file that cannot be read is a fault too. */
-export const readJsonc = <T>(file: string, schema: ZodType<T>): Either<readonly Fault[], T> => {
+export const readJsonc = <T>(
+  file: string,
+  schema: ZodType<T>,
+  checkValue?: ValueCheck,
+): Either<readonly Fault[], T> => {
   try {
-    return parseJsonc(file, readFileSync(file, 'utf8'), schema);
+    return parseJsonc(file, readFileSync(file, 'utf8'), schema, checkValue);
   } catch (cause) {
     const message = cause instanceof Error ? cause.message : String(cause);
     return Left([{ file, line: 1, path: '', message }]);
--- /dev/null
+++ b/src/node/settings/resolveConfig.ts
@@ -0,0 +1,82 @@
+import { readFileSync } from 'node:fs';
+import { dirname, resolve } from 'node:path';
+import { Left, Right, type Either } from 'purify-ts';
+import type { RpcClientOptions, TlsTexts } from '../rpc';
+import type { Fault } from './loadJsonc';
+import type { AgentSettings, ControlSettings, EntrySettings, TlsFiles } from './schema';
+
+/** What the settings of TLS come to: the texts of the PEM files. */
+export interface ResolvedTls {
+  /** Of the internal ports. */
+  readonly internal?: TlsTexts;
+  /** Of the callers' port of an entry. */
+  readonly callers?: TlsTexts;
+  /** Of the operators' port of a control host. */
+  readonly operators?: TlsTexts;
+  /** The authority that signed the peers' certificates. */
+  readonly certificateAuthority?: string;
+}
+
+/** Settings with everything settled that a start needs. Absent `ports` speak plain HTTP. */
+export type Resolved<Settings> = Settings & { readonly ports?: ResolvedTls };
+
+/** The settled settings of an entry. */
+export type EntryConfig = Resolved<EntrySettings>;
+/** The settled settings of an agent. */
+export type AgentConfig = Resolved<AgentSettings>;
+/** The settled settings of a control host. */
+export type ControlConfig = Resolved<ControlSettings>;
+
+type AnySettings = EntrySettings | AgentSettings | ControlSettings;
+
+type FileReader = (path: string) => string;
+
+const readTexts = (
+  files: TlsFiles | undefined,
+  path: string,
+  readText: (file: string, path: string) => string,
+): TlsTexts | undefined =>
+  files && {
+    key: readText(files.keyFile, `${path}.keyFile`),
+    cert: readText(files.certFile, `${path}.certFile`),
+  };
+
+/**
+ * Settles settings once: paths are taken from the folder of the settings file and the files of TLS
+ * are read. Gives all faults at once.
+ */
+export const resolveConfig = <Settings extends AnySettings>(
+  settings: Settings,
+  settingsFile: string,
+  readFile: FileReader = (path) => readFileSync(path, 'utf8'),
+): Either<readonly Fault[], Resolved<Settings>> => {
+  const folder = dirname(resolve(settingsFile));
+  const faults: Fault[] = [];
+  const readText = (file: string, path: string): string => {
+    try {
+      return readFile(resolve(folder, file));
+    } catch (cause) {
+      const message = cause instanceof Error ? cause.message : String(cause);
+      faults.push({ file: settingsFile, line: 1, path, message });
+      return '';
+    }
+  };
+  const callers = 'callerTls' in settings ? settings.callerTls : undefined;
+  const operators = 'operatorTls' in settings ? settings.operatorTls : undefined;
+  const ports: ResolvedTls = {
+    internal: readTexts(settings.tls, 'tls', readText),
+    callers: readTexts(callers, 'callerTls', readText),
+    operators: readTexts(operators, 'operatorTls', readText),
+    certificateAuthority: settings.tls?.caFile && readText(settings.tls.caFile, 'tls.caFile'),
+  };
+  if (faults.length > 0) return Left(faults);
+  const data = 'data' in settings ? { data: resolve(folder, settings.data) } : {};
+  return Right({ ...settings, ...data, ports });
+};
+
+/** The options of the client that calls this process's peers. */
+export const resolveRpcOptions = (config: Resolved<AnySettings>): RpcClientOptions => ({
+  secret: config.secrets.internal,
+  scheme: config.ports?.internal ? 'https' : 'http',
+  certificateAuthority: config.ports?.certificateAuthority,
+});
--- a/src/node/settings/schema.ts
+++ b/src/node/settings/schema.ts
@@ -4,51 +4,113 @@
 const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, 'use host:port with an IP address');
 const milliseconds = z.number().int().positive();
 
-const listenSchema = z.strictObject({ host: z.string().default('127.0.0.1'), port }).readonly();
+const listenSchema = z
+  .strictObject({
+    host: z.string().default('127.0.0.1').describe('IP address to listen on.'),
+    port: port.describe('TCP port; 0 takes a free one.'),
+  })
+  .readonly();
 
 const secretsSchema = z
   .strictObject({
-    /** Shared by the system's own processes. */
-    internal: z.string().min(8),
-    /** Asked of operators; control only. */
-    operator: z.string().min(8).optional(),
+    internal: z
+      .string()
+      .min(8)
+      .describe("Secret between the system's own processes; the same on all of them."),
+    operator: z.string().min(8).optional().describe('Secret asked of operators; control only.'),
   })
   .readonly();
 
+const tlsShape = {
+  keyFile: z.string().describe('PEM file of the private key.'),
+  certFile: z.string().describe('PEM file of the certificate chain.'),
+} as const;
+
+const portTlsSchema = z.strictObject(tlsShape).readonly();
+
 const tlsSchema = z
-  .strictObject({ keyFile: z.string(), certFile: z.string(), caFile: z.string().optional() })
+  .strictObject({
+    ...tlsShape,
+    caFile: z
+      .string()
+      .optional()
+      .describe("PEM file of the authority that signed the peers' certificates."),
+  })
   .readonly();
 
 const commonShape = {
-  node: z.string().min(1).max(64),
-  zone: z.string().min(1).max(64),
-  host: z.string().min(1).max(64).optional(),
-  listen: listenSchema,
-  secrets: secretsSchema,
-  tls: tlsSchema.optional(),
-  logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  node: z
+    .string()
+    .min(1)
+    .max(64)
+    .describe('Name of this process, unique in the system and kept over restarts.'),
+  zone: z.string().min(1).max(64).describe('Availability zone; must stand in the inventory.'),
+  host: z
+    .string()
+    .min(1)
+    .max(64)
+    .optional()
+    .describe('Host in the inventory; the name of the process when absent.'),
+  listen: listenSchema.describe(
+    'Port of the role: callers at an entry, the internal port at an agent and a control host.',
+  ),
+  secrets: secretsSchema.describe('Shared secrets.'),
+  tls: tlsSchema
+    .optional()
+    .describe(
+      'TLS of the internal ports. Set it on every process or on none: a process that has it ' +
+        'speaks TLS to all its peers.',
+    ),
+  logLevel: z
+    .enum(['trace', 'debug', 'info', 'warn', 'error', 'silent'])
+    .default('info')
+    .describe('Lowest level that is logged; decisions are logged at `info`.'),
 } as const;
 
 const limitsSchema = z
   .strictObject({
-    bodyBytes: z.number().int().positive().default(4_194_304),
-    streamBytes: z.number().int().positive().default(67_108_864),
-    requestTimeoutMs: milliseconds.default(10_000),
-    answerTimeoutMs: milliseconds.default(120_000),
-    inFlight: z.number().int().positive().default(2_000),
+    bodyBytes: z
+      .number()
+      .int()
+      .positive()
+      .default(4_194_304)
+      .describe("Largest body of a caller's request, in bytes."),
+    streamBytes: z
+      .number()
+      .int()
+      .positive()
+      .default(67_108_864)
+      .describe('Largest answer, in bytes.'),
+    requestTimeoutMs: milliseconds
+      .default(10_000)
+      .describe('Time for a caller to send its whole request, in milliseconds.'),
+    answerTimeoutMs: milliseconds
+      .default(120_000)
+      .describe('Time for a whole answer, in milliseconds.'),
+    inFlight: z
+      .number()
+      .int()
+      .positive()
+      .default(2_000)
+      .describe('Most requests under way at once.'),
   })
   .readonly();
 
+const controlList = z
+  .array(address)
+  .min(1)
+  .readonly()
+  .describe('Addresses of the control hosts, tried in order.');
+
 /** Settings of an `entry` process. */
 export const entrySettingsSchema = z
   .strictObject({
     ...commonShape,
-    /** Port for the system's own processes, health and metrics. */
-    internalListen: listenSchema,
-    control: z.array(address).min(1).readonly(),
-    limits: limitsSchema.prefault({}),
-    ratingAddress: address.optional(),
-    callerTls: tlsSchema.optional(),
+    internalListen: listenSchema.describe("Port for the system's own processes, health, metrics."),
+    control: controlList,
+    limits: limitsSchema.prefault({}).describe('Limits on callers.'),
+    ratingAddress: address.optional().describe('Address of the service that rates answers.'),
+    callerTls: portTlsSchema.optional().describe("TLS of the callers' port."),
   })
   .readonly();
 
@@ -56,31 +118,81 @@
 export const agentSettingsSchema = z
   .strictObject({
     ...commonShape,
-    /** Port on which the engine beside the agent announces itself. */
-    announceListen: listenSchema,
-    control: z.array(address).min(1).readonly(),
-    weightStore: address.optional(),
-    announcementTimeoutMs: milliseconds.default(5_000),
-    bufferBytes: z.number().int().positive().default(8_388_608),
-    queueLimit: z.number().int().positive().default(1_000),
+    announceListen: listenSchema.describe(
+      'Port on which the engine or service beside the agent announces itself; keep it on loopback.',
+    ),
+    control: controlList,
+    weightStore: address.optional().describe('Address of the weight store.'),
+    announcementTimeoutMs: milliseconds
+      .default(5_000)
+      .describe('Silence after which an endpoint counts as gone, in milliseconds.'),
+    bufferBytes: z
+      .number()
+      .int()
+      .positive()
+      .default(8_388_608)
+      .describe('Most bytes of one answer held for its reader.'),
+    queueLimit: z.number().int().positive().default(1_000).describe('Most attempts that wait.'),
   })
   .readonly();
 
-const peerSchema = z.strictObject({ node: z.string(), address }).readonly();
+const peerSchema = z
+  .strictObject({
+    node: z.string().describe("The peer's `node`."),
+    address: address.describe('Internal address of the peer.'),
+  })
+  .readonly();
 
 /** Settings of a `control` process. */
 export const controlSettingsSchema = z
   .strictObject({
     ...commonShape,
-    /** Folder of the durable state. */
-    data: z.string(),
-    /** All control hosts of the first group, this one included. */
-    peers: z.array(peerSchema).min(1).readonly(),
-    leaseMs: milliseconds.default(5_000),
-    ledgerShards: z.number().int().min(1).max(64).default(1),
+    data: z
+      .string()
+      .describe('Folder of the durable state; it needs a disk that keeps synced files.'),
+    peers: z
+      .array(peerSchema)
+      .min(1)
+      .readonly()
+      .describe('All control hosts of the first group, this one included.'),
+    operatorListen: listenSchema
+      .optional()
+      .describe("Port for operators; absent serves them on the role's own port."),
+    operatorTls: portTlsSchema
+      .optional()
+      .describe("TLS of the operators' port; needs `operatorListen`."),
+    leaseMs: milliseconds
+      .default(5_000)
+      .describe('Duration of a lease in milliseconds; a change is in force everywhere within it.'),
+    ledgerShards: z
+      .number()
+      .int()
+      .min(1)
+      .max(64)
+      .default(1)
+      .describe('Number of ledger groups; fixed once the system has state.'),
   })
+  .refine(
+    (settings) => settings.operatorTls === undefined || settings.operatorListen !== undefined,
+    {
+      message: 'operatorTls needs operatorListen',
+      path: ['operatorTls'],
+    },
+  )
   .readonly();
 
+/** The settings schema of each role. */
+export const SETTINGS_SCHEMAS = {
+  entry: entrySettingsSchema,
+  agent: agentSettingsSchema,
+  control: controlSettingsSchema,
+} as const;
+
+/** The roles that run from a settings file. */
+export type Role = keyof typeof SETTINGS_SCHEMAS;
+
+/** PEM files of a port. */
+export type TlsFiles = z.infer<typeof portTlsSchema>;
 /** Settings of an `entry` process. */
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
 /** Settings of an `agent` process. */
--- a/src/node/shared/index.ts
+++ b/src/node/shared/index.ts
@@ -1,1 +1,2 @@
 export * from './protocol';
+export * from './adminProtocol';
