--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -1,5 +1,6 @@
 import type { Service } from '../kernel';
-import { createLeaseClient, type LeaseClient } from '../lease';
+import { createLeaseClient } from '../lease';
+import { createLedgerClient } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import { registerMetrics, type Metrics } from '../metrics';
 import {
@@ -11,8 +12,11 @@
   type RpcClient,
 } from '../rpc';
 import { resolveRpcOptions, type AgentConfig } from '../settings';
-import { createAnnouncementStore, type EngineAnnouncement } from './announcements';
+import { createAnnouncementStore } from './announcements';
+import { createEndpointAnnouncer } from './endpointAnnouncer';
+import { createOrders } from './orders';
 import { createAttemptStore } from './attemptStore';
+import { createUsageReporter, type UsageReporter } from './usageReporter';
 import { createAgentMethods, registerAnnounceRoute, registerAttemptRoutes } from './agentServer';
 
 const createRpcService = (settings: AgentConfig): Service => ({
@@ -24,20 +28,15 @@
   },
 });
 
-const sendAnnouncement = async (
-  rpc: RpcClient,
-  lease: LeaseClient,
-  settings: AgentConfig,
-  announced: EngineAnnouncement,
-  state: 'live' | 'leaving',
-): Promise<boolean> => {
-  const { endpoint, serves, service, slots, checksFencing } = announced;
-  const host = settings.host ?? settings.node;
-  const announcement = { endpoint, serves, service, slots, checksFencing, host, state };
-  const params = { node: settings.node, incarnation: lease.incarnation(), announcement };
-  const answer = await rpc.call(lease.controlAddress(), 'control.announce', params);
-  return answer.isRight();
-};
+const createRecordingReporter = (
+  reporter: Pick<UsageReporter, 'add'>,
+  metrics: Metrics,
+): Pick<UsageReporter, 'add'> => ({
+  add: (request, outcome, counts) => {
+    metrics.attempts.inc({ outcome });
+    reporter.add(request, outcome, counts);
+  },
+});
 
 const createAgentService = (settings: AgentConfig): Service => ({
   name: 'agent',
@@ -45,31 +44,26 @@
   start: async (find) => {
     const rpc = find<RpcClient>('rpc');
     const log = createPartLogger(find<Logger>('log'), 'agent');
-    const { node, zone, control, queueLimit } = settings;
+    const { node, zone, control, queueLimit, bufferBytes } = settings;
     const metrics = find<Metrics>('metrics');
     const announcements = createAnnouncementStore(settings.announcementTimeoutMs);
     const host = settings.host ?? node;
     const lease = createLeaseClient({ node, role: 'agent', zone, host, control, rpc, log });
+    const ledger = createLedgerClient(rpc, lease);
+    const reporter = createUsageReporter({ node, ledger, view: lease.view, log });
     const store = createAttemptStore({
       lease,
       announcements,
       queueLimit,
+      bufferBytes,
+      reporter: createRecordingReporter(reporter, metrics),
       log,
-      recordOutcome: (outcome) => metrics.attempts.inc({ outcome }),
     });
     const internal = createHttpServer({ tls: settings.ports?.internal });
     const announcePort = createHttpServer();
-    const sent = new Map<string, string>();
-
-    const handleAnnouncement = (announced: EngineAnnouncement): void => {
-      announcements.add(announced);
-      const text = JSON.stringify(announced);
-      if (sent.get(announced.endpoint) === text) return;
-      sent.set(announced.endpoint, text);
-      sendAnnouncement(rpc, lease, settings, announced, 'live').then((isSent) => {
-        if (!isSent) sent.delete(announced.endpoint);
-      });
-    };
+    const announcer = createEndpointAnnouncer({ node, host, lease, announcements, rpc, log });
+    const hasWork = (): boolean => store.countActive() > 0;
+    const orders = createOrders({ node, lease, announcements, rpc, log, hasWork });
 
     const recordCall = (method: string, result: string): void =>
       metrics.calls.inc({ method, result });
@@ -79,23 +73,25 @@
     registerHealthRoutes(internal, isReady);
     registerMetrics(internal, metrics);
     metrics.registerSource('queue', store.countQueued);
-    metrics.registerSource('running', store.countRunning);
+    metrics.registerSource('running', () => store.countActive() - store.countQueued());
     metrics.registerSource('revision', lease.view.revision);
     metrics.registerSource('lease', () => Number(isReady()));
     registerAttemptRoutes(internal, store, settings.secrets.internal);
-    registerAnnounceRoute(announcePort, handleAnnouncement);
+    registerAnnounceRoute(announcePort, announcements.add);
     const address = await startHttpServer(internal, settings.listen);
-    await lease.start(address);
+    await lease.start(settings.advertise ?? address);
     const announceAddress = await startHttpServer(announcePort, settings.announceListen);
+    reporter.start();
+    announcer.start();
+    orders.start();
     log.info({ address, announceAddress }, 'listening');
 
     const stop = async (): Promise<void> => {
       isStopping = true;
-      const live = announcements.list();
-      await Promise.all(
-        live.map((item) => sendAnnouncement(rpc, lease, settings, item, 'leaving')),
-      );
+      await orders.stop();
+      await announcer.stop();
       await store.drain();
+      await reporter.stop();
       await lease.stop();
       await announcePort.close();
       await internal.close();
--- a/src/node/control/adminApi.ts
+++ b/src/node/control/adminApi.ts
@@ -108,9 +108,10 @@
   admin.get('/admin/status', () => readStatus(parts, members, host));
 
   admin.get('/admin/bills', async (request) => {
+    const { ledgerState } = parts;
     const query = parseBody(billsQuery, request.query, 'admin.bills');
     (await parts.ledger.confirmRead()).unsafeCoerce();
-    return { bills: computeBillRows(parts.ledgerState.listBills(), [], query) };
+    return { bills: computeBillRows(ledgerState.listBills(), ledgerState.listTotals(), query) };
   });
 
   admin.get('/admin/explain/:requestId', async (request) => {
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -3,7 +3,7 @@
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import { registerMetrics, type Metrics } from '../metrics';
-import { createSoloReplica } from '../replication';
+import { createReplicationHost, type ReplicationHost } from '../replication';
 import {
   createHttpServer,
   createRpcClient,
@@ -16,28 +16,10 @@
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
+import { createLedgerUpkeep } from './ledgerUpkeep';
 import { createMembers, type Members } from './members';
 
-const createGroupsService = (settings: ControlConfig): Service => ({
-  name: 'groups',
-  needs: ['log'],
-  start: (find) => {
-    const configState = createConfigState();
-    const ledgerState = createLedgerState();
-    const config = createSoloReplica('config', configState);
-    const ledger = createSoloReplica('ledger-0', ledgerState);
-    const log = createPartLogger(find<Logger>('log'), 'control');
-    const { leaseMs } = settings;
-    const value: ControlParts = { config, configState, ledger, ledgerState, leaseMs, log };
-    return {
-      value,
-      stop: async () => {
-        await config.stop();
-        await ledger.stop();
-      },
-    };
-  },
-});
+const DISK_FAILURE_EXIT = 1;
 
 const createRpcService = (settings: ControlConfig): Service => ({
   name: 'rpc',
@@ -48,6 +30,43 @@
   },
 });
 
+const createReplicationService = (settings: ControlConfig): Service => ({
+  name: 'replication',
+  needs: ['rpc', 'log'],
+  start: (find) => {
+    const log = createPartLogger(find<Logger>('log'), 'replication');
+    const { node, peers, data } = settings;
+    const value = createReplicationHost({
+      node,
+      peers,
+      data,
+      log,
+      rpc: find<RpcClient>('rpc'),
+      handleFailure: (cause) => {
+        log.fatal({ err: cause }, 'a write failed, the process ends');
+        process.exit(DISK_FAILURE_EXIT);
+      },
+    });
+    return { value, stop: value.stop };
+  },
+});
+
+const createGroupsService = (settings: ControlConfig): Service => ({
+  name: 'groups',
+  needs: ['log', 'replication'],
+  start: async (find) => {
+    const configState = createConfigState();
+    const ledgerState = createLedgerState();
+    const replication = find<ReplicationHost>('replication');
+    const config = await replication.openGroup('config', configState);
+    const ledger = await replication.openGroup('ledger-0', ledgerState);
+    const log = createPartLogger(find<Logger>('log'), 'control');
+    const { leaseMs } = settings;
+    const value: ControlParts = { config, configState, ledger, ledgerState, leaseMs, log };
+    return { value };
+  },
+});
+
 const hasLeader = (parts: ControlParts): boolean => parts.config.status().leader !== '';
 
 const registerControlMetrics = (metrics: Metrics, parts: ControlParts): void => {
@@ -67,8 +86,8 @@
     const parts = find<ControlParts>('groups');
     const rpc = find<RpcClient>('rpc');
     const findLeaderAddress = (): string | undefined => {
-      const { leader } = parts.config.status();
-      return settings.peers.find((peer) => peer.node === leader)?.address;
+      const { leader, leaderAddress } = parts.config.status();
+      return leader === settings.node || leader === '' ? undefined : leaderAddress;
     };
     const value = createMembers({ parts, rpc, findLeaderAddress });
     value.start();
@@ -76,9 +95,19 @@
   },
 });
 
+const createUpkeepService = (): Service => ({
+  name: 'ledger-upkeep',
+  needs: ['groups'],
+  start: (find) => {
+    const value = createLedgerUpkeep(find<ControlParts>('groups'));
+    value.start();
+    return { value, stop: value.stop };
+  },
+});
+
 const createControlServerService = (settings: ControlConfig): Service => ({
   name: 'control-server',
-  needs: ['groups', 'members', 'rpc', 'log', 'metrics'],
+  needs: ['groups', 'members', 'replication', 'rpc', 'metrics'],
   start: async (find) => {
     const parts = find<ControlParts>('groups');
     const { operator } = settings.secrets;
@@ -90,13 +119,14 @@
       });
     }
     const members = find<Members>('members');
-    const rpc = find<RpcClient>('rpc');
-    const adminParts = { parts, members, rpc, host: settings.node, secret: operator };
-    const internal = createHttpServer({ tls: settings.ports?.internal });
+    const methods = {
+      ...createControlMethods(parts, members),
+      ...find<ReplicationHost>('replication').methods,
+    };
     const metrics = find<Metrics>('metrics');
     const recordCall = (method: string, result: string): void =>
       metrics.calls.inc({ method, result });
-    const methods = createControlMethods(parts, members);
+    const internal = createHttpServer({ tls: settings.ports?.internal });
     registerRpc(internal, methods, settings.secrets.internal, recordCall);
     registerHealthRoutes(internal, () => hasLeader(parts));
     registerMetrics(internal, metrics);
@@ -105,15 +135,16 @@
     const operators = operatorListen
       ? createHttpServer({ tls: settings.ports?.operators })
       : internal;
-    registerAdminRoutes(operators, adminParts);
+    const rpc = find<RpcClient>('rpc');
+    registerAdminRoutes(operators, { parts, members, rpc, host: settings.node, secret: operator });
     const address = await startHttpServer(internal, settings.listen);
     const operatorAddress = operatorListen
       ? await startHttpServer(operators, operatorListen)
       : address;
     parts.log.info({ address, operatorAddress }, 'listening');
     const stop = async (): Promise<void> => {
-      await internal.close();
       if (operatorListen) await operators.close();
+      await internal.close();
     };
     return { value: { address, operatorAddress }, stop };
   },
@@ -128,7 +159,9 @@
 /** The services of the `control` role. */
 export const createControlServices = (settings: ControlConfig): readonly Service[] => [
   createRpcService(settings),
+  createReplicationService(settings),
   createGroupsService(settings),
   createMembersService(settings),
+  createUpkeepService(),
   createControlServerService(settings),
 ];
--- a/src/node/entry/decisionLog.ts
+++ b/src/node/entry/decisionLog.ts
@@ -1,6 +1,4 @@
 import Denque from 'denque';
-import { createError, RouterError } from '../errors';
-import type { Logger } from '../log';
 import { createMethod, type RpcMethods } from '../rpc';
 import { entryExplainParams, type DecisionRecord } from '../shared';
 import type { RunRequest } from './runTypes';
@@ -56,7 +54,6 @@
 /** What is told of each decision besides the log. */
 export interface DecisionListeners {
   readonly decisions: DecisionLog;
-  readonly log: Logger;
   /** Called for each attempt after a request's first. */
   readonly recordRetry: () => void;
 }
@@ -79,39 +76,15 @@
   };
 };
 
-/** Wraps a chooser so that its choices and refusals are kept for `explain`. */
+/** Wraps a chooser so that its choices are kept for `explain`. */
 export const createRecordingChooser = (
   chooser: TargetChooser,
   listeners: DecisionListeners,
 ): TargetChooser => {
-  const { decisions, log, recordRetry } = listeners;
-
-  const recordRefusal = (request: RunRequest, cause: unknown): void => {
-    const error =
-      cause instanceof RouterError
-        ? cause
-        : createError({ type: 'internal', message: String(cause), step: 'entry.choose' });
-    const { requestId, organisation, model, service } = request;
-    const fields = {
-      organisation: organisation.name,
-      asked: service ?? model,
-      type: error.type,
-      reason: error.message,
-    };
-    decisions.add(requestId, 'refused', fields);
-    log.info({ requestId, ...fields }, 'refused');
-  };
+  const { decisions, recordRetry } = listeners;
 
   return {
     ...chooser,
-    choose: (request, bound, excluded) => {
-      try {
-        return chooser.choose(request, bound, excluded);
-      } catch (cause) {
-        recordRefusal(request, cause);
-        throw cause;
-      }
-    },
     log: (request, choice, attempt) => {
       if (attempt > 0) recordRetry();
       decisions.add(request.requestId, 'routed', listChoiceFields(request, choice, attempt));
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -1,8 +1,9 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
 import type { Service } from '../kernel';
 import { createLeaseClient } from '../lease';
+import { createLedgerClient, type Owner } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import { registerCallerMetrics, registerMetrics, type Metrics } from '../metrics';
+import { registerMetrics, type Metrics } from '../metrics';
 import {
   createHttpServer,
   createRpcClient,
@@ -12,9 +13,12 @@
   type RpcClient,
 } from '../rpc';
 import { resolveRpcOptions, type EntryConfig } from '../settings';
-import { registerCallerApi, waitForIdle } from './callerApi';
+import { createAttemptClient } from './attemptClient';
+import { createPlainPolicy } from './attemptPolicy';
+import { registerCallerApi, waitForIdle, waitForSettled } from './callerApi';
 import { createDecisionLog, createExplainMethods, createRecordingChooser } from './decisionLog';
-import { createLedgerClient } from './ledgerClient';
+import { createDeferredRunner } from './deferredRunner';
+import { createRecordingRunner } from './requestMetrics';
 import { createRequestRunner } from './requestRunner';
 import { createSettlement } from './settlement';
 import { createTargetChooser } from './targetChoice';
@@ -53,10 +57,31 @@
     const decisionLog = createDecisionLog();
     const chooser = createRecordingChooser(
       createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions }),
-      { decisions: decisionLog, log: decisions, recordRetry: () => metrics.retries.inc() },
+      { decisions: decisionLog, recordRetry: () => metrics.retries.inc() },
     );
-    const settlement = createSettlement(ledger, view);
-    const runner = createRequestRunner({ rpc, lease, settlement, chooser, answerTimeoutMs });
+    const readOwner = (): Owner => ({ node, incarnation: lease.incarnation() });
+    const settlement = createSettlement({ ledger, view, readOwner, log });
+    const { streamBytes, inFlight } = limits;
+    const runner = createRequestRunner({
+      client: createAttemptClient(rpc),
+      lease,
+      settlement,
+      chooser,
+      policy: createPlainPolicy(),
+      readOwner,
+      answerTimeoutMs,
+      streamBytes,
+      inFlight,
+    });
+    const deferred = createDeferredRunner({
+      ledger,
+      runner,
+      settlement,
+      lease,
+      readOwner,
+      answerTimeoutMs,
+      log,
+    });
     let isStopping = false;
     const isReady = (): boolean => lease.isValid() && !isStopping;
 
@@ -73,10 +98,15 @@
     registerCallerApi(callers, {
       lease,
       ledger,
-      runner,
+      runner: createRecordingRunner(callers, runner, {
+        metrics,
+        decisions: decisionLog,
+        log: decisions,
+      }),
       log,
+      answerTimeoutMs,
       isStopping: () => isStopping,
-      metrics: registerCallerMetrics(callers, metrics),
+      handleDeferred: deferred.handleDeferred,
     });
     registerHealthRoutes(callers, isReady);
     registerHealthRoutes(internal, isReady);
@@ -87,16 +117,20 @@
     const internalAddress = await startHttpServer(internal, settings.internalListen);
     await lease.start(internalAddress);
     const address = await startHttpServer(callers, settings.listen);
+    deferred.start();
     log.info({ address, internalAddress }, 'listening');
 
     const stop = async (): Promise<void> => {
       isStopping = true;
+      await deferred.stop();
       await waitForIdle(runner);
+      await waitForSettled(settlement);
       await callers.close();
       await lease.stop();
       await internal.close();
     };
-    return { value: { address, internalAddress }, stop };
+    const countEndpoints = (): number => view.list('member').length;
+    return { value: { address, internalAddress, countEndpoints }, stop };
   },
 });
 
@@ -104,6 +138,8 @@
 export interface EntryAddresses {
   readonly address: string;
   readonly internalAddress: string;
+  /** Live endpoints that this entry knows of. */
+  readonly countEndpoints: () => number;
 }
 
 /** The services of the `entry` role. */
--- /dev/null
+++ b/src/node/entry/requestMetrics.ts
@@ -0,0 +1,100 @@
+import { performance } from 'node:perf_hooks';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import type { RouterError } from '../errors';
+import type { Logger } from '../log';
+import type { Metrics } from '../metrics';
+import { findError } from '../rpc';
+import type { DecisionLog } from './decisionLog';
+import type { RequestRunner } from './requestRunner';
+import type { RunAnswer, RunRequest } from './runTypes';
+
+interface RequestNote {
+  readonly startedAt: number;
+  readonly organisation?: string;
+}
+
+const SECOND_MS = 1_000;
+
+const readModel = (reply: FastifyReply): string =>
+  String(reply.getHeader('x-oleanderfront-model') ?? '');
+
+// The caller's going away must reach the pieces themselves, also before the first is asked for.
+const createObservedPieces = (
+  pieces: RunAnswer['pieces'],
+  recordFirst: () => void,
+): RunAnswer['pieces'] => {
+  let isFirst = true;
+  const observed: RunAnswer['pieces'] = Object.create(pieces) as RunAnswer['pieces'];
+  return Object.assign(observed, {
+    next: async () => {
+      const piece = await pieces.next();
+      if (isFirst && !piece.done) recordFirst();
+      isFirst = false;
+      return piece;
+    },
+    return: (value: unknown) => pieces.return(value),
+    throw: (cause: unknown) => pieces.throw(cause),
+    [Symbol.asyncIterator]: () => observed,
+  });
+};
+
+/** Where the requests of a callers' port are recorded. */
+export interface RequestRecorders {
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly log: Logger;
+}
+
+/**
+ * Counts the requests of a callers' port and takes note of refusals; gives the runner that its
+ * routes shall use.
+ */
+export const createRecordingRunner = (
+  app: FastifyInstance,
+  runner: RequestRunner,
+  recorders: RequestRecorders,
+): RequestRunner => {
+  const { metrics, decisions, log } = recorders;
+  const notes = new Map<string, RequestNote>();
+
+  // Whoever has no key must not be able to push other requests' decisions out.
+  const recordError = (requestId: string, organisation: string, error: RouterError): void => {
+    const { type, step, peer, outcome, message: reason } = error;
+    metrics.refusals.inc({ type });
+    if (type === 'unauthenticated' || step.startsWith('http.')) return;
+    const decision = outcome === 'not_run' ? 'refused' : 'failed';
+    const fields = { organisation, type, step, peer, outcome, reason };
+    decisions.add(requestId, decision, fields);
+    log.info({ requestId, ...fields }, decision);
+  };
+
+  app.addHook('onRequest', async (request) => {
+    notes.set(request.id, { startedAt: performance.now() });
+    metrics.active.inc();
+  });
+
+  app.addHook('onResponse', async (request, reply) => {
+    metrics.active.dec();
+    const organisation = notes.get(request.id)?.organisation ?? '';
+    notes.delete(request.id);
+    const status = String(reply.statusCode);
+    metrics.requests.inc({ organisation, model: readModel(reply), status });
+    const error = findError(request);
+    if (error) recordError(request.id, organisation, error);
+  });
+
+  const run = async (request: RunRequest): Promise<RunAnswer> => {
+    const note = notes.get(request.requestId);
+    if (!note) return runner.run(request);
+    notes.set(request.requestId, { ...note, organisation: request.organisation.name });
+    const answer = await runner.run(request);
+    const recordFirst = (): void =>
+      metrics.firstPiece.observe(
+        { model: answer.model },
+        (performance.now() - note.startedAt) / SECOND_MS,
+      );
+    return { ...answer, pieces: createObservedPieces(answer.pieces, recordFirst) };
+  };
+
+  return { ...runner, run };
+};
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -63,7 +63,7 @@
     'counter',
     'attempts_total',
     'attempts',
-    'Attempts that ended, by outcome: done, failed, cancelled or refused.',
+    'Attempts that ended, by outcome: ran or never.',
     ['outcome'],
   ),
   configCommitted: createDefinition(
--- a/src/node/metrics/index.ts
+++ b/src/node/metrics/index.ts
@@ -1,3 +1,2 @@
 export * from './metrics';
 export * from './definitions';
-export * from './callerMetrics';
--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -24,6 +24,7 @@
 
 const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 10_000;
+const CLOSE_IDLE_INTERVAL_MS = 50;
 const HEADER_LIMIT_BYTES = 16 * 1024;
 
 const TYPE_BY_STATUS: Readonly<Record<number, ErrorType>> = {
@@ -49,11 +50,18 @@
   });
 };
 
-const errorTypes = new WeakMap<FastifyRequest, ErrorType>();
+// A connection that was busy when the close began would else stay open until its keep-alive ends.
+const registerClosing = (app: FastifyInstance): void => {
+  app.addHook('preClose', async () => {
+    const timer = setInterval(() => app.server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS);
+    app.server.once('close', () => clearInterval(timer));
+  });
+};
+
+const errors = new WeakMap<FastifyRequest, RouterError>();
 
-/** Finds the type of the error in which a request ended, if it did. */
-export const findErrorType = (request: FastifyRequest): ErrorType | undefined =>
-  errorTypes.get(request);
+/** Finds the error with which a request was answered, if it was. */
+export const findError = (request: FastifyRequest): RouterError | undefined => errors.get(request);
 
 /** Creates an HTTP server that answers every error in the wire form. */
 export const createHttpServer = (options: HttpServerOptions = {}): FastifyInstance => {
@@ -66,9 +74,10 @@
     http: { maxHeaderSize: HEADER_LIMIT_BYTES },
     ...(options.tls ? { https: { ...options.tls, maxHeaderSize: HEADER_LIMIT_BYTES } } : {}),
   } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
+  registerClosing(app);
   app.setErrorHandler((failure, request, reply) => {
     const error = convertFailure(failure as FastifyFailure);
-    errorTypes.set(request, error.type);
+    errors.set(request, error);
     if (error.retryAfterSeconds !== undefined) reply.header('retry-after', error.retryAfterSeconds);
     return reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
   });
--- a/src/node/settings/schema.ts
+++ b/src/node/settings/schema.ts
@@ -121,6 +121,9 @@
     announceListen: listenSchema.describe(
       'Port on which the engine or service beside the agent announces itself; keep it on loopback.',
     ),
+    advertise: address
+      .optional()
+      .describe('Address under which entries reach this agent, where it differs from `listen`.'),
     control: controlList,
     weightStore: address.optional().describe('Address of the weight store.'),
     announcementTimeoutMs: milliseconds
