--- a/src/node/control/admin/status.ts
+++ b/src/node/control/admin/status.ts
@@ -30,14 +30,14 @@
     (nodes) => ({ nodes, isKnown: true }),
     () => ({ nodes: listUnknownStates(parts), isKnown: false }),
   );
-  const { configState, config, ledger, leaseMs } = parts;
+  const { configState, config, ledgerShards, leaseMs } = parts;
   return {
     host,
     isConfirmed: point.isRight() && states.isKnown,
     revision: configState.revision(),
     inventoryRevision: configState.inventoryRevision(),
     leaseMs,
-    groups: [config.status(), ledger.status()],
+    groups: [config.status(), ...ledgerShards.map(({ replica }) => replica.status())],
     nodes: states.nodes,
     members: listViewValues(parts, 'member'),
     withdrawals: listViewValues(parts, 'withdrawal'),
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -3,7 +3,7 @@
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import { registerMetrics, type Metrics } from '../metrics';
-import { createReplicationHost, type ReplicationHost } from '../replication';
+import { createReplicationHost, registerReplaceRoute, type ReplicationHost } from '../replication';
 import {
   createHttpServer,
   createRpcClient,
@@ -16,6 +16,13 @@
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
+import {
+  checkShardCount,
+  createShardedLedger,
+  createShardedReads,
+  formatLedgerGroup,
+  type LedgerShard,
+} from './ledgerShards';
 import { createLedgerUpkeep } from './ledgerUpkeep';
 import { createMembers, type Members } from './members';
 
@@ -36,6 +43,7 @@
   start: (find) => {
     const log = createPartLogger(find<Logger>('log'), 'replication');
     const { node, peers, data } = settings;
+    checkShardCount(data, settings.ledgerShards);
     const value = createReplicationHost({
       node,
       peers,
@@ -51,18 +59,38 @@
   },
 });
 
+const openLedgerShards = async (
+  replication: ReplicationHost,
+  settings: ControlConfig,
+): Promise<readonly LedgerShard[]> => {
+  const shards: LedgerShard[] = [];
+  for (let shard = 0; shard < settings.ledgerShards; shard += 1) {
+    const state = createLedgerState();
+    const replica = await replication.openGroup(formatLedgerGroup(shard), state);
+    shards.push({ replica, state });
+  }
+  return shards;
+};
+
 const createGroupsService = (settings: ControlConfig): Service => ({
   name: 'groups',
   needs: ['log', 'replication'],
   start: async (find) => {
     const configState = createConfigState();
-    const ledgerState = createLedgerState();
     const replication = find<ReplicationHost>('replication');
     const config = await replication.openGroup('config', configState);
-    const ledger = await replication.openGroup('ledger-0', ledgerState);
+    const ledgerShards = await openLedgerShards(replication, settings);
     const log = createPartLogger(find<Logger>('log'), 'control');
     const { leaseMs } = settings;
-    const value: ControlParts = { config, configState, ledger, ledgerState, leaseMs, log };
+    const value: ControlParts = {
+      config,
+      configState,
+      ledgerShards,
+      ledger: createShardedLedger(ledgerShards),
+      ledgerState: createShardedReads(ledgerShards),
+      leaseMs,
+      log,
+    };
     return { value };
   },
 });
@@ -99,9 +127,10 @@
   name: 'ledger-upkeep',
   needs: ['groups'],
   start: (find) => {
-    const value = createLedgerUpkeep(find<ControlParts>('groups'));
-    value.start();
-    return { value, stop: value.stop };
+    const parts = find<ControlParts>('groups');
+    const upkeeps = parts.ledgerShards.map((shard) => createLedgerUpkeep(parts, shard));
+    upkeeps.forEach((upkeep) => upkeep.start());
+    return { value: upkeeps, stop: () => upkeeps.forEach((upkeep) => upkeep.stop()) };
   },
 });
 
@@ -119,10 +148,8 @@
       });
     }
     const members = find<Members>('members');
-    const methods = {
-      ...createControlMethods(parts, members),
-      ...find<ReplicationHost>('replication').methods,
-    };
+    const replication = find<ReplicationHost>('replication');
+    const methods = { ...createControlMethods(parts, members), ...replication.methods };
     const metrics = find<Metrics>('metrics');
     const recordCall = (method: string, result: string): void =>
       metrics.calls.inc({ method, result });
@@ -136,6 +163,7 @@
       ? createHttpServer({ tls: settings.ports?.operators })
       : internal;
     const rpc = find<RpcClient>('rpc');
+    registerReplaceRoute(operators, replication, operator);
     registerAdminRoutes(operators, { parts, members, rpc, host: settings.node, secret: operator });
     const address = await startHttpServer(internal, settings.listen);
     const operatorAddress = operatorListen
--- a/src/node/dev/dev.ts
+++ b/src/node/dev/dev.ts
@@ -33,6 +33,8 @@
   readonly controlAddress: string;
   readonly operatorSecret: string;
   readonly secretFile: string;
+  /** Every port that the roles listen on. */
+  readonly ports: readonly string[];
   readonly stop: () => Promise<void>;
 }
 
@@ -236,9 +238,18 @@
     data.close();
     throw cause;
   }
+  const { address, internalAddress } = kernel.find<EntryAddresses>('entry');
+  const control = kernel.find<ControlAddresses>('control');
+  const agents = ['agent-1', 'agent-2'].map((name) => kernel.find<AgentAddresses>(name));
   return {
-    address: kernel.find<EntryAddresses>('entry').address,
-    controlAddress: kernel.find<ControlAddresses>('control').operatorAddress,
+    address,
+    ports: [
+      address,
+      internalAddress,
+      control.address,
+      ...agents.flatMap((agent) => [agent.address, agent.announceAddress]),
+    ],
+    controlAddress: control.operatorAddress,
     operatorSecret: data.secrets.operator,
     secretFile: data.secretFile,
     stop,
