Give sums of bills a route of their own

Cause: GET /admin/bills had come to give sums, while tests and others read one bill for each request there (path.test.ts waited in vain for its bill).

--- a/src/node/cli/commands/bills.ts
+++ b/src/node/cli/commands/bills.ts
@@ -78,7 +78,7 @@
   flags: flagsSchema,
   run: (_args, flags, io) =>
     runWithClient(flags, io, async (client) => {
-      const path = `/admin/bills?${formatQuery(flags)}`;
+      const path = `/admin/bills/totals?${formatQuery(flags)}`;
       const answer = await client.call<{ readonly bills: readonly BillRow[] }>('GET', path);
       printBills(io, answer.unsafeCoerce().bills, flags);
       return EXIT_CODES.ok;
--- a/src/node/control/admin/bills.ts
+++ b/src/node/control/admin/bills.ts
@@ -1,5 +1,5 @@
 import type { Usage } from '../../ledger';
-import type { BillPeriod, BillRow, BillsQuery } from '../../shared';
+import type { BillFilter, BillPeriod, BillRow, BillsQuery } from '../../shared';
 
 /** The part of a bill that is summed up. */
 export interface BillItem {
@@ -49,11 +49,25 @@
     cost: usage.cost,
   }));
 
-const isInTime = (at: number, query: BillsQuery): boolean => {
+const isInTime = (at: number, query: BillFilter): boolean => {
   const isAfter = query.from === undefined || at >= Date.parse(query.from);
   return isAfter && (query.to === undefined || at < Date.parse(query.to));
 };
 
+/** Lists the bills that a filter names, one for each request. */
+export const listMatchingBills = <T extends BillItem>(
+  bills: readonly T[],
+  filter: BillFilter,
+): readonly T[] => {
+  const { organisation, model } = filter;
+  return bills.filter(
+    (bill) =>
+      isInTime(bill.at, filter) &&
+      (organisation ?? bill.organisation) === bill.organisation &&
+      (model === undefined || bill.usage.some((usage) => usage.model === model)),
+  );
+};
+
 const compareRows = (a: BillRow, b: BillRow): number =>
   a.organisation.localeCompare(b.organisation) ||
   a.period.localeCompare(b.period) ||
--- a/src/node/control/adminApi.ts
+++ b/src/node/control/adminApi.ts
@@ -3,8 +3,8 @@
 import { createError, formatErrorBody } from '../errors';
 import { checkInventory, formatSuggestion, type Inventory } from '../inventory';
 import { checkSecret, type RpcClient } from '../rpc';
-import { billsQuery, restoreBody, rolloutBody, withdrawBody } from '../shared';
-import { computeBillRows } from './admin/bills';
+import { billFilter, billsQuery, restoreBody, rolloutBody, withdrawBody } from '../shared';
+import { computeBillRows, listMatchingBills } from './admin/bills';
 import { createExplanation } from './admin/explain';
 import { readStatus } from './admin/status';
 import { putInventorySchema, type ConfigCommand, type ConfigResult } from './configState';
@@ -108,6 +108,12 @@
   admin.get('/admin/status', () => readStatus(parts, members, host));
 
   admin.get('/admin/bills', async (request) => {
+    const query = parseBody(billFilter, request.query, 'admin.bills');
+    (await parts.ledger.confirmRead()).unsafeCoerce();
+    return { bills: listMatchingBills(parts.ledgerState.listBills(), query) };
+  });
+
+  admin.get('/admin/bills/totals', async (request) => {
     const { ledgerState } = parts;
     const query = parseBody(billsQuery, request.query, 'admin.bills');
     (await parts.ledger.confirmRead()).unsafeCoerce();
--- a/src/node/shared/adminProtocol.ts
+++ b/src/node/shared/adminProtocol.ts
@@ -37,8 +37,8 @@
 /** Periods by which bills are summed up. */
 export const billPeriodSchema = z.enum(['hour', 'day', 'month', 'all']);
 
-/** `GET /admin/bills`: which bills are summed up, and by what. */
-export const billsQuery = z
+/** `GET /admin/bills`: which bills are listed, one for each request. */
+export const billFilter = z
   .strictObject({
     organisation: z.string().optional(),
     model: z.string().optional(),
@@ -46,14 +46,20 @@
     from: z.iso.datetime({ offset: true }).or(z.iso.date()).optional(),
     /** Time in ISO 8601; bills from this time on are left out. */
     to: z.iso.datetime({ offset: true }).or(z.iso.date()).optional(),
-    period: billPeriodSchema.default('day'),
   })
   .readonly();
 
+/** `GET /admin/bills/totals`: which bills are summed up, and by what. */
+export const billsQuery = z
+  .strictObject({ ...billFilter.unwrap().shape, period: billPeriodSchema.default('day') })
+  .readonly();
+
 /** What an operator may do to a roll-out. */
 export type RolloutAction = z.infer<typeof rolloutActionSchema>;
 /** A period by which bills are summed up. */
 export type BillPeriod = z.infer<typeof billPeriodSchema>;
+/** Which bills are listed. */
+export type BillFilter = z.infer<typeof billFilter>;
 /** Which bills are summed up, and by what. */
 export type BillsQuery = z.infer<typeof billsQuery>;
 
