--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,17 +1,31 @@
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { parseArgs } from 'node:util';
 import { build } from 'esbuild';
 import { inject } from 'postject';
 
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
-const resolveOutput = (name) => new URL(`../dist/${name}`, import.meta.url).pathname;
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
+// `--out DIR` builds elsewhere than in `dist`.
+const { values } = parseArgs({ options: { out: { type: 'string' } } });
+const OUT = resolve(values.out ?? join(ROOT, 'dist'));
+const resolveOutput = (name) => join(OUT, name);
 
+const runGit = (...args) =>
+  execFileSync('git', args, {
+    cwd: ROOT,
+    encoding: 'utf8',
+    stdio: ['ignore', 'pipe', 'ignore'],
+  }).trim();
+
+// The same commit gives the same bytes; what is not committed is told apart.
 const readCommit = () => {
   try {
-    return execFileSync('git', ['rev-parse', '--short=12', 'HEAD'], {
-      encoding: 'utf8',
-      stdio: ['ignore', 'pipe', 'ignore'],
-    }).trim();
+    const commit = runGit('rev-parse', '--short=12', 'HEAD');
+    const changes = runGit('status', '--porcelain', '--untracked-files=no');
+    return changes === '' ? commit : `${commit}-dirty`;
   } catch {
     return 'unknown';
   }
@@ -21,7 +35,10 @@
 
 mkdirSync(resolveOutput(''), { recursive: true });
 await build({
-  entryPoints: [new URL('../src/node/main.ts', import.meta.url).pathname],
+  // Paths in the bundle are relative to the root, wherever it lies and from wherever it is built.
+  absWorkingDir: ROOT,
+  preserveSymlinks: true,
+  entryPoints: ['src/node/main.ts'],
   outfile: resolveOutput('oleanderfront.cjs'),
   bundle: true,
   platform: 'node',
@@ -36,12 +53,13 @@
 });
 
 const seaConfig = {
-  main: resolveOutput('oleanderfront.cjs'),
-  output: resolveOutput('sea.blob'),
+  main: 'oleanderfront.cjs',
+  output: 'sea.blob',
   disableExperimentalSEAWarning: true,
 };
 writeFileSync(resolveOutput('sea.json'), JSON.stringify(seaConfig));
-execFileSync(process.execPath, ['--experimental-sea-config', resolveOutput('sea.json')], {
+execFileSync(process.execPath, ['--experimental-sea-config', 'sea.json'], {
+  cwd: resolveOutput(''),
   stdio: ['ignore', 'ignore', 'inherit'],
 });
 rmSync(resolveOutput('oleanderfront'), { force: true });
--- a/src/node/dev/__tests__/dev.test.ts
+++ b/src/node/dev/__tests__/dev.test.ts
@@ -1,7 +1,12 @@
+import { existsSync, mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import test from 'ava';
 import { request } from 'undici';
 import { startDev } from '..';
 import { createRootLogger } from '../../log';
+import { createAdminClient } from '../../rpc';
+import type { AdminStatus } from '../../shared';
 
 const QUESTION = [{ role: 'user', content: 'How deep must the gravel be?' }];
 
@@ -19,3 +24,41 @@
   const body = (await response.body.json()) as { readonly choices: readonly unknown[] };
   t.is(body.choices.length, 1);
 });
+
+test('the data folder is kept over a restart: secret, first change and what operators changed', async (t) => {
+  const log = createRootLogger({ level: 'silent', node: 'dev' });
+  const data = mkdtempSync(join(tmpdir(), 'oleanderfront-'));
+  const withdrawal = { changeId: 'w1', model: 'small', version: 'v2', reason: 'test' };
+
+  const first = await startDev({ port: 0, data, log });
+  const client = createAdminClient({
+    control: [first.controlAddress],
+    secret: first.operatorSecret,
+  });
+  (await client.call('POST', '/admin/withdraw', withdrawal)).unsafeCoerce();
+  await client.close();
+  await first.stop();
+
+  const second = await startDev({ port: 0, data, log });
+  t.teardown(second.stop);
+  t.is(second.operatorSecret, first.operatorSecret);
+  const later = createAdminClient({
+    control: [second.controlAddress],
+    secret: first.operatorSecret,
+  });
+  t.teardown(later.close);
+  const status = (await later.call<AdminStatus>('GET', '/admin/status')).unsafeCoerce();
+  t.is(status.inventoryRevision, 1);
+  t.deepEqual(
+    status.withdrawals.map(({ version }) => version),
+    ['v2'],
+  );
+});
+
+test('a temporary data folder is gone after the stop', async (t) => {
+  const log = createRootLogger({ level: 'silent', node: 'dev' });
+  const dev = await startDev({ port: 0, log });
+  t.true(existsSync(dev.secretFile));
+  await dev.stop();
+  t.false(existsSync(dev.secretFile));
+});
