--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -2,15 +2,8 @@
 import { createLeaseClient } from '../lease';
 import { createLedgerClient } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import { registerMetrics, type Metrics } from '../metrics';
-import {
-  createHttpServer,
-  createRpcClient,
-  registerHealthRoutes,
-  registerRpc,
-  startHttpServer,
-  type RpcClient,
-} from '../rpc';
+import { createInternalServer, type Metrics } from '../metrics';
+import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
 import { resolveRpcOptions, type AgentConfig } from '../settings';
 import { createAnnouncementStore } from './announcements';
 import { createEndpointAnnouncer } from './endpointAnnouncer';
@@ -59,23 +52,23 @@
       reporter: createRecordingReporter(reporter, metrics),
       log,
     });
-    const internal = createHttpServer({ tls: settings.ports?.internal });
     const announcePort = createHttpServer();
     const announcer = createEndpointAnnouncer({ node, host, lease, announcements, rpc, log });
     const hasWork = (): boolean => store.countActive() > 0;
     const orders = createOrders({ node, lease, announcements, rpc, log, hasWork });
 
-    const recordCall = (method: string, result: string): void =>
-      metrics.calls.inc({ method, result });
     let isStopping = false;
     const isReady = (): boolean => lease.isValid() && !isStopping;
-    registerRpc(internal, createAgentMethods(store), settings.secrets.internal, recordCall);
-    registerHealthRoutes(internal, isReady);
-    registerMetrics(internal, metrics);
+    const internal = createInternalServer({
+      methods: createAgentMethods(store),
+      secret: settings.secrets.internal,
+      tls: settings.ports?.internal,
+      metrics,
+      isReady,
+      readRevision: lease.view.revision,
+    });
     metrics.registerSource('queue', store.countQueued);
     metrics.registerSource('running', () => store.countActive() - store.countQueued());
-    metrics.registerSource('revision', lease.view.revision);
-    metrics.registerSource('lease', () => Number(isReady()));
     registerAttemptRoutes(internal, store, settings.secrets.internal);
     registerAnnounceRoute(announcePort, announcements.add);
     const address = await startHttpServer(internal, settings.listen);
--- a/src/node/control/__tests__/rolloutActions.test.ts
+++ b/src/node/control/__tests__/rolloutActions.test.ts
@@ -80,6 +80,7 @@
   test(`roll-out: ${title}`, (t) => {
     const result = applyRolloutAction(
       {
+        id: 'change-1',
         inventory: createDevInventory(),
         current: current && createRollout(current),
         isWithdrawn: () => isWithdrawn,
--- a/src/node/control/configState.ts
+++ b/src/node/control/configState.ts
@@ -1,6 +1,5 @@
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
-import { inventorySchema, servedVersion, type Inventory } from '../inventory';
+import type { Inventory } from '../inventory';
 import type { StateMachine } from '../replication';
 import {
   formatVersionName,
@@ -13,105 +12,11 @@
   type Withdrawal,
 } from '../view';
 import { createChangeLog, type ChangeLog } from './changeLog';
-import { applyRolloutAction, type RolloutChange } from './rolloutActions';
+import type { ConfigCommand, ConfigResult, NodeRecord } from './configCommands';
+import { applyRolloutAction } from './rolloutActions';
 import { resolveScope, type ViewScope } from './viewScope';
 
-const changeId = z.string().min(1).max(128);
-
-/** What an agent says of its endpoint. */
-export const announcementSchema = z
-  .strictObject({
-    endpoint: z.string(),
-    host: z.string(),
-    serves: z.array(servedVersion).readonly(),
-    service: z.string().optional(),
-    slots: z.number().int().positive(),
-    checksFencing: z.boolean(),
-    state: z.enum(['live', 'leaving']),
-  })
-  .readonly();
-
-/** What an agent says of its endpoint. */
-export type Announcement = z.infer<typeof announcementSchema>;
-
-/** The commands of the `config` group. */
-export type ConfigCommand =
-  | {
-      readonly type: 'putInventory';
-      readonly base: number;
-      readonly changeId: string;
-      readonly inventory: Inventory;
-    }
-  | {
-      readonly type: 'withdraw';
-      readonly base: number;
-      readonly changeId: string;
-      readonly withdrawal: Withdrawal;
-    }
-  | {
-      readonly type: 'restore';
-      readonly base: number;
-      readonly changeId: string;
-      readonly model: string;
-      readonly version: string;
-    }
-  | {
-      readonly type: 'setRollout';
-      readonly base: number;
-      readonly changeId: string;
-      readonly rollout: Rollout;
-    }
-  | {
-      readonly type: 'changeRollout';
-      readonly base: number;
-      readonly changeId: string;
-      readonly change: RolloutChange;
-    }
-  | {
-      readonly type: 'register';
-      readonly node: string;
-      readonly role: string;
-      readonly zone: string;
-      readonly host: string;
-      readonly address: string;
-      readonly bootId: string;
-    }
-  | {
-      readonly type: 'announce';
-      readonly node: string;
-      readonly incarnation: number;
-      readonly announcement: Announcement;
-    }
-  | { readonly type: 'leave'; readonly node: string; readonly incarnation: number };
-
-/** The answers of the `config` group. */
-export type ConfigResult =
-  | { readonly type: 'accepted'; readonly revision: number; readonly inventoryRevision: number }
-  | { readonly type: 'conflict'; readonly winner: string; readonly inventoryRevision: number }
-  | { readonly type: 'refused'; readonly reason: string }
-  /** The change id was used for another change. */
-  | { readonly type: 'reused'; readonly changeId: string }
-  /** The change was drawn up before the oldest answer that is still kept. */
-  | { readonly type: 'expired'; readonly oldestBase: number }
-  | {
-      readonly type: 'registered';
-      readonly incarnation: number;
-      /** A process of the same name at another address may still hold a lease. */
-      readonly mayOverlap: boolean;
-    }
-  | { readonly type: 'stale'; readonly incarnation: number }
-  | { readonly type: 'done'; readonly revision: number };
-
-/** A registered process. */
-export interface NodeRecord {
-  readonly node: string;
-  readonly role: string;
-  readonly zone: string;
-  readonly host: string;
-  readonly address: string;
-  readonly bootId: string;
-  readonly incarnation: number;
-}
+export * from './configCommands';
 
 /** The `config` state machine with its reads. */
 export interface ConfigState extends StateMachine<ConfigCommand, ConfigResult> {
@@ -127,11 +32,6 @@
   readonly listNodes: () => readonly NodeRecord[];
 }
 
-/** The body of `PUT /admin/inventory`. */
-export const putInventorySchema = z
-  .strictObject({ base: z.number().int().min(0), changeId, inventory: inventorySchema })
-  .readonly();
-
 interface KeptAnswer {
   readonly hash: string;
   readonly revision: number;
@@ -259,6 +159,19 @@
   }
 };
 
+const findRollout = (tables: Tables, model: string): Rollout | undefined =>
+  tables.entries.get(formatKey('rollout', model))?.value as Rollout | undefined;
+
+const isUnderWay = (rollout: Rollout): boolean =>
+  rollout.state === 'running' || rollout.state === 'paused';
+
+// A finished roll-out ends too, so that new sessions go back to the version before it.
+const stopRollout = (tables: Tables, { model, version, reason }: Withdrawal): void => {
+  const rollout = findRollout(tables, model);
+  if (rollout?.to !== version || rollout.state === 'aborted') return;
+  writeEntry(tables, 'rollout', model, { ...rollout, state: 'aborted', reason });
+};
+
 const handlers: Handlers = {
   putInventory: (tables, command) => {
     if (command.base !== tables.inventoryRevision) {
@@ -274,6 +187,7 @@
   withdraw: (tables, command) => {
     const { model, version } = command.withdrawal;
     writeEntry(tables, 'withdrawal', formatVersionName(model, version), command.withdrawal);
+    stopRollout(tables, command.withdrawal);
     return formatAccepted(tables);
   },
   restore: (tables, command) => {
@@ -282,15 +196,18 @@
     return formatAccepted(tables);
   },
   setRollout: (tables, command) => {
-    writeEntry(tables, 'rollout', command.rollout.model, command.rollout);
+    const { rollout, changeId: id } = command;
+    const known = findRollout(tables, rollout.model);
+    const isSame = known?.to === rollout.to && isUnderWay(known);
+    const next = { ...rollout, id: isSame ? known.id : id };
+    writeEntry(tables, 'rollout', rollout.model, next);
     return formatAccepted(tables);
   },
-  changeRollout: (tables, { change }) => {
-    const current = tables.entries.get(formatKey('rollout', change.model))?.value as
-      Rollout | undefined;
+  changeRollout: (tables, { changeId: id, change }) => {
+    const current = findRollout(tables, change.model);
     const isWithdrawn = (model: string, version: string): boolean =>
       tables.entries.has(formatKey('withdrawal', formatVersionName(model, version)));
-    const context = { inventory: tables.inventory, current, isWithdrawn };
+    const context = { id, inventory: tables.inventory, current, isWithdrawn };
     const next = applyRolloutAction(context, change);
     return next.caseOf<ConfigResult>({
       Left: (reason) => ({ type: 'refused', reason }),
@@ -300,6 +217,13 @@
       },
     });
   },
+  advanceRollout: (tables, { from, to }) => {
+    const known = findRollout(tables, from.model);
+    const isCurrent =
+      known?.id === from.id && known?.step === from.step && known?.state === from.state;
+    if (isCurrent) writeEntry(tables, 'rollout', to.model, to);
+    return { type: 'done', revision: tables.revision };
+  },
   register: (tables, command) => {
     const { node, role, zone, host, address, bootId } = command;
     const known = tables.nodes.get(node);
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -2,16 +2,9 @@
 import type { Service } from '../kernel';
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import { registerMetrics, type Metrics } from '../metrics';
+import { createInternalServer, type Metrics } from '../metrics';
 import { createReplicationHost, registerReplaceRoute, type ReplicationHost } from '../replication';
-import {
-  createHttpServer,
-  createRpcClient,
-  registerHealthRoutes,
-  registerRpc,
-  startHttpServer,
-  type RpcClient,
-} from '../rpc';
+import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
 import { resolveRpcOptions, type ControlConfig } from '../settings';
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
@@ -25,6 +18,7 @@
 } from './ledgerShards';
 import { createLedgerUpkeep } from './ledgerUpkeep';
 import { createMembers, type Members } from './members';
+import { createPolicyMethods, createPolicyService, type PolicyService } from './policy';
 
 const DISK_FAILURE_EXIT = 1;
 
@@ -103,26 +97,46 @@
   metrics.registerSource('ledgerCommitted', () => ledger.status().committed);
   metrics.registerSource('leader', () => Number(config.status().role === 'leader'));
   metrics.registerSource('nodes', () => configState.listNodes().length);
-  metrics.registerSource('revision', configState.revision);
-  metrics.registerSource('lease', () => Number(hasLeader(parts)));
 };
 
+const createFindLeader =
+  (parts: ControlParts, settings: ControlConfig) => (): string | undefined => {
+    const { leader, leaderAddress } = parts.config.status();
+    return leader === settings.node || leader === '' ? undefined : leaderAddress;
+  };
+
 const createMembersService = (settings: ControlConfig): Service => ({
   name: 'members',
   needs: ['groups', 'rpc'],
   start: (find) => {
     const parts = find<ControlParts>('groups');
     const rpc = find<RpcClient>('rpc');
-    const findLeaderAddress = (): string | undefined => {
-      const { leader, leaderAddress } = parts.config.status();
-      return leader === settings.node || leader === '' ? undefined : leaderAddress;
-    };
+    const findLeaderAddress = createFindLeader(parts, settings);
     const value = createMembers({ parts, rpc, findLeaderAddress });
     value.start();
     return { value, stop: value.stop };
   },
 });
 
+const createPolicyControlService = (settings: ControlConfig): Service => ({
+  name: 'policy',
+  needs: ['groups'],
+  start: (find) => {
+    const parts = find<ControlParts>('groups');
+    const rpc = createRpcClient({ secret: settings.secrets.internal });
+    const findLeaderAddress = createFindLeader(parts, settings);
+    const value = createPolicyService({ parts, rpc, findLeaderAddress });
+    value.start();
+    return {
+      value,
+      stop: async () => {
+        value.stop();
+        await rpc.close();
+      },
+    };
+  },
+});
+
 const createUpkeepService = (): Service => ({
   name: 'ledger-upkeep',
   needs: ['groups'],
@@ -136,7 +150,7 @@
 
 const createControlServerService = (settings: ControlConfig): Service => ({
   name: 'control-server',
-  needs: ['groups', 'members', 'replication', 'rpc', 'metrics'],
+  needs: ['groups', 'members', 'policy', 'replication', 'rpc', 'metrics'],
   start: async (find) => {
     const parts = find<ControlParts>('groups');
     const { operator } = settings.secrets;
@@ -149,14 +163,20 @@
     }
     const members = find<Members>('members');
     const replication = find<ReplicationHost>('replication');
-    const methods = { ...createControlMethods(parts, members), ...replication.methods };
+    const methods = {
+      ...createControlMethods(parts, members),
+      ...createPolicyMethods(find<PolicyService>('policy')),
+      ...replication.methods,
+    };
     const metrics = find<Metrics>('metrics');
-    const recordCall = (method: string, result: string): void =>
-      metrics.calls.inc({ method, result });
-    const internal = createHttpServer({ tls: settings.ports?.internal });
-    registerRpc(internal, methods, settings.secrets.internal, recordCall);
-    registerHealthRoutes(internal, () => hasLeader(parts));
-    registerMetrics(internal, metrics);
+    const internal = createInternalServer({
+      methods,
+      secret: settings.secrets.internal,
+      tls: settings.ports?.internal,
+      metrics,
+      isReady: () => hasLeader(parts),
+      readRevision: parts.configState.revision,
+    });
     registerControlMetrics(metrics, parts);
     const { operatorListen } = settings;
     const operators = operatorListen
@@ -190,6 +210,7 @@
   createReplicationService(settings),
   createGroupsService(settings),
   createMembersService(settings),
+  createPolicyControlService(settings),
   createUpkeepService(),
   createControlServerService(settings),
 ];
--- a/src/node/control/rolloutActions.ts
+++ b/src/node/control/rolloutActions.ts
@@ -14,6 +14,8 @@
 
 /** What a roll-out's change depends on. */
 export interface RolloutContext {
+  /** Names a roll-out that begins. */
+  readonly id: string;
   readonly inventory: Inventory | undefined;
   readonly current: Rollout | undefined;
   readonly isWithdrawn: (model: string, version: string) => boolean;
@@ -35,6 +37,7 @@
   if (to.name === model.stableVersion) return Left(`${name}@${to.name} is the stable version`);
   if (isUnderWay(current)) return Left(`${name}@${current.to} is being rolled out`);
   return Right({
+    id: context.id,
     model: name,
     from: model.stableVersion,
     to: to.name,
--- a/src/node/dev/dev.ts
+++ b/src/node/dev/dev.ts
@@ -11,7 +11,9 @@
   startStandinEngine,
   startStandinRating,
   startStandinService,
+  type StandinEngine,
   type StandinRating,
+  type StandinService,
 } from '../standin';
 import { openDevData, type DevData } from './devData';
 import { createDevInventory } from './devInventory';
@@ -33,6 +35,9 @@
   readonly controlAddress: string;
   readonly operatorSecret: string;
   readonly secretFile: string;
+  /** Addresses of the stand-ins, whose records tests read. */
+  readonly engineAddress: string;
+  readonly serviceAddress: string;
   /** Every port that the roles listen on. */
   readonly ports: readonly string[];
   readonly stop: () => Promise<void>;
@@ -243,6 +248,8 @@
   const agents = ['agent-1', 'agent-2'].map((name) => kernel.find<AgentAddresses>(name));
   return {
     address,
+    engineAddress: kernel.find<StandinEngine>('engine').address,
+    serviceAddress: kernel.find<StandinService>('bookings').address,
     ports: [
       address,
       internalAddress,
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -1,29 +1,41 @@
+import { performance } from 'node:perf_hooks';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { createGrantHolder, createLearning } from '../decisions';
 import type { Service } from '../kernel';
-import { createLeaseClient } from '../lease';
+import { createLeaseClient, type LeaseClient } from '../lease';
 import { createLedgerClient, type Owner } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import { registerMetrics, type Metrics } from '../metrics';
+import { createInternalServer, type Metrics } from '../metrics';
 import {
   createHttpServer,
   createRpcClient,
   registerHealthRoutes,
-  registerRpc,
   startHttpServer,
   type RpcClient,
 } from '../rpc';
 import { resolveRpcOptions, type EntryConfig } from '../settings';
 import { createAttemptClient } from './attemptClient';
-import { createPlainPolicy } from './attemptPolicy';
 import { registerCallerApi, waitForIdle, waitForSettled } from './callerApi';
-import { createDecisionLog, createExplainMethods, createRecordingChooser } from './decisionLog';
+import {
+  createDecisionLog,
+  createExplainMethods,
+  createRecordingChooser,
+  type DecisionLog,
+} from './decisionLog';
 import { createDeferredRunner } from './deferredRunner';
+import { createLivePolicy } from './livePolicy';
+import { createPolicyClient } from './policyClient';
+import { createRatingClient } from './ratingClient';
 import { createRecordingRunner } from './requestMetrics';
 import { createRequestRunner } from './requestRunner';
+import { sleep } from './sleep';
 import { createSettlement } from './settlement';
 import { createTargetChooser } from './targetChoice';
 
 const DRAW_STEPS = 1_000_000_000;
+const LEARNING_HALF_LIFE_MS = 6 * 3_600_000;
+/** Until control tells this entry's part. */
+const FIRST_FALSE_BRAKE_RATE = 0.001;
 
 const createDraw = (): (() => number) => {
   const generator = xoroshiro128plus(Date.now());
@@ -39,6 +51,64 @@
   },
 });
 
+interface DecisionContext {
+  readonly rpc: RpcClient;
+  readonly lease: LeaseClient;
+  readonly metrics: Metrics;
+  readonly decisionLog: DecisionLog;
+  readonly decisions: Logger;
+  readonly log: Logger;
+}
+
+const createDecisionParts = (settings: EntryConfig, context: DecisionContext) => {
+  const { rpc, lease, metrics, decisionLog, decisions, log } = context;
+  const { node, zone } = settings;
+  const { view } = lease;
+  const learning = createLearning({
+    halfLifeMs: LEARNING_HALF_LIFE_MS,
+    falseBrakeRate: FIRST_FALSE_BRAKE_RATE,
+  });
+  const holder = createGrantHolder();
+  const readNow = (): number => performance.now();
+  const policyClient = createPolicyClient({
+    node,
+    lease,
+    rpc,
+    learning,
+    holder,
+    readNow,
+    log,
+  });
+  const readDraw = createDraw();
+  const canRate = settings.ratingAddress !== undefined;
+  const plainChooser = createTargetChooser({
+    view,
+    entry: node,
+    zone,
+    learning,
+    canRate,
+    readDraw,
+    readNow,
+    log: decisions,
+  });
+  const chooser = createRecordingChooser(plainChooser, {
+    decisions: decisionLog,
+    recordRetry: () => metrics.retries.inc(),
+  });
+  const policy = createLivePolicy({
+    view,
+    chooser,
+    learning,
+    holder,
+    rating: createRatingClient(settings.ratingAddress),
+    canRate,
+    requestGrants: policyClient.requestExchange,
+    readDraw,
+    readNow,
+  });
+  return { chooser, policy, policyClient };
+};
+
 const createEntryService = (settings: EntryConfig): Service => ({
   name: 'entry',
   needs: ['rpc', 'log', 'metrics'],
@@ -55,10 +125,14 @@
     const { view } = lease;
     const metrics = find<Metrics>('metrics');
     const decisionLog = createDecisionLog();
-    const chooser = createRecordingChooser(
-      createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions }),
-      { decisions: decisionLog, recordRetry: () => metrics.retries.inc() },
-    );
+    const { chooser, policy, policyClient } = createDecisionParts(settings, {
+      rpc,
+      lease,
+      metrics,
+      decisionLog,
+      decisions,
+      log,
+    });
     const readOwner = (): Owner => ({ node, incarnation: lease.incarnation() });
     const settlement = createSettlement({ ledger, view, readOwner, log });
     const { streamBytes, inFlight } = limits;
@@ -67,7 +141,8 @@
       lease,
       settlement,
       chooser,
-      policy: createPlainPolicy(),
+      policy,
+      wait: sleep,
       readOwner,
       answerTimeoutMs,
       streamBytes,
@@ -85,9 +160,14 @@
     let isStopping = false;
     const isReady = (): boolean => lease.isValid() && !isStopping;
 
-    const recordCall = (method: string, result: string): void =>
-      metrics.calls.inc({ method, result });
-    const internal = createHttpServer({ tls: settings.ports?.internal });
+    const internal = createInternalServer({
+      methods: createExplainMethods(decisionLog),
+      secret: settings.secrets.internal,
+      tls: settings.ports?.internal,
+      metrics,
+      isReady,
+      readRevision: view.revision,
+    });
     const { bodyBytes: bodyLimitBytes, requestTimeoutMs } = limits;
     const callers = createHttpServer({
       bodyLimitBytes,
@@ -109,13 +189,9 @@
       handleDeferred: deferred.handleDeferred,
     });
     registerHealthRoutes(callers, isReady);
-    registerHealthRoutes(internal, isReady);
-    registerRpc(internal, createExplainMethods(decisionLog), settings.secrets.internal, recordCall);
-    registerMetrics(internal, metrics);
-    metrics.registerSource('revision', view.revision);
-    metrics.registerSource('lease', () => Number(isReady()));
     const internalAddress = await startHttpServer(internal, settings.internalListen);
     await lease.start(internalAddress);
+    policyClient.start();
     const address = await startHttpServer(callers, settings.listen);
     deferred.start();
     log.info({ address, internalAddress }, 'listening');
@@ -126,6 +202,7 @@
       await waitForIdle(runner);
       await waitForSettled(settlement);
       await callers.close();
+      policyClient.stop();
       await lease.stop();
       await internal.close();
     };
