--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -2,37 +2,43 @@
 import { createLeaseClient } from '../lease';
 import { createLedgerClient } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import {
-  createHttpServer,
-  createRpcClient,
-  registerRpc,
-  startHttpServer,
-  type RpcClient,
-} from '../rpc';
-import type { AgentSettings } from '../settings';
+import { createInternalServer, type Metrics } from '../metrics';
+import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
+import { resolveRpcOptions, type AgentConfig } from '../settings';
 import { createAnnouncementStore } from './announcements';
 import { createEndpointAnnouncer } from './endpointAnnouncer';
 import { createOrders } from './orders';
 import { createAttemptStore } from './attemptStore';
-import { createUsageReporter } from './usageReporter';
+import { createUsageReporter, type UsageReporter } from './usageReporter';
 import { createAgentMethods, registerAnnounceRoute, registerAttemptRoutes } from './agentServer';
 
-const createRpcService = (settings: AgentSettings): Service => ({
+const createRpcService = (settings: AgentConfig): Service => ({
   name: 'rpc',
   needs: [],
   start: () => {
-    const value = createRpcClient({ secret: settings.secrets.internal });
+    const value = createRpcClient(resolveRpcOptions(settings));
     return { value, stop: value.close };
   },
 });
 
-const createAgentService = (settings: AgentSettings): Service => ({
+const createRecordingReporter = (
+  reporter: Pick<UsageReporter, 'add'>,
+  metrics: Metrics,
+): Pick<UsageReporter, 'add'> => ({
+  add: (request, outcome, counts) => {
+    metrics.attempts.inc({ outcome });
+    reporter.add(request, outcome, counts);
+  },
+});
+
+const createAgentService = (settings: AgentConfig): Service => ({
   name: 'agent',
-  needs: ['rpc', 'log'],
+  needs: ['rpc', 'log', 'metrics'],
   start: async (find) => {
     const rpc = find<RpcClient>('rpc');
     const log = createPartLogger(find<Logger>('log'), 'agent');
     const { node, zone, control, queueLimit, bufferBytes } = settings;
+    const metrics = find<Metrics>('metrics');
     const announcements = createAnnouncementStore(settings.announcementTimeoutMs);
     const host = settings.host ?? node;
     const lease = createLeaseClient({ node, role: 'agent', zone, host, control, rpc, log });
@@ -43,16 +49,26 @@
       announcements,
       queueLimit,
       bufferBytes,
-      reporter,
+      reporter: createRecordingReporter(reporter, metrics),
       log,
     });
-    const internal = createHttpServer();
     const announcePort = createHttpServer();
     const announcer = createEndpointAnnouncer({ node, host, lease, announcements, rpc, log });
     const hasWork = (): boolean => store.countActive() > 0;
     const orders = createOrders({ node, lease, announcements, rpc, log, hasWork });
 
-    registerRpc(internal, createAgentMethods(store), settings.secrets.internal);
+    let isStopping = false;
+    const isReady = (): boolean => lease.isValid() && !isStopping;
+    const internal = createInternalServer({
+      methods: createAgentMethods(store),
+      secret: settings.secrets.internal,
+      tls: settings.ports?.internal,
+      metrics,
+      isReady,
+      readRevision: lease.view.revision,
+    });
+    metrics.registerSource('queue', store.countQueued);
+    metrics.registerSource('running', () => store.countActive() - store.countQueued());
     registerAttemptRoutes(internal, store, settings.secrets.internal);
     registerAnnounceRoute(announcePort, announcements.add);
     const address = await startHttpServer(internal, settings.listen);
@@ -64,6 +80,7 @@
     log.info({ address, announceAddress }, 'listening');
 
     const stop = async (): Promise<void> => {
+      isStopping = true;
       await orders.stop();
       await announcer.stop();
       await store.drain();
@@ -83,7 +100,7 @@
 }
 
 /** The services of the `agent` role. */
-export const createAgentServices = (settings: AgentSettings): readonly Service[] => [
+export const createAgentServices = (settings: AgentConfig): readonly Service[] => [
   createRpcService(settings),
   createAgentService(settings),
 ];
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -2,9 +2,10 @@
 import type { Service } from '../kernel';
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
+import { createInternalServer, type Metrics } from '../metrics';
 import { createReplicationHost, registerReplaceRoute, type ReplicationHost } from '../replication';
-import { createHttpServer, createRpcClient, registerRpc, startHttpServer } from '../rpc';
-import type { ControlSettings } from '../settings';
+import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
+import { resolveRpcOptions, type ControlConfig } from '../settings';
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
 import { createControlMethods, type ControlParts } from './controlApi';
@@ -21,19 +22,28 @@
 
 const DISK_FAILURE_EXIT = 1;
 
-const createReplicationService = (settings: ControlSettings): Service => ({
+const createRpcService = (settings: ControlConfig): Service => ({
+  name: 'rpc',
+  needs: [],
+  start: () => {
+    const value = createRpcClient(resolveRpcOptions(settings));
+    return { value, stop: value.close };
+  },
+});
+
+const createReplicationService = (settings: ControlConfig): Service => ({
   name: 'replication',
-  needs: ['log'],
+  needs: ['rpc', 'log'],
   start: (find) => {
     const log = createPartLogger(find<Logger>('log'), 'replication');
-    const { node, peers, data, secrets } = settings;
+    const { node, peers, data } = settings;
     checkShardCount(data, settings.ledgerShards);
     const value = createReplicationHost({
       node,
       peers,
       data,
       log,
-      rpc: createRpcClient({ secret: secrets.internal }),
+      rpc: find<RpcClient>('rpc'),
       handleFailure: (cause) => {
         log.fatal({ err: cause }, 'a write failed, the process ends');
         process.exit(DISK_FAILURE_EXIT);
@@ -45,7 +55,7 @@
 
 const openLedgerShards = async (
   replication: ReplicationHost,
-  settings: ControlSettings,
+  settings: ControlConfig,
 ): Promise<readonly LedgerShard[]> => {
   const shards: LedgerShard[] = [];
   for (let shard = 0; shard < settings.ledgerShards; shard += 1) {
@@ -56,7 +66,7 @@
   return shards;
 };
 
-const createGroupsService = (settings: ControlSettings): Service => ({
+const createGroupsService = (settings: ControlConfig): Service => ({
   name: 'groups',
   needs: ['log', 'replication'],
   start: async (find) => {
@@ -79,32 +89,36 @@
   },
 });
 
+const hasLeader = (parts: ControlParts): boolean => parts.config.status().leader !== '';
+
+const registerControlMetrics = (metrics: Metrics, parts: ControlParts): void => {
+  const { config, ledger, configState } = parts;
+  metrics.registerSource('configCommitted', () => config.status().committed);
+  metrics.registerSource('ledgerCommitted', () => ledger.status().committed);
+  metrics.registerSource('leader', () => Number(config.status().role === 'leader'));
+  metrics.registerSource('nodes', () => configState.listNodes().length);
+};
+
 const createFindLeader =
-  (parts: ControlParts, settings: ControlSettings) => (): string | undefined => {
+  (parts: ControlParts, settings: ControlConfig) => (): string | undefined => {
     const { leader, leaderAddress } = parts.config.status();
     return leader === settings.node || leader === '' ? undefined : leaderAddress;
   };
 
-const createMembersService = (settings: ControlSettings): Service => ({
+const createMembersService = (settings: ControlConfig): Service => ({
   name: 'members',
-  needs: ['groups'],
+  needs: ['groups', 'rpc'],
   start: (find) => {
     const parts = find<ControlParts>('groups');
-    const rpc = createRpcClient({ secret: settings.secrets.internal });
+    const rpc = find<RpcClient>('rpc');
     const findLeaderAddress = createFindLeader(parts, settings);
     const value = createMembers({ parts, rpc, findLeaderAddress });
     value.start();
-    return {
-      value,
-      stop: async () => {
-        value.stop();
-        await rpc.close();
-      },
-    };
+    return { value, stop: value.stop };
   },
 });
 
-const createPolicyControlService = (settings: ControlSettings): Service => ({
+const createPolicyControlService = (settings: ControlConfig): Service => ({
   name: 'policy',
   needs: ['groups'],
   start: (find) => {
@@ -134,9 +148,9 @@
   },
 });
 
-const createControlServerService = (settings: ControlSettings): Service => ({
+const createControlServerService = (settings: ControlConfig): Service => ({
   name: 'control-server',
-  needs: ['groups', 'members', 'policy', 'replication'],
+  needs: ['groups', 'members', 'policy', 'replication', 'rpc', 'metrics'],
   start: async (find) => {
     const parts = find<ControlParts>('groups');
     const { operator } = settings.secrets;
@@ -147,7 +161,6 @@
         step: 'control.start',
       });
     }
-    const app = createHttpServer();
     const members = find<Members>('members');
     const replication = find<ReplicationHost>('replication');
     const methods = {
@@ -155,17 +168,45 @@
       ...createPolicyMethods(find<PolicyService>('policy')),
       ...replication.methods,
     };
-    registerRpc(app, methods, settings.secrets.internal);
-    registerAdminRoutes(app, parts, members, operator);
-    registerReplaceRoute(app, replication, operator);
-    const address = await startHttpServer(app, settings.listen);
-    parts.log.info({ address }, 'listening');
-    return { value: address, stop: () => app.close() };
+    const metrics = find<Metrics>('metrics');
+    const internal = createInternalServer({
+      methods,
+      secret: settings.secrets.internal,
+      tls: settings.ports?.internal,
+      metrics,
+      isReady: () => hasLeader(parts),
+      readRevision: parts.configState.revision,
+    });
+    registerControlMetrics(metrics, parts);
+    const { operatorListen } = settings;
+    const operators = operatorListen
+      ? createHttpServer({ tls: settings.ports?.operators })
+      : internal;
+    const rpc = find<RpcClient>('rpc');
+    registerReplaceRoute(operators, replication, operator);
+    registerAdminRoutes(operators, { parts, members, rpc, host: settings.node, secret: operator });
+    const address = await startHttpServer(internal, settings.listen);
+    const operatorAddress = operatorListen
+      ? await startHttpServer(operators, operatorListen)
+      : address;
+    parts.log.info({ address, operatorAddress }, 'listening');
+    const stop = async (): Promise<void> => {
+      if (operatorListen) await operators.close();
+      await internal.close();
+    };
+    return { value: { address, operatorAddress }, stop };
   },
 });
 
+/** Addresses of a started control host. */
+export interface ControlAddresses {
+  readonly address: string;
+  readonly operatorAddress: string;
+}
+
 /** The services of the `control` role. */
-export const createControlServices = (settings: ControlSettings): readonly Service[] => [
+export const createControlServices = (settings: ControlConfig): readonly Service[] => [
+  createRpcService(settings),
   createReplicationService(settings),
   createGroupsService(settings),
   createMembersService(settings),
