--- a/src/node/replication/__tests__/controlHosts.ts
+++ b/src/node/replication/__tests__/controlHosts.ts
@@ -70,6 +70,7 @@
 export const createControlHosts = async (
   nodes: readonly string[],
   spare: readonly string[] = [],
+  program: readonly string[] = ['--import=tsx', 'src/node/main.ts'],
 ) => {
   const root = mkdtempSync(join(tmpdir(), 'oleanderfront-control-'));
   const ports = await findPorts(nodes.length + spare.length);
@@ -98,11 +99,9 @@
 
   const start = (node: string, peers = nodes): ChildProcess => {
     const file = writeSettings(node, peers);
-    const child = spawn(
-      process.execPath,
-      ['--import=tsx', 'src/node/main.ts', 'control', '--settings', file],
-      { stdio: ['ignore', 'ignore', 'inherit'] },
-    );
+    const child = spawn(process.execPath, [...program, 'control', '--settings', file], {
+      stdio: ['ignore', 'ignore', 'inherit'],
+    });
     running.set(node, child);
     return child;
   };
--- a/src/node/replication/__tests__/simulation.ts
+++ b/src/node/replication/__tests__/simulation.ts
@@ -9,7 +9,7 @@
 const INBOX_LIMIT = 500;
 const INBOX_BATCH = 2;
 const LOAD_INTERVAL_STEPS = 8;
-const TRAP_STEPS = 12;
+const TRAP_STEPS = 20;
 const SETTLE_STEPS = 6_000;
 
 /** Rules that a simulation may break, to show that the checks find it. */
@@ -47,7 +47,7 @@
 }
 
 /** What happens shortly after the next election. */
-export type Trap = 'none' | 'killLeader' | 'restartOthers';
+export type Trap = 'none' | 'killLeader' | 'isolateLeader' | 'restartOthers';
 
 interface Sprung {
   readonly trap: Trap;
@@ -167,6 +167,8 @@
   const traps: Readonly<Record<Trap, (leader: Host) => void>> = {
     none: () => {},
     killLeader: stopHost,
+    isolateLeader: ({ name }) =>
+      names.forEach((other) => cuts.add(`${name} ${other}`).add(`${other} ${name}`)),
     restartOthers: (leader) =>
       hosts
         .filter((host) => host !== leader && host.node && sampleUnit() < 0.5)
--- a/src/node/replication/__tests__/simulationCommands.ts
+++ b/src/node/replication/__tests__/simulationCommands.ts
@@ -69,6 +69,7 @@
   },
   heal: (simulation) => simulation.cuts.clear(),
   killNextLeader: (simulation) => simulation.updateTrap('killLeader'),
+  isolateNextLeader: (simulation) => simulation.updateTrap('isolateLeader'),
   restartAtElection: (simulation) => simulation.updateTrap('restartOthers'),
   storm: (simulation) => simulation.updateWeather({ loss: 0.2, copies: 0.2, delay: 30 }),
   slowNetwork: (simulation) => simulation.updateWeather({ loss: 0, copies: 0, delay: 80 }),
@@ -91,10 +92,12 @@
 };
 
 const ELECTION_WEIGHTS: Weights = {
+  isolateNextLeader: 4,
   killNextLeader: 4,
   restartAtElection: 4,
   kill: 3,
   startAll: 4,
+  heal: 3,
   slowNetwork: 2,
   calm: 2,
   proposeAtAll: 2,
