--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -271,12 +271,29 @@
   readonly entry: number;
   readonly agent: number;
   readonly control: number;
+  readonly entryControlBytes: number;
+  readonly agentControlBytes: number;
+  readonly entryAgentBytes: number;
 }
 
+const countRelayBytes = (cluster: Cluster, prefix: string): number =>
+  [...cluster.relays]
+    .filter(([name]) => name.startsWith(prefix))
+    .reduce((sum, [, relay]) => sum + relay.countBytes(), 0);
+
 const readUse = (cluster: Cluster): RoleUse => {
   const readCpu = (node: string): number =>
-    readProcessStats(cluster.processes.get(node)!.pid()).cpuSeconds;
-  return { entry: readCpu('entry-1'), agent: readCpu('agent-1'), control: readControlCpu(cluster) };
+    readProcessStats(cluster.processes.get(node)!.pid()).cpuSeconds * MILLI;
+  const agentBytes = countRelayBytes(cluster, 'agent-1');
+  const agentControlBytes = countRelayBytes(cluster, 'agent-1>') / KILOBYTE;
+  return {
+    entry: readCpu('entry-1'),
+    agent: readCpu('agent-1'),
+    control: readControlCpu(cluster) * MILLI,
+    entryControlBytes: countRelayBytes(cluster, 'entry-1>') / KILOBYTE,
+    agentControlBytes,
+    entryAgentBytes: agentBytes / KILOBYTE - agentControlBytes,
+  };
 };
 
 const recordLoad = async (
@@ -296,16 +313,31 @@
   });
   if (result.answered !== result.sent) print(`${result.sent - result.answered} requests failed`);
   const after = readUse(cluster);
-  const computeUse = (role: keyof RoleUse): number =>
-    ((after[role] - before[role]) * MILLI) / LOAD_SECONDS;
-  return { entry: computeUse('entry'), agent: computeUse('agent'), control: computeUse('control') };
+  const computeRate = (role: keyof RoleUse): number => (after[role] - before[role]) / LOAD_SECONDS;
+  return {
+    entry: computeRate('entry'),
+    agent: computeRate('agent'),
+    control: computeRate('control'),
+    entryControlBytes: computeRate('entryControlBytes'),
+    agentControlBytes: computeRate('agentControlBytes'),
+    entryAgentBytes: computeRate('entryAgentBytes'),
+  };
+};
+
+const USE_TITLES: Readonly<Record<keyof RoleUse, string>> = {
+  entry: 'entry: processor, ms/s',
+  agent: 'agent: processor, ms/s',
+  control: 'control: processor, ms/s, all hosts',
+  entryControlBytes: 'entry and control, KB/s, both ways',
+  agentControlBytes: 'agent and control, KB/s, both ways',
+  entryAgentBytes: 'entry and agent, KB/s, both ways',
 };
 
 const printUse = (title: string, points: readonly (readonly [number, RoleUse])[]): void => {
   printHeader(title);
-  (['entry', 'agent', 'control'] as const).forEach((role) => {
+  (Object.keys(USE_TITLES) as (keyof RoleUse)[]).forEach((role) => {
     printFit(
-      `${role}: processor, ms/s`,
+      USE_TITLES[role],
       points.map(([size, use]) => [size, use[role]] as const),
       0,
     );
@@ -315,6 +347,7 @@
 const startLoaded = (controls: number, tokens: number): Promise<Cluster> =>
   startCluster({
     controls,
+    hasRelays: true,
     startEngine: startEngineProcess,
     engines: [{ firstTokenMs: 5, tokenMs: 10, tokens, slots: 10_000 }],
   });
--- a/src/node/__tests__/cluster/cluster.ts
+++ b/src/node/__tests__/cluster/cluster.ts
@@ -28,6 +28,8 @@
   /** Starts an engine elsewhere than in this process. */
   readonly startEngine?: (options: StandinEngineOptions) => Promise<StandinEngine>;
   readonly nodeArguments?: readonly string[];
+  /** Duration of leases; absent takes the default of the settings. */
+  readonly leaseMs?: number;
 }
 
 /** The answer of an operators' route. */
@@ -90,7 +92,7 @@
 /** Starts the processes and stand-ins and waits until every endpoint is in every entry's view. */
 export const startCluster = async (options: ClusterOptions = {}): Promise<Cluster> => {
   const { controls: controlCount = 1, entries: entryCount = 1, logLevel = 'info' } = options;
-  const { startEngine = startStandinEngine, nodeArguments } = options;
+  const { startEngine = startStandinEngine, nodeArguments, leaseMs } = options;
   const engineOptions = options.engines ?? [{}];
   const folder = mkdtempSync(join(tmpdir(), 'oleanderfront-cluster-'));
   const processes = new Map<string, RoleProcess>();
@@ -116,7 +118,7 @@
     const data = join(folder, node);
     mkdirSync(data);
     const secrets = { internal: INTERNAL_SECRET, operator: OPERATOR_SECRET };
-    addProcess('control', node, { listen: formatListen(address), secrets, data, peers });
+    addProcess('control', node, { listen: formatListen(address), secrets, data, peers, leaseMs });
   });
 
   const resolveControl = async (node: string): Promise<readonly string[]> =>
--- a/src/node/__tests__/cluster/relay.ts
+++ b/src/node/__tests__/cluster/relay.ts
@@ -12,6 +12,8 @@
   /** Makes the open connections silent for good; new ones work. */
   readonly silence: () => void;
   readonly restore: () => void;
+  /** Bytes that came in so far, both directions together. */
+  readonly countBytes: () => number;
   readonly stop: () => Promise<void>;
 }
 
@@ -26,11 +28,13 @@
   const cuts = new Set<Direction>();
   const links = new Set<Link>();
   const silent = new Set<Link>();
+  let bytes = 0;
 
   const relayBytes = (link: Link, direction: Direction): void => {
     const [from, to] =
       direction === 'toTarget' ? [link.caller, link.target] : [link.target, link.caller];
     from.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
       if (silent.has(link) || cuts.has(direction) || to.destroyed) return;
       const hasRoom = to.write(chunk);
       if (hasRoom) return;
@@ -84,6 +88,7 @@
       if (cuts.size > 0) links.forEach(closeLink);
       cuts.clear();
     },
+    countBytes: () => bytes,
     stop: async () => {
       links.forEach(closeLink);
       await new Promise((resolve) => {
--- a/src/node/__tests__/faults.test.ts
+++ b/src/node/__tests__/faults.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { checkHistory } from './history';
-import { createSchedule, runSchedule } from './faults';
+import { createSchedule, runSchedule, type Schedule } from './faults';
 
 // More seeds run outside CI: npm run faults -- --seeds 200.
 const SEEDS = [1, 2, 5] as const;
@@ -17,3 +17,24 @@
     checkHistory(history).forEach((violations, name) => t.deepEqual(violations, [], name));
   });
 });
+
+const BROKEN_LEASE_MS = 60_000;
+const ISOLATION: Schedule = {
+  seed: 1,
+  faults: ['entry-1', 'agent-1', 'agent-2'].map((node) => ({
+    kind: 'cutControl',
+    node,
+    startMs: 0,
+    durationMs: 14_000,
+  })),
+  withdrawMs: 500,
+};
+
+test.serial('a lease beyond its bound breaks promises in the running system', async (t) => {
+  t.timeout(TIMEOUT_MS);
+  const { history } = await runSchedule(ISOLATION, BROKEN_LEASE_MS);
+  const found = [...checkHistory(history)].filter(([, violations]) => violations.length > 0);
+  const names = found.map(([name]) => name);
+  t.true(names.includes('a withdrawn version gets no new work'));
+  t.true(names.includes('an accepted configuration is in force in time'));
+});
--- a/src/node/__tests__/faults/runSchedule.ts
+++ b/src/node/__tests__/faults/runSchedule.ts
@@ -85,12 +85,13 @@
   }
 };
 
-const startWhole = async (): Promise<Cluster> => {
+const startWhole = async (leaseMs?: number): Promise<Cluster> => {
   const cluster = await startCluster({
     controls: 3,
     entries: 2,
     engines: [{}, {}],
     hasRelays: true,
+    leaseMs,
     inventory: createClusterInventory({ mark: 0, stableVersion: 'v2', isWithdrawn: false }),
   });
   return cluster;
@@ -140,9 +141,9 @@
   return { history, failures, logs: new Map(logs) };
 };
 
-/** Runs a schedule on a cluster of its own and collects the history. */
-export const runSchedule = async (schedule: Schedule): Promise<ScheduleRun> => {
-  const cluster = await startWhole();
+/** Runs a schedule on a cluster of its own and collects the history; `leaseMs` breaks its bound. */
+export const runSchedule = async (schedule: Schedule, leaseMs?: number): Promise<ScheduleRun> => {
+  const cluster = await startWhole(leaseMs);
   try {
     for (const entry of cluster.entries) await waitFor('every endpoint', () => isServing(entry));
     return await runOn(cluster, schedule);
