Give a registration a whole lease and show models under a lease only

The leader took a node without a sighting as last seen at the end of its own grace time, so a node that registered later than that could be removed at the next run, 250 ms at most, before its first renewal was known. A registration now counts as a sighting. The test failed before: agent-1 expired at once. (control/members/expiry.ts, the lead's.)

--- a/src/node/control/members/expiry.ts
+++ b/src/node/control/members/expiry.ts
@@ -42,16 +42,20 @@
     handleTerm(now);
   };
 
+  // A registration counts as a sighting: the first renewal may come later than the next run.
+  const recordRegistration = ({ node, incarnation }: NodeRecord, now: number): void => {
+    if (tracker.find(node)?.incarnation === incarnation) return;
+    tracker.record({ node, incarnation, revision: 0, seenAt: now });
+  };
+
   const run = async (): Promise<void> => {
     handleLeadership();
     const now = performance.now();
+    configState.listNodes().forEach((record) => recordRegistration(record, now));
     if (now < graceUntil) return;
     const oldest = now - leaseMs - MARGIN_MS;
-    const isSilent = (record: NodeRecord): boolean => {
-      const sighting = tracker.find(record.node);
-      const seenAt = sighting?.incarnation === record.incarnation ? sighting.seenAt : graceUntil;
-      return seenAt < oldest;
-    };
+    const isSilent = (record: NodeRecord): boolean =>
+      (tracker.find(record.node)?.seenAt ?? now) < oldest;
     for (const record of configState.listNodes().filter(isSilent)) await expire(record);
   };
 
--- a/src/node/entry/chatRoutes.ts
+++ b/src/node/entry/chatRoutes.ts
@@ -71,6 +71,7 @@
 
 const registerModelsRoute = (app: FastifyInstance, parts: CallerApiParts): void => {
   app.get('/v1/models', async (request) => {
+    checkReady(parts);
     const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
     const data = listAllowedModels(parts.lease.view, organisation).map((model) => ({
       id: model.name,
