--- a/src/node/replication/__tests__/oracle.ts
+++ b/src/node/replication/__tests__/oracle.ts
@@ -20,7 +20,15 @@
     else if (known !== value) addViolation(`${title} ${key}: '${known}' and '${value}'`);
   };
 
-  const counts = { accepted: 0, refused: 0, reads: 0, installs: 0, lostDisks: 0, crashes: 0 };
+  const counts = {
+    accepted: 0,
+    refused: 0,
+    reads: 0,
+    installs: 0,
+    lostDisks: 0,
+    restoredDisks: 0,
+    crashes: 0,
+  };
 
   return {
     violations,
--- a/src/node/replication/__tests__/simulatedNode.ts
+++ b/src/node/replication/__tests__/simulatedNode.ts
@@ -142,6 +142,7 @@
     store: disk.identity.store,
     disk: () => disk,
     status: core.status,
+    sendTransfer: core.sendTransfer,
     applied: applier.applied,
     advance,
     receive: core.receive,
--- a/src/node/replication/__tests__/simulation.ts
+++ b/src/node/replication/__tests__/simulation.ts
@@ -29,6 +29,7 @@
 interface Host {
   readonly name: string;
   disk: SimulatedDisk;
+  earlierDisks: readonly SimulatedDisk[];
   node: SimulatedNode | undefined;
   isFrozen: boolean;
   inbox: Message[];
@@ -85,6 +86,7 @@
   const hosts: readonly Host[] = names.map((name) => ({
     name,
     disk: createStoreDisk(name),
+    earlierDisks: [],
     node: undefined,
     isFrozen: false,
     inbox: [],
@@ -149,7 +151,21 @@
     stopHost(host);
     oracle.counts.lostDisks += 1;
     lostStores.add(host.disk.identity.store);
-    Object.assign(host, { disk: createStoreDisk(host.name) });
+    const earlierDisks = [...host.earlierDisks, host.disk];
+    Object.assign(host, { disk: createStoreDisk(host.name), earlierDisks });
+    startHost(host);
+  };
+
+  /** Puts a disk that was lost earlier back under the host's name. */
+  const restoreDisk = (host: Host): void => {
+    const earlier = host.earlierDisks.at(-1);
+    if (!earlier || !canLose(host)) return;
+    oracle.counts.restoredDisks += 1;
+    stopHost(host);
+    lostStores.add(host.disk.identity.store);
+    lostStores.delete(earlier.identity.store);
+    const earlierDisks = [host.disk, ...host.earlierDisks.slice(0, -1)];
+    Object.assign(host, { disk: earlier, earlierDisks });
     startHost(host);
   };
 
@@ -271,6 +287,7 @@
     startHost,
     stopHost,
     replaceDisk,
+    restoreDisk,
     updateTrap: (next: Trap) => {
       trap = next;
     },
--- a/src/node/replication/__tests__/simulationCommands.ts
+++ b/src/node/replication/__tests__/simulationCommands.ts
@@ -52,13 +52,18 @@
   },
   readAtAll: (simulation) => simulation.hosts.forEach((host) => host.node?.read()),
   kill: (simulation, host) => simulation.stopHost(host),
+  killLeader: (simulation) => simulation.stopHost(chooseHost(simulation, LARGEST_SIZE)),
   start: (simulation, host) => simulation.startHost(host),
   startAll: (simulation) => simulation.hosts.forEach(simulation.startHost),
   restart: (simulation, host) => {
     simulation.stopHost(host);
     simulation.startHost(host);
   },
+  transfer: (_, host) => {
+    host.node?.sendTransfer();
+  },
   loseDisk: (simulation, host) => simulation.replaceDisk(host),
+  restoreDisk: (simulation, host) => simulation.restoreDisk(host),
   freeze: (_, host) => Object.assign(host, { isFrozen: true }),
   thaw: (_, host) => Object.assign(host, { isFrozen: false }),
   cutOutgoing: (simulation, host) => addCutsFrom(simulation, host.name),
@@ -103,6 +108,14 @@
   proposeAtAll: 2,
 };
 
+const RESTART_WEIGHTS: Weights = {
+  restartAtElection: 5,
+  killLeader: 4,
+  startAll: 4,
+  slowNetwork: 2,
+  storm: 1,
+};
+
 const LONGEST_STEPS = 200;
 
 const createRunArbitrary = (weights: Weights) => {
@@ -127,6 +140,9 @@
 /** Runs with every kind of fault; each carries the seed of its network. */
 export const mixedArbitrary = createRunArbitrary(MIXED_WEIGHTS);
 
+/** Runs of restarts at the moment of an election, when votes are still on their way. */
+export const restartArbitrary = createRunArbitrary(RESTART_WEIGHTS);
+
 /** Runs of many elections on slow networks, with crashes at the moment of an election. */
 export const electionArbitrary = createRunArbitrary(ELECTION_WEIGHTS);
 
--- a/src/node/replication/core/core.ts
+++ b/src/node/replication/core/core.ts
@@ -1,4 +1,10 @@
-import { advanceElection, handleVote, handleVoteAnswer } from './election';
+import {
+  advanceElection,
+  handleTransfer,
+  handleVote,
+  handleVoteAnswer,
+  sendTransfer,
+} from './election';
 import { createLog } from './log';
 import {
   advanceJoining,
@@ -49,6 +55,8 @@
   readonly groupId: string;
   readonly members: readonly Member[];
   readonly isSendingSnapshot: boolean;
+  /** Node whose store belongs to another group, or empty. */
+  readonly foreignNode: string;
 }
 
 /** The consensus of one group on one host: messages in, a `Ready` out, no clock and no I/O. */
@@ -59,6 +67,8 @@
   /** Begins a read with an id of the caller; false when no leader is known. */
   readonly read: (id: string) => boolean;
   readonly replaceMember: (node: string, by: Omit<Peer, 'store'>) => ReplaceRefusal | undefined;
+  /** Asks another voter to lead, before a planned stop; false when there is none. */
+  readonly sendTransfer: () => boolean;
   /** Reports that the writes of a `Ready` are synced. */
   readonly handleStored: (stored: Ready['stored']) => void;
   readonly handleUnreachable: (store: string) => void;
@@ -90,6 +100,7 @@
     commit: snapshot.index,
     tick: 0,
     heardAt: 0,
+    leaderAt: 0,
     electionTicks: 0,
     votes: new Map(),
     progress: new Map(),
@@ -100,6 +111,7 @@
     incoming: undefined,
     hellos: new Map(),
     answers: new Map(),
+    foreignNode: '',
     urgent: [],
     messages: [],
     appended: [],
@@ -134,6 +146,7 @@
 const HANDLERS: Readonly<Record<Body['type'], Handle>> = {
   vote: handleVote,
   voteAnswer: handleVoteAnswer,
+  transfer: handleTransfer,
   append: handleAppend,
   appendAnswer: handleAppendAnswer,
   snapshot: handleSnapshot,
@@ -225,6 +238,7 @@
     groupId: state.identity.groupId,
     members: state.log.members().members,
     isSendingSnapshot: isSendingSnapshot(state),
+    foreignNode: state.foreignNode,
   };
 };
 
@@ -246,6 +260,7 @@
       return isBegun;
     },
     replaceMember: (node, by) => replaceMember(state, node, by),
+    sendTransfer: () => sendTransfer(state),
     handleStored: (stored) => handleStored(state, stored),
     handleUnreachable: (store) => handleUnreachable(state, store),
     compact: (snapshot, keepFrom) => state.log.compact(snapshot, keepFrom),
--- a/src/node/replication/core/election.ts
+++ b/src/node/replication/core/election.ts
@@ -9,10 +9,11 @@
   readSelf,
   sampleElectionTicks,
   sendLater,
+  sendUrgent,
   updateFollower,
   type CoreState,
 } from './state';
-import type { Message, VoteAnswerBody, VoteBody } from './types';
+import type { Member, Message, TransferBody, VoteAnswerBody, VoteBody } from './types';
 
 const startLeading = (state: CoreState): void => {
   state.role = 'leader';
@@ -31,7 +32,7 @@
   hasQuorum(state, (member) => state.votes.get(member.store) === true);
 
 /** Asks all voters for their vote; a trial comes first and changes no term. */
-export const campaign = (state: CoreState, isTrial: boolean): void => {
+export const campaign = (state: CoreState, isTrial: boolean, isTransfer = false): void => {
   state.role = 'candidate';
   state.isTrial = isTrial;
   state.leader = undefined;
@@ -48,7 +49,7 @@
   const lastTerm = state.log.lastTerm();
   for (const member of listVoters(state)) {
     if (isSelf(state, member)) continue;
-    sendLater(state, member, { type: 'vote', isTrial, lastIndex, lastTerm }, term);
+    sendLater(state, member, { type: 'vote', isTrial, isTransfer, lastIndex, lastTerm }, term);
   }
   if (!hasWon(state)) return;
   if (isTrial) campaign(state, false);
@@ -60,7 +61,7 @@
   const { body, from, term } = message;
   const isRecent = state.tick - state.heardAt < ELECTION_TICKS;
   const hasLeader = state.role === 'leader' || (state.leader !== undefined && isRecent);
-  if (hasLeader && term > state.term) return;
+  if (hasLeader && term > state.term && !body.isTransfer) return;
   if (!body.isTrial && term > state.term) updateFollower(state, term, undefined);
   const isCurrent =
     body.lastTerm > state.log.lastTerm() ||
@@ -114,3 +115,20 @@
   const isAlone = listVoters(state).length === 1;
   if (isAlone || state.tick - state.heardAt >= state.electionTicks) campaign(state, true);
 };
+
+/** Hands leadership to the voter that holds most of the log; false when there is none. */
+export const sendTransfer = (state: CoreState): boolean => {
+  if (state.role !== 'leader') return false;
+  const readMatch = (member: Member): number => state.progress.get(member.store)?.match ?? 0;
+  const [next] = listVoters(state)
+    .filter((member) => !isSelf(state, member))
+    .sort((a, b) => readMatch(b) - readMatch(a));
+  if (!next) return false;
+  sendUrgent(state, next, { type: 'transfer' });
+  return true;
+};
+
+/** Campaigns at the leader's wish, without a trial. */
+export const handleTransfer = (state: CoreState, message: Message<TransferBody>): void => {
+  if (message.term === state.term && isVoter(state)) campaign(state, false, true);
+};
--- a/src/node/replication/core/membership.ts
+++ b/src/node/replication/core/membership.ts
@@ -71,6 +71,9 @@
 export const handleHelloAnswer = (state: CoreState, message: Message<HelloAnswerBody>): void => {
   const { from, body } = message;
   state.answers.set(from.node, convertToKnown(state, message, body.isBlank));
+  const { groupId } = message;
+  const isForeign = groupId !== '' && !isBlank(state) && groupId !== state.identity.groupId;
+  if (isForeign) state.foreignNode = from.node;
 };
 
 /** Takes a blank store into the group that the first host forms. */
@@ -87,7 +90,7 @@
     createGroup(state);
     return;
   }
-  const isLost = isBlank(state) || state.tick - state.heardAt >= LOST_TICKS;
+  const isLost = isBlank(state) || state.tick - state.leaderAt >= LOST_TICKS;
   const isDue = state.tick % HELLO_TICKS === 1 || state.tick === 1;
   if (!isLost || !isDue) return;
   const known = state.log.members().members.filter((member) => !isSelf(state, member));
--- a/src/node/replication/core/replicate.ts
+++ b/src/node/replication/core/replicate.ts
@@ -13,7 +13,7 @@
 import type { AppendAnswerBody, AppendBody, Entry, Member, Message } from './types';
 
 const BATCH_ENTRIES = 512;
-const BATCH_CHARACTERS = 512 * 1024;
+const BATCH_CHARACTERS = 256 * 1024;
 const IN_FLIGHT_LIMIT = 4;
 /** Ticks without progress after which entries on their way count as lost. */
 const STALL_TICKS = 10;
@@ -186,6 +186,7 @@
   }
   updateFollower(state, message.term, from);
   state.heardAt = state.tick;
+  state.leaderAt = state.tick;
   if (prevIndex < state.log.baseIndex()) {
     sendAnswer(true, prevIndex === 0 && body.entries.length === 0 ? 0 : state.log.baseIndex());
     return;
--- a/src/node/replication/core/snapshotTransfer.ts
+++ b/src/node/replication/core/snapshotTransfer.ts
@@ -62,6 +62,7 @@
   }
   updateFollower(state, message.term, from);
   state.heardAt = state.tick;
+  state.leaderAt = state.tick;
   const sendMatch = (): void =>
     sendLater(state, from, { type: 'appendAnswer', isAccepted: true, index, readRound: 0 });
   // A log that holds the snapshot's last entry keeps what it acknowledged after it.
--- a/src/node/replication/core/state.ts
+++ b/src/node/replication/core/state.ts
@@ -74,6 +74,8 @@
   tick: number;
   /** Tick of the last sign of a leader, or of the last campaign. */
   heardAt: number;
+  /** Tick of the last message from a leader. */
+  leaderAt: number;
   electionTicks: number;
   votes: Map<string, boolean>;
   progress: Map<string, Progress>;
@@ -85,6 +87,8 @@
   incoming: IncomingSnapshot | undefined;
   hellos: Map<string, KnownStore>;
   answers: Map<string, KnownStore>;
+  /** Node whose store belongs to another group, or empty. */
+  foreignNode: string;
   // Collected for the next `Ready`.
   urgent: Message[];
   messages: Message[];
--- a/src/node/replication/core/types.ts
+++ b/src/node/replication/core/types.ts
@@ -57,6 +57,8 @@
 export interface VoteBody {
   readonly type: 'vote';
   readonly isTrial: boolean;
+  /** True when the leader itself asked for this campaign. */
+  readonly isTransfer: boolean;
   readonly lastIndex: number;
   readonly lastTerm: number;
 }
@@ -68,6 +70,11 @@
   readonly isGranted: boolean;
 }
 
+/** A leader that is stopping asks a voter to campaign at once. */
+export interface TransferBody {
+  readonly type: 'transfer';
+}
+
 /** Carries entries, the commit index and the number of the latest read round. */
 export interface AppendBody {
   readonly type: 'append';
@@ -146,6 +153,7 @@
 export type Body =
   | VoteBody
   | VoteAnswerBody
+  | TransferBody
   | AppendBody
   | AppendAnswerBody
   | SnapshotBody
--- a/src/node/replication/proposals.ts
+++ b/src/node/replication/proposals.ts
@@ -38,17 +38,25 @@
 const TIMEOUT_TICKS = 36;
 const RETRY_TICKS = 8;
 const BATCH_ITEMS = 1_000;
-const BATCH_CHARACTERS = 512 * 1024;
+const BATCH_CHARACTERS = 256 * 1024;
+/** Largest command, as it is encoded in a call. */
+const COMMAND_BYTES = 2 * 1024 * 1024;
+const MOST_BYTES_PER_CHARACTER = 6;
 const SESSION_CHARACTERS = 8;
 const STEP = 'replication.propose';
 
 const createRefusal = <Result>(
-  type: 'unavailable' | 'overloaded',
+  type: 'unavailable' | 'overloaded' | 'too_large',
   message: string,
   isSent: boolean,
 ): Answer<Result> =>
   Left(createError({ type, message, step: STEP, outcome: isSent ? 'unknown' : 'not_run' }));
 
+// A command travels as text within JSON, and a call that exceeds the port's limit would never arrive.
+const isTooLarge = (data: string): boolean =>
+  data.length > COMMAND_BYTES / MOST_BYTES_PER_CHARACTER &&
+  Buffer.byteLength(JSON.stringify(data)) > COMMAND_BYTES;
+
 const listBatches = (items: readonly Proposal[]): readonly (readonly Proposal[])[] => {
   const batches: Proposal[][] = [];
   let size = BATCH_CHARACTERS;
@@ -150,6 +158,9 @@
       if (pending.size >= PENDING_LIMIT) {
         return Promise.resolve(createRefusal('overloaded', 'too many pending commands', false));
       }
+      if (isTooLarge(data)) {
+        return Promise.resolve(createRefusal('too_large', 'the command is too large', false));
+      }
       nextNumber += 1;
       const proposal = { id: `${session}-${nextNumber}`, base, data };
       return new Promise((resolve) => {
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
-import { setImmediate as waitForTurn } from 'node:timers/promises';
+import { performance } from 'node:perf_hooks';
+import { setImmediate as waitForTurn, setTimeout as sleep } from 'node:timers/promises';
 import { Left, Right } from 'purify-ts';
 import { createError } from '../errors';
 import type { Logger } from '../log';
@@ -34,6 +35,9 @@
   readonly handleUnreachable: (store: string) => void;
 }
 
+/** How long a planned stop waits for another leader. */
+const TRANSFER_TIMEOUT_MS = 500;
+const POLL_MS = 10;
 const APPLY_BATCH = 1_000;
 
 const readChunkBody = async (store: Store, message: Message): Promise<Message | undefined> => {
@@ -61,9 +65,14 @@
 
 const createRoleLog = (group: string, core: Core, log: Logger) => {
   let last = '';
+  let lastForeign = '';
   return {
     record: (): void => {
-      const { role, term, leader } = core.status();
+      const { role, term, leader, foreignNode } = core.status();
+      if (foreignNode !== lastForeign) {
+        lastForeign = foreignNode;
+        log.error({ group, peer: foreignNode }, 'the data folder belongs to another group');
+      }
       const line = `${role} ${term} ${leader?.node}`;
       if (line === last) return;
       last = line;
@@ -93,6 +102,13 @@
   };
 };
 
+const releaseLeadership = async (core: Core, schedule: () => void): Promise<void> => {
+  if (!core.sendTransfer()) return;
+  schedule();
+  const end = performance.now() + TRANSFER_TIMEOUT_MS;
+  while (core.status().role === 'leader' && performance.now() < end) await sleep(POLL_MS);
+};
+
 /** Creates the replica of one group on this host: drives its core, store and state machine. */
 export const createReplica = <Command, Result>(
   options: ReplicaOptions<Command, Result>,
@@ -197,7 +213,13 @@
     status: () => convertStatus(group, core, applier.applied()),
     replaceMember,
     receive: async (messages) => {
-      messages.forEach((message) => core.receive(message));
+      try {
+        messages.forEach(core.receive);
+      } catch (cause) {
+        // A broken invariant must not be acted upon.
+        handleFailure(cause);
+        throw cause;
+      }
       await loop.waitForTurn();
     },
     tick: () => {
@@ -208,6 +230,7 @@
     },
     handleUnreachable: core.handleUnreachable,
     stop: async () => {
+      if (!isStopped) await releaseLeadership(core, loop.schedule);
       isStopped = true;
       await loop.stop();
       await compaction.stop();
--- a/src/node/replication/replicationHost.ts
+++ b/src/node/replication/replicationHost.ts
@@ -147,9 +147,9 @@
       'replication.deliver': createMethod(deliverParams, ({ messages }) => handleDeliver(messages)),
     },
     stop: async () => {
+      await Promise.all([...replicas.values()].map((replica) => replica.stop()));
       clearInterval(timer);
       transport.stop();
-      for (const replica of replicas.values()) await replica.stop();
       await rpc.close();
     },
   };
--- a/src/node/replication/transport.ts
+++ b/src/node/replication/transport.ts
@@ -42,7 +42,7 @@
 const CALLS_LIMIT = 4;
 /** Ticks after which a second call goes out beside a slow one. */
 const SLOW_TICKS = 2;
-const CALL_CHARACTERS = 2 * 1024 * 1024;
+const CALL_CHARACTERS = 1024 * 1024;
 const WAITING_LIMIT = 2_000;
 
 const countSize = ({ message: { body } }: Routed): number => {
