--- a/src/node/replication/__tests__/controlHosts.ts
+++ b/src/node/replication/__tests__/controlHosts.ts
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
 import { createRpcClient } from '../../rpc';
+import type { AdminStatus } from '../../shared';
 import type { Replaced } from '../replicationHost';
 import type { ReplicaStatus } from '../types';
 
@@ -131,8 +132,13 @@
     }
   };
 
-  const readStatus = (node: string) =>
-    request(node, { path: '/admin/status', method: 'GET' }) as Promise<Status | undefined>;
+  const readStatus = async (node: string): Promise<Status | undefined> => {
+    const body = await request(node, { path: '/admin/status', method: 'GET' });
+    const groups = (body as Pick<AdminStatus, 'groups'> | undefined)?.groups ?? [];
+    const config = groups.find(({ group }) => group === 'config');
+    const ledger = groups.find(({ group }) => group === 'ledger-0');
+    return config && ledger ? { config, ledger } : undefined;
+  };
 
   const readInventory = (node: string) =>
     request(node, { path: '/admin/inventory', method: 'GET' }) as Promise<
--- a/src/node/replication/replicationHost.ts
+++ b/src/node/replication/replicationHost.ts
@@ -150,7 +150,6 @@
       await Promise.all([...replicas.values()].map((replica) => replica.stop()));
       clearInterval(timer);
       transport.stop();
-      await rpc.close();
     },
   };
 };
