--- a/bench/inForce.ts
+++ b/bench/inForce.ts
@@ -6,6 +6,7 @@
 import { createLeaseClient, type LeaseClient } from '../src/node/lease';
 import { createRootLogger } from '../src/node/log';
 import { createRpcClient, type RpcClient } from '../src/node/rpc';
+import type { AdminStatus } from '../src/node/shared';
 import {
   createClusterInventory,
   INTERNAL_SECRET,
@@ -112,7 +113,8 @@
 
 const findLeader = async (cluster: Cluster): Promise<string> => {
   const { body } = await cluster.callAdmin(1, 'GET', '/admin/status');
-  return (body as { readonly config: { readonly leader: string } }).config.leader;
+  const { groups } = body as Pick<AdminStatus, 'groups'>;
+  return groups.find(({ group }) => group === 'config')!.leader;
 };
 
 const sendSignal = (cluster: Cluster, node: string, name: NodeJS.Signals): void =>
--- a/src/node/lease/__tests__/lease.test.ts
+++ b/src/node/lease/__tests__/lease.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
 import { z } from 'zod';
-import { createControlServices } from '../../control';
+import { createControlServices, type ControlAddresses } from '../../control';
 import { createKernel } from '../../kernel';
 import { createRootLogger } from '../../log';
 import {
@@ -47,7 +47,7 @@
     ...createControlServices(settings),
   ]);
   await kernel.start();
-  const address = kernel.find<string>('control-server');
+  const { address } = kernel.find<ControlAddresses>('control-server');
   const rpc = createRpcClient({ secret: SECRET });
   t.teardown(rpc.close);
   t.teardown(kernel.stop);
