--- a/src/node/control/configCommands.ts
+++ b/src/node/control/configCommands.ts
@@ -100,6 +100,8 @@
   readonly address: string;
   readonly bootId: string;
   readonly incarnation: number;
+  /** An older process of this name at another address may hold a lease for a while. */
+  readonly mayOverlap: boolean;
 }
 
 /** The body of `PUT /admin/inventory`. */
--- a/src/node/control/configState.ts
+++ b/src/node/control/configState.ts
@@ -229,11 +229,11 @@
     const known = tables.nodes.get(node);
     const mayOverlap = known !== undefined && known.address !== address;
     if (known?.bootId === bootId) {
-      return { type: 'registered', incarnation: known.incarnation, mayOverlap: false };
+      return { type: 'registered', incarnation: known.incarnation, mayOverlap: known.mayOverlap };
     }
     tables.nextIncarnation += 1;
     const incarnation = tables.nextIncarnation;
-    tables.nodes.set(node, { node, role, zone, host, address, bootId, incarnation });
+    tables.nodes.set(node, { node, role, zone, host, address, bootId, incarnation, mayOverlap });
     removeMembers(tables, node);
     return { type: 'registered', incarnation, mayOverlap };
   },
