--- a/src/node/agent/usageReporter.ts
+++ b/src/node/agent/usageReporter.ts
@@ -37,6 +37,7 @@
   let waiting: Report[] = [];
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
+  let sending: Promise<void> = Promise.resolve();
 
   const add: UsageReporter['add'] = (request, outcome, counts) => {
     const { requestId, attempt, incarnation, organisation, entry, target } = request;
@@ -77,7 +78,8 @@
   const schedule = (): void => {
     if (isStopped) return;
     timer = setTimeout(() => {
-      sendAll().finally(schedule);
+      sending = sendAll();
+      sending.finally(schedule);
     }, REPORT_INTERVAL_MS);
   };
 
@@ -87,6 +89,8 @@
     stop: async () => {
       isStopped = true;
       clearTimeout(timer);
+      // A batch under way is out of the list of what waits.
+      await sending;
       for (let tries = 0; tries < STOP_TRIES && waiting.length > 0; tries += 1) await sendAll();
     },
     countWaiting: () => waiting.length,
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -189,10 +189,11 @@
       handleDeferred: deferred.handleDeferred,
     });
     registerHealthRoutes(callers, isReady);
+    // Both ports first: one that is taken must end the start before a lease is held.
     const internalAddress = await startHttpServer(internal, settings.internalListen);
+    const address = await startHttpServer(callers, settings.listen);
     await lease.start(internalAddress);
     policyClient.start();
-    const address = await startHttpServer(callers, settings.listen);
     deferred.start();
     log.info({ address, internalAddress }, 'listening');
 
--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -1,9 +1,10 @@
-import { runCli } from './cli';
+import { EXIT_CODES, runCli } from './cli';
 import { convertToRouterError } from './errors';
 
 runCli(process.argv).then(
   (code) => {
-    process.exitCode = code;
+    // What failed to start may have left ports open or timers running.
+    if (code !== EXIT_CODES.ok) process.exit(code);
   },
   (cause) => {
     const { message, step } = convertToRouterError(cause, 'main');
