Explain every key of the inventory on a generated page

Cause: settings had a reference and the inventory, the file that operators work on, had none. A test fails for a key that is not explained and for a page that is out of date. 40 tests of inventory, settings and metrics passed.

--- /dev/null
+++ b/src/node/inventory/__tests__/reference.test.ts
@@ -0,0 +1,16 @@
+import { readFileSync } from 'node:fs';
+import test from 'ava';
+import { format, resolveConfig } from 'prettier';
+import { formatInventoryReference, listUnexplainedKeys } from '..';
+
+const PAGE = new URL('../../../../docs/INVENTORY.md', import.meta.url).pathname;
+
+test('every key of an inventory is explained', (t) => {
+  t.deepEqual(listUnexplainedKeys(), [], 'add them to keyMeanings.ts');
+});
+
+test('the inventory page is current', async (t) => {
+  const options = await resolveConfig(PAGE);
+  const page = await format(formatInventoryReference(), { ...options, parser: 'markdown' });
+  t.is(readFileSync(PAGE, 'utf8'), page, 'run npm run docs:inventory');
+});
--- a/src/node/inventory/index.ts
+++ b/src/node/inventory/index.ts
@@ -3,3 +3,5 @@
 export * from './checkInventory';
 export * from './compareInventories';
 export * from './mergeRegister';
+export * from './schemaTable';
+export * from './formatReference';
