--- a/src/node/entry/__tests__/model.test.ts
+++ b/src/node/entry/__tests__/model.test.ts
@@ -32,6 +32,8 @@
   ['firstReport', 'billedOnce'],
   ['numbering', 'ownAnswerWhole'],
   ['bindings', 'oneVersionPerSession'],
+  ['goneOwners', 'deferredKept'],
+  ['sessionOrder', 'deferredInOrder'],
 ];
 
 switchedOff.forEach(([rule, check]) => {
--- a/src/node/entry/__tests__/model/agents.ts
+++ b/src/node/entry/__tests__/model/agents.ts
@@ -197,6 +197,11 @@
   }
 };
 
+const waitForDeath = (death: AbortSignal): Promise<never> =>
+  new Promise((_resolve, reject) => {
+    death.addEventListener('abort', () => reject(new Error('the agent is gone')), { once: true });
+  });
+
 /** Answers the methods of an agent. */
 export const replyToMethod = async (
   agent: ModelAgent,
@@ -213,5 +218,6 @@
   // Without tombstones an agent says only what it sees now.
   const name = params as AttemptName;
   if (!rules.tombstones && !store.find(name)) return { type: 'ended', state: 'never' };
-  return method === 'attempt.cancel' ? store.cancel(name) : store.refuse(name);
+  if (method === 'attempt.refuse') return store.refuse(name);
+  return Promise.race([store.cancel(name), waitForDeath(agent.death())]);
 };
--- a/src/node/entry/__tests__/model/network.ts
+++ b/src/node/entry/__tests__/model/network.ts
@@ -8,6 +8,8 @@
   readonly firstReport: boolean;
   readonly numbering: boolean;
   readonly bindings: boolean;
+  readonly goneOwners: boolean;
+  readonly sessionOrder: boolean;
 }
 
 /** All rules in force. */
@@ -18,6 +20,8 @@
   firstReport: true,
   numbering: true,
   bindings: true,
+  goneOwners: true,
+  sessionOrder: true,
 };
 
 /** A seeded network: every message takes some turns, and may be lost on either way. */
--- a/src/node/entry/__tests__/model/runModel.ts
+++ b/src/node/entry/__tests__/model/runModel.ts
@@ -6,6 +6,7 @@
   type LedgerState,
   type Owner,
 } from '../../../ledger';
+import { createDeferredRunner, type DeferredRunner } from '../../deferredRunner';
 import { createAttemptClient } from '../../attemptClient';
 import { createPlainPolicy } from '../../attemptPolicy';
 import { createRequestRunner, type RequestRunner } from '../../requestRunner';
@@ -32,17 +33,27 @@
   readonly error?: RouterError;
 }
 
+/** A deferred request that was accepted, in the order of acceptance. */
+export interface DeferredRecord {
+  readonly requestId: string;
+  readonly idempotent: boolean;
+}
+
 /** What the oracle judges. */
 export interface History {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly EngineRun[];
+  readonly deferred: readonly DeferredRecord[];
   readonly ledger: LedgerState;
+  /** Names of the attempts whose intent was committed. */
+  readonly intents: ReadonlySet<string>;
   /** Incarnations of agents that were up at the end. */
   readonly live: ReadonlySet<number>;
 }
 
 interface ModelEntry {
   readonly runner: RequestRunner;
+  readonly deferred: DeferredRunner;
   readonly owner: Owner;
   readonly stop: () => void;
 }
@@ -50,10 +61,15 @@
 const ORGANISATION = { name: 'north', weight: 1 };
 const VERSIONS = ['v1', 'v2'] as const;
 const REQUESTS = 5;
+const DEFERRED = 3;
+const DRAIN_ROUNDS = 40;
+const ROUND_MS = 10_000;
 const TRIES = 3;
 const HOUR_MS = 3_600_000;
 const silent = { info: () => {}, warn: () => {}, error: () => {} } as never;
 
+const findOrganisation = (kind: string) => (kind === 'organisation' ? ORGANISATION : undefined);
+
 const createReportFilter = (rules: Rules, command: LedgerCommand, count: number): LedgerCommand => {
   if (rules.firstReport || command.type !== 'report') return command;
   // Without the rule, each report of an attempt is a line of its own.
@@ -66,6 +82,10 @@
   const ledger = createLedgerState();
   const runs: EngineRun[] = [];
   const calls: CallRecord[] = [];
+  const deferred: DeferredRecord[] = [];
+  const intents = new Set<string>();
+  let now = 1;
+  const readTime = (): number => now;
   let nextIncarnation = 0;
   let nextRequest = 0;
   let reports = 0;
@@ -79,7 +99,10 @@
     network
       .call(() => {
         reports += 1;
-        return ledger.apply(reports, createReportFilter(rules, command, reports));
+        const result = ledger.apply(reports, createReportFilter(rules, command, reports));
+        const isIntent = command.type === 'intent' && result.type === 'recorded';
+        if (isIntent) intents.add(`${command.requestId}.${command.attempt}`);
+        return result;
       })
       .catch((cause: Error) => {
         const { message } = cause;
@@ -140,6 +163,7 @@
       readOwner,
       log: silent,
       wait: () => network.wait(20),
+      readTime,
     });
     const chooser = {
       choose: (
@@ -172,8 +196,25 @@
       streamBytes: 1_000_000,
       inFlight: 100,
     });
+    const deferredRunner = createDeferredRunner({
+      ledger: {
+        propose: async (command) => {
+          checkProcess();
+          return propose(command);
+        },
+        countQueues: async () => ledger.countQueues(),
+      },
+      runner,
+      settlement,
+      lease: { isValid: () => isLive, view: { find: findOrganisation } } as never,
+      readOwner,
+      answerTimeoutMs: HOUR_MS,
+      log: silent,
+      readTime,
+    });
     return {
       runner,
+      deferred: deferredRunner,
       owner,
       stop: () => {
         isLive = false;
@@ -187,7 +228,8 @@
 
   const settleIncarnation = async (node: string, incarnation: number): Promise<void> => {
     await network.wait(network.draw(30));
-    ledger.apply(0, { type: 'endIncarnation', node, below: incarnation + 1, at: Date.now() });
+    if (!rules.goneOwners) return;
+    ledger.apply(0, { type: 'endIncarnation', node, below: incarnation + 1, at: now });
   };
 
   const stopEntry = async (): Promise<void> => {
@@ -262,6 +304,40 @@
     }
   };
 
+  const deferOnce = async (requestId: string, idempotent: boolean): Promise<boolean> => {
+    const chat = { model: 'm', messages: [{ role: 'user', content: requestId }] };
+    const body = Buffer.from(JSON.stringify(chat)).toString('base64');
+    const result = await propose({
+      type: 'defer',
+      organisation: ORGANISATION.name,
+      requestId,
+      session: rules.sessionOrder ? 'drafts' : requestId,
+      idempotent,
+      request: { path: '/', headers: {}, body },
+      at: now,
+    }).catch(() => undefined);
+    return result !== undefined;
+  };
+
+  const runDeferring = async (): Promise<void> => {
+    for (let index = 0; index < DEFERRED; index += 1) {
+      const record = { requestId: `d${index}`, idempotent: network.draw(2) === 0 };
+      while (!(await deferOnce(record.requestId, record.idempotent))) await network.wait();
+      deferred.push(record);
+      await network.wait(network.draw(30));
+      entries[network.draw(entries.length)]!.deferred.handleDeferred();
+    }
+  };
+
+  // Entries look for work from time to time, and what waits for a later time comes due.
+  const drainDeferred = async (): Promise<void> => {
+    for (let round = 0; round < DRAIN_ROUNDS && ledger.countQueues() > 0; round += 1) {
+      now += ROUND_MS;
+      entries.forEach((entry) => entry.deferred.handleDeferred());
+      await network.wait(30);
+    }
+  };
+
   const runFaults = async (): Promise<void> => {
     for (let fault = 0; fault < 3; fault += 1) {
       await network.wait(network.draw(60));
@@ -273,17 +349,19 @@
   // All that runs comes to its end, and the ledger hears of it.
   const drainAll = async (): Promise<void> => {
     network.calm();
+    await drainDeferred();
     await network.wait(400);
     await Promise.all(agents.map((agent) => agent.report()));
     await network.wait(50);
-    ledger.apply(0, { type: 'expire', at: Date.now() });
+    ledger.apply(0, { type: 'expire', at: now });
   };
 
   await Promise.all([
     runFaults(),
+    runDeferring(),
     ...Array.from({ length: REQUESTS }, (_value, index) => runCaller(index)),
   ]);
   await drainAll();
   const live = new Set(agents.map((agent) => agent.member().incarnation));
-  return { calls, runs, ledger, live };
+  return { calls, runs, deferred, ledger, intents, live };
 };
--- a/src/node/entry/attemptClient.ts
+++ b/src/node/entry/attemptClient.ts
@@ -74,9 +74,10 @@
 // or an earlier incarnation of it, only a tombstone tells that the attempt never runs.
 const resolveRefusal = (error: RouterError, state: RunState): RouterError => {
   const isSure = state.sends === 1 && !state.isStarted;
-  if (error.outcome !== 'not_run' || isSure) return error;
-  const { type, message, step, peer } = error;
-  return createError({ type, message, step, peer, outcome: 'unknown' });
+  if (error.outcome === 'not_run' && isSure) return error;
+  const { message, step, peer } = error;
+  const outcome = error.outcome === 'ran' ? 'ran' : 'unknown';
+  return createError({ type: 'peer_failed', message, step, peer, outcome });
 };
 
 const parseFrame = (line: string, peer: string): Frame => {
--- a/src/node/entry/callerApi.ts
+++ b/src/node/entry/callerApi.ts
@@ -35,7 +35,7 @@
 /** Waits until the ledger has every settlement, or for ten seconds. */
 export const waitForSettled = async (settlement: Settlement): Promise<void> => {
   for (let waited = 0; waited < SETTLE_WAIT_MS; waited += DRAIN_POLL_MS) {
-    if (settlement.countWaiting() === 0) return;
+    if (settlement.listWaiting().length === 0) return;
     await sleep(DRAIN_POLL_MS);
   }
 };
--- a/src/node/entry/deferredRunner.ts
+++ b/src/node/entry/deferredRunner.ts
@@ -28,11 +28,14 @@
   readonly readOwner: () => Owner;
   readonly answerTimeoutMs: number;
   readonly log: Logger;
+  readonly readTime?: () => number;
 }
 
 const POLL_INTERVAL_MS = 1_000;
 const RUNS_AT_ONCE = 8;
 const STOP_POLL_MS = 20;
+/** Owners number their attempts apart, since one may not know all of another's. */
+const ATTEMPTS_PER_TAKE = 100;
 
 const createRunRequest = (
   options: DeferredRunnerOptions,
@@ -55,7 +58,7 @@
     keepsAnswer: true,
     isWhole: true,
     isDeferred: true,
-    firstAttempt: record.attempts.reduce((top, item) => Math.max(top, item.attempt + 1), 0),
+    firstAttempt: ((record.takes ?? 1) - 1) * ATTEMPTS_PER_TAKE,
     method: 'POST',
     path,
     headers: { 'content-type': 'application/json' },
@@ -66,8 +69,8 @@
 
 /** Creates the deferred runner of one entry. */
 export const createDeferredRunner = (options: DeferredRunnerOptions): DeferredRunner => {
-  const { ledger, runner, settlement, lease, readOwner, log } = options;
-  let active = 0;
+  const { ledger, runner, settlement, lease, readOwner, log, readTime = Date.now } = options;
+  const held = new Set<string>();
   let isTaking = false;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
@@ -95,27 +98,28 @@
     return undefined;
   };
 
-  const handleEnd = (): void => {
-    active -= 1;
+  const handleEnd = (requestId: string): void => {
+    held.delete(requestId);
     // The next request of the same session may wait for this one.
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two call each other
     handleDeferred();
   };
 
   const acquireWork = async (): Promise<void> => {
-    const limit = RUNS_AT_ONCE - active;
+    const limit = RUNS_AT_ONCE - held.size;
     if (limit <= 0 || !lease.isValid()) return;
     if ((await ledger.countQueues()) === 0) return;
     const result = await ledger.propose({
       type: 'take',
       owner: readOwner(),
+      holds: [...held, ...settlement.listWaiting()],
       limit,
-      at: Date.now(),
+      at: readTime(),
     });
     const records = result.type === 'taken' ? result.records : [];
-    active += records.length;
+    records.forEach((record) => held.add(record.requestId));
     records.forEach((record) => {
-      runRecord(record).finally(handleEnd);
+      runRecord(record).finally(() => handleEnd(record.requestId));
     });
   };
 
@@ -137,8 +141,8 @@
     stop: async () => {
       isStopped = true;
       clearInterval(timer);
-      while (active > 0 || isTaking) await sleep(STOP_POLL_MS);
+      while (held.size > 0 || isTaking) await sleep(STOP_POLL_MS);
     },
-    countActive: () => active,
+    countActive: () => held.size,
   };
 };
--- a/src/node/entry/settlement.ts
+++ b/src/node/entry/settlement.ts
@@ -56,8 +56,8 @@
   readonly takeOver: (request: RunRequest, record: RequestRecord) => Promise<boolean>;
   readonly find: (request: RunRequest, requestId: string) => Promise<RequestRecord | undefined>;
   readonly computeUsage: (attempt: TrackedAttempt, counts: TokenCounts) => Usage;
-  /** Settlements that the ledger has not taken yet. */
-  readonly countWaiting: () => number;
+  /** Requests whose end the ledger has not taken yet. */
+  readonly listWaiting: () => readonly string[];
 }
 
 /** What a settlement needs. */
@@ -118,7 +118,13 @@
 ]);
 
 const createRetries = ({ ledger, log, wait = sleep }: SettlementOptions) => {
-  let waiting = 0;
+  const waiting = new Map<string, number>();
+
+  const updateWaiting = (requestId: string, change: 1 | -1): void => {
+    const count = (waiting.get(requestId) ?? 0) + change;
+    if (count > 0) waiting.set(requestId, count);
+    else waiting.delete(requestId);
+  };
 
   const proposeEnd = async (command: LedgerCommand, outcome: Outcome): Promise<Outcome> => {
     const result = await ledger.propose(command);
@@ -126,7 +132,6 @@
   };
 
   const retryLater = async (command: LedgerCommand): Promise<void> => {
-    waiting += 1;
     for (let tries = 0; tries < SETTLE_TRIES; tries += 1) {
       await wait(SETTLE_RETRY_MS);
       const isDone = await ledger.propose(command).then(
@@ -135,7 +140,6 @@
       );
       if (isDone) break;
     }
-    waiting -= 1;
   };
 
   const proposeOrRetry = async (
@@ -147,12 +151,13 @@
       return await proposeEnd(command, outcome);
     } catch {
       log.warn({ requestId: request.requestId }, 'settlement waits for the ledger');
-      retryLater(command).catch(() => {});
+      updateWaiting(request.requestId, 1);
+      retryLater(command).finally(() => updateWaiting(request.requestId, -1));
       return undefined;
     }
   };
 
-  return { proposeOrRetry, countWaiting: () => waiting };
+  return { proposeOrRetry, listWaiting: () => [...waiting.keys()] };
 };
 
 /** Creates the settlement of one entry. */
@@ -191,7 +196,7 @@
     throw createError({ type: 'unavailable', message, step: 'entry.intent', outcome: 'not_run' });
   };
 
-  const { proposeOrRetry, countWaiting } = createRetries(options);
+  const { proposeOrRetry, listWaiting } = createRetries(options);
 
   const settle: Settlement['settle'] = async (request, state, end) => {
     const isBlank = state === EMPTY_REQUEST && request.key === undefined && !request.isDeferred;
@@ -242,6 +247,6 @@
     find: (request, requestId) => ledger.find(request.organisation.name, requestId),
     computeUsage: ({ model, version }, counts) =>
       computeUsage(view.find('model', model), { model, version, ...counts }),
-    countWaiting,
+    listWaiting,
   };
 };
--- a/src/node/ledger/attempts.ts
+++ b/src/node/ledger/attempts.ts
@@ -33,10 +33,13 @@
   const isUndecided = known.state === 'open' || known.state === 'unknown';
   const state = isUndecided ? report.outcome : known.state;
   const hasRun = state === 'ran';
-  const usage = known.usage ?? (hasRun ? report.usage : undefined);
+  // The line that the rule for gone agents wrote is replaced by what the agent did count.
+  const isRule = known.state === 'unknown';
+  const reported = hasRun ? report.usage : undefined;
+  const usage = isRule && state !== 'unknown' ? reported : (known.usage ?? reported);
   const contradicts =
     !isUndecided && report.outcome !== 'unknown' && report.outcome !== known.state;
-  const differs = contradicts || !isSameUsage(known.usage, report.usage);
+  const differs = contradicts || (!isRule && !isSameUsage(known.usage, report.usage));
   const isFirst = state !== known.state || usage !== known.usage;
   return { attempt: { ...known, state, usage }, isFirst, differs };
 };
--- a/src/node/ledger/deferred.ts
+++ b/src/node/ledger/deferred.ts
@@ -10,7 +10,7 @@
   writeRequest,
   type Tables,
 } from './tables';
-import type { LedgerCommand, LedgerResult, RequestRecord } from './types';
+import type { LedgerCommand, LedgerResult, Owner, RequestRecord } from './types';
 
 type Command<T extends LedgerCommand['type']> = Extract<LedgerCommand, { readonly type: T }>;
 
@@ -92,20 +92,32 @@
   else settleDeferred(tables, record, 'unknown', at);
 };
 
+const isSameOwner = (a: Owner | undefined, b: Owner): boolean =>
+  a?.node === b.node && a.incarnation === b.incarnation;
+
 const canTake = (record: RequestRecord, at: number): boolean =>
   record.state === 'queued' && (record.notBefore ?? 0) <= at;
 
+// The answer to an earlier `take` may have been lost, so the owner does not know of it.
+const isLostToOwner = (record: RequestRecord, command: Command<'take'>): boolean =>
+  record.state === 'running' &&
+  isSameOwner(record.owner, command.owner) &&
+  !command.holds.includes(record.requestId);
+
+const acquireRecord = (tables: Tables, record: RequestRecord, owner: Owner): RequestRecord =>
+  writeRequest(tables, { ...record, state: 'running', owner, takes: (record.takes ?? 0) + 1 });
+
 /** Hands the first request of up to `limit` sessions to an owner. */
 export const applyTake = (tables: Tables, command: Command<'take'>): LedgerResult => {
   const { owner, limit, at } = command;
   const records: RequestRecord[] = [];
   if (isOwnerGone(tables, owner)) return { type: 'taken', records };
-  for (const ids of tables.queues.values()) {
+  for (const ids of [...tables.queues.values()]) {
     if (records.length >= limit) break;
     const record = tables.requests.get(ids[0]!)!;
-    if (canTake(record, at)) {
-      records.push(writeRequest(tables, { ...record, state: 'running', owner }));
-    }
+    const isLost = isLostToOwner(record, command);
+    if (isLost && !canRepeat(record)) settleDeferred(tables, record, 'unknown', at);
+    else if (isLost || canTake(record, at)) records.push(acquireRecord(tables, record, owner));
   }
   return { type: 'taken', records };
 };
--- a/src/node/ledger/types.ts
+++ b/src/node/ledger/types.ts
@@ -138,6 +138,8 @@
 const take = z.strictObject({
   type: z.literal('take'),
   owner: ownerSchema,
+  /** Requests that the owner has and has not settled; any other of its own is given again. */
+  holds: z.array(z.string()).readonly(),
   limit: z.number().int().positive(),
   at,
 });
@@ -221,6 +223,8 @@
   readonly request?: StoredRequest;
   readonly idempotent?: boolean;
   readonly notBefore?: number;
+  /** How often a deferred request was given out; each time has attempt numbers of its own. */
+  readonly takes?: number;
   readonly at: number;
   readonly settledAt?: number;
 }
@@ -232,7 +236,7 @@
   readonly usage: readonly Usage[];
   readonly cost: number;
   readonly at: number;
-  /** No further line can come. */
+  /** The request is settled and every attempt that may have run has its line. */
   readonly final: boolean;
 }
 
