--- /dev/null
+++ b/src/node/agent/attemptQueue.ts
@@ -0,0 +1,71 @@
+import { chooseAdmission, createFairQueue, WAIT_LIMITS_MS } from '../decisions';
+import { createError } from '../errors';
+import type { AttemptRequest } from '../shared';
+import type { Attempt } from './attempt';
+
+/** The attempts that wait for a slot: fair between organisations, bounded in time. */
+export interface AttemptQueue {
+  /** Throws a refusal when an attempt would wait longer than its class or deadline allows. */
+  readonly checkWait: (request: AttemptRequest) => void;
+  readonly add: (attempt: Attempt, nowMs: number) => void;
+  readonly remove: (attempt: Attempt) => void;
+  readonly takeNext: (nowMs: number) => Attempt | undefined;
+  /** Takes out the attempts that have waited too long. */
+  readonly takeExpired: (nowMs: number) => readonly Attempt[];
+  readonly count: () => number;
+}
+
+const RATE_PART = 0.1;
+const SHORTEST_GAP_MS = 0.1;
+
+/** Creates an empty queue. */
+export const createAttemptQueue = (): AttemptQueue => {
+  const queue = createFairQueue<Attempt>();
+  // Time between two attempts taken while others waited, as a moving average.
+  let gapMs = 0;
+  let takenAt = -Infinity;
+
+  const recordTaken = (nowMs: number): void => {
+    const isBusy = queue.count() > 0;
+    const gap = Math.max(SHORTEST_GAP_MS, nowMs - takenAt);
+    if (isBusy && takenAt > -Infinity) gapMs += (gap - gapMs) * (gapMs === 0 ? 1 : RATE_PART);
+    takenAt = isBusy ? nowMs : -Infinity;
+  };
+
+  const checkWait: AttemptQueue['checkWait'] = (request) => {
+    const { organisation, weight, class: workClass, deadlineMs: remainingMs } = request;
+    const isMeasured = gapMs > 0 && queue.count() > 0;
+    const ahead = isMeasured ? queue.estimateAhead(organisation, weight, workClass) : 0;
+    const servedPerMs = 1 / Math.max(SHORTEST_GAP_MS, gapMs);
+    const question = { class: workClass, remainingMs, runMs: 0, ahead, servedPerMs };
+    const admission = chooseAdmission(question);
+    if (admission.type === 'admitted') return;
+    const { reason: message, retryAfterSeconds } = admission;
+    throw createError({ type: 'overloaded', message, step: 'agent.admit', retryAfterSeconds });
+  };
+
+  return {
+    checkWait,
+    add: (attempt, nowMs) => {
+      const { organisation, weight, class: workClass, deadlineMs } = attempt.request;
+      queue.add({
+        value: attempt,
+        organisation,
+        weight,
+        class: workClass,
+        size: 1,
+        expiresAt: nowMs + Math.min(WAIT_LIMITS_MS[workClass], deadlineMs),
+      });
+    },
+    remove: (attempt) => {
+      queue.remove((item) => item === attempt);
+    },
+    takeNext: (nowMs) => {
+      const item = queue.next();
+      if (item) recordTaken(nowMs);
+      return item?.value;
+    },
+    takeExpired: (nowMs) => queue.expire(nowMs).map((item) => item.value),
+    count: queue.count,
+  };
+};
--- a/src/node/agent/attemptTable.ts
+++ b/src/node/agent/attemptTable.ts
@@ -1,6 +1,7 @@
 import { createError, type RouterError } from '../errors';
 import { formatAttemptName, type AttemptName, type AttemptRequest } from '../shared';
 import { createAttempt, type Attempt } from './attempt';
+import { createAttemptQueue } from './attemptQueue';
 
 /** What decides whether an agent admits an attempt at this moment. */
 export interface AdmissionState {
@@ -29,7 +30,9 @@
   /** Drops an attempt that its entry has settled; its name stays spent. */
   readonly confirm: (name: Omit<AttemptName, 'incarnation'>, nowMs: number) => void;
   /** Takes the next attempt to start off the queue. */
-  readonly takeNext: () => Attempt | undefined;
+  readonly takeNext: (nowMs: number) => Attempt | undefined;
+  /** Takes the attempts off the queue that have waited too long for their class or deadline. */
+  readonly takeExpired: (nowMs: number) => readonly Attempt[];
   readonly expire: (nowMs: number) => void;
   readonly countQueued: () => number;
   readonly countBytes: () => number;
@@ -81,7 +84,7 @@
 export const createAttemptTable = (limits: AttemptTableLimits): AttemptTable => {
   const attempts = new Map<string, KeptAttempt>();
   const spent = new Map<string, SpentName>();
-  let queue: Attempt[] = [];
+  const queue = createAttemptQueue();
   const attemptBytes = Math.max(limits.bufferBytes / ATTEMPT_SHARE, MIN_ATTEMPT_BYTES);
 
   const countBytes = (): number =>
@@ -114,7 +117,7 @@
 
   const checkRoom = (name: string, nowMs: number): void => {
     if (spent.has(name)) throw createRefusal('the attempt was refused or has ended', 'unavailable');
-    if (queue.length >= limits.queueLimit) throw createRefusal('the queue is full', 'overloaded');
+    if (queue.count() >= limits.queueLimit) throw createRefusal('the queue is full', 'overloaded');
     if (spent.size + attempts.size >= SPENT_LIMIT) {
       throw createRefusal('too many names of attempts are kept', 'overloaded');
     }
@@ -132,9 +135,10 @@
     if (state.isDraining) throw createRefusal('the agent is stopping', 'unavailable');
     checkAdmission(request, state);
     checkRoom(name, nowMs);
+    queue.checkWait(request);
     const attempt = createAttempt(request, attemptBytes);
     attempts.set(name, { attempt, at: nowMs });
-    queue.push(attempt);
+    queue.add(attempt, nowMs);
     return attempt;
   };
 
@@ -146,7 +150,7 @@
     const known = find(named);
     if (!known) return spent.get(name)?.neverRuns ?? addSpent(name, true, nowMs);
     const neverRuns = known.refuse();
-    if (neverRuns) queue = queue.filter((item) => item !== known);
+    if (neverRuns) queue.remove(known);
     return neverRuns;
   };
 
@@ -172,9 +176,10 @@
     find,
     refuse,
     confirm,
-    takeNext: () => queue.shift(),
+    takeNext: queue.takeNext,
+    takeExpired: queue.takeExpired,
     expire,
-    countQueued: () => queue.length,
+    countQueued: queue.count,
     countBytes,
     countSpent: () => spent.size,
   };
--- /dev/null
+++ b/src/node/control/configCommands.ts
@@ -0,0 +1,110 @@
+import { z } from 'zod';
+import { inventorySchema, servedVersion, type Inventory } from '../inventory';
+import type { Rollout, Withdrawal } from '../view';
+import type { RolloutChange } from './rolloutActions';
+
+const changeId = z.string().min(1).max(128);
+
+/** What an agent says of its endpoint. */
+export const announcementSchema = z
+  .strictObject({
+    endpoint: z.string(),
+    host: z.string(),
+    serves: z.array(servedVersion).readonly(),
+    service: z.string().optional(),
+    slots: z.number().int().positive(),
+    checksFencing: z.boolean(),
+    state: z.enum(['live', 'leaving']),
+  })
+  .readonly();
+
+/** What an agent says of its endpoint. */
+export type Announcement = z.infer<typeof announcementSchema>;
+
+/** The commands of the `config` group. */
+export type ConfigCommand =
+  | {
+      readonly type: 'putInventory';
+      readonly base: number;
+      readonly changeId: string;
+      readonly inventory: Inventory;
+    }
+  | {
+      readonly type: 'withdraw';
+      readonly base: number;
+      readonly changeId: string;
+      readonly withdrawal: Withdrawal;
+    }
+  | {
+      readonly type: 'restore';
+      readonly base: number;
+      readonly changeId: string;
+      readonly model: string;
+      readonly version: string;
+    }
+  | {
+      readonly type: 'setRollout';
+      readonly base: number;
+      readonly changeId: string;
+      readonly rollout: Rollout;
+    }
+  /** Moves a roll-out on, unless it has changed since the judge saw it. */
+  | { readonly type: 'advanceRollout'; readonly from: Rollout; readonly to: Rollout }
+  | {
+      readonly type: 'changeRollout';
+      readonly base: number;
+      readonly changeId: string;
+      readonly change: RolloutChange;
+    }
+  | {
+      readonly type: 'register';
+      readonly node: string;
+      readonly role: string;
+      readonly zone: string;
+      readonly host: string;
+      readonly address: string;
+      readonly bootId: string;
+    }
+  | {
+      readonly type: 'announce';
+      readonly node: string;
+      readonly incarnation: number;
+      readonly announcement: Announcement;
+    }
+  | { readonly type: 'leave'; readonly node: string; readonly incarnation: number };
+
+/** The answers of the `config` group. */
+export type ConfigResult =
+  | { readonly type: 'accepted'; readonly revision: number; readonly inventoryRevision: number }
+  | { readonly type: 'conflict'; readonly winner: string; readonly inventoryRevision: number }
+  | { readonly type: 'refused'; readonly reason: string }
+  /** The change id was used for another change. */
+  | { readonly type: 'reused'; readonly changeId: string }
+  /** The change was drawn up before the oldest answer that is still kept. */
+  | { readonly type: 'expired'; readonly oldestBase: number }
+  | {
+      readonly type: 'registered';
+      readonly incarnation: number;
+      /** A process of the same name at another address may still hold a lease. */
+      readonly mayOverlap: boolean;
+    }
+  | { readonly type: 'stale'; readonly incarnation: number }
+  | { readonly type: 'done'; readonly revision: number };
+
+/** A registered process. */
+export interface NodeRecord {
+  readonly node: string;
+  readonly role: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly address: string;
+  readonly bootId: string;
+  readonly incarnation: number;
+  /** An older process of this name at another address may hold a lease for a while. */
+  readonly mayOverlap: boolean;
+}
+
+/** The body of `PUT /admin/inventory`. */
+export const putInventorySchema = z
+  .strictObject({ base: z.number().int().min(0), changeId, inventory: inventorySchema })
+  .readonly();
--- a/src/node/entry/callerApi.ts
+++ b/src/node/entry/callerApi.ts
@@ -14,15 +14,6 @@
   registerServiceRoutes(app, parts);
 };
 
-/** Registers `/livez` and `/readyz`. */
-export const registerHealthRoutes = (app: FastifyInstance, isReady: () => boolean): void => {
-  app.get('/livez', async () => ({ status: 'live' }));
-  app.get('/readyz', async (_request, reply) => {
-    if (isReady()) return { status: 'ready' };
-    return reply.code(503).send({ status: 'not ready' });
-  });
-};
-
 const DRAIN_POLL_MS = 20;
 
 /** Waits until no request is under way. */
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -1,37 +1,115 @@
+import { performance } from 'node:perf_hooks';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { createGrantHolder, createLearning } from '../decisions';
 import type { Service } from '../kernel';
-import { createLeaseClient } from '../lease';
+import { createLeaseClient, type LeaseClient } from '../lease';
 import { createLedgerClient, type Owner } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
-import { registerMetrics, type Metrics } from '../metrics';
-import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
-import type { EntrySettings } from '../settings';
+import { createInternalServer, type Metrics } from '../metrics';
+import {
+  createHttpServer,
+  createRpcClient,
+  registerHealthRoutes,
+  startHttpServer,
+  type RpcClient,
+} from '../rpc';
+import { resolveRpcOptions, type EntryConfig } from '../settings';
 import { createAttemptClient } from './attemptClient';
-import { createPlainPolicy } from './attemptPolicy';
-import { registerCallerApi, registerHealthRoutes, waitForIdle, waitForSettled } from './callerApi';
+import { registerCallerApi, waitForIdle, waitForSettled } from './callerApi';
+import {
+  createDecisionLog,
+  createExplainMethods,
+  createRecordingChooser,
+  type DecisionLog,
+} from './decisionLog';
 import { createDeferredRunner } from './deferredRunner';
+import { createLivePolicy } from './livePolicy';
+import { createPolicyClient } from './policyClient';
+import { createRatingClient } from './ratingClient';
+import { createRecordingRunner } from './requestMetrics';
 import { createRequestRunner } from './requestRunner';
 import { sleep } from './sleep';
 import { createSettlement } from './settlement';
 import { createTargetChooser } from './targetChoice';
 
 const DRAW_STEPS = 1_000_000_000;
+const LEARNING_HALF_LIFE_MS = 6 * 3_600_000;
+/** Until control tells this entry's part. */
+const FIRST_FALSE_BRAKE_RATE = 0.001;
 
 const createDraw = (): (() => number) => {
   const generator = xoroshiro128plus(Date.now());
   return () => unsafeUniformIntDistribution(0, DRAW_STEPS - 1, generator) / DRAW_STEPS;
 };
 
-const createRpcService = (settings: EntrySettings): Service => ({
+const createRpcService = (settings: EntryConfig): Service => ({
   name: 'rpc',
   needs: [],
   start: () => {
-    const value = createRpcClient({ secret: settings.secrets.internal });
+    const value = createRpcClient(resolveRpcOptions(settings));
     return { value, stop: value.close };
   },
 });
 
-const createEntryService = (settings: EntrySettings): Service => ({
+interface DecisionContext {
+  readonly rpc: RpcClient;
+  readonly lease: LeaseClient;
+  readonly metrics: Metrics;
+  readonly decisionLog: DecisionLog;
+  readonly decisions: Logger;
+  readonly log: Logger;
+}
+
+const createDecisionParts = (settings: EntryConfig, context: DecisionContext) => {
+  const { rpc, lease, metrics, decisionLog, decisions, log } = context;
+  const { node, zone } = settings;
+  const { view } = lease;
+  const learning = createLearning({
+    halfLifeMs: LEARNING_HALF_LIFE_MS,
+    falseBrakeRate: FIRST_FALSE_BRAKE_RATE,
+  });
+  const holder = createGrantHolder();
+  const readNow = (): number => performance.now();
+  const policyClient = createPolicyClient({
+    node,
+    lease,
+    rpc,
+    learning,
+    holder,
+    readNow,
+    log,
+  });
+  const readDraw = createDraw();
+  const canRate = settings.ratingAddress !== undefined;
+  const plainChooser = createTargetChooser({
+    view,
+    entry: node,
+    zone,
+    learning,
+    canRate,
+    readDraw,
+    readNow,
+    log: decisions,
+  });
+  const chooser = createRecordingChooser(plainChooser, {
+    decisions: decisionLog,
+    recordRetry: () => metrics.retries.inc(),
+  });
+  const policy = createLivePolicy({
+    view,
+    chooser,
+    learning,
+    holder,
+    rating: createRatingClient(settings.ratingAddress),
+    canRate,
+    requestGrants: policyClient.requestExchange,
+    readDraw,
+    readNow,
+  });
+  return { chooser, policy, policyClient };
+};
+
+const createEntryService = (settings: EntryConfig): Service => ({
   name: 'entry',
   needs: ['rpc', 'log', 'metrics'],
   start: async (find) => {
@@ -45,7 +123,16 @@
     const { answerTimeoutMs } = limits;
     const decisions = createPartLogger(root, 'decision');
     const { view } = lease;
-    const chooser = createTargetChooser({ view, zone, readDraw: createDraw(), log: decisions });
+    const metrics = find<Metrics>('metrics');
+    const decisionLog = createDecisionLog();
+    const { chooser, policy, policyClient } = createDecisionParts(settings, {
+      rpc,
+      lease,
+      metrics,
+      decisionLog,
+      decisions,
+      log,
+    });
     const readOwner = (): Owner => ({ node, incarnation: lease.incarnation() });
     const settlement = createSettlement({ ledger, view, readOwner, log });
     const { streamBytes, inFlight } = limits;
@@ -54,7 +141,7 @@
       lease,
       settlement,
       chooser,
-      policy: createPlainPolicy(),
+      policy,
       wait: sleep,
       readOwner,
       answerTimeoutMs,
@@ -73,27 +160,38 @@
     let isStopping = false;
     const isReady = (): boolean => lease.isValid() && !isStopping;
 
-    const internal = createHttpServer();
+    const internal = createInternalServer({
+      methods: createExplainMethods(decisionLog),
+      secret: settings.secrets.internal,
+      tls: settings.ports?.internal,
+      metrics,
+      isReady,
+      readRevision: view.revision,
+    });
     const { bodyBytes: bodyLimitBytes, requestTimeoutMs } = limits;
     const callers = createHttpServer({
       bodyLimitBytes,
       requestTimeoutMs,
       createRequestId: runner.createRequestId,
+      tls: settings.ports?.callers,
     });
     registerCallerApi(callers, {
       lease,
       ledger,
-      runner,
+      runner: createRecordingRunner(callers, runner, {
+        metrics,
+        decisions: decisionLog,
+        log: decisions,
+      }),
       log,
       answerTimeoutMs,
       isStopping: () => isStopping,
       handleDeferred: deferred.handleDeferred,
     });
     registerHealthRoutes(callers, isReady);
-    registerHealthRoutes(internal, isReady);
-    registerMetrics(internal, find<Metrics>('metrics'));
     const internalAddress = await startHttpServer(internal, settings.internalListen);
     await lease.start(internalAddress);
+    policyClient.start();
     const address = await startHttpServer(callers, settings.listen);
     deferred.start();
     log.info({ address, internalAddress }, 'listening');
@@ -104,6 +202,7 @@
       await waitForIdle(runner);
       await waitForSettled(settlement);
       await callers.close();
+      policyClient.stop();
       await lease.stop();
       await internal.close();
     };
@@ -121,7 +220,7 @@
 }
 
 /** The services of the `entry` role. */
-export const createEntryServices = (settings: EntrySettings): readonly Service[] => [
+export const createEntryServices = (settings: EntryConfig): readonly Service[] => [
   createRpcService(settings),
   createEntryService(settings),
 ];
--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -90,6 +90,11 @@
   });
 };
 
+const errors = new WeakMap<FastifyRequest, RouterError>();
+
+/** Finds the error with which a request was answered, if it was. */
+export const findError = (request: FastifyRequest): RouterError | undefined => errors.get(request);
+
 /** Creates an HTTP server that answers every error in the wire form. */
 export const createHttpServer = (options: HttpServerOptions = {}): FastifyInstance => {
   const app = fastify({
@@ -109,6 +114,7 @@
   registerClosing(app);
   app.setErrorHandler((failure, request, reply) => {
     const error = convertFailure(failure as FastifyFailure);
+    errors.set(request, error);
     if (error.retryAfterSeconds !== undefined) reply.header('retry-after', error.retryAfterSeconds);
     reply.header('x-request-id', request.id);
     return reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
--- a/src/node/shared/index.ts
+++ b/src/node/shared/index.ts
@@ -1,1 +1,3 @@
 export * from './protocol';
+export * from './adminProtocol';
+export * from './policyProtocol';
