Measure exposure, latency under overload and fairness, and mend what they showed

Change: items count by expected work, less pressing work is not ahead, a quarter of the slots is kept for urgent work while it comes, and urgent calls are placed by the urgent work under way. The agent and the entry follow; the agent still counts each attempt the same (no size in the attempt).

--- a/src/node/agent/attemptQueue.ts
+++ b/src/node/agent/attemptQueue.ts
@@ -1,4 +1,4 @@
-import { chooseAdmission, createFairQueue, WAIT_LIMITS_MS } from '../decisions';
+import { chooseAdmission, countReservedSlots, createFairQueue, WAIT_LIMITS_MS } from '../decisions';
 import { createError } from '../errors';
 import type { AttemptRequest } from '../shared';
 import type { Attempt } from './attempt';
@@ -9,7 +9,8 @@
   readonly checkWait: (request: AttemptRequest) => void;
   readonly add: (attempt: Attempt, nowMs: number) => void;
   readonly remove: (attempt: Attempt) => void;
-  readonly takeNext: (nowMs: number) => Attempt | undefined;
+  /** Takes the next attempt that may start; a part of the slots is kept for urgent ones. */
+  readonly takeNext: (nowMs: number, running: number, slots: number) => Attempt | undefined;
   /** Takes out the attempts that have waited too long. */
   readonly takeExpired: (nowMs: number) => readonly Attempt[];
   readonly count: () => number;
@@ -24,6 +25,7 @@
   // Time between two attempts taken while others waited, as a moving average.
   let gapMs = 0;
   let takenAt = -Infinity;
+  let urgentAt = -Infinity;
 
   const recordTaken = (nowMs: number): void => {
     const isBusy = queue.count() > 0;
@@ -48,6 +50,7 @@
     checkWait,
     add: (attempt, nowMs) => {
       const { organisation, weight, class: workClass, deadlineMs } = attempt.request;
+      if (workClass === 'urgent') urgentAt = nowMs;
       queue.add({
         value: attempt,
         organisation,
@@ -60,8 +63,9 @@
     remove: (attempt) => {
       queue.remove((item) => item === attempt);
     },
-    takeNext: (nowMs) => {
-      const item = queue.next();
+    takeNext: (nowMs, running, slots) => {
+      const reserved = countReservedSlots(slots, nowMs - urgentAt);
+      const item = queue.next(running >= slots - reserved);
       if (item) recordTaken(nowMs);
       return item?.value;
     },
--- a/src/node/agent/attemptStore.ts
+++ b/src/node/agent/attemptStore.ts
@@ -141,17 +141,17 @@
     advanceQueue();
   };
 
-  const refuseExpired = (): void =>
-    table
-      .takeExpired(performance.now())
-      .forEach((attempt) =>
-        refuseStart(attempt, createRefusal('the attempt waited too long', 'overloaded')),
-      );
+  const refuseExpired = (): void => {
+    const error = createRefusal('the attempt waited too long', 'overloaded');
+    table.takeExpired(performance.now()).forEach((attempt) => refuseStart(attempt, error));
+  };
 
   const advanceQueue = (): void => {
     refuseExpired();
-    while (running < announcements.countSlots() && table.countQueued() > 0) {
-      const attempt = table.takeNext(performance.now())!;
+    const slots = announcements.countSlots();
+    while (running < slots) {
+      const attempt = table.takeNext(performance.now(), running, slots);
+      if (!attempt) return;
       running += 1;
       runAttempt(attempt).finally(handleEnd);
     }
--- a/src/node/agent/attemptTable.ts
+++ b/src/node/agent/attemptTable.ts
@@ -29,8 +29,8 @@
   readonly refuse: (name: Omit<AttemptName, 'incarnation'>, nowMs: number) => boolean;
   /** Drops an attempt that its entry has settled; its name stays spent. */
   readonly confirm: (name: Omit<AttemptName, 'incarnation'>, nowMs: number) => void;
-  /** Takes the next attempt to start off the queue. */
-  readonly takeNext: (nowMs: number) => Attempt | undefined;
+  /** Takes the next attempt that may start off the queue. */
+  readonly takeNext: (nowMs: number, running: number, slots: number) => Attempt | undefined;
   /** Takes the attempts off the queue that have waited too long for their class or deadline. */
   readonly takeExpired: (nowMs: number) => readonly Attempt[];
   readonly expire: (nowMs: number) => void;
--- a/src/node/decisions/fairQueue.ts
+++ b/src/node/decisions/fairQueue.ts
@@ -18,8 +18,8 @@
 /** A queue that is fair between organisations by weight, and prefers pressing work within bounds. */
 export interface FairQueue<T> {
   readonly add: (item: QueuedItem<T>) => void;
-  /** Takes the next item; nothing when the queue is empty. */
-  readonly next: () => QueuedItem<T> | undefined;
+  /** Takes the next item, or the next urgent one; nothing when there is none. */
+  readonly next: (isUrgentOnly?: boolean) => QueuedItem<T> | undefined;
   /** Takes out and gives the items whose time is over. */
   readonly expire: (now: number) => readonly QueuedItem<T>[];
   /** Takes out the items that match. */
@@ -31,8 +31,14 @@
 
 const CLASSES: readonly WorkClass[] = ['urgent', 'normal', 'deferrable'];
 
+const URGENT_ONLY: readonly WorkClass[] = ['urgent'];
+
 /** Shares between the classes of one organisation. */
-const CLASS_WEIGHTS: Readonly<Record<WorkClass, number>> = { urgent: 16, normal: 4, deferrable: 1 };
+const CLASS_WEIGHTS: Readonly<Record<WorkClass, number>> = {
+  urgent: 100,
+  normal: 10,
+  deferrable: 1,
+};
 
 /** How many mean-sized items an organisation of weight 1 may run ahead of its share, by class. */
 const CLASS_LEAD: Readonly<Record<WorkClass, number>> = { urgent: 16, normal: 0, deferrable: -16 };
@@ -64,6 +70,17 @@
 const isEmpty = <T>(flow: Flow<T>): boolean =>
   CLASSES.every((workClass) => flow.lanes[workClass].items.length === 0);
 
+const choosePending = <T>(flow: Flow<T>, isUrgentOnly: boolean): WorkClass | undefined => {
+  const classes = isUrgentOnly ? URGENT_ONLY : CLASSES;
+  const pending = classes.filter((workClass) => flow.lanes[workClass].items.length > 0);
+  if (pending.length === 0) return undefined;
+  const readStart = (workClass: WorkClass): number =>
+    Math.max(flow.laneClock, flow.lanes[workClass].finish);
+  return pending.reduce((best, workClass) =>
+    readStart(workClass) < readStart(best) ? workClass : best,
+  );
+};
+
 /**
  * Creates a queue by start-time fair queueing. Each organisation has a virtual time that moves on by
  * the size of its work over its weight; the smallest is served first. Urgent work may take its
@@ -85,24 +102,17 @@
     return flow;
   };
 
-  const choosePending = (flow: Flow<T>): WorkClass => {
-    const pending = CLASSES.filter((workClass) => flow.lanes[workClass].items.length > 0);
-    const readStart = (workClass: WorkClass): number =>
-      Math.max(flow.laneClock, flow.lanes[workClass].finish);
-    return pending.reduce((best, workClass) =>
-      readStart(workClass) < readStart(best) ? workClass : best,
-    );
-  };
-
   const computeKey = (flow: Flow<T>, workClass: WorkClass): number =>
     Math.max(clock, flow.finish) - CLASS_LEAD[workClass] * meanSize;
 
-  const chooseFlow = (): { readonly flow: Flow<T>; readonly workClass: WorkClass } | undefined => {
+  const chooseFlow = (
+    isUrgentOnly: boolean,
+  ): { readonly flow: Flow<T>; readonly workClass: WorkClass } | undefined => {
     let best: { readonly flow: Flow<T>; readonly workClass: WorkClass } | undefined;
     let bestKey = Infinity;
     for (const flow of flows.values()) {
-      if (isEmpty(flow)) continue;
-      const workClass = choosePending(flow);
+      const workClass = choosePending(flow, isUrgentOnly);
+      if (workClass === undefined) continue;
       const key = computeKey(flow, workClass);
       if (key < bestKey) {
         best = { flow, workClass };
@@ -175,8 +185,8 @@
       total += 1;
       meanSize += (item.size - meanSize) / 16;
     },
-    next: () => {
-      const chosen = chooseFlow();
+    next: (isUrgentOnly = false) => {
+      const chosen = chooseFlow(isUrgentOnly);
       if (!chosen) return undefined;
       const item = removeFirst(chosen.flow, chosen.workClass);
       if (isEmpty(chosen.flow)) expireFlows();
@@ -194,10 +204,19 @@
       let ahead = ownAhead;
       for (const flow of flows.values()) {
         if (flow.organisation === organisation) continue;
-        const size = CLASSES.reduce((sum, item) => sum + flow.lanes[item].size, 0);
+        const classes = CLASSES.slice(0, place + 1);
+        const size = classes.reduce((sum, item) => sum + flow.lanes[item].size, 0);
         ahead += Math.min(size, ((ownAhead + meanSize) * flow.weight) / weight);
       }
       return ahead;
     },
   };
 };
+
+/** Time after the last urgent arrival for which slots stay reserved. */
+const URGENT_MEMORY_MS = 10_000;
+const RESERVED_PART = 0.25;
+
+/** Counts the slots that only urgent work may take, while urgent work comes at all. */
+export const countReservedSlots = (slots: number, sinceUrgentMs: number): number =>
+  sinceUrgentMs > URGENT_MEMORY_MS ? 0 : Math.floor(slots * RESERVED_PART);
--- a/src/node/decisions/rollout.ts
+++ b/src/node/decisions/rollout.ts
@@ -136,28 +136,47 @@
   read: (tally: Tally) => Moments,
 ): Moments => cells.reduce((sum, cell) => mergeMoments(sum, read(cell[arm])), NO_MOMENTS);
 
+const computeSpread = ({ count, sum, squares }: Moments): number =>
+  count > 0 ? Math.max(0, squares - sum ** 2 / count) : 0;
+
 // Cells differ in their mean; the baseline is weighted as the candidate's cells are, so that a
-// different mix of work cannot look like a fall.
+// different mix of work cannot look like a fall. A cell with a small baseline then counts for more
+// than it knows, so the baseline is worth fewer observations than it has.
 const readMatchedBaseline = (
   cells: readonly RolloutCell[],
   read: (tally: Tally) => Moments,
 ): Moments => {
-  const usable = cells.filter((cell) => read(cell.baseline).count > 0);
-  const total = usable.reduce((sum, cell) => sum + read(cell.candidate).count, 0);
-  const pooled = readPooled(usable, 'baseline', read);
+  const pooled = readPooled(cells, 'baseline', read);
+  const total = cells.reduce((sum, cell) => sum + read(cell.candidate).count, 0);
   if (total <= 0 || pooled.count <= 0) return pooled;
-  const readMean = (cell: RolloutCell): number =>
-    read(cell.baseline).sum / read(cell.baseline).count;
-  const mean = usable.reduce(
-    (sum, cell) => sum + (read(cell.candidate).count / total) * readMean(cell),
-    0,
-  );
-  const shift = mean - pooled.sum / pooled.count;
-  const sum = pooled.sum + shift * pooled.count;
-  const squares = pooled.squares + 2 * shift * pooled.sum + shift * shift * pooled.count;
-  return { count: pooled.count, sum, squares };
+  let mean = 0;
+  let inverse = 0;
+  let spread = 0;
+  for (const cell of cells) {
+    const weight = read(cell.candidate).count / total;
+    const baseline = read(cell.baseline);
+    mean += (weight * baseline.sum) / baseline.count;
+    inverse += weight ** 2 / baseline.count;
+    spread += computeSpread(baseline);
+  }
+  const count = 1 / inverse;
+  return {
+    count,
+    sum: mean * count,
+    squares: mean * mean * count + (spread * count) / pooled.count,
+  };
 };
 
+const listGroups = (cells: readonly RolloutCell[]): readonly (readonly RolloutCell[])[] =>
+  [cells.filter((cell) => !cell.isHighValue), cells.filter((cell) => cell.isHighValue)].filter(
+    (group) => group.length > 0,
+  );
+
+/** With fewer observations a single wrong rating could look like a fall. */
+const SMALLEST_GROUP = 5;
+const SMALLEST_CELL = 10;
+
+// Work of high value is tested on its own, lest much ordinary work hide its fall.
 const findWorse = (
   cells: readonly RolloutCell[],
   signal: Signal,
@@ -165,14 +184,20 @@
 ): string | undefined => {
   const half = (alpha * signal.alphaShare) / 2;
   const usable = cells.filter((cell) => signal.read(cell.baseline).count > 0);
-  const pooled = readPooled(usable, 'candidate', signal.read);
-  if (signal.testWorse(pooled, readMatchedBaseline(usable, signal.read), half)) {
-    return `${signal.name} is worse than before`;
-  }
+  const groups = listGroups(usable);
+  const isWorse = groups.some((group) => {
+    const candidate = readPooled(group, 'candidate', signal.read);
+    if (candidate.count < SMALLEST_GROUP) return false;
+    const baseline = readMatchedBaseline(group, signal.read);
+    return signal.testWorse(candidate, baseline, half / groups.length);
+  });
+  if (isWorse) return `${signal.name} is worse than before`;
   const alphaPerCell = half / Math.max(1, cells.length);
-  const worse = usable.find((cell) =>
-    signal.testWorse(signal.read(cell.candidate), signal.read(cell.baseline), alphaPerCell),
-  );
+  const worse = usable
+    .filter((cell) => signal.read(cell.candidate).count >= SMALLEST_CELL)
+    .find((cell) =>
+      signal.testWorse(signal.read(cell.candidate), signal.read(cell.baseline), alphaPerCell),
+    );
   return worse && `${signal.name} is worse for ${worse.organisation}, task ${worse.task}`;
 };
 
@@ -188,17 +213,23 @@
   return undefined;
 };
 
+/** Work of high value comes after all other work has been judged, so it needs fewer samples. */
+const HIGH_VALUE_SAMPLES_PART = 0.3;
+
 // Early steps put little at risk, so they need to rule out large falls only.
 const computeMargin = (rules: RolloutRules, step: number): number =>
   rules.toleratedFall * (rules.steps.length - (step % rules.steps.length));
 
 const canAdvance = (rules: RolloutRules, cells: readonly RolloutCell[], step: number): boolean => {
   const isHighPhase = step >= rules.steps.length;
-  const counted = cells.filter((cell) => cell.isHighValue === isHighPhase);
+  const counted = cells
+    .filter((cell) => cell.isHighValue === isHighPhase)
+    .filter((cell) => readScores(cell.baseline).count > 0);
   // Without work of high value its steps have nothing to wait for.
   if (isHighPhase && counted.length === 0) return true;
   const candidate = readPooled(counted, 'candidate', readScores);
-  const needed = rules.minSamplesPerStep * ((step % rules.steps.length) + 1);
+  const part = isHighPhase ? HIGH_VALUE_SAMPLES_PART : 1;
+  const needed = part * rules.minSamplesPerStep * ((step % rules.steps.length) + 1);
   if (candidate.count < needed) return false;
   const bounds = estimateDifference({
     candidate,
--- a/src/node/decisions/sequentialTest.ts
+++ b/src/node/decisions/sequentialTest.ts
@@ -20,7 +20,7 @@
 
 const PRIOR_SAMPLES = 4;
 /** Sample size at which the bound is tightest. */
-const TIGHTEST_SAMPLES = 12;
+const TIGHTEST_SAMPLES = 6;
 const SMALLEST_VARIANCE = 1e-6;
 
 const computeSpread = (moments: Moments): number =>
--- a/src/node/entry/endpointTable.ts
+++ b/src/node/entry/endpointTable.ts
@@ -1,17 +1,24 @@
 import { createEndpointHealth, type EndpointState, type RunOutcome } from '../decisions';
 import { formatVersionName, type Member } from '../view';
 
+/** For whom an endpoint is looked at. */
+export interface EndpointQuery {
+  readonly ejected: ReadonlySet<string>;
+  /** Urgent work has slots of its own, so only other urgent work is in its way. */
+  readonly isUrgent: boolean;
+}
+
 /** What one entry knows of the endpoints: load, reports and health. */
 export interface EndpointTable {
   readonly read: (
     member: Member,
     model: string,
     version: string,
-    ejected: ReadonlySet<string>,
+    question: EndpointQuery,
   ) => EndpointState;
   readonly listEjected: (endpoints: readonly string[]) => ReadonlySet<string>;
   readonly readLoad: (endpoint: string) => number;
-  readonly updateLoad: (endpoint: string, change: number) => void;
+  readonly updateLoad: (endpoint: string, change: number, isUrgent: boolean) => void;
   /** Takes note of a load that an endpoint reported. */
   readonly recordLoad: (endpoint: string, load: number) => void;
   readonly recordOutcome: (
@@ -30,24 +37,31 @@
 /** Endpoints seen this soon after the start were there before it; they need no slow start. */
 const SETTLE_MS = 2_000;
 
+const addLoad = (loads: Map<string, number>, endpoint: string, change: number): void => {
+  const load = (loads.get(endpoint) ?? 0) + change;
+  if (load > 0) loads.set(endpoint, load);
+  else loads.delete(endpoint);
+};
+
 /** Creates an empty table; the clock is monotonic, in milliseconds. */
 export const createEndpointTable = (readNow: () => number): EndpointTable => {
   const loads = new Map<string, number>();
+  const urgentLoads = new Map<string, number>();
   const reports = new Map<string, LoadReport>();
   const health = createEndpointHealth();
   const createdAt = readNow();
   const readLoad = (endpoint: string): number => loads.get(endpoint) ?? 0;
 
   return {
-    read: ({ endpoint }, model, version, ejected) => {
+    read: ({ endpoint }, model, version, { ejected, isUrgent }) => {
       const now = readNow();
       if (now > createdAt + SETTLE_MS) health.add(endpoint, now);
       else health.add(endpoint, -Infinity);
       const report = reports.get(endpoint);
       const isOpen = health.isOpen(endpoint, formatVersionName(model, version), now);
       return {
-        inFlight: readLoad(endpoint),
-        reportedLoad: report?.load,
+        inFlight: isUrgent ? (urgentLoads.get(endpoint) ?? 0) : readLoad(endpoint),
+        reportedLoad: isUrgent ? undefined : report?.load,
         reportAgeMs: report && now - report.at,
         readiness: health.readReadiness(endpoint, now),
         isEjected: ejected.has(endpoint) || isOpen,
@@ -55,10 +69,9 @@
     },
     listEjected: (endpoints) => health.listEjected(endpoints, readNow()),
     readLoad,
-    updateLoad: (endpoint, change) => {
-      const load = readLoad(endpoint) + change;
-      if (load > 0) loads.set(endpoint, load);
-      else loads.delete(endpoint);
+    updateLoad: (endpoint, change, isUrgent) => {
+      addLoad(loads, endpoint, change);
+      if (isUrgent) addLoad(urgentLoads, endpoint, change);
     },
     recordLoad: (endpoint, load) => {
       reports.set(endpoint, { load, at: readNow() });
--- a/src/node/entry/runContext.ts
+++ b/src/node/entry/runContext.ts
@@ -259,10 +259,11 @@
   const { endpoint, address } = choice.member;
   const tracked = recordAttempt(run, choice);
   parts.chooser.log(run.request, choice, tracked.attempt);
-  parts.chooser.updateLoad(endpoint, 1);
+  const isUrgent = run.request.task.class === 'urgent';
+  parts.chooser.updateLoad(endpoint, 1, isUrgent);
   let isReleased = false;
   const release = (): void => {
-    if (!isReleased) parts.chooser.updateLoad(endpoint, -1);
+    if (!isReleased) parts.chooser.updateLoad(endpoint, -1, isUrgent);
     isReleased = true;
   };
   const startedAt = performance.now();
--- a/src/node/entry/targetChoice.ts
+++ b/src/node/entry/targetChoice.ts
@@ -56,7 +56,7 @@
     step: ChainStep,
     excluded: ReadonlySet<string>,
   ) => Choice;
-  readonly updateLoad: (endpoint: string, change: number) => void;
+  readonly updateLoad: (endpoint: string, change: number, isUrgent: boolean) => void;
   /** Takes note of a load that an endpoint reported. */
   readonly recordLoad: (endpoint: string, load: number) => void;
   /** Estimates a run; nothing is known of plain services. */
@@ -102,6 +102,7 @@
     const { organisation, task, idempotent, session, requestId } = request;
     const names = view.list('member').map((member) => member.endpoint);
     const ejected = endpoints.listEjected(names);
+    const isUrgent = task.class === 'urgent';
     return {
       view,
       organisation,
@@ -119,7 +120,8 @@
       ratingTimeMs: RATING_TIME_MS,
       canRate,
       draws: [readDraw(), readDraw(), readDraw()],
-      readEndpoint: (member, model, version) => endpoints.read(member, model, version, ejected),
+      readEndpoint: (member, model, version) =>
+        endpoints.read(member, model, version, { ejected, isUrgent }),
       estimate: (name, prior) => learning.estimates.estimate(name, prior, readNow()),
       isBraked: (rollout) => learning.findBrake(rollout) !== undefined,
     };
