--- /dev/null
+++ b/src/node/__tests__/faults.test.ts
@@ -0,0 +1,40 @@
+import test from 'ava';
+import { checkHistory } from './history';
+import { createSchedule, runSchedule, type Schedule } from './faults';
+
+// More seeds run outside CI: npm run faults -- --seeds 200.
+const SEEDS = [1, 2, 5] as const;
+const TIMEOUT_MS = 110_000;
+const LEAST_RUNS = 100;
+
+SEEDS.forEach((seed) => {
+  test.serial(`the schedule of seed ${seed} breaks no promise`, async (t) => {
+    t.timeout(TIMEOUT_MS);
+    const { history, failures } = await runSchedule(createSchedule(seed));
+    t.deepEqual(failures, []);
+    t.true(history.runs.length >= LEAST_RUNS);
+    t.true(history.withdrawals.length > 0);
+    checkHistory(history).forEach((violations, name) => t.deepEqual(violations, [], name));
+  });
+});
+
+const BROKEN_LEASE_MS = 60_000;
+const ISOLATION: Schedule = {
+  seed: 1,
+  faults: ['entry-1', 'agent-1', 'agent-2'].map((node) => ({
+    kind: 'cutControl',
+    node,
+    startMs: 0,
+    durationMs: 14_000,
+  })),
+  withdrawMs: 500,
+};
+
+test.serial('a lease beyond its bound breaks promises in the running system', async (t) => {
+  t.timeout(TIMEOUT_MS);
+  const { history } = await runSchedule(ISOLATION, BROKEN_LEASE_MS);
+  const found = [...checkHistory(history)].filter(([, violations]) => violations.length > 0);
+  const names = found.map(([name]) => name);
+  t.true(names.includes('a withdrawn version gets no new work'));
+  t.true(names.includes('an accepted configuration is in force in time'));
+});
--- a/src/node/agent/attemptStore.ts
+++ b/src/node/agent/attemptStore.ts
@@ -34,6 +34,7 @@
   readonly cancel: (name: AttemptName) => Promise<AttemptEnd>;
   readonly confirm: (item: AttemptConfirmation) => void;
   readonly countActive: () => number;
+  readonly countQueued: () => number;
   readonly drain: () => Promise<void>;
 }
 
@@ -200,6 +201,7 @@
       } else find(item)?.confirm(item.upTo);
     },
     countActive: () => running + table.countQueued(),
+    countQueued: table.countQueued,
     drain: async () => {
       isDraining = true;
       clearInterval(expiry);
--- a/src/node/control/configState.ts
+++ b/src/node/control/configState.ts
@@ -1,6 +1,5 @@
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
-import { inventorySchema, servedVersion, type Inventory } from '../inventory';
+import type { Inventory } from '../inventory';
 import type { StateMachine } from '../replication';
 import {
   formatVersionName,
@@ -13,105 +12,19 @@
   type Withdrawal,
 } from '../view';
 import { createChangeLog, type ChangeLog } from './changeLog';
+import type { ConfigCommand, ConfigResult, NodeRecord } from './configCommands';
+import { applyRolloutAction } from './rolloutActions';
 import { resolveScope, type ViewScope } from './viewScope';
 
-const changeId = z.string().min(1).max(128);
-
-/** What an agent says of its endpoint. */
-export const announcementSchema = z
-  .strictObject({
-    endpoint: z.string(),
-    host: z.string(),
-    serves: z.array(servedVersion).readonly(),
-    service: z.string().optional(),
-    slots: z.number().int().positive(),
-    checksFencing: z.boolean(),
-    state: z.enum(['live', 'leaving']),
-  })
-  .readonly();
-
-/** What an agent says of its endpoint. */
-export type Announcement = z.infer<typeof announcementSchema>;
-
-/** The commands of the `config` group. */
-export type ConfigCommand =
-  | {
-      readonly type: 'putInventory';
-      readonly base: number;
-      readonly changeId: string;
-      readonly inventory: Inventory;
-    }
-  | {
-      readonly type: 'withdraw';
-      readonly base: number;
-      readonly changeId: string;
-      readonly withdrawal: Withdrawal;
-    }
-  | {
-      readonly type: 'restore';
-      readonly base: number;
-      readonly changeId: string;
-      readonly model: string;
-      readonly version: string;
-    }
-  | {
-      readonly type: 'setRollout';
-      readonly base: number;
-      readonly changeId: string;
-      readonly rollout: Rollout;
-    }
-  /** Moves a roll-out on, unless it has changed since the judge saw it. */
-  | { readonly type: 'advanceRollout'; readonly from: Rollout; readonly to: Rollout }
-  | {
-      readonly type: 'register';
-      readonly node: string;
-      readonly role: string;
-      readonly zone: string;
-      readonly host: string;
-      readonly address: string;
-      readonly bootId: string;
-    }
-  | {
-      readonly type: 'announce';
-      readonly node: string;
-      readonly incarnation: number;
-      readonly announcement: Announcement;
-    }
-  | { readonly type: 'leave'; readonly node: string; readonly incarnation: number };
-
-/** The answers of the `config` group. */
-export type ConfigResult =
-  | { readonly type: 'accepted'; readonly revision: number; readonly inventoryRevision: number }
-  | { readonly type: 'conflict'; readonly winner: string; readonly inventoryRevision: number }
-  /** The change id was used for another change. */
-  | { readonly type: 'reused'; readonly changeId: string }
-  /** The change was drawn up before the oldest answer that is still kept. */
-  | { readonly type: 'expired'; readonly oldestBase: number }
-  | {
-      readonly type: 'registered';
-      readonly incarnation: number;
-      /** A process of the same name at another address may still hold a lease. */
-      readonly mayOverlap: boolean;
-    }
-  | { readonly type: 'stale'; readonly incarnation: number }
-  | { readonly type: 'done'; readonly revision: number };
-
-/** A registered process. */
-export interface NodeRecord {
-  readonly node: string;
-  readonly role: string;
-  readonly zone: string;
-  readonly host: string;
-  readonly address: string;
-  readonly bootId: string;
-  readonly incarnation: number;
-}
+export * from './configCommands';
 
 /** The `config` state machine with its reads. */
 export interface ConfigState extends StateMachine<ConfigCommand, ConfigResult> {
   readonly revision: () => number;
   /** Calls a listener after every change of the view. */
   readonly watch: (listener: () => void) => void;
+  /** Says whether a change of this id has been answered and the answer is kept. */
+  readonly hasAnswer: (changeId: string) => boolean;
   readonly inventoryRevision: () => number;
   readonly inventory: () => Inventory | undefined;
   readonly readUpdate: (since: number, scope: ViewScope) => ViewUpdate;
@@ -119,11 +32,6 @@
   readonly listNodes: () => readonly NodeRecord[];
 }
 
-/** The body of `PUT /admin/inventory`. */
-export const putInventorySchema = z
-  .strictObject({ base: z.number().int().min(0), changeId, inventory: inventorySchema })
-  .readonly();
-
 interface KeptAnswer {
   readonly hash: string;
   readonly revision: number;
@@ -208,8 +116,11 @@
 
 type OperatorCommand = Extract<ConfigCommand, { readonly changeId: string }>;
 
+// A resent change may carry a newer base: what it changes makes it the same change.
 const computeHash = (command: OperatorCommand): string =>
-  createHash('sha256').update(JSON.stringify(command)).digest('hex');
+  createHash('sha256')
+    .update(JSON.stringify({ ...command, base: 0 }))
+    .digest('hex');
 
 const removeOldestAnswer = (tables: Tables): void => {
   const [oldest, kept] = tables.answers.entries().next().value!;
@@ -292,6 +203,20 @@
     writeEntry(tables, 'rollout', rollout.model, next);
     return formatAccepted(tables);
   },
+  changeRollout: (tables, { changeId: id, change }) => {
+    const current = findRollout(tables, change.model);
+    const isWithdrawn = (model: string, version: string): boolean =>
+      tables.entries.has(formatKey('withdrawal', formatVersionName(model, version)));
+    const context = { id, inventory: tables.inventory, current, isWithdrawn };
+    const next = applyRolloutAction(context, change);
+    return next.caseOf<ConfigResult>({
+      Left: (reason) => ({ type: 'refused', reason }),
+      Right: (rollout) => {
+        writeEntry(tables, 'rollout', rollout.model, rollout);
+        return formatAccepted(tables);
+      },
+    });
+  },
   advanceRollout: (tables, { from, to }) => {
     const known = findRollout(tables, from.model);
     const isCurrent =
@@ -304,11 +229,11 @@
     const known = tables.nodes.get(node);
     const mayOverlap = known !== undefined && known.address !== address;
     if (known?.bootId === bootId) {
-      return { type: 'registered', incarnation: known.incarnation, mayOverlap: false };
+      return { type: 'registered', incarnation: known.incarnation, mayOverlap: known.mayOverlap };
     }
     tables.nextIncarnation += 1;
     const incarnation = tables.nextIncarnation;
-    tables.nodes.set(node, { node, role, zone, host, address, bootId, incarnation });
+    tables.nodes.set(node, { node, role, zone, host, address, bootId, incarnation, mayOverlap });
     removeMembers(tables, node);
     return { type: 'registered', incarnation, mayOverlap };
   },
@@ -439,6 +364,7 @@
     watch: (listener) => {
       listeners.push(listener);
     },
+    hasAnswer: (id) => tables.answers.has(id),
     inventoryRevision: () => tables.inventoryRevision,
     inventory: () => tables.inventory,
     readUpdate,
--- a/src/node/entry/runContext.ts
+++ b/src/node/entry/runContext.ts
@@ -22,6 +22,7 @@
   type TrackedAttempt,
 } from './requestState';
 import type { RunRequest, WholeAnswer } from './runTypes';
+import type { Sleep } from './sleep';
 import { STORED_ANSWER_BYTES, type Settlement } from './settlement';
 import type { Choice, TargetChooser } from './targetChoice';
 
@@ -33,6 +34,7 @@
   readonly chooser: TargetChooser;
   readonly policy: AttemptPolicy;
   readonly readOwner: () => Owner;
+  readonly wait: Sleep;
   readonly answerTimeoutMs: number;
   /** Bytes of one answer, after which it is cut. */
   readonly streamBytes: number;
@@ -232,9 +234,13 @@
 ): Promise<Pick<OpenAttempt, 'tracked' | 'head' | 'frames'>> => {
   const { request } = run;
   const { address } = tracked;
-  const intent = parts.settlement.recordIntent(request, tracked);
-  if (!request.idempotent) await intent;
   checkLease(parts);
+  const intent = parts.settlement.recordIntent(request, tracked);
+  if (!request.idempotent) {
+    await intent;
+    // The lease may have run out while the intent was written.
+    checkLease(parts);
+  }
   const message = createAttemptRequest(parts, request, choice, tracked.attempt);
   const frames = parts.client.open(address, message, request.signal);
   const [first, recorded] = await Promise.allSettled([frames.next(), intent]);
