--- a/src/node/__tests__/cluster/cluster.ts
+++ b/src/node/__tests__/cluster/cluster.ts
@@ -25,6 +25,8 @@
   /** Puts a relay on the links between entries and agents and between both and control. */
   readonly hasRelays?: boolean;
   readonly logLevel?: string;
+  /** Where entries have answers rated. */
+  readonly ratingAddress?: string;
   /** Starts an engine elsewhere than in this process. */
   readonly startEngine?: (options: StandinEngineOptions) => Promise<StandinEngine>;
   readonly nodeArguments?: readonly string[];
@@ -148,6 +150,7 @@
       internalListen: formatListen(await acquireAddress()),
       secrets: { internal: INTERNAL_SECRET },
       control: await resolveControl(node),
+      ratingAddress: options.ratingAddress,
     });
   }
 
