--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -1,6 +1,4 @@
 // Slopes of the control traffic: `npm run bench:capacity`. Lease clients share this process.
-import { subscribe } from 'node:diagnostics_channel';
-import type { Socket } from 'node:net';
 import { loadavg } from 'node:os';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createLeaseClient, type LeaseClient } from '../src/node/lease';
@@ -9,9 +7,17 @@
 import { INTERNAL_SECRET, KEYS, startCluster, type Cluster } from '../src/node/__tests__/cluster';
 import { startEngineProcess } from './engines';
 import { runLoad } from './load';
-import { computeSlope, readProcessStats } from './processStats';
-
-type Point = readonly [number, number];
+import { runLedger } from './ledgerCapacity';
+import {
+  countBytes,
+  print,
+  printFit,
+  printHeader,
+  readControlCpu,
+  readResident,
+  type Point,
+} from './points';
+import { readProcessStats } from './processStats';
 
 const SIZES = [1, 4, 16, 64] as const;
 const WINDOW_SECONDS = 8;
@@ -19,39 +25,8 @@
 const MILLI = 1_000;
 const KILOBYTE = 1_024;
 
-const print = (line: string): void => console.log(line);
 const log = createRootLogger({ level: 'silent', node: 'bench' });
 
-const sockets = new Set<Socket>();
-subscribe('undici:client:connected', (message) => {
-  sockets.add((message as { readonly socket: Socket }).socket);
-});
-
-const countBytes = (): { readonly sent: number; readonly received: number } => {
-  let sent = 0;
-  let received = 0;
-  sockets.forEach((socket) => {
-    sent += socket.bytesWritten;
-    received += socket.bytesRead;
-  });
-  return { sent, received };
-};
-
-const formatPoints = (points: readonly Point[], digits: number): string =>
-  points.map(([x, y]) => `${x}: ${y.toFixed(digits)}`).join(', ');
-
-const printFit = (name: string, points: readonly Point[], digits: number): void => {
-  const { slope, intercept } = computeSlope(points);
-  const fit = `${slope.toPrecision(3)} per unit + ${intercept.toPrecision(3)}`;
-  print(`| ${name} | ${formatPoints(points, digits)} | ${fit} |`);
-};
-
-const printHeader = (title: string): void => {
-  print(`\n## ${title}\n`);
-  print('| figure | points (size: value) | fitted line |');
-  print('| --- | --- | --- |');
-};
-
 const createNode = (
   rpc: RpcClient,
   cluster: Cluster,
@@ -75,11 +50,6 @@
   readonly received: number;
 }
 
-const readControlCpu = (cluster: Cluster): number =>
-  [...cluster.processes.values()]
-    .filter((item) => item.role === 'control')
-    .reduce((sum, item) => sum + readProcessStats(item.pid()).cpuSeconds, 0);
-
 const recordWindow = async (cluster: Cluster): Promise<Window> => {
   const bytes = countBytes();
   const control = readControlCpu(cluster);
@@ -220,9 +190,6 @@
     });
   }, REPORT_INTERVAL_MS);
 
-const readResident = (cluster: Cluster, node: string): number =>
-  readProcessStats(cluster.processes.get(node)!.pid()).residentMegabytes;
-
 const runState = async (controls: number): Promise<void> => {
   const cluster = await startCluster({ controls, engines: [] });
   const rpc = createRpcClient({ secret: INTERNAL_SECRET });
@@ -385,7 +352,9 @@
   await sleep(SETTLE_MS);
   print('\n## Resident memory of each role, idle\n');
   for (const [node, item] of cluster.processes) {
-    print(`- ${node}: ${readProcessStats(item.pid()).residentMegabytes.toFixed(0)} MB`);
+    const { residentMegabytes, anonymousMegabytes } = readProcessStats(item.pid());
+    const anonymous = anonymousMegabytes.toFixed(0);
+    print(`- ${node}: ${residentMegabytes.toFixed(0)} MB, of these ${anonymous} MB without a file`);
   }
   await cluster.stop();
 };
@@ -396,6 +365,7 @@
   state: runState,
   requests: runRequests,
   tokens: runTokens,
+  ledger: runLedger,
 };
 
 const [controlsText = '1', ...wanted] = process.argv.slice(2);
--- a/bench/processStats.ts
+++ b/bench/processStats.ts
@@ -5,6 +5,8 @@
 export interface ProcessStats {
   readonly cpuSeconds: number;
   readonly residentMegabytes: number;
+  /** The part of the resident memory that no file backs, such as the heap. */
+  readonly anonymousMegabytes: number;
 }
 
 const TICKS_PER_SECOND = Number(execFileSync('getconf', ['CLK_TCK'], { encoding: 'utf8' }));
@@ -17,10 +19,14 @@
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[USER_TICKS_FIELD + 1]);
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  const kilobytes = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  const readMegabytes = (field: string): number => {
+    const match = new RegExp(`${field}:\\s+(\\d+)`).exec(status);
+    return Number(match?.[1] ?? 0) / KILOBYTES_PER_MEGABYTE;
+  };
   return {
     cpuSeconds: ticks / TICKS_PER_SECOND,
-    residentMegabytes: kilobytes / KILOBYTES_PER_MEGABYTE,
+    residentMegabytes: readMegabytes('VmRSS'),
+    anonymousMegabytes: readMegabytes('RssAnon'),
   };
 };
 
