Keep streams and calls between processes on connections of their own

An entry had 64 connections to an agent for streams and calls together, so the 65th answer waited until another had ended, and a cancel or confirm waited behind the streams. Streams now have a pool of 4096 connections per peer, calls keep 64. (rpc/rpcClient.ts.)

Test: 150 streams of one entry at one agent run at once. Before: 'waited 15000 ms in vain for: every stream to run at once'. After: passed in 2.4 s.

--- a/src/node/rpc/rpcClient.ts
+++ b/src/node/rpc/rpcClient.ts
@@ -34,7 +34,8 @@
 
 const CALL_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
-const CONNECTIONS_PER_PEER = 64;
+const CALL_CONNECTIONS = 64;
+const STREAM_CONNECTIONS = 4_096;
 
 interface RpcAnswer {
   readonly result?: unknown;
@@ -85,15 +86,17 @@
 
 /** Creates a client with one connection pool per peer. */
 export const createRpcClient = (options: RpcClientOptions): RpcClient => {
-  const pools = new Map<string, Pool>();
+  const callPools = new Map<string, Pool>();
+  // Streams hold their connections for long; calls must not wait for them to end.
+  const streamPools = new Map<string, Pool>();
   const scheme = options.scheme ?? 'http';
   let nextId = 1;
 
-  const acquirePool = (address: string): Pool => {
+  const acquirePool = (pools: Map<string, Pool>, address: string, connections: number): Pool => {
     const known = pools.get(address);
     if (known) return known;
     const pool = new Pool(`${scheme}://${address}`, {
-      connections: CONNECTIONS_PER_PEER,
+      connections,
       connect: { timeout: CONNECT_TIMEOUT_MS, ca: options.certificateAuthority },
     });
     pools.set(address, pool);
@@ -102,17 +105,25 @@
 
   // A call that timed out may sit on a connection that has gone silent: the next call gets new ones.
   const replaceConnections = (address: string): void => {
-    const pool = pools.get(address);
-    pools.delete(address);
-    pool?.close().catch(() => {});
+    for (const pools of [callPools, streamPools]) {
+      const pool = pools.get(address);
+      pools.delete(address);
+      pool?.close().catch(() => {});
+    }
   };
 
-  const request: RpcClient['request'] = (address, requestOptions) =>
-    acquirePool(address).request({
+  const sendTo = (
+    pool: Pool,
+    requestOptions: Omit<Dispatcher.RequestOptions, 'origin'>,
+  ): Promise<Dispatcher.ResponseData> =>
+    pool.request({
       ...requestOptions,
       headers: { ...requestOptions.headers, authorization: `Bearer ${options.secret}` },
     });
 
+  const request: RpcClient['request'] = (address, requestOptions) =>
+    sendTo(acquirePool(streamPools, address, STREAM_CONNECTIONS), requestOptions);
+
   const call: RpcClient['call'] = async <T>(
     address: string,
     method: string,
@@ -122,7 +133,7 @@
     nextId += 1;
     const limit = createCallLimit(callOptions);
     try {
-      const response = await request(address, {
+      const response = await sendTo(acquirePool(callPools, address, CALL_CONNECTIONS), {
         path: '/rpc',
         method: 'POST',
         headers: { 'content-type': 'application/json' },
@@ -141,8 +152,10 @@
   };
 
   const close = async (): Promise<void> => {
-    await Promise.all([...pools.values()].map((pool) => pool.destroy()));
-    pools.clear();
+    const pools = [...callPools.values(), ...streamPools.values()];
+    await Promise.all(pools.map((pool) => pool.destroy()));
+    callPools.clear();
+    streamPools.clear();
   };
 
   return { call, request, replaceConnections, close };
