--- a/src/node/agent/__tests__/attemptTable.test.ts
+++ b/src/node/agent/__tests__/attemptTable.test.ts
@@ -40,7 +40,7 @@
 
 const runWhole = (table: AttemptTable, requestId: string): void => {
   const attempt = table.admit(createRequest(requestId), READY, 0);
-  table.takeNext(0);
+  table.takeNext(0, 0, 8);
   attempt.start();
   attempt.append({ type: 'data', data });
   attempt.append({ type: 'end', inputTokens: 1, outputTokens: 1 });
@@ -159,7 +159,7 @@
 test('the engine is held back until the entry confirms what it has', async (t) => {
   const table = createTable();
   const attempt = table.admit(createRequest('r'), READY, 0);
-  table.takeNext(0);
+  table.takeNext(0, 0, 8);
   attempt.start();
   let hasRoom = false;
   attempt.append({ type: 'data', data });
