Say nothing of a roll-out turn that a planned stop has overtaken

Cause: dev's Ctrl-C printed 'roll-outs not judged' when the judge's read was under way; the test of dev's output failed on it. Change: a turn that ends after the stop is not logged.

--- a/src/node/control/policy/policyService.ts
+++ b/src/node/control/policy/policyService.ts
@@ -166,6 +166,8 @@
     timer = setTimeout(() => {
       advance()
         .catch((cause) => {
+          // A turn that a planned stop has overtaken is no fault.
+          if (isStopped) return;
           const { step, message } = convertToRouterError(cause, 'policy.judge');
           log.warn({ step, reason: message }, 'roll-outs not judged');
         })
