--- a/src/node/control/members/__tests__/expiry.test.ts
+++ b/src/node/control/members/__tests__/expiry.test.ts
@@ -19,6 +19,7 @@
   address: '127.0.0.1:1',
   bootId: 'boot-1',
   incarnation: 7,
+  mayOverlap: false,
 };
 
 const createParts = (nodes: readonly NodeRecord[], expired: string[]): ControlParts =>
--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -28,6 +28,14 @@
 const CLOSE_IDLE_INTERVAL_MS = 50;
 const HEADER_LIMIT_BYTES = 16 * 1024;
 
+// By default Node looks for slow senders every 30 seconds only, and takes the longer one of the two
+// times for the whole request.
+const resolveSocketLimits = (requestTimeoutMs: number) => ({
+  maxHeaderSize: HEADER_LIMIT_BYTES,
+  connectionsCheckingInterval: 1_000,
+  headersTimeout: requestTimeoutMs,
+});
+
 const TYPE_BY_STATUS: Readonly<Record<number, ErrorType>> = {
   404: 'not_found',
   408: 'timeout',
@@ -97,9 +105,11 @@
 
 /** Creates an HTTP server that answers every error in the wire form. */
 export const createHttpServer = (options: HttpServerOptions = {}): FastifyInstance => {
+  const requestTimeout = options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
+  const socketLimits = resolveSocketLimits(requestTimeout);
   const app = fastify({
     bodyLimit: options.bodyLimitBytes ?? BODY_LIMIT_BYTES,
-    requestTimeout: options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
+    requestTimeout,
     genReqId: options.createRequestId ?? (() => randomUUID()),
     logger: false,
     clientErrorHandler: replyToBrokenClient,
@@ -108,8 +118,8 @@
       reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
     },
     forceCloseConnections: 'idle',
-    http: { maxHeaderSize: HEADER_LIMIT_BYTES },
-    ...(options.tls ? { https: { ...options.tls, maxHeaderSize: HEADER_LIMIT_BYTES } } : {}),
+    http: socketLimits,
+    ...(options.tls ? { https: { ...options.tls, ...socketLimits } } : {}),
   } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
   registerClosing(app);
   app.setErrorHandler((failure, request, reply) => {
