--- /dev/null
+++ b/bench/policy/lateFallBench.ts
@@ -0,0 +1,70 @@
+import { createLearning } from '../../src/node/decisions';
+import type { Rollout } from '../../src/node/view';
+import { createDraws } from './draws';
+import {
+  readTrueMean,
+  sampleByShare,
+  sampleDifficulty,
+  sampleQuality,
+  sampleRating,
+  type World,
+} from './worlds';
+
+const ENTRIES = 3;
+const RATING_SHARE = 0.1;
+const MISSING_SHARE = 0.1;
+const DAY_MS = 86_400_000;
+const MODEL = 'medium';
+
+/** What came of a version that fell a day after its roll-out. */
+export interface LateFallResult {
+  /** Requests between the fall and the first entry's alarm, as a part of a day's; absent without an alarm. */
+  readonly exposure?: number;
+  /** True when the alarm came before the fall. */
+  readonly isFalse: boolean;
+}
+
+/** Runs a finished roll-out whose version falls after one day, for two days in all. */
+export const runLateFall = (world: World, part: number, seed: number): LateFallResult => {
+  const draws = createDraws(seed);
+  const rollout: Rollout = {
+    id: 'late',
+    model: MODEL,
+    from: 'v1',
+    to: 'v2',
+    step: 7,
+    state: 'done',
+    reason: '',
+  };
+  const learnings = Array.from({ length: ENTRIES }, () =>
+    createLearning({ halfLifeMs: DAY_MS, falseBrakeRate: 0.005 }),
+  );
+  const perDay = world.requestsPerDay;
+  for (let index = 0; index < 2 * perDay; index += 1) {
+    const now = (index / perDay) * DAY_MS;
+    const task = sampleByShare(draws, world.tasks);
+    const organisation = sampleByShare(draws, world.organisations);
+    const learning = learnings[Math.floor(draws.uniform() * ENTRIES)]!;
+    const factor = index < perDay ? 1 : 1 - part;
+    const mean = readTrueMean(task, organisation, MODEL) * factor;
+    const quality = sampleQuality(draws, mean, sampleDifficulty(draws));
+    if (draws.uniform() >= RATING_SHARE * (1 - MISSING_SHARE)) continue;
+    learning.record({
+      name: {
+        organisation: organisation.name,
+        task: task.name,
+        model: MODEL,
+        version: rollout.to,
+        isEscalated: false,
+      },
+      isHighValue: task.isHighValue,
+      observation: { type: 'rated', score: sampleRating(draws, quality) },
+      rollout,
+      now,
+    });
+    if (learning.findBrake(rollout) === undefined) continue;
+    if (index < perDay) return { isFalse: true };
+    return { exposure: (index - perDay) / perDay, isFalse: false };
+  }
+  return { isFalse: false };
+};
--- a/bench/policy/queueWorld.ts
+++ b/bench/policy/queueWorld.ts
@@ -24,6 +24,8 @@
   readonly wholeMs: number;
   readonly isDone: boolean;
   readonly servedMs: number;
+  /** Endpoints that it was sent to. */
+  readonly attempts: number;
 }
 
 /** One run of the queueing model. */
@@ -35,8 +37,10 @@
   readonly seed: number;
   /** The live functions, or a plain router: random endpoint, first come first served, no bounds. */
   readonly policy: 'live' | 'plain';
-  /** Seconds after which a third of the endpoints dies. */
+  /** Seconds after which a part of the endpoints dies. */
   readonly killAfterSeconds?: number;
+  /** The part of the endpoints that dies. */
+  readonly killPart?: number;
   /** All organisations ask for the same amount, so that weights alone tell them apart. */
   readonly isFlood?: boolean;
 }
@@ -172,6 +176,7 @@
       wholeMs: now - job.arrivedAt,
       isDone,
       servedMs: isDone ? job.runMs : 0,
+      attempts: job.tried.size,
     });
   };
 
@@ -345,8 +350,8 @@
     if (now < 2 * seconds * SECOND_MS) schedule(REPORT_MS, announceLoads);
   };
 
-  const stopThird = (): void => {
-    const dying = endpoints.slice(0, Math.ceil(endpoints.length / 3));
+  const stopPart = (): void => {
+    const dying = endpoints.slice(0, Math.ceil(endpoints.length * (options.killPart ?? 1 / 3)));
     for (const endpoint of dying) {
       endpoint.isDead = true;
       const lost = [...endpoint.running, ...endpoint.plain.splice(0)];
@@ -360,7 +365,7 @@
   schedule(0, handleArrival);
   schedule(0, announceLoads);
   if (options.killAfterSeconds !== undefined) {
-    schedule(options.killAfterSeconds * SECOND_MS, stopThird);
+    schedule(options.killAfterSeconds * SECOND_MS, stopPart);
   }
   for (;;) {
     const event = removeEvent();
--- a/bench/policy/run.ts
+++ b/bench/policy/run.ts
@@ -1,6 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import { runCostBench, STRATEGY_NAMES, type CostResult } from './costBench';
 import { runExposure, type ExposureResult, type Fall } from './exposureBench';
+import { runLateFall } from './lateFallBench';
 import { runQueueWorld, type QueueRecord } from './queueWorld';
 import { WORLDS, type World } from './worlds';
 
@@ -153,23 +154,51 @@
 };
 
 const printKill = (world: World): void => {
-  const options = { world, load: 0.5, seconds: 90, seed: 1, policy: 'live' } as const;
-  const records = runQueueWorld({ ...options, killAfterSeconds: KILL_AT });
-  const rows = Array.from({ length: 10 }, (_unused, index) => {
-    const second = KILL_AT - 2 + index;
-    const own = records.filter((item) => Math.floor(item.arrivedAt / 1_000) === second);
-    const urgent = own.filter((item) => item.isDone && item.class === 'urgent');
-    const first = urgent.map((item) => item.firstTokenMs);
-    const failed = own.filter((item) => !item.isDone).length;
-    return [second - KILL_AT, own.length, failed, Math.round(computeQuantile(first, 0.95))];
+  const rows = [1 / 3, 1 / 2].flatMap((killPart) => {
+    const options = { world, load: 0.5, seconds: 90, seed: 1, policy: 'live', killPart } as const;
+    const records = runQueueWorld({ ...options, killAfterSeconds: KILL_AT });
+    return Array.from({ length: 10 }, (_unused, index) => {
+      const second = KILL_AT - 2 + index;
+      const own = records.filter((item) => Math.floor(item.arrivedAt / 1_000) === second);
+      const urgent = own.filter((item) => item.isDone && item.class === 'urgent');
+      const first = urgent.map((item) => item.firstTokenMs);
+      const failed = own.filter((item) => !item.isDone).length;
+      const repeated = own.reduce((sum, item) => sum + item.attempts - 1, 0);
+      const slow = Math.round(computeQuantile(first, 0.95));
+      return [killPart.toFixed(2), second - KILL_AT, own.length, failed, repeated, slow];
+    });
   });
-  const head = ['second after the loss', 'requests', 'failed', 'urgent first token 95'];
-  printTable(`A third of the endpoints dies at load 0.5, ${world.name}`, head, rows);
+  const head = ['part lost', 'second after', 'requests', 'failed', 'repeated runs'];
+  const title = `Endpoints die at load 0.5, ${world.name}`;
+  printTable(title, [...head, 'urgent first token 95'], rows);
+};
+
+const LATE_RUNS = 60;
+
+const printLateFalls = (world: World): void => {
+  const rows = [0.3, 0.2, 0.1].map((part) => {
+    const results = Array.from({ length: LATE_RUNS }, (_unused, seed) =>
+      runLateFall(world, part, seed),
+    );
+    const found = results.flatMap((result) =>
+      result.exposure === undefined ? [] : [result.exposure * 100],
+    );
+    return [
+      `${part * 100}%`,
+      `${found.length}/${LATE_RUNS}`,
+      computeQuantile(found, 0.5),
+      computeQuantile(found, 0.95),
+      `${results.filter((result) => result.isFalse).length}/${LATE_RUNS}`,
+    ];
+  });
+  const head = ['fall', 'found', '% of a day until then', '95th', 'alarms on the day before'];
+  printTable(`A version that falls a day after its roll-out, ${world.name}`, head, rows);
 };
 
 const PARTS: Readonly<Record<string, (world: World) => void>> = {
   cost: printCosts,
   exposure: printExposure,
+  late: printLateFalls,
   latency: printLatency,
   fairness: printFairness,
   kill: printKill,
--- a/src/node/decisions/changeDetector.ts
+++ b/src/node/decisions/changeDetector.ts
@@ -16,8 +16,8 @@
 const WARM_UP_SAMPLES = 20;
 /** Half of the smallest change that matters, in standard deviations. */
 const ALLOWANCE = 0.5;
-/** With this limit and allowance a false alarm comes about once in ten thousand observations. */
-const LIMIT = 9;
+/** With this limit and allowance a false alarm comes about once in a million observations. */
+const LIMIT = 12;
 const LARGEST_STEP = 3;
 const SMALLEST_DEVIATION = 0.02;
 /** Observations after which the reference stops moving with the newest ones. */
