Tell a host of its group's forming again, and write the first member list to the log

Fault found by a run of the simulation that loses half of the messages while a group forms: the message that forms it was sent once. A listed blank store that says hello is now told again, and the first leader appends the list.

--- a/src/node/replication/__tests__/brokenRules.test.ts
+++ b/src/node/replication/__tests__/brokenRules.test.ts
@@ -34,7 +34,7 @@
     broken: { readsWithoutQuorum: true },
     runs: mixedArbitrary,
     finds: /a read gave/,
-    path: '16',
+    path: '30',
   },
   {
     title: 'a vote that is not synced',
@@ -48,7 +48,7 @@
     broken: { commitsOlderTerms: true },
     runs: electionArbitrary,
     finds: /two (entries|states)|a committed entry/,
-    path: '42',
+    path: '25',
   },
 ];
 
--- a/src/node/replication/__tests__/core.test.ts
+++ b/src/node/replication/__tests__/core.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
+import { createSimulation } from './simulation';
 import {
   electionArbitrary,
   mixedArbitrary,
@@ -8,6 +9,8 @@
 } from './simulationCommands';
 
 const SEED = 20_261_204;
+const FORM_RUNS = 20;
+const FORM_STEPS = 600;
 const RUNS = Number(process.env.SIMULATION_RUNS ?? 60);
 
 const CASES = [
@@ -30,3 +33,13 @@
     t.log(JSON.stringify(totals));
   });
 }
+
+test('a group that forms while messages are lost has every host as a voter', async (t) => {
+  for (let seed = 1; seed <= FORM_RUNS; seed += 1) {
+    const simulation = createSimulation({ seed, size: 3 });
+    simulation.updateWeather({ loss: 0.5, copies: 0.2, delay: 10 });
+    await simulation.run(FORM_STEPS);
+    await simulation.settle();
+    t.deepEqual(simulation.oracle.violations, [], `seed ${seed}`);
+  }
+});
--- a/src/node/replication/core/election.ts
+++ b/src/node/replication/core/election.ts
@@ -1,4 +1,4 @@
-import { appendAsLeader, createProgress, sendToAll } from './replicate';
+import { appendAsLeader, appendMembers, createProgress, sendToAll } from './replicate';
 import {
   ELECTION_TICKS,
   hasQuorum,
@@ -23,8 +23,11 @@
   for (const member of state.log.members().members) {
     state.progress.set(member.store, createProgress(state));
   }
+  const isFirst = state.log.lastIndex() === 0;
   // An entry of the own term is what lets older entries count as committed.
   appendAsLeader(state, [{ kind: 'noop', id: '', base: 0, data: '' }]);
+  // A host that missed the forming of its group learns the members from the log.
+  if (isFirst) appendMembers(state, state.log.members().members);
   sendToAll(state);
 };
 
--- a/src/node/replication/core/membership.ts
+++ b/src/node/replication/core/membership.ts
@@ -1,4 +1,4 @@
-import { appendAsLeader } from './replicate';
+import { appendMembers } from './replicate';
 import { isSelf, sendLater, type CoreState, type KnownStore } from './state';
 import type { FormBody, HelloAnswerBody, HelloBody, Member, Message, Peer } from './types';
 
@@ -41,6 +41,9 @@
   if (state.role === 'leader' && isOwn) {
     state.hellos.set(from.node, convertToKnown(state, message, groupId === ''));
   }
+  const { members } = state.identity;
+  const hasMissedForm = groupId === '' && members.some((member) => member.store === from.store);
+  if (hasMissedForm) sendLater(state, from, { type: 'form', members });
   const canForm = isBlank(state) && state.identity.canForm;
   sendLater(state, from, { type: 'helloAnswer', isBlank: canForm });
 };
@@ -145,10 +148,6 @@
   return index > state.commit || state.log.findTerm(state.commit) !== state.term;
 };
 
-const appendMembers = (state: CoreState, members: readonly Member[]): void => {
-  appendAsLeader(state, [{ kind: 'members', id: '', base: 0, data: JSON.stringify(members) }]);
-};
-
 /** Takes the next step of membership at the leader: one change at a time. */
 export const advanceMembership = (state: CoreState): void => {
   if (state.role !== 'leader' || hasPendingChange(state)) return;
--- a/src/node/replication/core/replicate.ts
+++ b/src/node/replication/core/replicate.ts
@@ -155,6 +155,11 @@
   state.appended.push(...entries);
 };
 
+/** Appends a member list at the leader; it is in force from then on. */
+export const appendMembers = (state: CoreState, members: readonly Member[]): void => {
+  appendAsLeader(state, [{ kind: 'members', id: '', base: 0, data: JSON.stringify(members) }]);
+};
+
 const findRetryIndex = (state: CoreState, prevIndex: number, prevTerm: number): number => {
   let index = Math.min(state.log.lastIndex(), prevIndex - 1);
   while (index > state.commit && (state.log.findTerm(index) ?? 0) > prevTerm) index -= 1;
