--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -58,6 +58,7 @@
   found.forEach(([, items]) => items.slice(0, SHOWN).forEach((item) => print(`  ${item}`)));
   history.calls
     .filter((call) => call.result.type === 'cut')
+    .sort((a, b) => Number(b.kind === 'deferred') - Number(a.kind === 'deferred'))
     .slice(0, SHOWN)
     .forEach((call) => print(`  cut: ${JSON.stringify(call)}`));
   if (values.logs && found.length > 0)
--- a/src/node/__tests__/cluster/inventory.ts
+++ b/src/node/__tests__/cluster/inventory.ts
@@ -52,6 +52,7 @@
 export const createClusterInventory = (flags: InventoryFlags = DEFAULT_FLAGS): Inventory =>
   inventorySchema.parse({
     zones: [{ name: 'zone-a', region: 'region-a' }],
+    hosts: [{ name: 'agent-1', zone: 'zone-a', address: '127.0.0.1' }],
     models: [
       {
         name: 'small',
--- a/src/node/__tests__/faults/operators.ts
+++ b/src/node/__tests__/faults/operators.ts
@@ -17,6 +17,8 @@
   readonly listSamples: () => readonly ConfigSample[];
   readonly listWithdrawals: () => readonly Removal[];
   readonly listLeavings: () => readonly Removal[];
+  /** Changes that control took for invalid: a fault of the test itself. */
+  readonly listRefusals: () => readonly string[];
 }
 
 const OPERATORS = 2;
@@ -39,6 +41,7 @@
   const samples: ConfigSample[] = [];
   const withdrawals: Removal[] = [];
   const leavings: Removal[] = [];
+  const refusals: string[] = [];
   let startedAt = 0;
   let nextMark = 1;
 
@@ -92,6 +95,7 @@
       const { status } = await cluster.callAdmin(readControl(), 'PUT', '/admin/inventory', body);
       if (status === 200) answer = 'accepted';
       if (status === 409) answer = 'conflict';
+      if (status === 400) refusals.push(`change-${mark} was refused as invalid`);
     } catch {
       answer = 'unknown';
     }
@@ -144,5 +148,6 @@
     listSamples: () => samples,
     listWithdrawals: () => withdrawals,
     listLeavings: () => leavings,
+    listRefusals: () => refusals,
   };
 };
--- a/src/node/__tests__/faults/runSchedule.ts
+++ b/src/node/__tests__/faults/runSchedule.ts
@@ -138,7 +138,8 @@
     (item) => [item.node, item.readLog().slice(-LOG_CHARACTERS)] as const,
   );
   const failures = faults.flatMap(({ failure }) => (failure === undefined ? [] : [failure]));
-  return { history, failures, logs: new Map(logs) };
+  const refusals = operators.listRefusals();
+  return { history, failures: [...failures, ...refusals], logs: new Map(logs) };
 };
 
 /** Runs a schedule on a cluster of its own and collects the history; `leaseMs` breaks its bound. */
