--- a/src/node/__tests__/history.test.ts
+++ b/src/node/__tests__/history.test.ts
@@ -130,6 +130,12 @@
   });
 });
 
+test('a deferred call that was never accepted is not dropped', (t) => {
+  const result = { type: 'cut', reason: 'connection refused' } as const;
+  const refused = { ...CALL, operation: 'op-2', requestId: '', kind: 'deferred', result } as const;
+  t.deepEqual(listFound({ ...GOOD, calls: [CALL, refused], faults: [] }), []);
+});
+
 const MORE_BROKEN: Readonly<Record<string, readonly [keyof typeof CHECKS, Partial<History>]>> = {
   'a run without a bill': ['each request that ran is billed once', { bills: [] }],
   'a bill without a run': [
--- a/src/node/__tests__/history/checks.ts
+++ b/src/node/__tests__/history/checks.ts
@@ -161,6 +161,8 @@
 const checkDeferred = (history: History): readonly Violation[] =>
   history.calls
     .filter((call) => call.kind === 'deferred' && call.result.type === 'cut')
+    // A call that never got its 202 was not accepted and has no request id.
+    .filter((call) => call.requestId !== '')
     .map((call) => `${call.operation} was accepted for later and never ended`);
 
 const FIRST_STATE = { revision: 1, mark: 0 } as const;
