--- a/src/node/entry/chatRoutes.ts
+++ b/src/node/entry/chatRoutes.ts
@@ -92,8 +92,8 @@
       done(null, body),
     );
     scope.post(CHAT_PATH, async (request, reply) => {
-      const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
       checkReady(parts);
+      const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
       const runRequest = createChatRequest(parts, request, reply, organisation);
       if (runRequest.isDeferred) return deferRequest(parts, reply, runRequest);
       return sendAnswer(reply, request.id, await parts.runner.run(runRequest));
--- a/src/node/entry/requestRoutes.ts
+++ b/src/node/entry/requestRoutes.ts
@@ -2,7 +2,7 @@
 import { createError } from '../errors';
 import type { RequestRecord } from '../ledger';
 import { findOrganisation } from './authorise';
-import type { CallerApiParts } from './replies';
+import { checkReady, type CallerApiParts } from './replies';
 import type { RunRequest } from './runTypes';
 import { computeBodyHash } from './settlement';
 
@@ -77,6 +77,7 @@
 /** Registers `GET /v1/requests/:id`. */
 export const registerRequestRoutes = (app: FastifyInstance, parts: CallerApiParts): void => {
   app.get('/v1/requests/:id', async (request) => {
+    checkReady(parts);
     const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
     const { id } = request.params as { readonly id: string };
     const record = await parts.ledger.find(organisation.name, id);
--- a/src/node/entry/serviceRoutes.ts
+++ b/src/node/entry/serviceRoutes.ts
@@ -125,8 +125,8 @@
       done(null, body),
     );
     scope.all('/v1/services/:service/*', async (request, reply) => {
-      const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
       checkReady(parts);
+      const organisation = findOrganisation(parts.lease.view, request.headers.authorization);
       const runRequest = createServiceRequest(parts, request, reply, organisation);
       return sendAnswer(reply, request.id, await parts.runner.run(runRequest));
     });
