Use one rpc service in every role, also for the policy's calls between control hosts

Found on a last read: three roles each defined the same rpc service, and the policy service beside them made a client of its own with the secret alone. With TLS on the internal ports that client spoke plain HTTP, so a follower could not have passed an entry's counts and demand on to the leader. Change: createRpcService stands once in src/node/rpc; the policy service needs 'rpc' like the others. The whole suite was not run after this change.

--- a/src/node/agent/agentServices.ts
+++ b/src/node/agent/agentServices.ts
@@ -3,7 +3,7 @@
 import { createLedgerClient } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import { createInternalServer, type Metrics } from '../metrics';
-import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
+import { createHttpServer, createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { resolveRpcOptions, type AgentConfig } from '../settings';
 import { createAnnouncementStore } from './announcements';
 import { createEndpointAnnouncer } from './endpointAnnouncer';
@@ -12,15 +12,6 @@
 import { createUsageReporter, type UsageReporter } from './usageReporter';
 import { createAgentMethods, registerAnnounceRoute, registerAttemptRoutes } from './agentServer';
 
-const createRpcService = (settings: AgentConfig): Service => ({
-  name: 'rpc',
-  needs: [],
-  start: () => {
-    const value = createRpcClient(resolveRpcOptions(settings));
-    return { value, stop: value.close };
-  },
-});
-
 const createRecordingReporter = (
   reporter: Pick<UsageReporter, 'add'>,
   metrics: Metrics,
@@ -101,6 +92,6 @@
 
 /** The services of the `agent` role. */
 export const createAgentServices = (settings: AgentConfig): readonly Service[] => [
-  createRpcService(settings),
+  createRpcService(resolveRpcOptions(settings)),
   createAgentService(settings),
 ];
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -4,7 +4,7 @@
 import { createPartLogger, type Logger } from '../log';
 import { createInternalServer, type Metrics } from '../metrics';
 import { createReplicationHost, registerReplaceRoute, type ReplicationHost } from '../replication';
-import { createHttpServer, createRpcClient, startHttpServer, type RpcClient } from '../rpc';
+import { createHttpServer, createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { resolveRpcOptions, type ControlConfig } from '../settings';
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
@@ -22,15 +22,6 @@
 
 const DISK_FAILURE_EXIT = 1;
 
-const createRpcService = (settings: ControlConfig): Service => ({
-  name: 'rpc',
-  needs: [],
-  start: () => {
-    const value = createRpcClient(resolveRpcOptions(settings));
-    return { value, stop: value.close };
-  },
-});
-
 const createReplicationService = (settings: ControlConfig): Service => ({
   name: 'replication',
   needs: ['rpc', 'log'],
@@ -120,20 +111,14 @@
 
 const createPolicyControlService = (settings: ControlConfig): Service => ({
   name: 'policy',
-  needs: ['groups'],
+  needs: ['groups', 'rpc'],
   start: (find) => {
     const parts = find<ControlParts>('groups');
-    const rpc = createRpcClient({ secret: settings.secrets.internal });
+    const rpc = find<RpcClient>('rpc');
     const findLeaderAddress = createFindLeader(parts, settings);
     const value = createPolicyService({ parts, rpc, findLeaderAddress });
     value.start();
-    return {
-      value,
-      stop: async () => {
-        value.stop();
-        await rpc.close();
-      },
-    };
+    return { value, stop: value.stop };
   },
 });
 
@@ -206,7 +191,7 @@
 
 /** The services of the `control` role. */
 export const createControlServices = (settings: ControlConfig): readonly Service[] => [
-  createRpcService(settings),
+  createRpcService(resolveRpcOptions(settings)),
   createReplicationService(settings),
   createGroupsService(settings),
   createMembersService(settings),
--- a/src/node/entry/entryServices.ts
+++ b/src/node/entry/entryServices.ts
@@ -8,7 +8,7 @@
 import { createInternalServer, type Metrics } from '../metrics';
 import {
   createHttpServer,
-  createRpcClient,
+  createRpcService,
   registerHealthRoutes,
   startHttpServer,
   type RpcClient,
@@ -42,15 +42,6 @@
   return () => unsafeUniformIntDistribution(0, DRAW_STEPS - 1, generator) / DRAW_STEPS;
 };
 
-const createRpcService = (settings: EntryConfig): Service => ({
-  name: 'rpc',
-  needs: [],
-  start: () => {
-    const value = createRpcClient(resolveRpcOptions(settings));
-    return { value, stop: value.close };
-  },
-});
-
 interface DecisionContext {
   readonly rpc: RpcClient;
   readonly lease: LeaseClient;
@@ -222,6 +213,6 @@
 
 /** The services of the `entry` role. */
 export const createEntryServices = (settings: EntryConfig): readonly Service[] => [
-  createRpcService(settings),
+  createRpcService(resolveRpcOptions(settings)),
   createEntryService(settings),
 ];
--- a/src/node/rpc/index.ts
+++ b/src/node/rpc/index.ts
@@ -3,3 +3,4 @@
 export * from './httpServer';
 export * from './healthRoutes';
 export * from './adminClient';
+export * from './rpcService';
