--- a/src/node/__tests__/faults/runSchedule.ts
+++ b/src/node/__tests__/faults/runSchedule.ts
@@ -139,7 +139,9 @@
   );
   const failures = faults.flatMap(({ failure }) => (failure === undefined ? [] : [failure]));
   const refusals = operators.listRefusals();
-  return { history, failures: [...failures, ...refusals], logs: new Map(logs) };
+  const open = bills.filter((bill) => !bill.final);
+  const allLogs = new Map([...logs, ['open bills', JSON.stringify(open)]]);
+  return { history, failures: [...failures, ...refusals], logs: allLogs };
 };
 
 /** Runs a schedule on a cluster of its own and collects the history; `leaseMs` breaks its bound. */
--- a/src/node/cli/commands/dev.ts
+++ b/src/node/cli/commands/dev.ts
@@ -3,7 +3,7 @@
 import { createRootLogger } from '../../log';
 import { createCommand, textFlag } from '../command';
 import { EXIT_CODES } from '../exitCodes';
-import { registerSignals } from '../runRole';
+import { registerSignals } from '../../process';
 
 const DEV_PORT = 8_080;
 const MAX_PORT = 65_535;
--- a/src/node/cli/exitCodes.ts
+++ b/src/node/cli/exitCodes.ts
@@ -1,14 +1,13 @@
 import type { ErrorType, RouterError } from '../errors';
+import { SIGNAL_EXIT_CODES } from '../process';
 
 /** Exit codes of the command line. */
 export const EXIT_CODES = {
-  ok: 0,
-  failed: 1,
+  ...SIGNAL_EXIT_CODES,
   usage: 2,
   invalid: 3,
   conflict: 4,
   unreachable: 5,
-  interrupted: 130,
 } as const;
 
 /** What each exit code says, for `--help` and the docs. */
--- a/src/node/cli/runRole.ts
+++ b/src/node/cli/runRole.ts
@@ -2,9 +2,9 @@
 import { createAgentServices } from '../agent';
 import { createControlServices } from '../control';
 import { createEntryServices } from '../entry';
-import { createKernel, type Kernel, type Service } from '../kernel';
-import { createRootLogger, type Logger } from '../log';
-import { createMetrics } from '../metrics';
+import type { Service } from '../kernel';
+import { createRootLogger } from '../log';
+import { startServices } from '../process';
 import {
   agentSettingsSchema,
   controlSettingsSchema,
@@ -39,31 +39,9 @@
       .map((config) => ({ ...config, services: createControlServices(config) })),
 };
 
-/** Stops on the first SIGTERM or SIGINT, and ends at once on the second. */
-export const registerSignals = (stop: () => Promise<void>): void => {
-  let isStopping = false;
-  const handleSignal = (): void => {
-    if (isStopping) process.exit(EXIT_CODES.interrupted);
-    isStopping = true;
-    stop().then(
-      () => process.exit(EXIT_CODES.ok),
-      () => process.exit(EXIT_CODES.failed),
-    );
-  };
-  process.on('SIGTERM', handleSignal);
-  process.on('SIGINT', handleSignal);
-};
-
-const createSharedServices = (role: Role, log: Logger): readonly Service[] => [
-  { name: 'log', needs: [], start: () => ({ value: log }) },
-  { name: 'metrics', needs: [], start: () => ({ value: createMetrics(role) }) },
-];
-
 const runKernel = async (role: Role, resolved: ResolvedRole, io: CliIo): Promise<void> => {
   const log = createRootLogger({ level: resolved.logLevel, node: resolved.node });
-  const kernel: Kernel = createKernel([...createSharedServices(role, log), ...resolved.services]);
-  registerSignals(kernel.stop);
-  await kernel.start();
+  await startServices(role, log, resolved.services);
   io.writeOut(`${role} ${resolved.node} ready\n`);
 };
 
--- /dev/null
+++ b/src/node/decisions/chooseModelRun.ts
@@ -0,0 +1,41 @@
+// Load pattern: easy and hard requests mixed, whose hardness nobody tells beforehand; a small model
+// answers the easy ones at a tenth of the price and says how sure it is before its first token.
+
+/** What is known when a model has to be named. */
+export interface ModelQuestion {
+  /** Models that may answer, smallest first. */
+  readonly models: readonly string[];
+  /** Model of the answer that was dropped, if any. */
+  readonly dropped: string | undefined;
+}
+
+/** What is known when a model's answer begins. */
+export interface ConfidenceQuestion {
+  readonly models: readonly string[];
+  readonly model: string;
+  /** The model's own opinion of its answer, 0 to 100; absent when it has none. */
+  readonly confidence: number | undefined;
+  /** Attempts that the route still allows. */
+  readonly attemptsLeft: number;
+  /** Whether the budget of repeated work allows another run. */
+  readonly hasBudget: boolean;
+  /** Milliseconds left until the answer would be late. */
+  readonly timeLeftMs: number;
+}
+
+/** Below this opinion a small model's answers are mostly not good enough; from trials on both sites. */
+const CONFIDENCE_FLOOR = 60;
+/** A larger model needs about this long to its first token, in milliseconds. */
+const SECOND_RUN_MS = 500;
+
+/** Chooses the model of the next run: the smallest first, the largest after a doubtful answer. */
+export const chooseModelRun = ({ models, dropped }: ModelQuestion): string | undefined =>
+  dropped === undefined ? models[0] : models.at(-1);
+
+/** Says whether an answer that has just begun shall be dropped for one of the largest model. */
+export const isAnswerDoubtful = (question: ConfidenceQuestion): boolean => {
+  const { models, model, confidence, attemptsLeft, hasBudget, timeLeftMs } = question;
+  if (confidence === undefined || confidence >= CONFIDENCE_FLOOR) return false;
+  const isLargest = model === models.at(-1);
+  return !isLargest && attemptsLeft > 0 && hasBudget && timeLeftMs > SECOND_RUN_MS;
+};
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -16,3 +16,8 @@
 export * from './rollout';
 export * from './sequentialTest';
 export * from './tally';
+export * from './serviceRollout';
+export * from './placeRequest';
+export * from './chooseModelRun';
+export * from './windowBudget';
+export * from './chooseServiceVersion';
--- /dev/null
+++ b/src/node/gateway/deadline.ts
@@ -0,0 +1,18 @@
+/** The outcome of a wait that has a limit. */
+export type Limited<T> = { readonly type: 'done'; readonly value: T } | { readonly type: 'late' };
+
+/** Waits for a promise, at most `timeoutMs` milliseconds. The promise itself goes on. */
+export const waitAtMost = <T>(promise: Promise<T>, timeoutMs: number): Promise<Limited<T>> =>
+  new Promise((resolve, reject) => {
+    const timer = setTimeout(() => resolve({ type: 'late' }), Math.max(0, timeoutMs));
+    promise.then(
+      (value) => {
+        clearTimeout(timer);
+        resolve({ type: 'done', value });
+      },
+      (cause: unknown) => {
+        clearTimeout(timer);
+        reject(cause as Error);
+      },
+    );
+  });
--- /dev/null
+++ b/src/node/gateway/eventReader.ts
@@ -0,0 +1,50 @@
+/** One whole event of a stream with its bytes as they came. */
+export interface StreamEvent {
+  readonly bytes: Buffer;
+  /** The event's id; absent when it has none. */
+  readonly id: string | undefined;
+}
+
+/** Cuts a stream of bytes into whole events; the bytes themselves stay as they are. */
+export interface EventReader {
+  /** Takes a piece and gives the events that it completes. */
+  readonly add: (piece: Buffer) => readonly StreamEvent[];
+  /** Bytes of an event that is not complete yet. */
+  readonly countPending: () => number;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_LINE = /^id: ?(.*)$/m;
+
+const parseId = (bytes: Buffer): string | undefined =>
+  ID_LINE.exec(bytes.toString('latin1'))?.[1]?.trim();
+
+// An event ends with an empty line; lines end with a line feed, perhaps after a carriage return.
+const findEventEnd = (bytes: Buffer, from: number): number => {
+  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
+    const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
+    if (bytes[next] === LINE_FEED) return next + 1;
+  }
+  return -1;
+};
+
+/** Creates a reader without any bytes. */
+export const createEventReader = (): EventReader => {
+  let pending: Buffer = Buffer.alloc(0);
+  return {
+    add: (piece) => {
+      pending = pending.length === 0 ? piece : Buffer.concat([pending, piece]);
+      const events: StreamEvent[] = [];
+      let start = 0;
+      for (let end = findEventEnd(pending, 0); end >= 0; end = findEventEnd(pending, start)) {
+        const bytes = pending.subarray(start, end);
+        events.push({ bytes, id: parseId(bytes) });
+        start = end;
+      }
+      pending = pending.subarray(start);
+      return events;
+    },
+    countPending: () => pending.length,
+  };
+};
--- /dev/null
+++ b/src/node/gateway/gatewayServices.ts
@@ -0,0 +1,205 @@
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+import fastify, { type FastifyInstance } from 'fastify';
+import { createWindowBudget, type WindowBudget } from '../decisions';
+import type { Service } from '../kernel';
+import { createPartLogger, type Logger } from '../log';
+import { createInternalServer, type Metrics } from '../metrics';
+import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
+import { createCallerServer, updateTimeouts } from './callerServer';
+import { createEndpointChooser } from './endpointChoice';
+import { createEndpointLoads } from './endpointLoads';
+import { startEndpointAttempt } from './endpointAttempt';
+import { createExchangeRunner, type ExchangeRunner } from './exchange';
+import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
+import { createLeaseClock } from './leaseClock';
+import { createRegistryView, type RegistryView } from './registryView';
+import { createRoutingView, type RoutingView } from './routingView';
+import { createSessionVersions, type SessionVersions } from './sessionVersions';
+import type { GatewaySettings } from './settings';
+import type { HeaderCodec } from './types';
+import { createVersionTallies, type VersionTallies } from './versionTallies';
+
+const HOUSEKEEPING_INTERVAL_MS = 500;
+/** The balancer asks once a second and needs two misses before it sends callers elsewhere. */
+const ROTATION_MS = 3_000;
+/** Time kept back for the end of the process itself. */
+const EXIT_RESERVE_MS = 600;
+const STOP_POLL_MS = 20;
+
+/** What a stop goes through, in the view of the servers. */
+interface GatewayState {
+  isStopping: boolean;
+}
+
+const readNow = (): number => performance.now();
+
+const createViewsServices = (settings: GatewaySettings): readonly Service[] => [
+  {
+    name: 'tallies',
+    needs: [],
+    start: () => ({ value: createVersionTallies() }),
+  },
+  {
+    name: 'routing-view',
+    needs: ['rpc', 'log', 'tallies'],
+    start: (find) => {
+      const value = createRoutingView({
+        gateway: settings.node,
+        controlHosts: settings.controlHosts,
+        leaseMs: settings.bounds.leaseMs,
+        rpc: find<RpcClient>('rpc'),
+        clock: createLeaseClock(),
+        log: createPartLogger(find<Logger>('log'), 'lease'),
+        listTallies: find<VersionTallies>('tallies').list,
+      });
+      value.start();
+      return { value, stop: value.stop };
+    },
+  },
+  {
+    name: 'registry-view',
+    needs: ['rpc', 'log', 'routing-view'],
+    start: (find) => {
+      const value = createRegistryView({
+        rpc: find<RpcClient>('rpc'),
+        log: createPartLogger(find<Logger>('log'), 'gateway'),
+        listControlHosts: find<RoutingView>('routing-view').listControlHosts,
+      });
+      value.start();
+      return { value, stop: value.stop };
+    },
+  },
+];
+
+const createFindBudget = ({ bounds }: GatewaySettings): ((service: string) => WindowBudget) => {
+  const budgets = new Map<string, WindowBudget>();
+  return (service) => {
+    const known = budgets.get(service);
+    if (known) return known;
+    const created = createWindowBudget({
+      ratio: bounds.repeatRatio,
+      slack: bounds.repeatSlack,
+      windowMs: bounds.repeatWindowMs,
+    });
+    budgets.set(service, created);
+    return created;
+  };
+};
+
+const createRunnerService = (settings: GatewaySettings, codec: HeaderCodec): Service => ({
+  name: 'runner',
+  needs: ['routing-view', 'registry-view', 'tallies', 'gateway-metrics', 'log'],
+  start: (find) => {
+    const { zone, bounds } = settings;
+    const loads = createEndpointLoads();
+    const sessions: SessionVersions = createSessionVersions(bounds.sessionMs);
+    const timer = setInterval(() => sessions.expire(readNow()), HOUSEKEEPING_INTERVAL_MS);
+    const value = createExchangeRunner({
+      codec,
+      loads,
+      sessions,
+      chooser: createEndpointChooser({
+        zone,
+        loads,
+        sessions,
+        registry: find<RegistryView>('registry-view'),
+        sessionMs: bounds.sessionMs,
+        exposureShare: bounds.exposureShare,
+      }),
+      tallies: find<VersionTallies>('tallies'),
+      metrics: find<GatewayMetrics>('gateway-metrics'),
+      log: createPartLogger(find<Logger>('log'), 'gateway'),
+      readFacts: find<RoutingView>('routing-view').read,
+      findBudget: createFindBudget(settings),
+      startAttempt: (target) => startEndpointAttempt(target, codec.decodeAnswer),
+      readNow,
+    });
+    return { value, stop: () => clearInterval(timer) };
+  },
+});
+
+const createReadyServer = (settings: GatewaySettings, isReady: () => boolean): FastifyInstance => {
+  const app = fastify({ logger: false });
+  app.get(settings.readyPath, async (_request, reply) => reply.code(isReady() ? 200 : 503).send());
+  return app;
+};
+
+// Callers go on coming until the balancer has noticed, and work under way is let finish.
+const drainGateway = async (
+  runner: ExchangeRunner,
+  graceMs: number,
+  startedAt: number,
+): Promise<void> => {
+  const endAt = startedAt + graceMs - EXIT_RESERVE_MS;
+  while (readNow() < endAt) {
+    if (readNow() - startedAt >= ROTATION_MS && runner.countActive() === 0) return;
+    await sleep(STOP_POLL_MS);
+  }
+};
+
+const createServersService = (settings: GatewaySettings, codec: HeaderCodec): Service => ({
+  name: 'gateway-servers',
+  needs: ['runner', 'routing-view', 'registry-view', 'metrics', 'gateway-metrics', 'log'],
+  start: async (find) => {
+    const log = createPartLogger(find<Logger>('log'), 'gateway');
+    const view = find<RoutingView>('routing-view');
+    const registry = find<RegistryView>('registry-view');
+    const runner = find<ExchangeRunner>('runner');
+    const state: GatewayState = { isStopping: false };
+    const isReady = (): boolean =>
+      !state.isStopping && view.read() !== undefined && registry.hasAnswer();
+    const callers = createCallerServer({
+      codec,
+      runner,
+      log,
+      readNow,
+      metrics: find<GatewayMetrics>('gateway-metrics'),
+      readFacts: view.read,
+      countFactsAge: view.countAge,
+      isClosing: () => state.isStopping,
+    });
+    const ready = createReadyServer(settings, isReady);
+    const internal = createInternalServer({
+      methods: {},
+      secret: settings.secret,
+      tls: undefined,
+      metrics: find<Metrics>('metrics'),
+      isReady,
+      readRevision: () => view.read()?.revision ?? -1,
+    });
+    const address = await startHttpServer(callers, settings.listen);
+    await startHttpServer(ready, settings.readyListen);
+    await startHttpServer(internal, settings.internalListen);
+    const timer = setInterval(() => {
+      const facts = view.read();
+      if (facts) updateTimeouts(callers, facts);
+    }, HOUSEKEEPING_INTERVAL_MS);
+    log.info({ address, zone: settings.zone, controlHosts: settings.controlHosts }, 'listening');
+    const stop = async (): Promise<void> => {
+      const startedAt = readNow();
+      state.isStopping = true;
+      log.info({ active: runner.countActive() }, 'stopping');
+      await drainGateway(runner, settings.bounds.graceMs, startedAt);
+      clearInterval(timer);
+      log.info({ left: runner.countActive() }, 'stopped');
+    };
+    return { value: { address }, stop };
+  },
+});
+
+/** The services of a gateway. */
+export const createGatewayServices = (
+  settings: GatewaySettings,
+  codec: HeaderCodec,
+): readonly Service[] => [
+  createRpcService({ secret: settings.secret }),
+  {
+    name: 'gateway-metrics',
+    needs: ['metrics'],
+    start: (find) => ({ value: createGatewayMetrics(find<Metrics>('metrics').registry) }),
+  },
+  ...createViewsServices(settings),
+  createRunnerService(settings, codec),
+  createServersService(settings, codec),
+];
--- /dev/null
+++ b/src/node/gateway/index.ts
@@ -0,0 +1,3 @@
+export * from './types';
+export * from './settings';
+export * from './gatewayServices';
--- /dev/null
+++ b/src/node/gateway/readBody.ts
@@ -0,0 +1,25 @@
+import type { IncomingMessage } from 'node:http';
+import { Left, Right, type Either } from 'purify-ts';
+
+/** Why a body could not be read. */
+export type BodyFailure = 'too_large' | 'broken';
+
+/** Reads a request's body whole, so that it may be sent again. */
+export const readBody = async (
+  message: IncomingMessage,
+  limitBytes: number,
+): Promise<Either<BodyFailure, Buffer>> => {
+  const pieces: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const piece of message) {
+      size += (piece as Buffer).length;
+      if (size > limitBytes) return Left('too_large');
+      pieces.push(piece as Buffer);
+    }
+  } catch {
+    // The caller has gone; its connection tells nobody the reason.
+    return Left('broken');
+  }
+  return message.complete ? Right(Buffer.concat(pieces)) : Left('broken');
+};
--- /dev/null
+++ b/src/node/gateway/registryView.ts
@@ -0,0 +1,176 @@
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { convertToRouterError } from '../errors';
+import type { Logger } from '../log';
+import { mergeRecords, type EndpointRecord, type KnownEndpoint } from '../registry';
+import type { RegistryAnswer } from '../routingControl';
+import type { RpcClient } from '../rpc';
+
+/** The endpoints that report to any control host. */
+export interface RegistryView {
+  /** Endpoints of a service, those that take no new work included. */
+  readonly listEndpoints: (service: string) => readonly KnownEndpoint[];
+  readonly findEndpoint: (id: string) => KnownEndpoint | undefined;
+  /** Whether any control host has answered. */
+  readonly hasAnswer: () => boolean;
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+/** Parts of a registry view. */
+export interface RegistryViewOptions {
+  readonly rpc: Pick<RpcClient, 'call'>;
+  readonly log: Logger;
+  readonly listControlHosts: () => readonly string[];
+}
+
+interface EndedRecord {
+  readonly record: EndpointRecord;
+  readonly seenAt: number;
+}
+
+interface HostState {
+  bootId: string;
+  revision: number;
+  records: Map<string, EndpointRecord>;
+  isReachable: boolean;
+}
+
+/** A watch waits this long for news. */
+const WATCH_WAIT_MS = 1_000;
+/** Time beyond the wait after which a control host counts as silent. */
+const WATCH_GRACE_MS = 600;
+const RETRY_PAUSE_MS = 200;
+const WATCH_PAUSE_MS = 20;
+/** A report may arrive some seconds late, long before this. */
+const ENDED_RETENTION_MS = 60_000;
+/** How often new control hosts are looked for. */
+const HOSTS_INTERVAL_MS = 250;
+
+const formatIncarnation = ({ report }: EndpointRecord): string => `${report.id}|${report.startedAt}`;
+
+const groupByService = (
+  endpoints: readonly KnownEndpoint[],
+): ReadonlyMap<string, readonly KnownEndpoint[]> => {
+  const groups = new Map<string, KnownEndpoint[]>();
+  for (const endpoint of endpoints) {
+    const { service } = endpoint.report;
+    const group = groups.get(service);
+    if (group) group.push(endpoint);
+    else groups.set(service, [endpoint]);
+  }
+  return groups;
+};
+
+/** Creates the view; every control host is watched, since each holds what reported to it. */
+export const createRegistryView = (options: RegistryViewOptions): RegistryView => {
+  const { rpc, log, listControlHosts } = options;
+  const hosts = new Map<string, HostState>();
+  /** Incarnations that were seen leaving, which a host that restarted may not know of. */
+  const ended = new Map<string, EndedRecord>();
+  let byService: ReadonlyMap<string, readonly KnownEndpoint[]> = new Map();
+  let byId: ReadonlyMap<string, KnownEndpoint> = new Map();
+  let hasAnswer = false;
+  let isStopped = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  const logChanges = (next: readonly KnownEndpoint[]): void => {
+    const nextById = new Map(next.map((endpoint) => [endpoint.report.id, endpoint]));
+    for (const [id, endpoint] of nextById) {
+      const before = byId.get(id);
+      if (before?.isReady === endpoint.isReady) continue;
+      const { service, address, zone, version, startedAt, sequence } = endpoint.report;
+      const { isReady } = endpoint;
+      log.info(
+        { endpoint: id, service, address, zone, version, startedAt, sequence, isReady },
+        'endpoint known',
+      );
+    }
+    for (const id of byId.keys()) {
+      if (!nextById.has(id)) log.info({ endpoint: id }, 'endpoint gone');
+    }
+  };
+
+  const mergeAll = (): void => {
+    const lists = [...hosts.values()].map(({ records }) => [...records.values()]);
+    const next = mergeRecords([...lists, [...ended.values()].map(({ record }) => record)]);
+    logChanges(next);
+    byService = groupByService(next);
+    byId = new Map(next.map((endpoint) => [endpoint.report.id, endpoint]));
+  };
+
+  const applyAnswer = (state: HostState, answer: RegistryAnswer): void => {
+    hasAnswer = true;
+    state.bootId = answer.bootId;
+    state.revision = answer.revision;
+    if (answer.isWhole) state.records.clear();
+    for (const record of answer.records) {
+      state.records.set(record.report.id, record);
+      if (record.state === 'gone' || record.state === 'draining') {
+        ended.set(formatIncarnation(record), { record, seenAt: performance.now() });
+      }
+    }
+    if (answer.isWhole || answer.records.length > 0) mergeAll();
+  };
+
+  const logReachable = (host: string, state: HostState, isReachable: boolean): void => {
+    if (state.isReachable === isReachable) return;
+    state.isReachable = isReachable;
+    if (isReachable) log.info({ peer: host }, 'control host answers');
+    else log.warn({ peer: host }, 'control host does not answer');
+  };
+
+  const watchOnce = async (host: string, state: HostState): Promise<void> => {
+    const { bootId, revision } = state;
+    const params = { bootId, revision, waitMs: WATCH_WAIT_MS };
+    const timeoutMs = WATCH_WAIT_MS + WATCH_GRACE_MS;
+    const answer = await rpc.call<RegistryAnswer>(host, 'registry.watch', params, { timeoutMs });
+    if (isStopped) return;
+    logReachable(host, state, answer.isRight());
+    answer.ifRight((value) => applyAnswer(state, value));
+    await sleep(answer.isRight() ? WATCH_PAUSE_MS : RETRY_PAUSE_MS);
+  };
+
+  const run = async (host: string, state: HostState): Promise<void> => {
+    while (!isStopped && hosts.get(host) === state) await watchOnce(host, state);
+  };
+
+  const expireEnded = (): void => {
+    const oldest = performance.now() - ENDED_RETENTION_MS;
+    for (const [name, { seenAt }] of ended) {
+      if (seenAt < oldest) ended.delete(name);
+    }
+  };
+
+  const updateHosts = (): void => {
+    expireEnded();
+    const listed = listControlHosts();
+    for (const host of hosts.keys()) {
+      if (!listed.includes(host)) hosts.delete(host);
+    }
+    for (const host of listed) {
+      if (hosts.has(host)) continue;
+      const state: HostState = { bootId: '', revision: -1, records: new Map(), isReachable: true };
+      hosts.set(host, state);
+      run(host, state).catch((cause: unknown) => {
+        hosts.delete(host);
+        const error = convertToRouterError(cause, 'gateway.registry', host);
+        log.error({ peer: host, err: error }, 'the watch of endpoints ended, it begins anew');
+      });
+    }
+  };
+
+  return {
+    listEndpoints: (service) => byService.get(service) ?? [],
+    findEndpoint: (id) => byId.get(id),
+    hasAnswer: () => hasAnswer,
+    start: () => {
+      updateHosts();
+      timer = setInterval(updateHosts, HOSTS_INTERVAL_MS);
+    },
+    stop: () => {
+      isStopped = true;
+      clearInterval(timer);
+    },
+  };
+};
--- /dev/null
+++ b/src/node/gateway/relayAnswer.ts
@@ -0,0 +1,262 @@
+import { isAnswerDoubtful, type WindowBudget } from '../decisions';
+import type { EndpointReport } from '../registry';
+import { waitAtMost } from './deadline';
+import { createEventReader } from './eventReader';
+import type { Exchange, ExchangeParts } from './exchangeTypes';
+import type { RoutingFacts } from './routingView';
+import type { AnswerHead, EndpointAttempt } from './types';
+
+/** One attempt of a request at an endpoint. */
+export interface AttemptContext {
+  readonly parts: ExchangeParts;
+  readonly exchange: Exchange;
+  readonly facts: RoutingFacts;
+  readonly endpoint: EndpointReport;
+  readonly model: string | undefined;
+  readonly attempt: EndpointAttempt;
+  /** Steady time in milliseconds. */
+  readonly startedAt: number;
+  readonly budget: WindowBudget;
+}
+
+/** What became of an attempt: the caller has its answer, or another attempt may follow. */
+export type AttemptResult =
+  | { readonly type: 'done'; readonly status: number }
+  | { readonly type: 'again' };
+
+/** An endpoint that says nothing for this many times the target latency is given up for another. */
+const SILENCE_FACTOR = 2;
+/** A stream that pauses for this many times the longest good pause is resumed elsewhere. */
+const STALL_FACTOR = 1.5;
+/** Longest good pause in milliseconds where a route states none. */
+const DEFAULT_GAP_MS = 1_500;
+
+const AGAIN: AttemptResult = { type: 'again' };
+
+const recordFailure = (context: AttemptContext, reason: string, mayHaveRun: boolean): void => {
+  const { parts, exchange, endpoint, model, startedAt } = context;
+  const now = parts.readNow();
+  exchange.tried.add(endpoint.id);
+  exchange.reason = reason;
+  if (mayHaveRun) exchange.mayHaveRun = true;
+  parts.metrics.attempts.inc({ service: endpoint.service, result: 'failed' });
+  parts.loads.recordOutcome(endpoint.id, 'failed', now);
+  const task = `${exchange.request.route.name}/${model ?? ''}`;
+  if (mayHaveRun) {
+    const { service, version } = endpoint;
+    parts.tallies.record({ service, version, task }, { type: 'failed' });
+  }
+  parts.log.info(
+    {
+      request: exchange.request.caller.requestId,
+      endpoint: endpoint.id,
+      model,
+      mayHaveRun,
+      reason,
+      attemptMs: Math.round(now - startedAt),
+      lastEventId: exchange.lastEventId,
+    },
+    'attempt failed',
+  );
+};
+
+const recordSuccess = (context: AttemptContext, timeMs: number): void => {
+  const { parts, exchange, endpoint, model } = context;
+  const { service, version } = endpoint;
+  const { route, caller } = exchange.request;
+  const task = `${route.name}/${model ?? ''}`;
+  parts.metrics.attempts.inc({ service, result: 'ok' });
+  parts.loads.recordOutcome(endpoint.id, 'ok', parts.readNow());
+  parts.tallies.record({ service, version, task }, { type: 'answered', cost: 0, timeMs });
+  if (caller.session !== undefined) {
+    parts.sessions.record(service, caller.session, version, parts.readNow());
+  }
+};
+
+const recordFirstByte = ({ parts, exchange }: AttemptContext): void => {
+  const { route, receivedAt } = exchange.request;
+  const seconds = (parts.readNow() - receivedAt) / 1_000;
+  parts.metrics.firstByte.observe({ route: route.name }, seconds);
+};
+
+const isRepeatable = ({ exchange }: AttemptContext): boolean => {
+  const { kind, canResume, attemptLimit } = exchange.request.route;
+  const isIdempotent = kind === 'idempotent' || (kind === 'stream' && canResume);
+  return isIdempotent && exchange.attempts < attemptLimit;
+};
+
+// Work that may not be repeated gains nothing from giving up early.
+const computeSilenceMs = (context: AttemptContext): number =>
+  isRepeatable(context)
+    ? SILENCE_FACTOR * context.exchange.request.route.targetLatencyMs
+    : Infinity;
+
+const computeStallMs = (context: AttemptContext): number =>
+  isRepeatable(context)
+    ? STALL_FACTOR * (context.exchange.request.route.gapTargetMs ?? DEFAULT_GAP_MS)
+    : Infinity;
+
+// Timers take whole milliseconds below this; what is above has no limit of its own.
+const LONGEST_TIMER_MS = 2 ** 31 - 1;
+
+const waitFor = <T>(promise: Promise<T>, timeoutMs: number) =>
+  waitAtMost(promise, Math.min(LONGEST_TIMER_MS, timeoutMs));
+
+const readWhole = async (context: AttemptContext): Promise<Buffer | undefined> => {
+  const pieces: Buffer[] = [];
+  try {
+    for await (const piece of context.attempt.readBody()) pieces.push(piece);
+    return Buffer.concat(pieces);
+  } catch (cause) {
+    recordFailure(context, `answer broke off: ${(cause as Error).message}`, true);
+    return undefined;
+  }
+};
+
+const relayWhole = async (context: AttemptContext, head: AnswerHead): Promise<AttemptResult> => {
+  const { exchange, parts, startedAt } = context;
+  const body = await readWhole(context);
+  if (body === undefined || exchange.isOver) return AGAIN;
+  if (head.status >= 500) {
+    recordFailure(context, `endpoint answered ${head.status}`, true);
+    const hasBudget = context.budget.canAcquire(parts.readNow(), context.facts.gatewayCount);
+    if (isRepeatable(context) && hasBudget) return AGAIN;
+  } else {
+    recordSuccess(context, parts.readNow() - startedAt);
+  }
+  recordFirstByte(context);
+  exchange.reply.send(head.status, head.forwarded, body);
+  return { type: 'done', status: head.status };
+};
+
+const relayEvents = async (context: AttemptContext, head: AnswerHead): Promise<AttemptResult> => {
+  const { exchange, parts, attempt, startedAt } = context;
+  const { reply } = exchange;
+  const reader = createEventReader();
+  const pieces = attempt.readBody()[Symbol.asyncIterator]();
+  const silenceAt = startedAt + computeSilenceMs(context);
+  let firstAt: number | undefined;
+  try {
+    for (;;) {
+      const limitMs =
+        firstAt === undefined ? silenceAt - parts.readNow() : computeStallMs(context);
+      const next = await waitFor(pieces.next(), limitMs);
+      if (exchange.isOver) return AGAIN;
+      if (next.type === 'late') {
+        recordFailure(context, `no event for ${Math.round(limitMs)} ms`, true);
+        return AGAIN;
+      }
+      if (next.value.done === true) break;
+      const events = reader.add(next.value.value);
+      if (events.length === 0) continue;
+      if (!reply.isStarted()) {
+        recordFirstByte(context);
+        reply.start(head.status, head.forwarded);
+      }
+      firstAt ??= parts.readNow();
+      exchange.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
+      await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
+    }
+  } catch (cause) {
+    if (!exchange.isOver) {
+      recordFailure(context, `stream broke off: ${(cause as Error).message}`, true);
+    }
+    return AGAIN;
+  }
+  if (reader.countPending() > 0) {
+    recordFailure(context, 'stream ended inside an event', true);
+    return AGAIN;
+  }
+  recordSuccess(context, (firstAt ?? parts.readNow()) - startedAt);
+  if (!reply.isStarted()) reply.start(head.status, head.forwarded);
+  reply.end();
+  return { type: 'done', status: head.status };
+};
+
+const isDropped = (context: AttemptContext, head: AnswerHead): boolean => {
+  const { exchange, parts, facts, model, budget } = context;
+  const { route, receivedAt } = exchange.request;
+  if (model === undefined || exchange.reply.isStarted()) return false;
+  const now = parts.readNow();
+  const isDoubtful = isAnswerDoubtful({
+    models: route.models,
+    model,
+    confidence: head.confidence,
+    attemptsLeft: route.attemptLimit - exchange.attempts,
+    hasBudget: budget.canAcquire(now, facts.gatewayCount),
+    timeLeftMs: receivedAt + route.targetLatencyMs - now,
+  });
+  if (!isDoubtful) return false;
+  const { requestId: request } = exchange.request.caller;
+  const { confidence } = head;
+  parts.log.info({ request, model, confidence, endpoint: context.endpoint.id }, 'answer dropped');
+  parts.metrics.attempts.inc({ service: context.endpoint.service, result: 'dropped' });
+  return true;
+};
+
+const handleHead = async (context: AttemptContext, head: AnswerHead): Promise<AttemptResult> => {
+  const { exchange, parts, endpoint } = context;
+  const { requestId } = exchange.request.caller;
+  exchange.attempts += 1;
+  if (head.isNotRun) {
+    recordNotRun(context, head);
+    return AGAIN;
+  }
+  exchange.mayHaveRun = true;
+  if (head.requestId !== undefined && head.requestId !== requestId) {
+    recordFailure(context, `answer to another request '${head.requestId}'`, true);
+    return AGAIN;
+  }
+  if (head.isEncoded) {
+    recordFailure(context, 'answer has an encoding that was not asked for', true);
+    return AGAIN;
+  }
+  if (isDropped(context, head)) {
+    exchange.dropped = context.model;
+    return AGAIN;
+  }
+  if (exchange.reply.isStarted() && !(head.status === 200 && head.isEventStream)) {
+    recordFailure(context, `resumed stream answered ${head.status}`, true);
+    return AGAIN;
+  }
+  parts.log.debug({ request: requestId, endpoint: endpoint.id, status: head.status }, 'answer began');
+  const isStream = head.isEventStream && head.status === 200;
+  return isStream ? relayEvents(context, head) : relayWhole(context, head);
+};
+
+/** Takes note that an endpoint declined a request. */
+function recordNotRun(context: AttemptContext, head: AnswerHead): void {
+  const { parts, exchange, endpoint, model } = context;
+  exchange.tried.add(endpoint.id);
+  exchange.reason = `endpoint declined with ${head.status}`;
+  parts.metrics.attempts.inc({ service: endpoint.service, result: 'declined' });
+  parts.loads.recordOutcome(endpoint.id, 'overloaded', parts.readNow());
+  parts.log.info(
+    {
+      request: exchange.request.caller.requestId,
+      endpoint: endpoint.id,
+      model,
+      status: head.status,
+      retryAfterMs: head.retryAfterMs,
+    },
+    'attempt declined',
+  );
+}
+
+/** Takes one attempt's answer to the caller, or finds out why there is none. */
+export const relayAnswer = async (context: AttemptContext): Promise<AttemptResult> => {
+  const { attempt, exchange } = context;
+  const limited = await waitFor(attempt.head, computeSilenceMs(context));
+  if (exchange.isOver) return AGAIN;
+  if (limited.type === 'late') {
+    exchange.attempts += 1;
+    recordFailure(context, 'no answer began in time', true);
+    return AGAIN;
+  }
+  const head = limited.value;
+  if (head.isRight()) return handleHead(context, head.unsafeCoerce());
+  const { mayHaveRun, reason } = head.swap().unsafeCoerce();
+  if (mayHaveRun) exchange.attempts += 1;
+  recordFailure(context, reason, mayHaveRun);
+  return AGAIN;
+};
--- /dev/null
+++ b/src/node/process/index.ts
@@ -0,0 +1,1 @@
+export * from './runServices';
--- /dev/null
+++ b/src/node/process/runServices.ts
@@ -0,0 +1,51 @@
+import { createKernel, type Service } from '../kernel';
+import { createPartLogger, createRootLogger, openBoundedOutput, type Logger } from '../log';
+import { createMetrics, type MetricRole } from '../metrics';
+
+/** Exit codes of a process that a signal ends. */
+export const SIGNAL_EXIT_CODES = { ok: 0, failed: 1, interrupted: 130 } as const;
+
+/** Stops on the first SIGTERM or SIGINT, and ends at once on the second. */
+export const registerSignals = (stop: () => Promise<void>): void => {
+  let isStopping = false;
+  const handleSignal = (): void => {
+    if (isStopping) process.exit(SIGNAL_EXIT_CODES.interrupted);
+    isStopping = true;
+    stop().then(
+      () => process.exit(SIGNAL_EXIT_CODES.ok),
+      () => process.exit(SIGNAL_EXIT_CODES.failed),
+    );
+  };
+  process.on('SIGTERM', handleSignal);
+  process.on('SIGINT', handleSignal);
+};
+
+const createSharedServices = (role: MetricRole, log: Logger): readonly Service[] => [
+  { name: 'log', needs: [], start: () => ({ value: log }) },
+  { name: 'metrics', needs: [], start: () => ({ value: createMetrics(role) }) },
+];
+
+/** Starts services with a log and metrics; a signal stops them and ends the process. */
+export const startServices = async (
+  role: MetricRole,
+  log: Logger,
+  services: readonly Service[],
+): Promise<void> => {
+  const kernel = createKernel([...createSharedServices(role, log), ...services]);
+  registerSignals(kernel.stop);
+  await kernel.start();
+};
+
+/** Runs services of a deployment until a signal stops them; log lines go to standard output. */
+export const runServices = async (
+  role: MetricRole,
+  node: string,
+  services: readonly Service[],
+): Promise<void> => {
+  const log = createRootLogger({ level: 'info', node, destination: openBoundedOutput() });
+  const processLog = createPartLogger(log, 'kernel');
+  processLog.info({ role, pid: process.pid }, 'starting');
+  process.on('SIGHUP', () => processLog.info({ role }, 'hang-up signal, settings are kept'));
+  await startServices(role, log, services);
+  processLog.info({ role }, 'started');
+};
--- /dev/null
+++ b/src/node/registry/index.ts
@@ -0,0 +1,3 @@
+export * from './types';
+export * from './registry';
+export * from './mergeRecords';
--- /dev/null
+++ b/src/node/registry/mergeRecords.ts
@@ -0,0 +1,46 @@
+import type { EndpointRecord, EndpointReport } from './types';
+
+/** An endpoint as a gateway sees it, from the records of all control hosts. */
+export interface KnownEndpoint {
+  readonly report: EndpointReport;
+  /** Whether it takes new work. */
+  readonly isReady: boolean;
+}
+
+const ORDER: Readonly<Record<EndpointRecord['state'], number>> = {
+  silent: 0,
+  ready: 1,
+  draining: 2,
+  gone: 3,
+};
+
+// Within one incarnation an endpoint only moves on towards its end; silence at one host says
+// nothing against a report at another.
+const isStronger = (a: EndpointRecord, b: EndpointRecord): boolean => {
+  if (a.report.startedAt !== b.report.startedAt) return a.report.startedAt > b.report.startedAt;
+  if (ORDER[a.state] !== ORDER[b.state]) return ORDER[a.state] > ORDER[b.state];
+  return a.report.sequence > b.report.sequence;
+};
+
+const chooseByKey = (
+  records: readonly EndpointRecord[],
+  readKey: (record: EndpointRecord) => string,
+): readonly EndpointRecord[] => {
+  const best = new Map<string, EndpointRecord>();
+  for (const record of records) {
+    const key = readKey(record);
+    const known = best.get(key);
+    if (!known || isStronger(record, known)) best.set(key, record);
+  }
+  return [...best.values()];
+};
+
+/** Merges the records of several control hosts: the newest incarnation of each endpoint and address. */
+export const mergeRecords = (
+  lists: readonly (readonly EndpointRecord[])[],
+): readonly KnownEndpoint[] => {
+  const byId = chooseByKey(lists.flat(), (record) => record.report.id);
+  return chooseByKey(byId, (record) => record.report.address)
+    .filter((record) => record.state === 'ready' || record.state === 'draining')
+    .map((record) => ({ report: record.report, isReady: record.state === 'ready' }));
+};
--- a/src/node/replication/disk/folderLock.ts
+++ b/src/node/replication/disk/folderLock.ts
@@ -40,12 +40,35 @@
   rmSync(moved);
 };
 
+const readCode = (cause: unknown): string | undefined => (cause as NodeJS.ErrnoException).code;
+
+/** What file systems without links answer to a link. */
+const LINKLESS_CODES: ReadonlySet<string | undefined> = new Set([
+  'EPERM',
+  'ENOSYS',
+  'ENOTSUP',
+  'EOPNOTSUPP',
+]);
+
+// Without links the lock is not there whole at once; a holder that died in between counts as gone.
+const canCreate = (from: string, to: string): boolean => {
+  try {
+    writeFileSync(to, readFileSync(from), { flag: 'wx' });
+    return true;
+  } catch (cause) {
+    if (readCode(cause) === 'EEXIST') return false;
+    throw cause;
+  }
+};
+
 const canLink = (from: string, to: string): boolean => {
   try {
     linkSync(from, to);
     return true;
   } catch (cause) {
-    if ((cause as NodeJS.ErrnoException).code === 'EEXIST') return false;
+    const code = readCode(cause);
+    if (code === 'EEXIST') return false;
+    if (LINKLESS_CODES.has(code)) return canCreate(from, to);
     throw cause;
   }
 };
--- a/src/node/replication/disk/store.ts
+++ b/src/node/replication/disk/store.ts
@@ -40,6 +40,8 @@
   readonly folder: string;
   /** A host without others to catch up from refuses to start on damaged data. */
   readonly isAlone: boolean;
+  /** Whether a blank store may form a group with others; true by default. */
+  readonly canForm?: boolean;
   readonly files?: DurableFiles;
 }
 
@@ -155,7 +157,7 @@
   files: DurableFiles,
 ): Promise<{ readonly loaded: Loaded; readonly damage: string | undefined }> => {
   const { folder, isAlone } = options;
-  const loaded = await openFolder(folder, files, true);
+  const loaded = await openFolder(folder, files, options.canForm !== false);
   if (loaded.isRight()) return { loaded: loaded.unsafeCoerce(), damage: undefined };
   const damage = loaded.extract() as string;
   if (isAlone) {
--- a/src/node/replication/replicationHost.ts
+++ b/src/node/replication/replicationHost.ts
@@ -12,7 +12,11 @@
 /** Parts and settings of the replication of one process. */
 export interface ReplicationHostOptions {
   readonly node: string;
-  /** All control hosts of the first group, this one included. */
+  /** Address of this host, needed only when `peers` does not list it. */
+  readonly address?: string;
+  /** False for a host that may join a group but not form one; it is true by default. */
+  readonly canForm?: boolean;
+  /** All control hosts of the first group, this one included unless it joins later. */
   readonly peers: readonly { readonly node: string; readonly address: string }[];
   /** Folder of the durable state; each group has a folder of its own in it. */
   readonly data: string;
@@ -67,7 +71,10 @@
 /** Starts the replication of one process: one clock and one transport for all its groups. */
 export const createReplicationHost = (options: ReplicationHostOptions): ReplicationHost => {
   const { node, peers, data, rpc, log } = options;
-  const address = peers.find((peer) => peer.node === node)?.address;
+  const listed = peers.find((peer) => peer.node === node)?.address;
+  const address = listed ?? options.address;
+  // A host that the others do not know of must not take itself for a founder.
+  const canForm = listed !== undefined && options.canForm !== false;
   if (address === undefined) {
     const message = `peers has no node '${node}'`;
     throw createError({ type: 'invalid_request', message, step: 'replication.start' });
@@ -120,8 +127,9 @@
 
   return {
     openGroup: async (group, machine) => {
-      const isAlone = peers.length === 1;
-      const store = await openStore({ folder: join(data, group), isAlone, files: options.files });
+      const isAlone = peers.length === 1 && listed !== undefined;
+      const folder = join(data, group);
+      const store = await openStore({ folder, isAlone, canForm, files: options.files });
       if (store.damage !== undefined) {
         log.error({ group, reason: store.damage }, 'damaged data set aside, joining as blank');
       }
--- /dev/null
+++ b/src/node/routing/index.ts
@@ -0,0 +1,3 @@
+export * from './types';
+export * from './checkRoutingConfig';
+export * from './routeTable';
--- /dev/null
+++ b/src/node/routingControl/rolloutSupervisor.ts
@@ -0,0 +1,162 @@
+import { EMPTY_TALLY, judgeServiceRollout, mergeTallies, type RolloutCell, type Tally } from '../decisions';
+import { convertToRouterError } from '../errors';
+import type { Logger } from '../log';
+import type { Registry } from '../registry';
+import type { Replica } from '../replication';
+import type { ServiceRollout } from '../routing';
+import type { VersionTally, WatchRoutingParams } from './protocol';
+import { isFinalStage, type RoutingCommand, type RoutingResult, type RoutingState } from './routingState';
+
+/** Parts of a supervisor. */
+export interface SupervisorOptions {
+  readonly replica: Pick<Replica<RoutingCommand, RoutingResult>, 'propose' | 'status'>;
+  readonly state: RoutingState;
+  readonly registry: Registry;
+  readonly log: Logger;
+  /** Gives milliseconds on a steady clock. */
+  readonly readNow: () => number;
+}
+
+/** Watches the roll-outs of one control host; only the leader's moves them on. */
+export interface RolloutSupervisor {
+  /** Takes the counts of a gateway, which replace those it sent before. */
+  readonly recordTallies: (params: Pick<WatchRoutingParams, 'gateway' | 'bootId' | 'tallies'>) => void;
+  /** Judges every roll-out once. */
+  readonly advance: () => Promise<void>;
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+interface GatewayCounts {
+  readonly bootId: string;
+  readonly tallies: readonly VersionTally[];
+}
+
+interface SeenRollout {
+  readonly rollout: ServiceRollout;
+  readonly startedAt: number;
+  readonly stageAt: number;
+}
+
+/** Counts reach control with each watch, twice a second; judging more often sees nothing new. */
+const JUDGE_INTERVAL_MS = 250;
+
+const convertTally = (tally: VersionTally): Tally => ({
+  ...EMPTY_TALLY,
+  requests: tally.requests,
+  errors: tally.errors,
+  times: tally.times,
+  logTimeSum: tally.logTimeSum,
+  logTimeSquares: tally.logTimeSquares,
+});
+
+const mergeByTask = (tallies: readonly VersionTally[]): ReadonlyMap<string, Tally> => {
+  const merged = new Map<string, Tally>();
+  for (const tally of tallies) {
+    merged.set(tally.task, mergeTallies(merged.get(tally.task) ?? EMPTY_TALLY, convertTally(tally)));
+  }
+  return merged;
+};
+
+/** Creates the supervisor of one control host. */
+export const createRolloutSupervisor = (options: SupervisorOptions): RolloutSupervisor => {
+  const { replica, state, registry, log, readNow } = options;
+  const counts = new Map<string, GatewayCounts>();
+  /** Counts of gateway processes that have ended; their answers were given all the same. */
+  const ended: VersionTally[] = [];
+  const seen = new Map<string, SeenRollout>();
+  let timer: NodeJS.Timeout | undefined;
+  let isBusy = false;
+
+  const listTallies = (service: string, isCandidate: (version: string) => boolean) =>
+    [...[...counts.values()].flatMap(({ tallies }) => tallies), ...ended].filter(
+      (tally) => tally.service === service && isCandidate(tally.version),
+    );
+
+  const resolveSeen = (rollout: ServiceRollout): SeenRollout => {
+    const now = readNow();
+    const known = seen.get(rollout.service);
+    const isSame = known?.rollout.target === rollout.target;
+    if (known && isSame && known.rollout.stage === rollout.stage) return known;
+    const next: SeenRollout = {
+      rollout,
+      startedAt: isSame ? known.startedAt : now,
+      stageAt: now,
+    };
+    seen.set(rollout.service, next);
+    return next;
+  };
+
+  const listCells = ({ rollout }: SeenRollout): readonly RolloutCell[] => {
+    const candidates = mergeByTask(listTallies(rollout.service, (v) => v === rollout.target));
+    const baselines = mergeByTask(listTallies(rollout.service, (v) => v !== rollout.target));
+    return [...candidates].map(([task, candidate]) => ({
+      organisation: 'all',
+      task,
+      isHighValue: false,
+      candidate,
+      baseline: baselines.get(task) ?? EMPTY_TALLY,
+    }));
+  };
+
+  const countReady = (service: string, isCandidate: (version: string) => boolean): number =>
+    registry
+      .list()
+      .filter((record) => record.state === 'ready' && record.report.service === service)
+      .filter((record) => isCandidate(record.report.version)).length;
+
+  const judge = async (rollout: ServiceRollout): Promise<void> => {
+    const known = resolveSeen(rollout);
+    const now = readNow();
+    const { service, target, stage, durationMs } = rollout;
+    const cells = listCells(known);
+    const verdict = judgeServiceRollout({
+      stage,
+      durationMs,
+      elapsedMs: now - known.startedAt,
+      stageMs: now - known.stageAt,
+      readyCandidates: countReady(service, (version) => version === target),
+      readyBaselines: countReady(service, (version) => version !== target),
+      cells,
+    });
+    if (verdict.type === 'hold') return;
+    const { to, reason } = verdict;
+    const answer = await replica.propose({ type: 'advanceRollout', service, target, from: stage, to });
+    const samples = cells.reduce((sum, cell) => sum + cell.candidate.requests, 0);
+    const failures = cells.reduce((sum, cell) => sum + cell.candidate.errors, 0);
+    const facts = { service, target, from: stage, to, reason, samples, failures };
+    answer.ifRight(() => log.info(facts, 'roll-out moved'));
+    answer.ifLeft((error) => log.warn({ ...facts, err: error }, 'roll-out could not be moved'));
+  };
+
+  const advance = async (): Promise<void> => {
+    const rollouts = state.listRollouts();
+    rollouts.forEach(resolveSeen);
+    if (isBusy || replica.status().role !== 'leader') return;
+    isBusy = true;
+    try {
+      for (const rollout of rollouts) {
+        if (!isFinalStage(rollout.stage)) await judge(rollout);
+      }
+    } finally {
+      isBusy = false;
+    }
+  };
+
+  return {
+    recordTallies: ({ gateway, bootId, tallies }) => {
+      const known = counts.get(gateway);
+      if (known && known.bootId !== bootId) ended.push(...known.tallies);
+      counts.set(gateway, { bootId, tallies });
+    },
+    advance,
+    start: () => {
+      timer = setInterval(() => {
+        advance().catch((cause: unknown) => {
+          log.error({ err: convertToRouterError(cause, 'rollout.judge') }, 'judging failed');
+        });
+      }, JUDGE_INTERVAL_MS);
+    },
+    stop: () => clearInterval(timer),
+  };
+};
--- /dev/null
+++ b/src/node/routingControl/routingControlServices.ts
@@ -0,0 +1,174 @@
+import { performance } from 'node:perf_hooks';
+import type { FastifyInstance } from 'fastify';
+import type { Service } from '../kernel';
+import { createPartLogger, type Logger } from '../log';
+import { createInternalServer, type Metrics } from '../metrics';
+import { createRegistry, type Registry } from '../registry';
+import { createReplicationHost, type Replica, type ReplicationHost } from '../replication';
+import { createHttpServer, createMethod, createRpcService, startHttpServer, type RpcClient } from '../rpc';
+import { shareReportParams, watchRegistryParams, watchRoutingParams } from './protocol';
+import { createRegistryDesk, type RegistryDesk } from './registryDesk';
+import { createRolloutSupervisor } from './rolloutSupervisor';
+import { createRoutingDesk, type RoutingDesk } from './routingDesk';
+import {
+  createRoutingState,
+  type RoutingCommand,
+  type RoutingResult,
+  type RoutingState,
+} from './routingState';
+import type { RoutingControlSettings } from './settings';
+
+/** What operators' and endpoints' calls are answered by. */
+export interface ControlDesks {
+  readonly routing: RoutingDesk;
+  readonly registry: RegistryDesk;
+  /** Whether this host follows or leads a group that has a quorum. */
+  readonly hasLeader: () => boolean;
+}
+
+/** Registers the routes of operators and endpoints in a deployment's own form. */
+export type RegisterRoutes = (app: FastifyInstance, desks: ControlDesks, log: Logger) => void;
+
+const DISK_FAILURE_EXIT = 1;
+/** Reports may come late by seconds, so several must be missing before an endpoint counts as lost. */
+const SILENT_REPORTS = 6;
+/** How long a left endpoint is remembered, far beyond the delay of any report. */
+const ENDED_RETENTION_MS = 60_000;
+
+interface RoutingGroup {
+  readonly replica: Replica<RoutingCommand, RoutingResult>;
+  readonly state: RoutingState;
+}
+
+const readNow = (): number => performance.now();
+
+const createReplicationService = (settings: RoutingControlSettings): Service => ({
+  name: 'replication',
+  needs: ['rpc', 'log'],
+  start: (find) => {
+    const log = createPartLogger(find<Logger>('log'), 'replication');
+    const value = createReplicationHost({
+      node: settings.node,
+      address: settings.node,
+      peers: settings.peers.map((peer) => ({ node: peer, address: peer })),
+      canForm: settings.isFirstStart,
+      data: settings.data,
+      log,
+      rpc: find<RpcClient>('rpc'),
+      handleFailure: (cause) => {
+        log.fatal({ err: cause }, 'a write failed, the process ends');
+        process.exit(DISK_FAILURE_EXIT);
+      },
+    });
+    return { value, stop: value.stop };
+  },
+});
+
+const createGroupService = (): Service => ({
+  name: 'routing-group',
+  needs: ['replication'],
+  start: async (find) => {
+    const state = createRoutingState();
+    const replica = await find<ReplicationHost>('replication').openGroup('routing', state);
+    const value: RoutingGroup = { replica, state };
+    return { value };
+  },
+});
+
+const createDesksService = (settings: RoutingControlSettings): Service => ({
+  name: 'desks',
+  needs: ['routing-group', 'rpc', 'log'],
+  start: (find) => {
+    const log = createPartLogger(find<Logger>('log'), 'control');
+    const { replica, state } = find<RoutingGroup>('routing-group');
+    const registry: Registry = createRegistry({
+      silenceMs: SILENT_REPORTS * settings.reportIntervalMs,
+      retentionMs: ENDED_RETENTION_MS,
+    });
+    const listControlHosts = (): readonly string[] => replica.status().members;
+    const supervisor = createRolloutSupervisor({ replica, state, registry, log, readNow });
+    const desk = createRegistryDesk({
+      registry,
+      log,
+      readNow,
+      rpc: find<RpcClient>('rpc'),
+      listPeers: () => listControlHosts().filter((host) => host !== settings.node),
+    });
+    const routing = createRoutingDesk({
+      replica,
+      state,
+      supervisor,
+      log,
+      listControlHosts,
+      readNow,
+    });
+    supervisor.start();
+    desk.start();
+    const value: ControlDesks = {
+      routing,
+      registry: desk,
+      hasLeader: () => replica.status().leader !== '',
+    };
+    return {
+      value,
+      stop: () => {
+        supervisor.stop();
+        desk.stop();
+      },
+    };
+  },
+});
+
+const createServersService = (
+  settings: RoutingControlSettings,
+  registerRoutes: RegisterRoutes,
+): Service => ({
+  name: 'control-servers',
+  needs: ['desks', 'replication', 'routing-group', 'metrics', 'log'],
+  start: async (find) => {
+    const log = createPartLogger(find<Logger>('log'), 'control');
+    const desks = find<ControlDesks>('desks');
+    const { replica, state } = find<RoutingGroup>('routing-group');
+    const metrics = find<Metrics>('metrics');
+    const internal = createInternalServer({
+      methods: {
+        ...find<ReplicationHost>('replication').methods,
+        'routing.watch': createMethod(watchRoutingParams, desks.routing.watch),
+        'registry.watch': createMethod(watchRegistryParams, desks.registry.watch),
+        'registry.share': createMethod(shareReportParams, ({ report, hasLeft }) => {
+          desks.registry.handleShared(report, hasLeft);
+          return { type: 'recorded' };
+        }),
+      },
+      secret: settings.secret,
+      tls: undefined,
+      metrics,
+      isReady: desks.hasLeader,
+      readRevision: state.revision,
+    });
+    metrics.registerSource('configCommitted', () => replica.status().committed);
+    metrics.registerSource('leader', () => Number(replica.status().role === 'leader'));
+    const operators = createHttpServer();
+    registerRoutes(operators, desks, log);
+    const address = await startHttpServer(internal, settings.internalListen);
+    const operatorAddress = await startHttpServer(operators, settings.listen);
+    log.info({ address, operatorAddress, peers: settings.peers }, 'listening');
+    const stop = async (): Promise<void> => {
+      await operators.close();
+      await internal.close();
+    };
+    return { value: { address, operatorAddress }, stop };
+  },
+});
+
+/** The services of a routing control host. */
+export const createRoutingControlServices = (
+  settings: RoutingControlSettings,
+  registerRoutes: RegisterRoutes,
+): readonly Service[] => [
+  createRpcService({ secret: settings.secret }),
+  createReplicationService(settings),
+  createGroupService(),
+  createDesksService(settings),
+  createServersService(settings, registerRoutes),
+];
--- /dev/null
+++ b/src/node/routingControl/routingDesk.ts
@@ -0,0 +1,135 @@
+import { Left, Right, type Either } from 'purify-ts';
+import { createError, type RouterError } from '../errors';
+import type { Logger } from '../log';
+import type { Replica } from '../replication';
+import { checkRoutingConfig, type RoutingConfig, type ServiceRollout } from '../routing';
+import type { RoutingAnswer, WatchRoutingParams } from './protocol';
+import type { RolloutSupervisor } from './rolloutSupervisor';
+import type { RoutingCommand, RoutingResult, RoutingState } from './routingState';
+import { createWatchQueue } from './watchQueue';
+
+/** Parts of a routing desk. */
+export interface RoutingDeskOptions {
+  readonly replica: Replica<RoutingCommand, RoutingResult>;
+  readonly state: RoutingState;
+  readonly supervisor: RolloutSupervisor;
+  readonly log: Logger;
+  /** Converts a member's name to the internal address that gateways call. */
+  readonly listControlHosts: () => readonly string[];
+  /** Gives milliseconds on a steady clock. */
+  readonly readNow: () => number;
+}
+
+/** A configuration as the operator sent it. */
+export interface SentConfig {
+  readonly config: RoutingConfig;
+  readonly source: string;
+}
+
+/** Answers operators and gateways about the routing state. Errors are typed; none is thrown. */
+export interface RoutingDesk {
+  /** Commits a configuration; `invalid_request` when it is not valid. */
+  readonly replaceConfig: (sent: SentConfig) => Promise<Either<RouterError, number>>;
+  /** Gives the text of the newest configuration; `unavailable` when that is not sure. */
+  readonly readConfig: () => Promise<Either<RouterError, string>>;
+  readonly startRollout: (
+    order: Omit<ServiceRollout, 'stage'>,
+  ) => Promise<Either<RouterError, void>>;
+  readonly readRollout: (service: string) => Promise<Either<RouterError, ServiceRollout>>;
+  readonly watch: (params: WatchRoutingParams) => Promise<RoutingAnswer>;
+}
+
+/** A gateway that has not called for this time in milliseconds is not counted any more. */
+const GATEWAY_SILENCE_MS = 3_000;
+
+/** Creates the desk of one control host. */
+export const createRoutingDesk = (options: RoutingDeskOptions): RoutingDesk => {
+  const { replica, state, supervisor, log, listControlHosts, readNow } = options;
+  const queue = createWatchQueue();
+  const gateways = new Map<string, number>();
+  state.addListener(queue.emit);
+
+  const countGateways = (now: number): number => {
+    for (const [gateway, at] of gateways) {
+      if (now - at > GATEWAY_SILENCE_MS) gateways.delete(gateway);
+    }
+    return gateways.size;
+  };
+
+  const propose = async (command: RoutingCommand): Promise<Either<RouterError, RoutingResult>> =>
+    (await replica.propose(command)).map((applied) => applied.result);
+
+  const isKnownService = (service: string): boolean =>
+    state.config()?.services.some(({ name }) => name === service) === true ||
+    state.listRollouts().some((rollout) => rollout.service === service);
+
+  const replaceConfig: RoutingDesk['replaceConfig'] = async ({ config, source }) => {
+    const faults = checkRoutingConfig(config);
+    const { version } = config;
+    if (faults.length > 0) {
+      log.info({ version, faults: faults.slice(0, 5) }, 'configuration refused');
+      const message = faults.join('; ');
+      return Left(createError({ type: 'invalid_request', message, step: 'config.check' }));
+    }
+    const held = state.config()?.version ?? 0;
+    const answer = await propose({ type: 'replaceConfig', config, source });
+    answer.ifRight((result) => log.info({ version, held, result }, 'configuration committed'));
+    answer.ifLeft((error) => log.warn({ version, held, err: error }, 'configuration not committed'));
+    return answer.map(() => version);
+  };
+
+  return {
+    replaceConfig,
+    readConfig: async () =>
+      (await replica.confirmRead()).chain(() => {
+        const source = state.source();
+        if (source !== undefined) return Right(source);
+        const message = 'no configuration has been committed yet';
+        return Left(createError({ type: 'unavailable', message, step: 'config.read' }));
+      }),
+    startRollout: async (order) => {
+      if (!isKnownService(order.service)) {
+        // This host may lag behind the configuration that names the service.
+        const read = await replica.confirmRead();
+        if (read.isLeft()) return read.map(() => undefined);
+      }
+      if (!isKnownService(order.service)) {
+        const message = `no service '${order.service}' in the configuration`;
+        return Left(createError({ type: 'invalid_request', message, step: 'rollout.start' }));
+      }
+      const answer = await propose({ type: 'startRollout', ...order });
+      answer.ifRight((result) => log.info({ ...order, result }, 'roll-out ordered'));
+      answer.ifLeft((error) => log.warn({ ...order, err: error }, 'roll-out not committed'));
+      return answer.map(() => undefined);
+    },
+    readRollout: async (service) =>
+      (await replica.confirmRead()).chain(() => {
+        const rollout = state.listRollouts().find((item) => item.service === service);
+        if (rollout) return Right(rollout);
+        const message = `no roll-out of service '${service}' was ordered`;
+        return Left(createError({ type: 'not_found', message, step: 'rollout.read' }));
+      }),
+    watch: async (params) => {
+      const now = readNow();
+      gateways.set(params.gateway, now);
+      supervisor.recordTallies(params);
+      if (state.revision() === params.revision) await queue.wait(params.waitMs);
+      // Whatever was acknowledged before this point is part of the answer.
+      (await replica.confirmRead()).unsafeCoerce();
+      const revision = state.revision();
+      const answer = {
+        revision,
+        leader: replica.status().leaderAddress,
+        controlHosts: listControlHosts(),
+        gatewayCount: countGateways(now),
+      };
+      if (revision === params.revision) return answer;
+      const update = {
+        config: state.config() ?? null,
+        rollouts: state.listRollouts(),
+        retired: state.listRetired(),
+      };
+      return { ...answer, update };
+    },
+  };
+};
