Settle attempts that a dead entry announced but never sent

The agent was alive and had never heard of the attempt, so nobody reported it and the bill stayed open. Ruled out: a lost usage report (the line was there), a gone agent (it answered). Control now asks the agent to refuse such attempts and records them as never run.

--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -124,10 +124,11 @@
 
 const createUpkeepService = (): Service => ({
   name: 'ledger-upkeep',
-  needs: ['groups'],
+  needs: ['groups', 'rpc'],
   start: (find) => {
     const parts = find<ControlParts>('groups');
-    const upkeeps = parts.ledgerShards.map((shard) => createLedgerUpkeep(parts, shard));
+    const rpc = find<RpcClient>('rpc');
+    const upkeeps = parts.ledgerShards.map((shard) => createLedgerUpkeep(parts, shard, rpc));
     upkeeps.forEach((upkeep) => upkeep.start());
     return { value: upkeeps, stop: () => upkeeps.forEach((upkeep) => upkeep.stop()) };
   },
--- a/src/node/control/ledgerUpkeep.ts
+++ b/src/node/control/ledgerUpkeep.ts
@@ -1,4 +1,6 @@
-import type { Owner } from '../ledger';
+import type { OrphanAttempt, Owner } from '../ledger';
+import type { RpcClient } from '../rpc';
+import type { AttemptEnd } from '../shared';
 import type { ControlParts } from './controlApi';
 import type { LedgerShard } from './ledgerShards';
 
@@ -8,13 +10,19 @@
   readonly stop: () => void;
   /** Ends the incarnations that are in the ledger but no longer registered. */
   readonly settleGone: () => Promise<void>;
+  /** Makes agents refuse attempts that their entry announced but can start no more. */
+  readonly refuseOrphans: () => Promise<void>;
 }
 
 const CHECK_INTERVAL_MS = 1_000;
 const EXPIRE_INTERVAL_MS = 30_000;
 
 /** Creates the upkeep of one ledger group on one control host. */
-export const createLedgerUpkeep = (parts: ControlParts, shard: LedgerShard): LedgerUpkeep => {
+export const createLedgerUpkeep = (
+  parts: ControlParts,
+  shard: LedgerShard,
+  rpc: Pick<RpcClient, 'call'>,
+): LedgerUpkeep => {
   const { config, configState, log } = parts;
   const { replica: ledger, state: ledgerState } = shard;
   let timer: NodeJS.Timeout | undefined;
@@ -39,9 +47,30 @@
     for (const owner of owners.filter(isGone)) await settleIncarnation(owner);
   };
 
+  // An agent that has the attempt reports its end itself; one that never heard of it refuses it.
+  const refuseOrphan = async (orphan: OrphanAttempt): Promise<void> => {
+    const { requestId, organisation, owner, attempt: known } = orphan;
+    const { attempt, agent, incarnation, model, version } = known;
+    const record = configState.findNode(agent);
+    if (record?.incarnation !== incarnation) return;
+    const name = { requestId, attempt, incarnation };
+    const answer = await rpc.call<AttemptEnd>(record.address, 'attempt.refuse', name);
+    const end = answer.map(({ state }) => state).orDefault('unknown');
+    log.info({ requestId, attempt, peer: agent, end }, 'attempt of a gone entry was refused');
+    if (end !== 'never') return;
+    const report = { attempt, agent, incarnation, model, version, outcome: 'never' } as const;
+    const at = Date.now();
+    await ledger.propose({ type: 'report', organisation, requestId, report, owner, at });
+  };
+
+  const refuseOrphans = async (): Promise<void> => {
+    for (const orphan of ledgerState.listOrphanAttempts()) await refuseOrphan(orphan);
+  };
+
   const run = async (): Promise<void> => {
     if (ledger.status().role !== 'leader') return;
     await settleGone();
+    await refuseOrphans();
     const now = Date.now();
     if (now - lastExpiry < EXPIRE_INTERVAL_MS) return;
     lastExpiry = now;
@@ -64,5 +93,6 @@
       clearTimeout(timer);
     },
     settleGone,
+    refuseOrphans,
   };
 };
--- a/src/node/ledger/ledgerState.ts
+++ b/src/node/ledger/ledgerState.ts
@@ -23,6 +23,7 @@
   type Tables,
 } from './tables';
 import type {
+  AttemptRecord,
   Bill,
   BillTotal,
   LedgerCommand,
@@ -38,6 +39,14 @@
   readonly version: string;
 }
 
+/** An attempt that its entry announced before it was gone; the agent may never have heard of it. */
+export interface OrphanAttempt {
+  readonly requestId: string;
+  readonly organisation: string;
+  readonly owner: Owner;
+  readonly attempt: AttemptRecord;
+}
+
 /** The `ledger` state machine with its reads. */
 export interface LedgerState extends StateMachine<LedgerCommand, LedgerResult> {
   readonly findRequest: (organisation: string, requestId: string) => RequestRecord | undefined;
@@ -51,6 +60,8 @@
   readonly countOpen: () => number;
   /** Incarnations of entries and agents that an open request names and that are not gone. */
   readonly listOpenOwners: () => readonly Owner[];
+  /** Attempts without an outcome whose entry is gone, so that nobody asks for it any more. */
+  readonly listOrphanAttempts: () => readonly OrphanAttempt[];
   /** Reports that differed from the first one. */
   readonly countDifferences: () => number;
 }
@@ -216,6 +227,18 @@
   return [...owners.values()];
 };
 
+// A request with a key or in a queue waits for another owner, which decides about its attempts.
+const listOrphanAttempts = (tables: Tables): readonly OrphanAttempt[] =>
+  [...tables.open].flatMap((id) => {
+    const record = tables.requests.get(id)!;
+    const { requestId, organisation, owner, key, request } = record;
+    const isOrphan = record.state === 'running' && owner !== undefined && isOwnerGone(tables, owner);
+    if (!isOrphan || key !== undefined || request !== undefined) return [];
+    return record.attempts
+      .filter((item) => item.state === 'open')
+      .map((attempt) => ({ requestId, organisation, owner, attempt }));
+  });
+
 /** Creates an empty `ledger` state machine. */
 export const createLedgerState = (): LedgerState => {
   let tables = createTables();
@@ -241,6 +264,7 @@
     countQueues: () => tables.queues.size,
     countOpen: () => tables.open.size,
     listOpenOwners: () => listOpenOwners(tables),
+    listOrphanAttempts: () => listOrphanAttempts(tables),
     countDifferences: () => tables.differences,
   };
 };
