--- a/src/node/control/__tests__/ledgerUpkeep.test.ts
+++ b/src/node/control/__tests__/ledgerUpkeep.test.ts
@@ -61,4 +61,26 @@
     t.is(state.listBills()[0]!.final, isFinal);
     t.is(state.listBills()[0]!.usage.length, 1);
   });
+
+  test(`attempt announced before a deferred request changed hands: ${name}`, async (t) => {
+    const { upkeep, state, apply, place } = createUpkeep(agentEnd);
+    const common = { ...REQUEST, ...place, ...TARGET };
+    const second = { node: 'entry-2', incarnation: 6 };
+    const request = { path: '/v1/chat/completions', headers: {}, body: 'e30=' };
+    const deferred = { session: 's', idempotent: true, request, at: 0 };
+    apply({ type: 'defer', ...REQUEST, ...deferred } as LedgerCommand);
+    const take = { type: 'take', limit: 1, holds: [], at: 1 } as const;
+    apply({ ...take, owner: ENTRY } as LedgerCommand);
+    apply({ type: 'intent', ...common, attempt: 0, owner: ENTRY, at: 1 });
+    apply({ type: 'endIncarnation', node: ENTRY.node, below: ENTRY.incarnation + 1, at: 2 });
+    apply({ ...take, owner: second, at: 3 } as LedgerCommand);
+    apply({ type: 'intent', ...common, attempt: 100, owner: second, at: 3 });
+    const report = { attempt: 100, ...place, ...TARGET, outcome: 'ran', usage: USAGE } as const;
+    const settle = { type: 'settle', ...REQUEST, outcome: 'ran', reports: [report], at: 4 } as const;
+    apply({ ...settle, owner: second } as LedgerCommand);
+    t.is(state.findRequest(REQUEST.organisation, REQUEST.requestId)?.state, 'done');
+    t.false(state.listBills()[0]!.final, 'the first attempt is open');
+    await upkeep.refuseOrphans();
+    t.is(state.listBills()[0]!.final, isFinal);
+  });
 }
--- a/src/node/control/ledgerUpkeep.ts
+++ b/src/node/control/ledgerUpkeep.ts
@@ -10,7 +10,7 @@
   readonly stop: () => void;
   /** Ends the incarnations that are in the ledger but no longer registered. */
   readonly settleGone: () => Promise<void>;
-  /** Makes agents refuse attempts that their entry announced but can start no more. */
+  /** Makes agents refuse attempts that were announced but for which no entry asks any more. */
   readonly refuseOrphans: () => Promise<void>;
 }
 
@@ -49,16 +49,18 @@
 
   // An agent that has the attempt reports its end itself; one that never heard of it refuses it.
   const refuseOrphan = async (orphan: OrphanAttempt): Promise<void> => {
-    const { requestId, organisation, owner, attempt: known } = orphan;
+    const { requestId, organisation, attempt: known } = orphan;
     const { attempt, agent, incarnation, model, version } = known;
     const record = configState.findNode(agent);
     if (record?.incarnation !== incarnation) return;
     const name = { requestId, attempt, incarnation };
     const answer = await rpc.call<AttemptEnd>(record.address, 'attempt.refuse', name);
     const end = answer.map(({ state }) => state).orDefault('unknown');
-    log.info({ requestId, attempt, peer: agent, end }, 'attempt of a gone entry was refused');
+    log.info({ requestId, attempt, peer: agent, end }, 'attempt that no entry asks for was refused');
     if (end !== 'never') return;
     const report = { attempt, agent, incarnation, model, version, outcome: 'never' } as const;
+    // The request is known, so that the owner of the report does not matter.
+    const owner = { node: agent, incarnation };
     const at = Date.now();
     await ledger.propose({ type: 'report', organisation, requestId, report, owner, at });
   };
--- a/src/node/ledger/ledgerState.ts
+++ b/src/node/ledger/ledgerState.ts
@@ -39,11 +39,10 @@
   readonly version: string;
 }
 
-/** An attempt that its entry announced before it was gone; the agent may never have heard of it. */
+/** An attempt that its entry announced and then left; the agent may never have heard of it. */
 export interface OrphanAttempt {
   readonly requestId: string;
   readonly organisation: string;
-  readonly owner: Owner;
   readonly attempt: AttemptRecord;
 }
 
@@ -60,7 +59,7 @@
   readonly countOpen: () => number;
   /** Incarnations of entries and agents that an open request names and that are not gone. */
   readonly listOpenOwners: () => readonly Owner[];
-  /** Attempts without an outcome whose entry is gone, so that nobody asks for it any more. */
+  /** Attempts without an outcome for which no entry asks any more. */
   readonly listOrphanAttempts: () => readonly OrphanAttempt[];
   /** Reports that differed from the first one. */
   readonly countDifferences: () => number;
@@ -227,17 +226,23 @@
   return [...owners.values()];
 };
 
-// A request with a key or in a queue waits for another owner, which decides about its attempts.
+// A running request with a key or from a queue gets another owner, which decides about its attempts.
+const isUnattended = (tables: Tables, record: RequestRecord): boolean => {
+  if (isSettled(record)) return true;
+  const { owner, key, request } = record;
+  const isGone = owner !== undefined && isOwnerGone(tables, owner);
+  return record.state === 'running' && isGone && key === undefined && request === undefined;
+};
+
 const listOrphanAttempts = (tables: Tables): readonly OrphanAttempt[] =>
-  [...tables.open].flatMap((id) => {
-    const record = tables.requests.get(id)!;
-    const { requestId, organisation, owner, key, request } = record;
-    const isOrphan = record.state === 'running' && owner !== undefined && isOwnerGone(tables, owner);
-    if (!isOrphan || key !== undefined || request !== undefined) return [];
-    return record.attempts
-      .filter((item) => item.state === 'open')
-      .map((attempt) => ({ requestId, organisation, owner, attempt }));
-  });
+  [...tables.open]
+    .map((id) => tables.requests.get(id)!)
+    .filter((record) => isUnattended(tables, record))
+    .flatMap(({ requestId, organisation, attempts }) =>
+      attempts
+        .filter((item) => item.state === 'open')
+        .map((attempt) => ({ requestId, organisation, attempt })),
+    );
 
 /** Creates an empty `ledger` state machine. */
 export const createLedgerState = (): LedgerState => {
