Place engine requests by the predicted first token

Gateways now tell each other their loads six times a second through the leading control host, predict the first token from the reading ahead and from what they sent where, and drop a doubtful answer only if the second run is in time.

--- a/src/node/decisions/chooseModelRun.ts
+++ b/src/node/decisions/chooseModelRun.ts
@@ -21,12 +21,14 @@
   readonly hasBudget: boolean;
   /** Milliseconds left until the answer would be late. */
   readonly timeLeftMs: number;
+  /** Time to the first token of the largest model as predicted, in milliseconds. */
+  readonly secondRunMs: number;
 }
 
 /** Below this opinion a small model's answers are mostly not good enough; from trials on both sites. */
 const CONFIDENCE_FLOOR = 60;
-/** A larger model needs about this long to its first token, in milliseconds. */
-const SECOND_RUN_MS = 500;
+/** Predictions are off both ways; a second run that would just make it is likely late. */
+const PREDICTION_FACTOR = 1.3;
 
 /** Chooses the model of the next run: the smallest first, the largest after a doubtful answer. */
 export const chooseModelRun = ({ models, dropped }: ModelQuestion): string | undefined =>
@@ -34,8 +36,9 @@
 
 /** Says whether an answer that has just begun shall be dropped for one of the largest model. */
 export const isAnswerDoubtful = (question: ConfidenceQuestion): boolean => {
-  const { models, model, confidence, attemptsLeft, hasBudget, timeLeftMs } = question;
+  const { models, model, confidence, attemptsLeft, hasBudget } = question;
   if (confidence === undefined || confidence >= CONFIDENCE_FLOOR) return false;
   const isLargest = model === models.at(-1);
-  return !isLargest && attemptsLeft > 0 && hasBudget && timeLeftMs > SECOND_RUN_MS;
+  const isInTime = question.secondRunMs * PREDICTION_FACTOR < question.timeLeftMs;
+  return !isLargest && attemptsLeft > 0 && hasBudget && isInTime;
 };
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -22,3 +22,5 @@
 export * from './windowBudget';
 export * from './chooseServiceVersion';
 export * from './admitWhileStopping';
+export * from './placeEngineRequest';
+export * from './readRates';
--- /dev/null
+++ b/src/node/decisions/placeEngineRequest.ts
@@ -0,0 +1,88 @@
+import murmurhash from 'murmurhash';
+
+// Load pattern: long prompts that share their beginnings arrive while caches are empty, after a
+// start or at a new version; reading them is the scarce work, and several gateways choose at once.
+
+/** An engine endpoint that may take a request. */
+export interface EngineCandidate {
+  readonly id: string;
+  readonly isOwnZone: boolean;
+  /** Requests that the endpoint runs at once. */
+  readonly slots: number;
+  /** Requests under way there, of all gateways as far as known. */
+  readonly running: number;
+  /** Reading of prompts that is ahead of a new request, in milliseconds. */
+  readonly queueMs: number;
+  /** Tokens of this prompt that the endpoint has likely not read yet. */
+  readonly unreadTokens: number;
+  readonly isWarmingUp: boolean;
+  /** Whether its latest answers were failures. */
+  readonly isEjected: boolean;
+}
+
+/** What decides where a request for an engine goes. */
+export interface EngineQuestion {
+  readonly candidates: readonly EngineCandidate[];
+  /** Shared beginning of the prompt with its model. */
+  readonly affinity: string;
+  /** Tokens of the shared beginning. */
+  readonly sharedTokens: number;
+  /** Time that the model takes to read one token, in milliseconds. */
+  readonly msPerToken: number;
+}
+
+/** Where a request goes, with the time to its first token as predicted, or why nowhere. */
+export type EnginePlacement =
+  | { readonly type: 'placed'; readonly id: string; readonly predictedMs: number }
+  | { readonly type: 'refused'; readonly reason: string; readonly retryAfterMs: number };
+
+/** What one running request adds to the time to a first token, in milliseconds: a token's step. */
+const RUNNING_MS = 2;
+/** An endpoint in another zone costs a little more than its way, so that ties stay at home. */
+const OTHER_ZONE_MS = 12;
+/** An endpoint just started is slower by a factor that its reports do not give. */
+const WARMUP_FACTOR = 2;
+/** Chance that the endpoint which all gateways rank first for a part has read it already. */
+const HOME_CHANCE = 0.6;
+/** Requests that an endpoint holds beyond its slots only wait there. */
+const QUEUE_FACTOR = 1.25;
+/** Without any endpoint the next reports are worth waiting for. */
+const NO_ENDPOINT_RETRY_MS = 500;
+/** A full pool frees places within about one answer's time. */
+const FULL_RETRY_MS = 700;
+
+const findHome = ({ candidates, affinity }: EngineQuestion): string => {
+  const scored = candidates.map(({ id }) => ({ id, score: murmurhash.v3(`${affinity}|${id}`) }));
+  return scored.reduce((best, item) => (item.score > best.score ? item : best)).id;
+};
+
+const predict = (question: EngineQuestion, candidate: EngineCandidate, home: string): number => {
+  const { msPerToken, sharedTokens } = question;
+  const { unreadTokens, queueMs, running, isOwnZone, isWarmingUp } = candidate;
+  const own = Math.max(0, unreadTokens - sharedTokens);
+  const shared = unreadTokens - own;
+  const unread = own + (candidate.id === home ? (1 - HOME_CHANCE) * shared : shared);
+  const readMs = (queueMs + unread * msPerToken) * (isWarmingUp ? WARMUP_FACTOR : 1);
+  return readMs + running * RUNNING_MS + (isOwnZone ? 0 : OTHER_ZONE_MS);
+};
+
+/** Chooses the endpoint with the earliest first token, as far as a gateway can tell. */
+export const placeEngineRequest = (question: EngineQuestion): EnginePlacement => {
+  const { candidates } = question;
+  if (candidates.length === 0) {
+    const reason = 'no endpoint takes requests';
+    return { type: 'refused', reason, retryAfterMs: NO_ENDPOINT_RETRY_MS };
+  }
+  const healthy = candidates.filter((candidate) => !candidate.isEjected);
+  const usable = (healthy.length > 0 ? healthy : candidates).filter(
+    ({ running, slots }) => running < slots * QUEUE_FACTOR,
+  );
+  if (usable.length === 0) {
+    return { type: 'refused', reason: 'every endpoint is full', retryAfterMs: FULL_RETRY_MS };
+  }
+  const home = findHome(question);
+  const ranked = usable
+    .map((candidate) => ({ id: candidate.id, predictedMs: predict(question, candidate, home) }))
+    .sort((a, b) => a.predictedMs - b.predictedMs);
+  return { type: 'placed', ...ranked[0]! };
+};
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -1,11 +1,15 @@
 import {
   chooseServiceVersion,
   chooseWeightedService,
+  createReadRates,
+  placeEngineRequest,
   placeRequest,
   type Placement,
+  type ReadRates,
 } from '../decisions';
 import type { EndpointReport } from '../registry';
-import type { Route } from '../routing';
+import type { EngineProfile, Route } from '../routing';
+import type { CacheBeliefs } from './cacheBeliefs';
 import type { EndpointLoads } from './endpointLoads';
 import type { RegistryView } from './registryView';
 import { formatRollout, type RoutingFacts } from './routingView';
@@ -24,7 +28,16 @@
 
 /** The endpoint that a request goes to, or why it goes nowhere. */
 export type EndpointChoice =
-  | { readonly type: 'placed'; readonly endpoint: EndpointReport; readonly reason: string }
+  | {
+      readonly type: 'placed';
+      readonly endpoint: EndpointReport;
+      readonly reason: string;
+      /** Time to the first token as predicted, in milliseconds; 0 at a plain service. */
+      readonly predictedMs: number;
+      /** Tokens of the prompt that the endpoint has likely not read yet, and the time for them. */
+      readonly unreadTokens: number;
+      readonly readMs: number;
+    }
   | Extract<Placement, { readonly type: 'refused' }>;
 
 /** Parts of a chooser. */
@@ -35,11 +48,20 @@
   readonly registry: RegistryView;
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
+  readonly beliefs: CacheBeliefs;
 }
 
 /** Chooses endpoints; `now` is steady time in milliseconds. */
 export interface EndpointChooser {
   readonly choose: (facts: RoutingFacts, request: ChoiceRequest, now: number) => EndpointChoice;
+  /** Takes note that a request was sent to the endpoint chosen for it. */
+  readonly recordSent: (facts: RoutingFacts, request: ChoiceRequest, sentTo: EndpointReport) => void;
+  /** Takes note of the delay of a first token, in milliseconds. */
+  readonly recordFirstToken: (
+    facts: RoutingFacts,
+    place: { readonly service: string; readonly model: string; readonly unreadTokens: number },
+    delayMs: number,
+  ) => void;
 }
 
 // The last part belongs to the request or its session; what it shares with others is the one before.
@@ -49,9 +71,24 @@
   return shared ? `${model ?? ''}|${shared.id}` : '';
 };
 
+const countShared = ({ caller }: ChoiceRequest): number =>
+  caller.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+
 /** Creates a chooser over this gateway's view. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
-  const { zone, sessionMs, exposureShare, registry, loads, sessions } = options;
+  const { zone, sessionMs, exposureShare, registry, loads, sessions, beliefs } = options;
+  const rates = new Map<string, ReadRates>();
+
+  const acquireRates = (service: string, { models }: EngineProfile): ReadRates => {
+    const known = rates.get(service);
+    if (known) return known;
+    const created = createReadRates(models);
+    rates.set(service, created);
+    return created;
+  };
+
+  const findEngine = (facts: RoutingFacts, service: string): EngineProfile | undefined =>
+    facts.table.findService(service)?.engine;
 
   const listByVersion = (
     facts: RoutingFacts,
@@ -82,31 +119,94 @@
       : ready.filter(({ version }) => choice.isAllowed(version));
   };
 
-  return {
-    choose: (facts, request, now) => {
-      const { route, caller } = request;
-      const service = chooseWeightedService(route.targets, caller.session ?? caller.requestId);
-      const reports = listByVersion(facts, request, service, now);
-      const ejected = loads.listEjected(
-        reports.map(({ id }) => id),
-        now,
-      );
-      const placement = placeRequest({
-        candidates: reports.map((report) => ({
+  const chooseEngine = (
+    facts: RoutingFacts,
+    request: ChoiceRequest,
+    reports: readonly EndpointReport[],
+    ejected: ReadonlySet<string>,
+  ): EndpointChoice => {
+    const { caller } = request;
+    const model = request.model ?? caller.model ?? '';
+    const service = reports[0]?.service ?? '';
+    const engine = findEngine(facts, service);
+    const msPerToken = engine ? acquireRates(service, engine).read(model) : 0;
+    const unread = new Map(
+      reports.map(({ id }) => [id, beliefs.countUnread(id, model, caller.parts)]),
+    );
+    const placement = placeEngineRequest({
+      candidates: reports.map((report) => {
+        const load = loads.findAll(report.id);
+        return {
           id: report.id,
           isOwnZone: report.zone === zone,
           slots: report.slots,
-          running: loads.countRunning(report.id),
+          running: load.running,
+          queueMs: load.readMs,
+          unreadTokens: unread.get(report.id)!,
           isWarmingUp: report.warmupMs > 0,
           isEjected: ejected.has(report.id),
-        })),
-        affinity: formatAffinity(request),
-        requestId: caller.requestId,
-        gatewayCount: facts.gatewayCount,
-      });
-      if (placement.type === 'refused') return placement;
-      const endpoint = reports.find(({ id }) => id === placement.id)!;
-      return { type: 'placed', endpoint, reason: placement.reason };
+        };
+      }),
+      affinity: formatAffinity(request),
+      sharedTokens: countShared(request),
+      msPerToken,
+    });
+    if (placement.type === 'refused') return placement;
+    const endpoint = reports.find(({ id }) => id === placement.id)!;
+    const unreadTokens = unread.get(endpoint.id)!;
+    return {
+      type: 'placed',
+      endpoint,
+      reason: 'earliest first token',
+      predictedMs: placement.predictedMs,
+      unreadTokens,
+      readMs: unreadTokens * msPerToken,
+    };
+  };
+
+  const choosePlain = (
+    _facts: RoutingFacts,
+    request: ChoiceRequest,
+    reports: readonly EndpointReport[],
+    ejected: ReadonlySet<string>,
+  ): EndpointChoice => {
+    const placement = placeRequest({
+      candidates: reports.map((report) => ({
+        id: report.id,
+        isOwnZone: report.zone === zone,
+        slots: report.slots,
+        running: loads.findAll(report.id).running,
+        isWarmingUp: report.warmupMs > 0,
+        isEjected: ejected.has(report.id),
+      })),
+      requestId: request.caller.requestId,
+    });
+    if (placement.type === 'refused') return placement;
+    const endpoint = reports.find(({ id }) => id === placement.id)!;
+    const { reason } = placement;
+    return { type: 'placed', endpoint, reason, predictedMs: 0, unreadTokens: 0, readMs: 0 };
+  };
+
+  return {
+    choose: (facts, request, now) => {
+      const { route, caller } = request;
+      const service = chooseWeightedService(route.targets, caller.session ?? caller.requestId);
+      const reports = listByVersion(facts, request, service, now);
+      const ids = reports.map(({ id }) => id);
+      const ejected = loads.listEjected(ids, now);
+      const isEngine = findEngine(facts, service) !== undefined && caller.parts.length > 0;
+      const choose = isEngine ? chooseEngine : choosePlain;
+      return choose(facts, request, reports, ejected);
+    },
+    recordSent: (facts, { caller, model }, { id, service }) => {
+      const engine = findEngine(facts, service);
+      const name = model ?? caller.model;
+      if (!engine || name === undefined) return;
+      beliefs.record(id, name, caller.parts, engine.cacheTokens);
+    },
+    recordFirstToken: (facts, { service, model, unreadTokens }, delayMs) => {
+      const engine = findEngine(facts, service);
+      if (engine) acquireRates(service, engine).record(model, unreadTokens, delayMs);
     },
   };
 };
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -1,8 +1,8 @@
 import { chooseModelRun } from '../decisions';
 import { convertToRouterError } from '../errors';
-import type { EndpointReport } from '../registry';
 import type { CallerReply } from './callerReply';
 import { waitAtMost } from './deadline';
+import type { EndpointChoice } from './endpointChoice';
 import type { AdmittedRequest, Exchange, ExchangeEnd, ExchangeParts } from './exchangeTypes';
 import { relayAnswer, type AttemptContext, type AttemptResult } from './relayAnswer';
 import type { RoutingFacts } from './routingView';
@@ -13,6 +13,8 @@
   readonly countActive: () => number;
 }
 
+type PlacedChoice = Extract<EndpointChoice, { readonly type: 'placed' }>;
+
 /** Time to open a connection before another endpoint is tried, in milliseconds; far above the way there. */
 const CONNECT_TIMEOUT_MS = 400;
 /** Without a lease the next renewal is worth waiting for, in milliseconds. */
@@ -100,9 +102,10 @@
   const startAttempt = (
     exchange: Exchange,
     facts: RoutingFacts,
-    endpoint: EndpointReport,
+    choice: PlacedChoice,
     model: string | undefined,
   ): AttemptContext => {
+    const { endpoint, unreadTokens, readMs } = choice;
     const { request, lastEventId } = exchange;
     const { caller, method, path, body, organisation, limitAt } = request;
     const now = readNow();
@@ -122,11 +125,14 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
     exchange.current = attempt;
+    chooser.recordSent(facts, { route: request.route, caller, model, tried: exchange.tried }, endpoint);
     const budget = parts.findBudget(endpoint.service);
-    return { parts, exchange, facts, endpoint, model, attempt, startedAt: now, budget };
+    const share = loads.add(endpoint.id, readMs);
+    const common = { parts, exchange, facts, endpoint, model, attempt };
+    return { ...common, startedAt: now, budget, share, unreadTokens };
   };
 
-  const logPlaced = (context: AttemptContext, reason: string): void => {
+  const logPlaced = (context: AttemptContext, choice: PlacedChoice): void => {
     const { exchange, facts, endpoint, model, startedAt } = context;
     log.info(
       {
@@ -135,8 +141,10 @@
         endpoint: endpoint.id,
         version: endpoint.version,
         model,
-        reason,
-        running: loads.countRunning(endpoint.id),
+        reason: choice.reason,
+        predictedMs: Math.round(choice.predictedMs),
+        unreadTokens: choice.unreadTokens,
+        running: loads.findAll(endpoint.id).running,
         attempt: exchange.attempts + 1,
         revision: facts.revision,
         reportSequence: endpoint.sequence,
@@ -190,13 +198,12 @@
       giveUp(exchange, FAILED_RETRY_MS);
       return;
     }
-    const context = startAttempt(exchange, facts, endpoint, model);
-    logPlaced(context, choice.reason);
-    const release = loads.add(endpoint.id);
+    const context = startAttempt(exchange, facts, choice, model);
+    logPlaced(context, choice);
     try {
       handleResult(exchange, await relayAnswer(context));
     } finally {
-      release();
+      context.share.end();
       exchange.current?.cancel();
       exchange.current = undefined;
     }
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -8,11 +8,13 @@
 import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { createCallerServer, updateTimeouts } from './callerServer';
 import { createEndpointChooser } from './endpointChoice';
-import { createEndpointLoads } from './endpointLoads';
+import { createCacheBeliefs } from './cacheBeliefs';
+import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
 import { startEndpointAttempt } from './endpointAttempt';
 import { createExchangeRunner, type ExchangeRunner } from './exchange';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { createLeaseClock } from './leaseClock';
+import { createLoadExchange } from './loadExchange';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
@@ -70,6 +72,22 @@
       return { value, stop: value.stop };
     },
   },
+  {
+    name: 'loads',
+    needs: ['rpc', 'log', 'routing-view'],
+    start: (find) => {
+      const value = createEndpointLoads();
+      const exchange = createLoadExchange({
+        gateway: settings.node,
+        rpc: find<RpcClient>('rpc'),
+        log: createPartLogger(find<Logger>('log'), 'gateway'),
+        loads: value,
+        findHost: find<RoutingView>('routing-view').findLeader,
+      });
+      exchange.start();
+      return { value, stop: exchange.stop };
+    },
+  },
 ];
 
 const createFindBudget = ({ bounds }: GatewaySettings): ((service: string) => WindowBudget) => {
@@ -89,10 +107,10 @@
 
 const createRunnerService = (settings: GatewaySettings, codec: HeaderCodec): Service => ({
   name: 'runner',
-  needs: ['routing-view', 'registry-view', 'tallies', 'gateway-metrics', 'log'],
+  needs: ['routing-view', 'registry-view', 'loads', 'tallies', 'gateway-metrics', 'log'],
   start: (find) => {
     const { zone, bounds } = settings;
-    const loads = createEndpointLoads();
+    const loads = find<EndpointLoads>('loads');
     const sessions: SessionVersions = createSessionVersions(bounds.sessionMs);
     const timer = setInterval(() => sessions.expire(readNow()), HOUSEKEEPING_INTERVAL_MS);
     const value = createExchangeRunner({
@@ -103,6 +121,7 @@
         zone,
         loads,
         sessions,
+        beliefs: createCacheBeliefs(),
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -1,6 +1,7 @@
 import { isAnswerDoubtful, type WindowBudget } from '../decisions';
 import type { EndpointReport } from '../registry';
 import { waitAtMost } from './deadline';
+import type { LoadShare } from './endpointLoads';
 import { createEventReader } from './eventReader';
 import type { Exchange, ExchangeParts } from './exchangeTypes';
 import type { RoutingFacts } from './routingView';
@@ -17,6 +18,9 @@
   /** Steady time in milliseconds. */
   readonly startedAt: number;
   readonly budget: WindowBudget;
+  readonly share: LoadShare;
+  /** Tokens of the prompt that the endpoint had likely not read before. */
+  readonly unreadTokens: number;
 }
 
 /** What became of an attempt: the caller has its answer, or another attempt may follow. */
@@ -79,6 +83,15 @@
   parts.metrics.firstByte.observe({ route: route.name }, seconds);
 };
 
+const recordFirstEvent = (context: AttemptContext): void => {
+  const { parts, endpoint, facts, model, exchange, share, unreadTokens, startedAt } = context;
+  share.endReading();
+  const name = model ?? exchange.request.caller.model;
+  if (name === undefined) return;
+  const place = { service: endpoint.service, model: name, unreadTokens };
+  parts.chooser.recordFirstToken(facts, place, parts.readNow() - startedAt);
+};
+
 const isRepeatable = ({ exchange }: AttemptContext): boolean => {
   const { kind, canResume, attemptLimit } = exchange.request.route;
   const isIdempotent = kind === 'idempotent' || (kind === 'stream' && canResume);
@@ -153,7 +166,10 @@
         recordFirstByte(context);
         reply.start(head.status, head.forwarded);
       }
-      firstAt ??= parts.readNow();
+      if (firstAt === undefined) {
+        firstAt = parts.readNow();
+        recordFirstEvent(context);
+      }
       exchange.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
       await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
     }
@@ -175,9 +191,11 @@
 
 const isDropped = (context: AttemptContext, head: AnswerHead): boolean => {
   const { exchange, parts, facts, model, budget } = context;
-  const { route, receivedAt } = exchange.request;
+  const { route, receivedAt, caller } = exchange.request;
   if (model === undefined || exchange.reply.isStarted()) return false;
   const now = parts.readNow();
+  const { tried } = exchange;
+  const second = parts.chooser.choose(facts, { route, caller, model: route.models.at(-1), tried }, now);
   const isDoubtful = isAnswerDoubtful({
     models: route.models,
     model,
@@ -185,6 +203,7 @@
     attemptsLeft: route.attemptLimit - exchange.attempts,
     hasBudget: budget.canAcquire(now, facts.gatewayCount),
     timeLeftMs: receivedAt + route.targetLatencyMs - now,
+    secondRunMs: second.type === 'placed' ? second.predictedMs : Infinity,
   });
   if (!isDoubtful) return false;
   const { requestId: request } = exchange.request.caller;
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -27,6 +27,8 @@
   readonly countAge: () => number;
   /** Internal addresses of all control hosts known. */
   readonly listControlHosts: () => readonly string[];
+  /** Internal address of the leading control host, if one is known. */
+  readonly findLeader: () => string | undefined;
   readonly start: () => void;
   readonly stop: () => void;
 }
@@ -155,6 +157,7 @@
     read: () => (isLeased() ? facts : undefined),
     countAge,
     listControlHosts: () => hosts,
+    findLeader: () => (preferred === '' ? undefined : preferred),
     start: () => {
       run().catch((cause: unknown) => {
         const error = convertToRouterError(cause, 'gateway.watch');
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -1,3 +1,4 @@
+export * from './loadBoard';
 export * from './protocol';
 export * from './registryDesk';
 export * from './rolloutSupervisor';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -6,6 +6,7 @@
 import { createRegistry, type Registry } from '../registry';
 import { createReplicationHost, type Replica, type ReplicationHost } from '../replication';
 import { createHttpServer, createMethod, createRpcService, startHttpServer, type RpcClient } from '../rpc';
+import { createLoadBoard, exchangeLoadParams } from './loadBoard';
 import { shareReportParams, watchRegistryParams, watchRoutingParams } from './protocol';
 import { createRegistryDesk, type RegistryDesk } from './registryDesk';
 import { createRolloutSupervisor } from './rolloutSupervisor';
@@ -130,11 +131,15 @@
     const desks = find<ControlDesks>('desks');
     const { replica, state } = find<RoutingGroup>('routing-group');
     const metrics = find<Metrics>('metrics');
+    const board = createLoadBoard();
     const internal = createInternalServer({
       methods: {
         ...find<ReplicationHost>('replication').methods,
         'routing.watch': createMethod(watchRoutingParams, desks.routing.watch),
         'registry.watch': createMethod(watchRegistryParams, desks.registry.watch),
+        'load.exchange': createMethod(exchangeLoadParams, (params) =>
+          board.exchange(params, readNow()),
+        ),
         'registry.share': createMethod(shareReportParams, ({ report, hasLeft }) => {
           desks.registry.handleShared(report, hasLeft);
           return { type: 'recorded' };
