--- a/src/node/decisions/serviceRollout.ts
+++ b/src/node/decisions/serviceRollout.ts
@@ -70,9 +70,7 @@
   const candidate = readLogTimes(cell.candidate);
   const baseline = readLogTimes(cell.baseline);
   const comparison = { candidate, baseline, alpha, priorDeviation: LOG_TIME_PRIOR_DEVIATION };
-  return (
-    candidate.count >= SMALLEST_CELL && testRise(comparison, Math.log(TOLERATED_TIME_FACTOR))
-  );
+  return candidate.count >= SMALLEST_CELL && testRise(comparison, Math.log(TOLERATED_TIME_FACTOR));
 };
 
 /** Finds why a version must be rolled back, or nothing while there is no proof that it is worse. */
--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -11,6 +11,7 @@
   retryAfterMs: undefined,
   confidence: undefined,
   isEventStream: false,
+  isUnframed: false,
   isEncoded: false,
   forwarded: [],
 };
@@ -77,8 +78,16 @@
     answer: sendThen(`${FRAMED}0123456789HTTP/1.1 200 OK\r\n\r\n`, (s) => s.end()),
     isWhole: true,
   },
-  { name: 'chunks, short', answer: sendThen(`${CHUNKED}4\r\n0123\r\n`, (s) => s.end()), isWhole: false },
-  { name: 'no length, closed', answer: sendThen(`${UNFRAMED}0123456789`, (s) => s.end()), isWhole: true },
+  {
+    name: 'chunks, short',
+    answer: sendThen(`${CHUNKED}4\r\n0123\r\n`, (s) => s.end()),
+    isWhole: false,
+  },
+  {
+    name: 'no length, closed',
+    answer: sendThen(`${UNFRAMED}0123456789`, (s) => s.end()),
+    isWhole: true,
+  },
   {
     name: 'no length, reset',
     answer: sendThen(`${UNFRAMED}0123`, (s) => s.resetAndDestroy()),
@@ -110,7 +119,13 @@
     const { port } = server.address() as AddressInfo;
     if (!answer) await new Promise((resolve) => server.close(resolve));
     const head = await startAttempt(port).head;
-    t.is(head.swap().map((failure) => failure.mayHaveRun).extract(), mayHaveRun);
+    t.is(
+      head
+        .swap()
+        .map((failure) => failure.mayHaveRun)
+        .extract(),
+      mayHaveRun,
+    );
     server.close();
   });
 }
--- /dev/null
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -0,0 +1,308 @@
+import type { Socket } from 'node:net';
+import test from 'ava';
+import { startGateway, type CallOptions, type RouteFields, type SocketAnswer } from './harness';
+
+const PAUSE_MS = 20;
+const ECHO = 'X-Request-Id: id-1\r\nX-Response-Signature: s';
+
+const answerWith =
+  (text: string, end: (socket: Socket) => void = () => {}): SocketAnswer =>
+  (socket) => {
+    socket.write(text);
+    setTimeout(() => end(socket), PAUSE_MS);
+  };
+
+const close = (socket: Socket): void => {
+  socket.end();
+};
+const reset = (socket: Socket): void => {
+  socket.resetAndDestroy();
+};
+const keepSilent: SocketAnswer = () => {};
+
+const formatFramed = (status: string, body: string, headers = ECHO): string =>
+  `HTTP/1.1 ${status}\r\n${headers}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+
+const good = answerWith(formatFramed('200 OK', 'good'));
+const failing = answerWith(formatFramed('500 Internal Server Error', 'bad'));
+const declining = answerWith(
+  formatFramed('503 Service Unavailable', '', `${ECHO}\r\nX-Not-Executed: 1`),
+);
+const misdirected = answerWith(formatFramed('421 Misdirected Request', ''));
+const cut = answerWith(`HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Length: 10\r\n\r\n0123`, close);
+const unframed = answerWith(`HTTP/1.1 200 OK\r\n${ECHO}\r\nConnection: close\r\n\r\nhalf`, close);
+const unframedReset = answerWith(
+  `HTTP/1.1 200 OK\r\n${ECHO}\r\nConnection: close\r\n\r\nhalf`,
+  reset,
+);
+const crossed = answerWith(formatFramed('200 OK', 'other', 'X-Request-Id: id-0'));
+const encoded = answerWith(formatFramed('200 OK', 'zzz', `${ECHO}\r\nContent-Encoding: gzip`));
+
+const ONCE: RouteFields = { kind: 'once' };
+const SAFE: RouteFields = { kind: 'idempotent' };
+
+interface Case {
+  readonly name: string;
+  readonly route: RouteFields;
+  readonly answers: readonly SocketAnswer[];
+  readonly call?: CallOptions;
+  readonly status: number;
+  readonly body?: string;
+  /** Requests that each endpoint gets. */
+  readonly sent: readonly number[];
+  readonly hasLength?: boolean;
+}
+
+const cases: readonly Case[] = [
+  { name: 'a whole answer', route: SAFE, answers: [good], status: 200, body: 'good', sent: [1] },
+  {
+    name: 'a failure, repeatable',
+    route: SAFE,
+    answers: [failing, good],
+    status: 200,
+    body: 'good',
+    sent: [1, 1],
+  },
+  {
+    name: 'a failure, not repeatable',
+    route: ONCE,
+    answers: [failing, good],
+    status: 500,
+    body: 'bad',
+    sent: [1, 0],
+  },
+  {
+    name: 'a declined request, not repeatable',
+    route: ONCE,
+    answers: [declining, good],
+    status: 200,
+    body: 'good',
+    sent: [1, 1],
+  },
+  {
+    name: 'another instance at the address',
+    route: ONCE,
+    answers: [misdirected, good],
+    status: 200,
+    body: 'good',
+    sent: [1, 1],
+  },
+  {
+    name: 'declined everywhere',
+    route: ONCE,
+    answers: [declining, declining],
+    status: 503,
+    sent: [1, 1],
+  },
+  {
+    name: 'a cut answer, repeatable',
+    route: SAFE,
+    answers: [cut, good],
+    status: 200,
+    body: 'good',
+    sent: [1, 1],
+  },
+  {
+    name: 'a cut answer, not repeatable',
+    route: ONCE,
+    answers: [cut, good],
+    status: 502,
+    sent: [1, 0],
+  },
+  {
+    name: 'an answer to another request',
+    route: ONCE,
+    answers: [crossed, good],
+    status: 502,
+    sent: [1, 0],
+  },
+  {
+    name: 'an encoding nobody asked for',
+    route: ONCE,
+    answers: [encoded, good],
+    status: 502,
+    sent: [1, 0],
+  },
+  {
+    name: 'a reset without a length',
+    route: ONCE,
+    answers: [unframedReset, good],
+    status: 502,
+    sent: [1, 0],
+  },
+  {
+    name: 'an end without a length stays without one',
+    route: ONCE,
+    answers: [unframed, good],
+    status: 200,
+    body: 'half',
+    sent: [1, 0],
+    hasLength: false,
+  },
+  {
+    name: 'an end without a length is doubted where a repeat is allowed',
+    route: SAFE,
+    answers: [unframed, good],
+    status: 200,
+    body: 'good',
+    sent: [1, 1],
+  },
+  {
+    name: 'a doubted answer is better than none',
+    route: SAFE,
+    answers: [unframed],
+    status: 200,
+    body: 'half',
+    sent: [1],
+    hasLength: false,
+  },
+  {
+    name: 'silence, repeatable',
+    route: { ...SAFE, targetLatencyMs: 50 },
+    answers: [keepSilent, good],
+    status: 200,
+    body: 'good',
+    sent: [1, 1],
+  },
+  {
+    name: 'silence until the route ends the wait',
+    route: { ...ONCE, timeoutMs: 150 },
+    answers: [keepSilent, good],
+    status: 504,
+    sent: [1, 0],
+  },
+  { name: 'no route', route: SAFE, answers: [good], call: { path: '/b/' }, status: 404, sent: [0] },
+  {
+    name: 'an unknown key',
+    route: SAFE,
+    answers: [good],
+    call: { headers: { 'X-Api-Key': 'other' } },
+    status: 401,
+    sent: [0],
+  },
+  {
+    name: 'a public route needs no key',
+    route: { ...SAFE, isPublic: true },
+    answers: [good],
+    call: { headers: { 'X-Api-Key': 'other' } },
+    status: 200,
+    sent: [1],
+  },
+];
+
+for (const { name, route, answers, call, status, body, sent, hasLength } of cases) {
+  test(`answer of a gateway: ${name}`, async (t) => {
+    const gateway = await startGateway(route, answers);
+    const result = await gateway.call(call);
+    t.is(result.status, status);
+    if (body !== undefined) t.is(result.body, body);
+    t.deepEqual(
+      gateway.heads.map((heads) => heads.length),
+      sent,
+    );
+    const isFramed = result.headers['content-length'] !== undefined;
+    if (hasLength === false) t.false(isFramed || result.headers['transfer-encoding'] === 'chunked');
+    if (status >= 502) t.is(result.headers['x-response-signature'], undefined);
+    if (status === 503) t.truthy(result.headers['retry-after']);
+    await gateway.stop();
+  });
+}
+
+const SSE = `HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+const formatChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+const formatEvents = (from: number, to: number): string =>
+  Array.from({ length: to - from + 1 }, (_item, index) => `id: ${from + index}\ndata: x\n\n`)
+    .map(formatChunk)
+    .join('');
+
+const END = '0\r\n\r\n';
+const STREAM: RouteFields = { kind: 'stream', canResume: true };
+
+interface StreamCase {
+  readonly name: string;
+  readonly route: RouteFields;
+  readonly answers: readonly SocketAnswer[];
+  readonly ids: readonly number[];
+  readonly isWhole: boolean;
+  /** Event that the second endpoint is asked to go on after. */
+  readonly resumedAfter?: string;
+}
+
+const wholeStream = answerWith(`${SSE}${formatEvents(1, 4)}${END}`);
+const restOfStream = answerWith(`${SSE}${formatEvents(3, 4)}${END}`);
+const brokenStream = answerWith(`${SSE}${formatEvents(1, 2)}`, reset);
+const tornStream = answerWith(`${SSE}${formatEvents(1, 2)}${formatChunk('id: 3\nda')}`, reset);
+const stalledStream = answerWith(`${SSE}${formatEvents(1, 2)}`);
+
+const streamCases: readonly StreamCase[] = [
+  { name: 'whole', route: STREAM, answers: [wholeStream], ids: [1, 2, 3, 4], isWhole: true },
+  {
+    name: 'broken off, resumed',
+    route: STREAM,
+    answers: [brokenStream, restOfStream],
+    ids: [1, 2, 3, 4],
+    isWhole: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'broken off inside an event, resumed',
+    route: STREAM,
+    answers: [tornStream, restOfStream],
+    ids: [1, 2, 3, 4],
+    isWhole: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'stalled, resumed',
+    route: { ...STREAM, gapTargetMs: 50 },
+    answers: [stalledStream, restOfStream],
+    ids: [1, 2, 3, 4],
+    isWhole: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'broken off, may not be resumed',
+    route: { ...STREAM, canResume: false },
+    answers: [brokenStream, restOfStream],
+    ids: [1, 2],
+    isWhole: false,
+  },
+];
+
+for (const { name, route, answers, ids, isWhole, resumedAfter } of streamCases) {
+  test(`stream through a gateway: ${name}`, async (t) => {
+    const gateway = await startGateway(route, answers);
+    const result = await gateway.call({ method: 'POST', body: '{}' });
+    t.is(result.status, 200);
+    t.deepEqual(
+      [...result.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1])),
+      ids,
+    );
+    t.is(result.isWhole, isWhole);
+    const second = gateway.heads[1]?.[0];
+    t.is(/^Last-Event-Id: (.*)\r$/m.exec(second ?? '')?.[1], resumedAfter);
+    await gateway.stop();
+  });
+}
+
+test('headers that are the system’s to set do not pass as a caller sent them', async (t) => {
+  const gateway = await startGateway(SAFE, [good]);
+  await gateway.call({
+    headers: {
+      'X-Hold': 'h',
+      'Kv-From': 'a',
+      'X-Tenant': 'other',
+      Connection: 'X-Mine',
+      'X-Mine': '1',
+    },
+  });
+  const head = gateway.heads[0]![0]!;
+  for (const name of ['x-hold', 'kv-from', 'x-mine', 'x-api-key']) {
+    t.false(head.toLowerCase().includes(`${name}:`), name);
+  }
+  t.true(head.includes('X-Tenant: north'));
+  t.true(head.includes('X-Expected-Instance: e-0'));
+  await gateway.stop();
+});
--- /dev/null
+++ b/src/node/gateway/__tests__/harness.ts
@@ -0,0 +1,280 @@
+import { createServer, request as openRequest, type IncomingMessage, type Server } from 'node:http';
+import {
+  createServer as createNetServer,
+  type AddressInfo,
+  type Server as NetServer,
+  type Socket,
+} from 'node:net';
+import { performance } from 'node:perf_hooks';
+import pino from 'pino';
+import { Registry } from 'prom-client';
+import { headerCodec } from '../../../../platform/headers';
+import { createWindowBudget } from '../../decisions';
+import type { EndpointReport, KnownEndpoint } from '../../registry';
+import { createRouteTable, type Route, type RoutingConfig } from '../../routing';
+import { createCacheBeliefs } from '../cacheBeliefs';
+import { createCallerServer } from '../callerServer';
+import { startEndpointAttempt } from '../endpointAttempt';
+import { createEndpointChooser } from '../endpointChoice';
+import { createEndpointLoads } from '../endpointLoads';
+import { createExchangeRunner } from '../exchange';
+import { createGatewayMetrics } from '../gatewayMetrics';
+import type { RoutingFacts } from '../routingView';
+import { createSessionVersions } from '../sessionVersions';
+import { createVersionTallies } from '../versionTallies';
+
+/** How an endpoint of a test answers one connection's request, on the bare socket. */
+export type SocketAnswer = (socket: Socket, head: string) => void;
+
+/** What a caller of a test got. */
+export interface CallerResult {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** Whether the answer came to its end as its framing says. */
+  readonly isWhole: boolean;
+}
+
+/** A gateway with endpoints that are plain servers. */
+export interface GatewayHarness {
+  readonly call: (options?: CallOptions) => Promise<CallerResult>;
+  /** Heads of the requests that each endpoint has got. */
+  readonly heads: readonly string[][];
+  readonly logs: readonly string[];
+  readonly stop: () => Promise<void>;
+}
+
+/** One call of a caller. */
+export interface CallOptions {
+  readonly method?: string;
+  readonly path?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+/** The route of a test; its fields replace the defaults. */
+export type RouteFields = Partial<Route>;
+
+const HOST = 'shop.example';
+const KEY = 'key-1';
+
+const createRoute = (fields: RouteFields): Route => ({
+  name: 'r-1',
+  host: HOST,
+  pathPrefix: '/a/',
+  kind: 'idempotent',
+  timeoutMs: 1_500,
+  targetLatencyMs: 200,
+  gapTargetMs: undefined,
+  rank: 0,
+  targets: [{ service: 's', weight: 1 }],
+  attemptLimit: 3,
+  isPublic: false,
+  canResume: false,
+  models: [],
+  ...fields,
+});
+
+const createConfig = (route: Route): RoutingConfig => ({
+  version: 1,
+  routes: [route],
+  services: [
+    {
+      name: 's',
+      connectionLimit: 100,
+      engine:
+        route.models.length > 0
+          ? {
+              slots: 8,
+              cacheTokens: 100_000,
+              tokensPerEvent: 1,
+              models: route.models.map((name, index) => ({ name, cost: index + 1 })),
+            }
+          : undefined,
+    },
+  ],
+  organisations: [{ name: 'north', keys: [KEY], rank: undefined }],
+  limits: {
+    headerBytes: 16_384,
+    bodyBytes: 1_000_000,
+    headerTimeoutMs: 2_000,
+    idleTimeoutMs: 5_000,
+  },
+});
+
+const listen = (server: Server | NetServer): Promise<number> =>
+  new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
+  });
+
+const createReport = (index: number, port: number): EndpointReport => ({
+  id: `e-${index}`,
+  startedAt: 1,
+  sequence: 1,
+  service: 's',
+  address: `127.0.0.1:${port}`,
+  zone: 'a',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  warmupMs: 0,
+  models: [],
+});
+
+const startEndpoint = async (answer: SocketAnswer, heads: string[]) => {
+  const sockets = new Set<Socket>();
+  const server = createNetServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.once('data', (data) => {
+      const head = data.toString('latin1');
+      heads.push(head);
+      answer(socket, head);
+    });
+  });
+  const port = await listen(server);
+  const stop = (): void => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  };
+  return { port, stop };
+};
+
+const readAnswer = (message: IncomingMessage): Promise<CallerResult> =>
+  new Promise((resolve) => {
+    const pieces: Buffer[] = [];
+    const finish = (isWhole: boolean): void =>
+      resolve({
+        status: message.statusCode!,
+        headers: message.headers,
+        body: Buffer.concat(pieces).toString(),
+        isWhole,
+      });
+    message.on('data', (piece: Buffer) => pieces.push(piece));
+    message.on('end', () => finish(message.complete));
+    message.on('error', () => finish(false));
+  });
+
+/** Starts a gateway before endpoints that answer as given; the first listed is tried first. */
+export const startGateway = async (
+  fields: RouteFields,
+  answers: readonly SocketAnswer[],
+): Promise<GatewayHarness> => {
+  const heads: string[][] = answers.map(() => []);
+  const endpoints = await Promise.all(
+    answers.map((answer, index) => startEndpoint(answer, heads[index]!)),
+  );
+  const reports = endpoints.map(({ port }, index) => createReport(index, port));
+  const known: readonly KnownEndpoint[] = reports.map((report) => ({ report, isReady: true }));
+  const facts: RoutingFacts = {
+    revision: 1,
+    table: createRouteTable(createConfig(createRoute(fields))),
+    rollouts: [],
+    retired: [],
+    rolloutSeenAt: new Map(),
+    gatewayCount: 1,
+  };
+  const logs: string[] = [];
+  const log = pino({ level: 'info' }, { write: (line: string) => logs.push(line) });
+  const readNow = (): number => performance.now();
+  const loads = createEndpointLoads();
+  const sessions = createSessionVersions(5_000);
+  const chooser = createEndpointChooser({
+    zone: 'a',
+    sessionMs: 5_000,
+    exposureShare: 0.1,
+    loads,
+    sessions,
+    beliefs: createCacheBeliefs(),
+    registry: {
+      listEndpoints: () => known,
+      findEndpoint: () => undefined,
+      hasAnswer: () => true,
+      start: () => {},
+      stop: () => {},
+    },
+  });
+  const metrics = createGatewayMetrics(new Registry());
+  const budget = createWindowBudget({ ratio: 1, slack: 100, windowMs: 10_000 });
+  const runner = createExchangeRunner({
+    codec: headerCodec,
+    // The order of the list decides, so that a test knows who is asked first.
+    chooser: {
+      ...chooser,
+      choose: (given, request, now) => {
+        const report = reports.find(({ id }) => !request.tried.has(id));
+        if (!report) return chooser.choose(given, request, now);
+        const placed = { type: 'placed', endpoint: report, reason: 'test' } as const;
+        return { ...placed, predictedMs: 0, unreadTokens: 0, readMs: 0 };
+      },
+    },
+    loads,
+    sessions,
+    tallies: createVersionTallies(),
+    metrics,
+    log,
+    readFacts: () => facts,
+    findBudget: () => budget,
+    startAttempt: (target) => startEndpointAttempt(target, headerCodec.decodeAnswer),
+    readNow,
+  });
+  const server = createCallerServer({
+    codec: headerCodec,
+    runner,
+    metrics,
+    log,
+    readFacts: () => facts,
+    countFactsAge: () => 0,
+    countStopMs: () => undefined,
+    graceMs: 5_000,
+    readNow,
+  });
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  const { port } = server.server.address() as AddressInfo;
+
+  const call: GatewayHarness['call'] = (options = {}) =>
+    new Promise((resolve, reject) => {
+      const sent = openRequest(
+        {
+          host: '127.0.0.1',
+          port,
+          agent: false,
+          method: options.method ?? 'GET',
+          path: options.path ?? '/a/b',
+          headers: {
+            host: HOST,
+            'X-Request-Id': 'id-1',
+            'X-Api-Key': KEY,
+            'X-Deadline-Milliseconds': '1200',
+            ...options.headers,
+          },
+        },
+        (message) => {
+          readAnswer(message).then(resolve, reject);
+        },
+      );
+      sent.on('error', reject);
+      sent.end(options.body);
+    });
+
+  return {
+    call,
+    heads,
+    logs,
+    stop: async () => {
+      endpoints.forEach((endpoint) => endpoint.stop());
+      server.server.closeAllConnections();
+      await server.close();
+    },
+  };
+};
+
+/** Creates an unused server, so that its port refuses connections. */
+export const findClosedPort = async (): Promise<number> => {
+  const server = createServer();
+  const port = await listen(server);
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+};
--- a/src/node/gateway/callerReply.ts
+++ b/src/node/gateway/callerReply.ts
@@ -1,12 +1,23 @@
 import type { ServerResponse } from 'node:http';
 import type { RawHeaders } from './types';
 
+/** The head of an answer to a caller. */
+export interface ReplyHead {
+  readonly status: number;
+  readonly headers: RawHeaders;
+  /**
+   * True when nobody knows whether the body is whole: it then ends with the connection, as it came,
+   * since a length would vouch for it.
+   */
+  readonly isUnframed?: boolean;
+}
+
 /** The way back to one caller. */
 export interface CallerReply {
-  /** Sends a whole answer. */
-  readonly send: (status: number, headers: RawHeaders, body: Buffer) => void;
+  /** Sends an answer with all of its body. */
+  readonly send: (head: ReplyHead, body: Buffer) => void;
   /** Begins an answer whose body follows in pieces. */
-  readonly start: (status: number, headers: RawHeaders) => void;
+  readonly start: (head: ReplyHead) => void;
   /** Sends a piece; resolves when the caller is able to take more. */
   readonly write: (piece: Buffer) => Promise<void>;
   /** Ends a body that is complete. */
@@ -27,6 +38,8 @@
   isClosing: () => boolean,
 ): CallerReply => {
   let isGone = false;
+  /** Whether a plain close would look like the end of the body. */
+  let isEndUnmarked = false;
   const listeners: (() => void)[] = [];
   response.once('close', () => {
     if (response.writableFinished) return;
@@ -37,25 +50,31 @@
     // The close event that follows tells of it.
   });
 
-  const writeHead = (status: number, headers: RawHeaders): void => {
-    const closing = isClosing() ? ['Connection', 'close'] : [];
+  const writeHead = ({ status, headers, isUnframed }: ReplyHead): void => {
+    const closing = isClosing() || isUnframed ? ['Connection', 'close'] : [];
     response.sendDate = false;
+    if (isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      isEndUnmarked = true;
+    }
     response.writeHead(status, [...headers, ...closing]);
   };
 
   return {
-    send: (status, headers, body) => {
+    send: (head, body) => {
       if (isGone) return;
+      const { status, headers, isUnframed } = head;
       const hasLength = headers.some(
         (name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
       );
       const isBodiless = BODILESS_STATUSES.has(status) || response.req.method === 'HEAD';
-      const length = hasLength || isBodiless ? [] : ['Content-Length', String(body.length)];
-      writeHead(status, [...headers, ...length]);
+      const length =
+        hasLength || isBodiless || isUnframed ? [] : ['Content-Length', String(body.length)];
+      writeHead({ ...head, headers: [...headers, ...length] });
       response.end(isBodiless ? undefined : body);
     },
-    start: (status, headers) => {
-      if (!isGone) writeHead(status, headers);
+    start: (head) => {
+      if (!isGone) writeHead(head);
     },
     write: (piece) =>
       new Promise((resolve) => {
@@ -75,6 +94,8 @@
       if (!isGone) response.end();
     },
     abort: () => {
+      // Only a body without a length needs it, since a reset may take what was sent before with it.
+      if (isEndUnmarked) response.socket?.resetAndDestroy();
       response.destroy();
     },
     isStarted: () => response.headersSent,
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -48,11 +48,7 @@
   const { codec, runner, metrics, log, readFacts, countFactsAge, countStopMs, readNow } = options;
   const isClosing = (): boolean => countStopMs() !== undefined;
 
-  const refuse = (
-    reply: CallerReply,
-    caller: CallerHeaders,
-    refusal: AdmissionRefusal,
-  ): void => {
+  const refuse = (reply: CallerReply, caller: CallerHeaders, refusal: AdmissionRefusal): void => {
     const { status, reason, retryAfterMs } = refusal;
     const ageMs = Math.round(countFactsAge());
     const revision = readFacts()?.revision;
@@ -62,7 +58,7 @@
     );
     metrics.requests.inc({ route: '', end: `status_${status}` });
     const body = Buffer.from(JSON.stringify({ error: reason }));
-    reply.send(status, codec.encodeRefusal(caller.requestId, retryAfterMs), body);
+    reply.send({ status, headers: codec.encodeRefusal(caller.requestId, retryAfterMs) }, body);
   };
 
   const handle = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -55,7 +55,11 @@
 export interface EndpointChooser {
   readonly choose: (facts: RoutingFacts, request: ChoiceRequest, now: number) => EndpointChoice;
   /** Takes note that a request was sent to the endpoint chosen for it. */
-  readonly recordSent: (facts: RoutingFacts, request: ChoiceRequest, sentTo: EndpointReport) => void;
+  readonly recordSent: (
+    facts: RoutingFacts,
+    request: ChoiceRequest,
+    sentTo: EndpointReport,
+  ) => void;
   /** Takes note of the delay of a first token, in milliseconds. */
   readonly recordFirstToken: (
     facts: RoutingFacts,
@@ -109,8 +113,7 @@
       subject: caller.session ?? caller.requestId,
       sessionVersion:
         caller.session === undefined ? undefined : sessions.find(service, caller.session, now),
-      mayBeOlder:
-        caller.session !== undefined && seenAt !== undefined && now - seenAt < sessionMs,
+      mayBeOlder: caller.session !== undefined && seenAt !== undefined && now - seenAt < sessionMs,
       exposureShare,
     });
     const preferred = ready.filter(({ version }) => choice.isPreferred(version));
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -29,6 +29,7 @@
   attempts: 0,
   mayHaveRun: false,
   dropped: undefined,
+  doubtful: undefined,
   lastEventId: request.caller.lastEventId,
   current: undefined,
   reason: '',
@@ -85,11 +86,17 @@
     }
     if (!settle(exchange, end, status)) return;
     const body = Buffer.from(JSON.stringify({ error: exchange.reason }));
-    reply.send(status, codec.encodeRefusal(request.caller.requestId, retryAfterMs), body);
+    const headers = codec.encodeRefusal(request.caller.requestId, retryAfterMs);
+    reply.send({ status, headers }, body);
   };
 
   // Only what has certainly not run may be called refused.
   const giveUp = (exchange: Exchange, retryAfterMs: number): void => {
+    const { doubtful } = exchange;
+    if (doubtful && settle(exchange, 'answered', doubtful.head.status)) {
+      exchange.reply.send(doubtful.head, doubtful.body);
+      return;
+    }
     if (exchange.mayHaveRun) refuse(exchange, 502);
     else refuse(exchange, 503, retryAfterMs);
   };
@@ -125,7 +132,11 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
     exchange.current = attempt;
-    chooser.recordSent(facts, { route: request.route, caller, model, tried: exchange.tried }, endpoint);
+    chooser.recordSent(
+      facts,
+      { route: request.route, caller, model, tried: exchange.tried },
+      endpoint,
+    );
     const budget = parts.findBudget(endpoint.service);
     const share = loads.add(endpoint.id, readMs);
     const common = { parts, exchange, facts, endpoint, model, attempt };
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -1,7 +1,7 @@
 import type { Logger } from '../log';
 import type { RouteTable, RoutedOrganisation, Route } from '../routing';
 import type { WindowBudget } from '../decisions';
-import type { CallerReply } from './callerReply';
+import type { CallerReply, ReplyHead } from './callerReply';
 import type { EndpointChooser } from './endpointChoice';
 import type { EndpointLoads } from './endpointLoads';
 import type { GatewayMetrics } from './gatewayMetrics';
@@ -28,12 +28,7 @@
 
 /** How a request ended, for the log and the metrics. */
 export type ExchangeEnd =
-  | 'answered'
-  | 'refused'
-  | 'failed'
-  | 'timed_out'
-  | 'caller_gone'
-  | 'broken_off';
+  'answered' | 'refused' | 'failed' | 'timed_out' | 'caller_gone' | 'broken_off';
 
 /** What exchanges work with. */
 export interface ExchangeParts {
@@ -52,6 +47,12 @@
   readonly readNow: () => number;
 }
 
+/** An answer without a length, of which nobody knows whether it is whole. */
+export interface DoubtfulAnswer {
+  readonly head: ReplyHead;
+  readonly body: Buffer;
+}
+
 /** One request on its way: what was tried so far. */
 export interface Exchange {
   readonly request: AdmittedRequest;
@@ -62,6 +63,8 @@
   mayHaveRun: boolean;
   /** Model of the answer that was dropped, if any. */
   dropped: string | undefined;
+  /** An answer that may have been cut, kept in case that no better one comes. */
+  doubtful: DoubtfulAnswer | undefined;
   /** Last event that the caller has. */
   lastEventId: string | undefined;
   /** The attempt under way. */
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -179,8 +179,7 @@
       metrics: find<GatewayMetrics>('gateway-metrics'),
       readFacts: view.read,
       countFactsAge: view.countAge,
-      countStopMs: () =>
-        state.stoppedAt === undefined ? undefined : readNow() - state.stoppedAt,
+      countStopMs: () => (state.stoppedAt === undefined ? undefined : readNow() - state.stoppedAt),
       graceMs: settings.bounds.graceMs - EXIT_RESERVE_MS,
     });
     const ready = createReadyServer(settings, isReady);
--- a/src/node/gateway/leaseClock.ts
+++ b/src/node/gateway/leaseClock.ts
@@ -22,6 +22,5 @@
   readWall: () => number = () => Date.now(),
 ): LeaseClock => ({
   readMoment: () => ({ steadyMs: readSteady(), wallMs: readWall() }),
-  countSince: (moment) =>
-    Math.max(readSteady() - moment.steadyMs, readWall() - moment.wallMs),
+  countSince: (moment) => Math.max(readSteady() - moment.steadyMs, readWall() - moment.wallMs),
 });
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -47,7 +47,8 @@
 /** How often new control hosts are looked for. */
 const HOSTS_INTERVAL_MS = 250;
 
-const formatIncarnation = ({ report }: EndpointRecord): string => `${report.id}|${report.startedAt}`;
+const formatIncarnation = ({ report }: EndpointRecord): string =>
+  `${report.id}|${report.startedAt}`;
 
 const groupByService = (
   endpoints: readonly KnownEndpoint[],
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -1,5 +1,6 @@
 import { isAnswerDoubtful, type WindowBudget } from '../decisions';
 import type { EndpointReport } from '../registry';
+import type { ReplyHead } from './callerReply';
 import { waitAtMost } from './deadline';
 import type { LoadShare } from './endpointLoads';
 import { createEventReader } from './eventReader';
@@ -25,8 +26,7 @@
 
 /** What became of an attempt: the caller has its answer, or another attempt may follow. */
 export type AttemptResult =
-  | { readonly type: 'done'; readonly status: number }
-  | { readonly type: 'again' };
+  { readonly type: 'done'; readonly status: number } | { readonly type: 'again' };
 
 /** An endpoint that says nothing for this many times the target latency is given up for another. */
 const SILENCE_FACTOR = 2;
@@ -35,6 +35,7 @@
 /** Longest good pause in milliseconds where a route states none. */
 const DEFAULT_GAP_MS = 1_500;
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const AGAIN: AttemptResult = { type: 'again' };
 
 const recordFailure = (context: AttemptContext, reason: string, mayHaveRun: boolean): void => {
@@ -126,10 +127,22 @@
   }
 };
 
+const createReplyHead = ({ status, forwarded, isUnframed }: AnswerHead): ReplyHead => ({
+  status,
+  headers: forwarded,
+  isUnframed: isUnframed && !BODILESS_STATUSES.has(status),
+});
+
 const relayWhole = async (context: AttemptContext, head: AnswerHead): Promise<AttemptResult> => {
   const { exchange, parts, startedAt } = context;
   const body = await readWhole(context);
   if (body === undefined || exchange.isOver) return AGAIN;
+  const replyHead = createReplyHead(head);
+  if (replyHead.isUnframed && !exchange.doubtful && isRepeatable(context)) {
+    exchange.doubtful = { head: replyHead, body };
+    recordFailure(context, 'answer without a length may have been cut', true);
+    return AGAIN;
+  }
   if (head.status >= 500) {
     recordFailure(context, `endpoint answered ${head.status}`, true);
     const hasBudget = context.budget.canAcquire(parts.readNow(), context.facts.gatewayCount);
@@ -138,7 +151,7 @@
     recordSuccess(context, parts.readNow() - startedAt);
   }
   recordFirstByte(context);
-  exchange.reply.send(head.status, head.forwarded, body);
+  exchange.reply.send(replyHead, body);
   return { type: 'done', status: head.status };
 };
 
@@ -151,8 +164,7 @@
   let firstAt: number | undefined;
   try {
     for (;;) {
-      const limitMs =
-        firstAt === undefined ? silenceAt - parts.readNow() : computeStallMs(context);
+      const limitMs = firstAt === undefined ? silenceAt - parts.readNow() : computeStallMs(context);
       const next = await waitFor(pieces.next(), limitMs);
       if (exchange.isOver) return AGAIN;
       if (next.type === 'late') {
@@ -164,13 +176,14 @@
       if (events.length === 0) continue;
       if (!reply.isStarted()) {
         recordFirstByte(context);
-        reply.start(head.status, head.forwarded);
+        reply.start(createReplyHead(head));
       }
       if (firstAt === undefined) {
         firstAt = parts.readNow();
         recordFirstEvent(context);
       }
-      exchange.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
+      exchange.lastEventId =
+        events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
       await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
     }
   } catch (cause) {
@@ -184,7 +197,7 @@
     return AGAIN;
   }
   recordSuccess(context, (firstAt ?? parts.readNow()) - startedAt);
-  if (!reply.isStarted()) reply.start(head.status, head.forwarded);
+  if (!reply.isStarted()) reply.start(createReplyHead(head));
   reply.end();
   return { type: 'done', status: head.status };
 };
@@ -195,7 +208,11 @@
   if (model === undefined || exchange.reply.isStarted()) return false;
   const now = parts.readNow();
   const { tried } = exchange;
-  const second = parts.chooser.choose(facts, { route, caller, model: route.models.at(-1), tried }, now);
+  const second = parts.chooser.choose(
+    facts,
+    { route, caller, model: route.models.at(-1), tried },
+    now,
+  );
   const isDoubtful = isAnswerDoubtful({
     models: route.models,
     model,
@@ -238,7 +255,10 @@
     recordFailure(context, `resumed stream answered ${head.status}`, true);
     return AGAIN;
   }
-  parts.log.debug({ request: requestId, endpoint: endpoint.id, status: head.status }, 'answer began');
+  parts.log.debug(
+    { request: requestId, endpoint: endpoint.id, status: head.status },
+    'answer began',
+  );
   const isStream = head.isEventStream && head.status === 200;
   return isStream ? relayEvents(context, head) : relayWhole(context, head);
 };
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -109,7 +109,10 @@
       facts = config
         ? {
             revision,
-            table: facts?.table.config.version === config.version ? facts.table : createRouteTable(config),
+            table:
+              facts?.table.config.version === config.version
+                ? facts.table
+                : createRouteTable(config),
             rollouts,
             retired,
             rolloutSeenAt: mergeSeen(rollouts),
@@ -132,7 +135,13 @@
   const watchOnce = async (): Promise<void> => {
     const host = chooseHost();
     const askedAt = clock.readMoment();
-    const params = { gateway, bootId, revision, waitMs: WATCH_WAIT_MS, tallies: options.listTallies() };
+    const params = {
+      gateway,
+      bootId,
+      revision,
+      waitMs: WATCH_WAIT_MS,
+      tallies: options.listTallies(),
+    };
     const timeoutMs = WATCH_WAIT_MS + WATCH_GRACE_MS;
     const answer = await rpc.call<RoutingAnswer>(host, 'routing.watch', params, { timeoutMs });
     if (isStopped) return;
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -53,6 +53,8 @@
   /** The model's own opinion of its answer, 0 to 100. */
   readonly confidence: number | undefined;
   readonly isEventStream: boolean;
+  /** Whether only the end of the connection tells the end of the body. */
+  readonly isUnframed: boolean;
   /** Whether the body is encoded although the request asked for none. */
   readonly isEncoded: boolean;
   /** End-to-end headers that go back to the caller unchanged. */
--- a/src/node/routingControl/rolloutSupervisor.ts
+++ b/src/node/routingControl/rolloutSupervisor.ts
@@ -1,11 +1,22 @@
-import { EMPTY_TALLY, judgeServiceRollout, mergeTallies, type RolloutCell, type Tally } from '../decisions';
+import {
+  EMPTY_TALLY,
+  judgeServiceRollout,
+  mergeTallies,
+  type RolloutCell,
+  type Tally,
+} from '../decisions';
 import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
 import type { Registry } from '../registry';
 import type { Replica } from '../replication';
 import type { ServiceRollout } from '../routing';
 import type { VersionTally, WatchRoutingParams } from './protocol';
-import { isFinalStage, type RoutingCommand, type RoutingResult, type RoutingState } from './routingState';
+import {
+  isFinalStage,
+  type RoutingCommand,
+  type RoutingResult,
+  type RoutingState,
+} from './routingState';
 
 /** Parts of a supervisor. */
 export interface SupervisorOptions {
@@ -20,7 +31,9 @@
 /** Watches the roll-outs of one control host; only the leader's moves them on. */
 export interface RolloutSupervisor {
   /** Takes the counts of a gateway, which replace those it sent before. */
-  readonly recordTallies: (params: Pick<WatchRoutingParams, 'gateway' | 'bootId' | 'tallies'>) => void;
+  readonly recordTallies: (
+    params: Pick<WatchRoutingParams, 'gateway' | 'bootId' | 'tallies'>,
+  ) => void;
   /** Judges every roll-out once. */
   readonly advance: () => Promise<void>;
   readonly start: () => void;
@@ -53,7 +66,10 @@
 const mergeByTask = (tallies: readonly VersionTally[]): ReadonlyMap<string, Tally> => {
   const merged = new Map<string, Tally>();
   for (const tally of tallies) {
-    merged.set(tally.task, mergeTallies(merged.get(tally.task) ?? EMPTY_TALLY, convertTally(tally)));
+    merged.set(
+      tally.task,
+      mergeTallies(merged.get(tally.task) ?? EMPTY_TALLY, convertTally(tally)),
+    );
   }
   return merged;
 };
@@ -121,7 +137,13 @@
     });
     if (verdict.type === 'hold') return;
     const { to, reason } = verdict;
-    const answer = await replica.propose({ type: 'advanceRollout', service, target, from: stage, to });
+    const answer = await replica.propose({
+      type: 'advanceRollout',
+      service,
+      target,
+      from: stage,
+      to,
+    });
     const samples = cells.reduce((sum, cell) => sum + cell.candidate.requests, 0);
     const failures = cells.reduce((sum, cell) => sum + cell.candidate.errors, 0);
     const facts = { service, target, from: stage, to, reason, samples, failures };
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -5,7 +5,13 @@
 import { createInternalServer, type Metrics } from '../metrics';
 import { createRegistry, type Registry } from '../registry';
 import { createReplicationHost, type Replica, type ReplicationHost } from '../replication';
-import { createHttpServer, createMethod, createRpcService, startHttpServer, type RpcClient } from '../rpc';
+import {
+  createHttpServer,
+  createMethod,
+  createRpcService,
+  startHttpServer,
+  type RpcClient,
+} from '../rpc';
 import { createLoadBoard, exchangeLoadParams } from './loadBoard';
 import { shareReportParams, watchRegistryParams, watchRoutingParams } from './protocol';
 import { createRegistryDesk, type RegistryDesk } from './registryDesk';
--- a/src/node/routingControl/routingDesk.ts
+++ b/src/node/routingControl/routingDesk.ts
@@ -74,7 +74,9 @@
     const held = state.config()?.version ?? 0;
     const answer = await propose({ type: 'replaceConfig', config, source });
     answer.ifRight((result) => log.info({ version, held, result }, 'configuration committed'));
-    answer.ifLeft((error) => log.warn({ version, held, err: error }, 'configuration not committed'));
+    answer.ifLeft((error) =>
+      log.warn({ version, held, err: error }, 'configuration not committed'),
+    );
     return answer.map(() => version);
   };
 
