--- a/src/node/decisions/chooseModelRun.ts
+++ b/src/node/decisions/chooseModelRun.ts
@@ -23,12 +23,18 @@
   readonly timeLeftMs: number;
   /** Time to the first token of the largest model as predicted, in milliseconds. */
   readonly secondRunMs: number;
+  /** Urgency of the request, 0 is the most urgent. */
+  readonly rank: number;
 }
 
 /** Below this opinion a small model's answers are mostly not good enough; from trials on both sites. */
 const CONFIDENCE_FLOOR = 60;
-/** Predictions are off both ways; a second run that would just make it is likely late. */
-const PREDICTION_FACTOR = 1.3;
+/**
+ * Part of the time left that a second run may take to its first token, by rank. Predictions are off
+ * both ways, so that one which would just make it is likely late; the less urgent leave the largest
+ * model to the others as soon as it has a queue.
+ */
+const SECOND_RUN_PARTS: readonly number[] = [0.75, 0.75, 0.15];
 
 /** Chooses the model of the next run: the smallest first, the largest after a doubtful answer. */
 export const chooseModelRun = ({ models, dropped }: ModelQuestion): string | undefined =>
@@ -39,6 +45,7 @@
   const { models, model, confidence, attemptsLeft, hasBudget } = question;
   if (confidence === undefined || confidence >= CONFIDENCE_FLOOR) return false;
   const isLargest = model === models.at(-1);
-  const isInTime = question.secondRunMs * PREDICTION_FACTOR < question.timeLeftMs;
+  const part = SECOND_RUN_PARTS[Math.min(question.rank, SECOND_RUN_PARTS.length - 1)]!;
+  const isInTime = question.secondRunMs < part * question.timeLeftMs;
   return !isLargest && attemptsLeft > 0 && hasBudget && isInTime;
 };
--- a/src/node/decisions/placeEngineRequest.ts
+++ b/src/node/decisions/placeEngineRequest.ts
@@ -43,7 +43,7 @@
 /** An endpoint just started is slower by a factor that its reports do not give. */
 const WARMUP_FACTOR = 2;
 /** Chance that the endpoint which all gateways rank first for a part has read it already. */
-const HOME_CHANCE = 0.6;
+const HOME_CHANCE = 0.8;
 /** Requests that an endpoint holds beyond its slots only wait there. */
 const QUEUE_FACTOR = 1.25;
 /** Without any endpoint the next reports are worth waiting for. */
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -224,6 +224,7 @@
     metrics,
     log,
     readFacts: () => facts,
+    waitForFacts: async () => facts,
     countFactsAge: () => 0,
     countStopMs: () => undefined,
     graceMs: 5_000,
--- a/src/node/gateway/admitRequest.ts
+++ b/src/node/gateway/admitRequest.ts
@@ -16,8 +16,8 @@
   readonly retryAfterMs?: number;
 }
 
-/** Without a configuration the next renewal is worth waiting for, in milliseconds. */
-const NO_CONFIG_RETRY_MS = 300;
+/** A group of control hosts that starts anew has a leader within about this time, in milliseconds. */
+const NO_CONFIG_RETRY_MS = 800;
 
 const refuse = (status: number, reason: string): Either<AdmissionRefusal, never> =>
   Left({ status, reason });
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -18,6 +18,8 @@
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
   readonly readFacts: () => RoutingFacts | undefined;
+  /** Waits until the facts are there, at most so many milliseconds. */
+  readonly waitForFacts: (timeoutMs: number) => Promise<RoutingFacts | undefined>;
   /** Milliseconds since the configuration was confirmed. */
   readonly countFactsAge: () => number;
   /** Milliseconds since the signal to stop; undefined while there was none. */
@@ -36,8 +38,15 @@
 const CHECK_INTERVAL_MS = 500;
 /** Another gateway takes the request at once. */
 const STOPPING_RETRY_MS = 10;
+/** A gateway that starts has its configuration within about a second. */
+const LONGEST_HOLD_MS = 1_000;
+/** Part of the caller's time for which a request may wait for the configuration. */
+const HELD_DEADLINE_PART = 0.1;
 const BODY_STATUSES = { too_large: 413, broken: 400 } as const;
 
+const computeHoldMs = (deadlineMs: number | undefined): number =>
+  Math.min(LONGEST_HOLD_MS, HELD_DEADLINE_PART * (deadlineMs ?? 0));
+
 const countHeadBytes = (message: IncomingMessage): number =>
   message.rawHeaders.reduce((sum, item) => sum + item.length + 2, 0) +
   (message.method?.length ?? 0) +
@@ -66,7 +75,7 @@
     const reply = createCallerReply(response, isClosing);
     const caller = codec.decodeCaller(message.rawHeaders);
     const path = message.url ?? '/';
-    const facts = readFacts();
+    const facts = readFacts() ?? (await options.waitForFacts(computeHoldMs(caller.deadlineMs)));
     const admission = admitRequest(facts, caller, path, countHeadBytes(message));
     if (admission.isLeft() || !facts) {
       message.resume();
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -31,6 +31,8 @@
   dropped: undefined,
   doubtful: undefined,
   lastEventId: request.caller.lastEventId,
+  firstByteAt: undefined,
+  events: 0,
   current: undefined,
   reason: '',
   isOver: false,
@@ -47,7 +49,7 @@
   let active = 0;
 
   const logEnd = (exchange: Exchange, end: ExchangeEnd, status: number): void => {
-    const { request, attempts, reason, dropped } = exchange;
+    const { request, attempts, reason, dropped, firstByteAt, events } = exchange;
     const { caller, route, receivedAt, organisation } = request;
     const elapsedMs = Math.round(readNow() - receivedAt);
     metrics.requests.inc({ route: route.name, end });
@@ -62,6 +64,8 @@
         attempts,
         dropped,
         elapsedMs,
+        firstByteMs: firstByteAt === undefined ? undefined : Math.round(firstByteAt - receivedAt),
+        events,
         reason,
       },
       'request ended',
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -67,6 +67,9 @@
   doubtful: DoubtfulAnswer | undefined;
   /** Last event that the caller has. */
   lastEventId: string | undefined;
+  /** Steady time of the first byte to the caller, and the events sent so far. */
+  firstByteAt: number | undefined;
+  events: number;
   /** The attempt under way. */
   current: EndpointAttempt | undefined;
   /** Why the latest attempt gave no answer. */
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -178,6 +178,7 @@
       readNow,
       metrics: find<GatewayMetrics>('gateway-metrics'),
       readFacts: view.read,
+      waitForFacts: view.waitForFacts,
       countFactsAge: view.countAge,
       countStopMs: () => (state.stoppedAt === undefined ? undefined : readNow() - state.stoppedAt),
       graceMs: settings.bounds.graceMs - EXIT_RESERVE_MS,
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -80,7 +80,9 @@
 
 const recordFirstByte = ({ parts, exchange }: AttemptContext): void => {
   const { route, receivedAt } = exchange.request;
-  const seconds = (parts.readNow() - receivedAt) / 1_000;
+  const now = parts.readNow();
+  exchange.firstByteAt ??= now;
+  const seconds = (now - receivedAt) / 1_000;
   parts.metrics.firstByte.observe({ route: route.name }, seconds);
 };
 
@@ -184,6 +186,7 @@
       }
       exchange.lastEventId =
         events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
+      exchange.events += events.length;
       await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
     }
   } catch (cause) {
@@ -220,6 +223,7 @@
     attemptsLeft: route.attemptLimit - exchange.attempts,
     hasBudget: budget.canAcquire(now, facts.gatewayCount),
     timeLeftMs: receivedAt + route.targetLatencyMs - now,
+    rank: exchange.request.organisation?.rank ?? route.rank,
     secondRunMs: second.type === 'placed' ? second.predictedMs : Infinity,
   });
   if (!isDoubtful) return false;
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -23,6 +23,8 @@
 export interface RoutingView {
   /** Gives the facts while the lease holds. */
   readonly read: () => RoutingFacts | undefined;
+  /** Waits until the facts are there, at most so many milliseconds. */
+  readonly waitForFacts: (timeoutMs: number) => Promise<RoutingFacts | undefined>;
   /** Milliseconds since the newest confirmed answer was asked for; infinite before the first. */
   readonly countAge: () => number;
   /** Internal addresses of all control hosts known. */
@@ -71,6 +73,7 @@
   let facts: RoutingFacts | undefined;
   let revision = -1;
   let confirmedAt: Moment | undefined;
+  const waiting = new Set<() => void>();
   let wasLeased = false;
   let isStopped = false;
 
@@ -78,6 +81,10 @@
 
   const isLeased = (): boolean => countAge() < leaseMs;
 
+  const emitFacts = (): void => {
+    if (facts && isLeased()) [...waiting].forEach((resolve) => resolve());
+  };
+
   const logLease = (): void => {
     const holds = isLeased();
     if (holds === wasLeased) return;
@@ -125,6 +132,7 @@
     }
     confirmedAt = askedAt;
     logLease();
+    emitFacts();
   };
 
   const chooseHost = (): string => {
@@ -162,8 +170,24 @@
     while (!isStopped) await watchOnce();
   };
 
+  const readFacts = (): RoutingFacts | undefined => (isLeased() ? facts : undefined);
+
+  const waitForFacts: RoutingView['waitForFacts'] = async (timeoutMs) => {
+    if (readFacts() || timeoutMs <= 0) return readFacts();
+    await new Promise<void>((resolve) => {
+      const handleEnd = (): void => {
+        waiting.delete(handleEnd);
+        resolve();
+      };
+      waiting.add(handleEnd);
+      setTimeout(handleEnd, timeoutMs);
+    });
+    return readFacts();
+  };
+
   return {
-    read: () => (isLeased() ? facts : undefined),
+    read: readFacts,
+    waitForFacts,
     countAge,
     listControlHosts: () => hosts,
     findLeader: () => (preferred === '' ? undefined : preferred),
--- a/src/node/replication/core/core.ts
+++ b/src/node/replication/core/core.ts
@@ -27,7 +27,7 @@
   sendToAll,
 } from './replicate';
 import { handleSnapshot, handleSnapshotAnswer, isSendingSnapshot } from './snapshotTransfer';
-import { findSelf, sampleElectionTicks, sendUrgent, type CoreState } from './state';
+import { findSelf, sampleElectionTicks, sampleFirstElectionTicks, sendUrgent, type CoreState } from './state';
 import type {
   Body,
   CoreOptions,
@@ -245,7 +245,9 @@
 /** Creates the core of one group from what its store holds. */
 export const createCore = (options: CoreOptions): Core => {
   const state = createState(options);
-  state.electionTicks = sampleElectionTicks(state);
+  state.electionTicks = options.campaignsEarly
+    ? sampleFirstElectionTicks(state)
+    : sampleElectionTicks(state);
   return {
     tick: () => advanceTick(state),
     receive: (message) => handleMessage(state, message),
--- a/src/node/replication/core/state.ts
+++ b/src/node/replication/core/state.ts
@@ -157,6 +157,16 @@
 export const sampleElectionTicks = (state: CoreState): number =>
   ELECTION_TICKS + Math.floor(state.options.random() * ELECTION_TICKS);
 
+/** Ticks before the first campaign of a store that has just started. */
+const FIRST_ELECTION_TICKS = 2;
+
+/**
+ * Draws the ticks until the first campaign after a start. It may come early: voters that hear a
+ * leader refuse the trial that precedes it, and without a leader every tick is lost.
+ */
+export const sampleFirstElectionTicks = (state: CoreState): number =>
+  FIRST_ELECTION_TICKS + Math.floor(state.options.random() * (ELECTION_TICKS / 2));
+
 /** Turns into a follower; a newer term takes back the vote. */
 export const updateFollower = (state: CoreState, term: number, leader: Peer | undefined): void => {
   if (term > state.term) {
--- a/src/node/replication/core/types.ts
+++ b/src/node/replication/core/types.ts
@@ -240,5 +240,7 @@
   readonly createGroupId: () => string;
   /** Most entries of one append; there is a default. */
   readonly batchEntries?: number;
+  /** Whether the first campaign after a start comes early, so that a whole group is soon back. */
+  readonly campaignsEarly?: boolean;
   readonly broken?: BrokenRules;
 }
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -23,6 +23,7 @@
   readonly store: Store;
   readonly send: (messages: readonly Message[]) => void;
   readonly log: Logger;
+  readonly campaignsEarly?: boolean;
   /** Called when the disk fails: the process must end without another word. */
   readonly handleFailure: (cause: unknown) => void;
 }
@@ -120,6 +121,7 @@
     initial: store.initial,
     random: Math.random,
     createGroupId: randomUUID,
+    campaignsEarly: options.campaignsEarly,
   });
   const applier: Applier<Result> = createApplier(options.machine);
   if (store.snapshot) applier.restore(store.snapshot.state as ApplierState);
--- a/src/node/replication/replicationHost.ts
+++ b/src/node/replication/replicationHost.ts
@@ -16,6 +16,8 @@
   readonly address?: string;
   /** False for a host that may join a group but not form one; it is true by default. */
   readonly canForm?: boolean;
+  /** Whether a group campaigns soon after a start; false by default. */
+  readonly campaignsEarly?: boolean;
   /** All control hosts of the first group, this one included unless it joins later. */
   readonly peers: readonly { readonly node: string; readonly address: string }[];
   /** Folder of the durable state; each group has a folder of its own in it. */
@@ -141,6 +143,7 @@
         store,
         send: (messages) => transport.send(messages.map((message) => ({ group, message }))),
         log,
+        campaignsEarly: options.campaignsEarly,
         handleFailure: options.handleFailure,
       });
       replicas.set(group, replica);
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -59,6 +59,7 @@
       address: settings.node,
       peers: settings.peers.map((peer) => ({ node: peer, address: peer })),
       canForm: settings.isFirstStart,
+      campaignsEarly: true,
       data: settings.data,
       log,
       rpc: find<RpcClient>('rpc'),
