Keep a prompt's beginning at its home while its first token is in good time

Shared and own tokens of a prompt were mixed up when only one of them was unread, and an earlier first token always won, also where the answer was in time anyway; parts were read again at other endpoints.

--- a/src/node/decisions/placeEngineRequest.ts
+++ b/src/node/decisions/placeEngineRequest.ts
@@ -13,8 +13,9 @@
   readonly running: number;
   /** Reading of prompts that is ahead of a new request, in milliseconds. */
   readonly queueMs: number;
-  /** Tokens of this prompt that the endpoint has likely not read yet. */
-  readonly unreadTokens: number;
+  /** Tokens of the shared beginning, and of the request's own part, likely not read there yet. */
+  readonly unreadShared: number;
+  readonly unreadOwn: number;
   readonly isWarmingUp: boolean;
   /** Whether its latest answers were failures. */
   readonly isEjected: boolean;
@@ -29,6 +30,8 @@
   readonly sharedTokens: number;
   /** Time that the model takes to read one token, in milliseconds. */
   readonly msPerToken: number;
+  /** Milliseconds left until a first token would be late. */
+  readonly timeLeftMs: number;
 }
 
 /** Where a request goes, with the time to its first token as predicted, or why nowhere. */
@@ -42,13 +45,21 @@
 const OTHER_ZONE_MS = 12;
 /** An endpoint just started is slower by a factor that its reports do not give. */
 const WARMUP_FACTOR = 2;
-/** Chance that the endpoint which all gateways rank first for a part has read it already. */
-const HOME_CHANCE = 0.8;
+/**
+ * Part of the shared tokens that is likely read again: at the endpoint that all gateways rank first
+ * for them, and at one that this gateway alone sent them to, which keeps them only by chance.
+ */
+const HOME_REREAD_PART = 0.1;
+const OTHER_REREAD_PART = 0.35;
 /**
  * What reading a shared token again costs the other requests, in milliseconds: it takes the engine's
  * time and pushes another part out of its memory.
  */
-const REREAD_MS_PER_TOKEN = 0.015;
+const REREAD_MS_PER_TOKEN = 0.03;
+/** Part of the time left within which an earlier first token is worth little to the caller. */
+const COMFORT_PART = 0.3;
+/** What a millisecond counts for within that time. */
+const COMFORT_WEIGHT = 0.25;
 /** Requests that an endpoint holds beyond its slots only wait there. */
 const QUEUE_FACTOR = 1.25;
 /** Without any endpoint the next reports are worth waiting for. */
@@ -65,7 +76,7 @@
   readonly id: string;
   /** Time to the first token. */
   readonly predictedMs: number;
-  /** The same with what the choice costs others. */
+  /** What the choice costs the caller and the others. */
   readonly costMs: number;
 }
 
@@ -74,18 +85,23 @@
   candidate: EngineCandidate,
   home: string,
 ): Estimate => {
-  const { msPerToken, sharedTokens } = question;
-  const { unreadTokens, queueMs, running, isOwnZone, isWarmingUp } = candidate;
-  const own = Math.max(0, unreadTokens - sharedTokens);
-  const shared = unreadTokens - own;
-  const reread = candidate.id === home ? (1 - HOME_CHANCE) * shared : shared;
-  const unread = own + reread;
+  const { msPerToken, sharedTokens, timeLeftMs } = question;
+  const { unreadShared, unreadOwn, queueMs, running, isOwnZone, isWarmingUp } = candidate;
+  const known = candidate.id === home ? HOME_REREAD_PART : OTHER_REREAD_PART;
+  const isKnown = candidate.id === home || unreadShared === 0;
+  const reread = isKnown ? known * sharedTokens : unreadShared;
+  const unread = unreadOwn + reread;
   const readMs = (queueMs + unread * msPerToken) * (isWarmingUp ? WARMUP_FACTOR : 1);
   const predictedMs = readMs + running * RUNNING_MS + (isOwnZone ? 0 : OTHER_ZONE_MS);
-  return { id: candidate.id, predictedMs, costMs: predictedMs + reread * REREAD_MS_PER_TOKEN };
+  const lateMs = Math.max(0, predictedMs - COMFORT_PART * timeLeftMs);
+  const costMs = lateMs + COMFORT_WEIGHT * predictedMs + reread * REREAD_MS_PER_TOKEN;
+  return { id: candidate.id, predictedMs, costMs };
 };
 
-/** Chooses the endpoint with the earliest first token, as far as a gateway can tell. */
+/**
+ * Chooses the endpoint that likely holds a prompt's beginning while its first token comes in good
+ * time, else the one with the earliest first token, as far as a gateway can tell.
+ */
 export const placeEngineRequest = (question: EngineQuestion): EnginePlacement => {
   const { candidates } = question;
   if (candidates.length === 0) {
--- a/src/node/gateway/cacheBeliefs.ts
+++ b/src/node/gateway/cacheBeliefs.ts
@@ -1,9 +1,21 @@
 import type { PromptPart } from './types';
 
+/** Tokens of a prompt that an endpoint has likely not read yet. */
+export interface UnreadTokens {
+  /** Of the parts that other requests have too. */
+  readonly shared: number;
+  /** Of the last part, which belongs to the request or its session. */
+  readonly own: number;
+}
+
 /** What this gateway believes that the endpoints' caches hold: the parts it sent there lately. */
 export interface CacheBeliefs {
   /** Counts the tokens after the longest known beginning of a prompt. */
-  readonly countUnread: (endpoint: string, model: string, parts: readonly PromptPart[]) => number;
+  readonly countUnread: (
+    endpoint: string,
+    model: string,
+    parts: readonly PromptPart[],
+  ) => UnreadTokens;
   /** Takes note that an endpoint has been sent a prompt; `cacheTokens` is what its memory holds. */
   readonly record: (
     endpoint: string,
@@ -47,8 +59,9 @@
     countUnread: (endpoint, model, parts) => {
       const held = caches.get(endpoint)?.parts;
       const first = parts.findIndex((part) => !held?.has(formatPart(model, part)));
-      if (first < 0) return 0;
-      return parts.slice(first).reduce((sum, { tokens }) => sum + tokens, 0);
+      if (first < 0) return { shared: 0, own: 0 };
+      const shared = parts.slice(first, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+      return { shared, own: parts.at(-1)!.tokens };
     },
     record: (endpoint, model, parts, cacheTokens) => {
       const state = caches.get(endpoint) ?? { parts: new Map(), total: 0 };
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -22,6 +22,8 @@
   readonly caller: CallerHeaders;
   /** Model that shall run; undefined for a plain service. */
   readonly model: string | undefined;
+  /** Milliseconds left until an answer would be late. */
+  readonly timeLeftMs: number;
   /** Endpoints that this request has been sent to. */
   readonly tried: ReadonlySet<string>;
 }
@@ -57,7 +59,7 @@
   /** Takes note that a request was sent to the endpoint chosen for it. */
   readonly recordSent: (
     facts: RoutingFacts,
-    request: ChoiceRequest,
+    request: Pick<ChoiceRequest, 'caller' | 'model'>,
     sentTo: EndpointReport,
   ) => void;
   /** Takes note of the delay of a first token, in milliseconds. */
@@ -145,7 +147,8 @@
           slots: report.slots,
           running: load.running,
           queueMs: load.readMs,
-          unreadTokens: unread.get(report.id)!,
+          unreadShared: unread.get(report.id)!.shared,
+          unreadOwn: unread.get(report.id)!.own,
           isWarmingUp: report.warmupMs > 0,
           isEjected: ejected.has(report.id),
         };
@@ -153,14 +156,16 @@
       affinity: formatAffinity(request),
       sharedTokens: countShared(request),
       msPerToken,
+      timeLeftMs: request.timeLeftMs,
     });
     if (placement.type === 'refused') return placement;
     const endpoint = reports.find(({ id }) => id === placement.id)!;
-    const unreadTokens = unread.get(endpoint.id)!;
+    const { shared, own } = unread.get(endpoint.id)!;
+    const unreadTokens = shared + own;
     return {
       type: 'placed',
       endpoint,
-      reason: 'earliest first token',
+      reason: 'shared prompt and first token',
       predictedMs: placement.predictedMs,
       unreadTokens,
       readMs: unreadTokens * msPerToken,
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -136,11 +136,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
     exchange.current = attempt;
-    chooser.recordSent(
-      facts,
-      { route: request.route, caller, model, tried: exchange.tried },
-      endpoint,
-    );
+    chooser.recordSent(facts, { caller, model }, endpoint);
     const budget = parts.findBudget(endpoint.service);
     const share = loads.add(endpoint.id, readMs);
     const common = { parts, exchange, facts, endpoint, model, attempt };
@@ -199,7 +195,9 @@
     }
     const { dropped, tried } = exchange;
     const model = chooseModelRun({ models: route.models, dropped });
-    const choice = chooser.choose(facts, { route, caller, model, tried }, readNow());
+    const timeLeftMs = request.receivedAt + route.targetLatencyMs - readNow();
+    const wanted = { route, caller, model, tried, timeLeftMs };
+    const choice = chooser.choose(facts, wanted, readNow());
     if (choice.type === 'refused') {
       exchange.reason = [exchange.reason, choice.reason].filter(Boolean).join('; ');
       giveUp(exchange, choice.retryAfterMs);
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -211,18 +211,16 @@
   if (model === undefined || exchange.reply.isStarted()) return false;
   const now = parts.readNow();
   const { tried } = exchange;
-  const second = parts.chooser.choose(
-    facts,
-    { route, caller, model: route.models.at(-1), tried },
-    now,
-  );
+  const timeLeftMs = receivedAt + route.targetLatencyMs - now;
+  const wanted = { route, caller, model: route.models.at(-1), tried, timeLeftMs };
+  const second = parts.chooser.choose(facts, wanted, now);
   const isDoubtful = isAnswerDoubtful({
     models: route.models,
     model,
     confidence: head.confidence,
     attemptsLeft: route.attemptLimit - exchange.attempts,
     hasBudget: budget.canAcquire(now, facts.gatewayCount),
-    timeLeftMs: receivedAt + route.targetLatencyMs - now,
+    timeLeftMs,
     rank: exchange.request.organisation?.rank ?? route.rank,
     secondRunMs: second.type === 'placed' ? second.predictedMs : Infinity,
   });
