Let control hosts that nobody named join, and lost ones leave

A deployment may replace a control host by an empty one at another address, or start more hosts than its settings name: the replicated list then has to follow by itself. A caught-up newcomer becomes a voter; a silent voter leaves a list of even length.

--- a/src/node/replication/core/core.ts
+++ b/src/node/replication/core/core.ts
@@ -111,6 +111,7 @@
     incoming: undefined,
     hellos: new Map(),
     answers: new Map(),
+    namedLeader: undefined,
     foreignNode: '',
     urgent: [],
     messages: [],
--- a/src/node/replication/core/membership.ts
+++ b/src/node/replication/core/membership.ts
@@ -45,7 +45,8 @@
   const hasMissedForm = groupId === '' && members.some((member) => member.store === from.store);
   if (hasMissedForm) sendLater(state, from, { type: 'form', members });
   const canForm = isBlank(state) && state.identity.canForm;
-  sendLater(state, from, { type: 'helloAnswer', isBlank: canForm });
+  const leader = state.options.hasOpenMembership ? state.leader : undefined;
+  sendLater(state, from, { type: 'helloAnswer', isBlank: canForm, ...(leader && { leader }) });
 };
 
 const hasAllBlank = (state: CoreState): boolean =>
@@ -74,6 +75,7 @@
 export const handleHelloAnswer = (state: CoreState, message: Message<HelloAnswerBody>): void => {
   const { from, body } = message;
   state.answers.set(from.node, convertToKnown(state, message, body.isBlank));
+  if (body.leader) state.namedLeader = body.leader;
   const { groupId } = message;
   const isForeign = groupId !== '' && !isBlank(state) && groupId !== state.identity.groupId;
   if (isForeign) state.foreignNode = from.node;
@@ -98,7 +100,11 @@
   if (!isLost || !isDue) return;
   const known = state.log.members().members.filter((member) => !isSelf(state, member));
   const listed = state.options.peers.filter(({ node }) => node !== state.options.self.node);
-  const byAddress = new Map([...listed, ...known].map((peer) => [peer.address, peer.node]));
+  const named = state.namedLeader ? [state.namedLeader] : [];
+  const byAddress = new Map(
+    [...listed, ...known, ...named].map((peer) => [peer.address, peer.node]),
+  );
+  byAddress.delete(state.options.self.address);
   for (const [address, node] of byAddress) {
     sendLater(state, { node, store: '', address }, { type: 'hello' });
   }
@@ -135,7 +141,7 @@
     return members.map((member) => (member === same ? { ...member, ...peer } : member));
   }
   const namesakes = members.filter((member) => member.node === peer.node);
-  if (namesakes.length === 0) return undefined;
+  if (namesakes.length === 0 && !state.options.hasOpenMembership) return undefined;
   if (!namesakes.every((member) => isSilent(state, member))) return undefined;
   const kept = members.filter(
     (member) => !(member.node === peer.node && member.role === 'learner'),
@@ -143,6 +149,17 @@
   return [...kept, { ...peer, role: 'learner' }];
 };
 
+// An even list bears no more losses than one shorter by a voter, so that a silent one may go.
+const chooseRemoval = (state: CoreState, members: readonly Member[]): Plan => {
+  if (!state.options.hasOpenMembership) return undefined;
+  const voters = members.filter((member) => member.role === 'voter');
+  const silent = members.filter((member) => isSilent(state, member));
+  const learner = silent.find((member) => member.role === 'learner');
+  const voter = silent.find((member) => member.role === 'voter');
+  const lost = learner ?? (voters.length % 2 === 0 ? voter : undefined);
+  return lost && members.filter((member) => member !== lost);
+};
+
 const hasPendingChange = (state: CoreState): boolean => {
   const { index } = state.log.members();
   return index > state.commit || state.log.findTerm(state.commit) !== state.term;
@@ -156,7 +173,10 @@
     (known) => state.tick - known.at < 4 * HELLO_TICKS,
   );
   const joins = recent.map((known) => chooseJoin(state, members, known));
-  const plan = choosePromotion(state, members) ?? joins.find((join) => join !== undefined);
+  const plan =
+    choosePromotion(state, members) ??
+    chooseRemoval(state, members) ??
+    joins.find((join) => join !== undefined);
   if (plan) appendMembers(state, plan);
 };
 
--- a/src/node/replication/core/state.ts
+++ b/src/node/replication/core/state.ts
@@ -87,6 +87,8 @@
   incoming: IncomingSnapshot | undefined;
   hellos: Map<string, KnownStore>;
   answers: Map<string, KnownStore>;
+  /** The leader that another store has named. */
+  namedLeader: Peer | undefined;
   /** Node whose store belongs to another group, or empty. */
   foreignNode: string;
   // Collected for the next `Ready`.
--- a/src/node/replication/core/types.ts
+++ b/src/node/replication/core/types.ts
@@ -122,6 +122,8 @@
 export interface HelloAnswerBody {
   readonly type: 'helloAnswer';
   readonly isBlank: boolean;
+  /** The leader, so that a host which was not told of it can make itself known there. */
+  readonly leader?: Peer;
 }
 
 /** Forms a group of the blank stores listed. */
@@ -240,6 +242,11 @@
   readonly createGroupId: () => string;
   /** Most entries of one append; there is a default. */
   readonly batchEntries?: number;
+  /**
+   * Whether hosts that nobody named may join, and a lost voter leaves a list of even length by
+   * itself. Otherwise an operator names who takes a lost host's place.
+   */
+  readonly hasOpenMembership?: boolean;
   /** Whether the first campaign after a start comes early, so that a whole group is soon back. */
   readonly campaignsEarly?: boolean;
   readonly broken?: BrokenRules;
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -24,6 +24,7 @@
   readonly send: (messages: readonly Message[]) => void;
   readonly log: Logger;
   readonly campaignsEarly?: boolean;
+  readonly hasOpenMembership?: boolean;
   /** Called when the disk fails: the process must end without another word. */
   readonly handleFailure: (cause: unknown) => void;
 }
@@ -122,6 +123,7 @@
     random: Math.random,
     createGroupId: randomUUID,
     campaignsEarly: options.campaignsEarly,
+    hasOpenMembership: options.hasOpenMembership,
   });
   const applier: Applier<Result> = createApplier(options.machine);
   if (store.snapshot) applier.restore(store.snapshot.state as ApplierState);
--- a/src/node/replication/replicationHost.ts
+++ b/src/node/replication/replicationHost.ts
@@ -16,6 +16,8 @@
   readonly address?: string;
   /** False for a host that may join a group but not form one; it is true by default. */
   readonly canForm?: boolean;
+  /** Whether hosts that nobody named may join; false by default. */
+  readonly hasOpenMembership?: boolean;
   /** Whether a group campaigns soon after a start; false by default. */
   readonly campaignsEarly?: boolean;
   /** All control hosts of the first group, this one included unless it joins later. */
@@ -144,6 +146,7 @@
         send: (messages) => transport.send(messages.map((message) => ({ group, message }))),
         log,
         campaignsEarly: options.campaignsEarly,
+        hasOpenMembership: options.hasOpenMembership,
         handleFailure: options.handleFailure,
       });
       replicas.set(group, replica);
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -60,6 +60,7 @@
       peers: settings.peers.map((peer) => ({ node: peer, address: peer })),
       canForm: settings.isFirstStart,
       campaignsEarly: true,
+      hasOpenMembership: true,
       data: settings.data,
       log,
       rpc: find<RpcClient>('rpc'),
