--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 import { projectPlugin } from './scripts/eslint/plugin.mjs';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'playground/data/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'playground/data/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -23,6 +23,7 @@
       'jsdoc/no-blank-blocks': 'error',
       'import-x/prefer-default-export': 'off',
       'import-x/no-default-export': 'error',
+      'import-x/no-cycle': ['error', { ignoreExternal: true }],
       'import-x/extensions': 'off',
       // Loops over lists, awaited one step at a time, are the plain form for ordered work.
       'no-restricted-syntax': 'off',
@@ -37,7 +38,10 @@
       // State machines and runs change their own tables in place.
       'no-param-reassign': [
         'error',
-        { props: true, ignorePropertyModificationsFor: ['tables', 'state', 'run'] },
+        {
+          props: true,
+          ignorePropertyModificationsFor: ['tables', 'state', 'run', 'exchange', 'response'],
+        },
       ],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
       'max-lines-per-function': ['error', { max: 120, skipBlankLines: true, skipComments: true }],
@@ -53,6 +57,24 @@
       'functional/readonly-type': ['error', 'keyword'],
     },
   },
+  {
+    // The platform's words stay in its folder.
+    files: ['src/**/*.ts', 'bench/**/*.ts', 'playground/**/*.ts'],
+    ignores: ['**/__tests__/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['**/platform/*', '**/platform'],
+              message: 'platform/ is imported by nothing.',
+            },
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['**/types/*.ts', '**/types.ts'],
     rules: { 'functional/prefer-immutable-types': 'off' },
--- a/src/node/control/__tests__/ledgerUpkeep.test.ts
+++ b/src/node/control/__tests__/ledgerUpkeep.test.ts
@@ -26,8 +26,7 @@
     return state.apply(index, command);
   };
   const replica = {
-    propose: async (command: LedgerCommand) =>
-      Right({ index, term: 1, result: apply(command) }),
+    propose: async (command: LedgerCommand) => Right({ index, term: 1, result: apply(command) }),
     status: () => ({ role: 'leader' }),
   } as unknown as Replica<LedgerCommand, LedgerResult>;
   const config = { confirmRead: async () => Right({ term: 1, index: 1 }) };
@@ -50,7 +49,14 @@
 for (const { name, agentEnd, isFinal } of cases) {
   test(`attempt announced by an entry that is gone: ${name}`, async (t) => {
     const { upkeep, state, apply, place } = createUpkeep(agentEnd);
-    const intent = { type: 'intent', ...REQUEST, ...place, ...TARGET, owner: ENTRY, at: 1 } as const;
+    const intent = {
+      type: 'intent',
+      ...REQUEST,
+      ...place,
+      ...TARGET,
+      owner: ENTRY,
+      at: 1,
+    } as const;
     const report = { attempt: 0, ...place, ...TARGET, outcome: 'ran', usage: USAGE } as const;
     apply({ ...intent, attempt: 0 });
     apply({ type: 'report', ...REQUEST, report, owner: ENTRY, at: 2 });
@@ -68,16 +74,22 @@
     const second = { node: 'entry-2', incarnation: 6 };
     const request = { path: '/v1/chat/completions', headers: {}, body: 'e30=' };
     const deferred = { session: 's', idempotent: true, request, at: 0 };
-    apply({ type: 'defer', ...REQUEST, ...deferred } as LedgerCommand);
+    apply({ type: 'defer', ...REQUEST, ...deferred });
     const take = { type: 'take', limit: 1, holds: [], at: 1 } as const;
-    apply({ ...take, owner: ENTRY } as LedgerCommand);
+    apply({ ...take, owner: ENTRY });
     apply({ type: 'intent', ...common, attempt: 0, owner: ENTRY, at: 1 });
     apply({ type: 'endIncarnation', node: ENTRY.node, below: ENTRY.incarnation + 1, at: 2 });
-    apply({ ...take, owner: second, at: 3 } as LedgerCommand);
+    apply({ ...take, owner: second, at: 3 });
     apply({ type: 'intent', ...common, attempt: 100, owner: second, at: 3 });
     const report = { attempt: 100, ...place, ...TARGET, outcome: 'ran', usage: USAGE } as const;
-    const settle = { type: 'settle', ...REQUEST, outcome: 'ran', reports: [report], at: 4 } as const;
-    apply({ ...settle, owner: second } as LedgerCommand);
+    const settle = {
+      type: 'settle',
+      ...REQUEST,
+      outcome: 'ran',
+      reports: [report],
+      at: 4,
+    } as const;
+    apply({ ...settle, owner: second });
     t.is(state.findRequest(REQUEST.organisation, REQUEST.requestId)?.state, 'done');
     t.false(state.listBills()[0]!.final, 'the first attempt is open');
     await upkeep.refuseOrphans();
--- a/src/node/control/ledgerUpkeep.ts
+++ b/src/node/control/ledgerUpkeep.ts
@@ -56,7 +56,10 @@
     const name = { requestId, attempt, incarnation };
     const answer = await rpc.call<AttemptEnd>(record.address, 'attempt.refuse', name);
     const end = answer.map(({ state }) => state).orDefault('unknown');
-    log.info({ requestId, attempt, peer: agent, end }, 'attempt that no entry asks for was refused');
+    log.info(
+      { requestId, attempt, peer: agent, end },
+      'attempt that no entry asks for was refused',
+    );
     if (end !== 'never') return;
     const report = { attempt, agent, incarnation, model, version, outcome: 'never' } as const;
     // The request is known, so that the owner of the report does not matter.
--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -1,5 +1,6 @@
-import { createServer, type Server, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { promisify } from 'node:util';
 import test from 'ava';
 import type { EndpointReport } from '../../registry';
 import { startEndpointAttempt } from '../endpointAttempt';
@@ -117,7 +118,7 @@
   test(`attempt without an answer: ${name}`, async (t) => {
     const server = await startServer(answer ?? (() => {}));
     const { port } = server.address() as AddressInfo;
-    if (!answer) await new Promise((resolve) => server.close(resolve));
+    if (!answer) await promisify(server.close.bind(server))();
     const head = await startAttempt(port).head;
     t.is(
       head
--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -5,7 +5,7 @@
 const PAUSE_MS = 20;
 const ECHO = 'X-Request-Id: id-1\r\nX-Response-Signature: s';
 
-const answerWith =
+const createAnswer =
   (text: string, end: (socket: Socket) => void = () => {}): SocketAnswer =>
   (socket) => {
     socket.write(text);
@@ -15,28 +15,28 @@
 const close = (socket: Socket): void => {
   socket.end();
 };
-const reset = (socket: Socket): void => {
+const closeByReset = (socket: Socket): void => {
   socket.resetAndDestroy();
 };
-const keepSilent: SocketAnswer = () => {};
+const sendNothing: SocketAnswer = () => {};
 
 const formatFramed = (status: string, body: string, headers = ECHO): string =>
   `HTTP/1.1 ${status}\r\n${headers}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 
-const good = answerWith(formatFramed('200 OK', 'good'));
-const failing = answerWith(formatFramed('500 Internal Server Error', 'bad'));
-const declining = answerWith(
+const good = createAnswer(formatFramed('200 OK', 'good'));
+const failing = createAnswer(formatFramed('500 Internal Server Error', 'bad'));
+const declining = createAnswer(
   formatFramed('503 Service Unavailable', '', `${ECHO}\r\nX-Not-Executed: 1`),
 );
-const misdirected = answerWith(formatFramed('421 Misdirected Request', ''));
-const cut = answerWith(`HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Length: 10\r\n\r\n0123`, close);
-const unframed = answerWith(`HTTP/1.1 200 OK\r\n${ECHO}\r\nConnection: close\r\n\r\nhalf`, close);
-const unframedReset = answerWith(
+const misdirected = createAnswer(formatFramed('421 Misdirected Request', ''));
+const cut = createAnswer(`HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Length: 10\r\n\r\n0123`, close);
+const unframed = createAnswer(`HTTP/1.1 200 OK\r\n${ECHO}\r\nConnection: close\r\n\r\nhalf`, close);
+const unframedReset = createAnswer(
   `HTTP/1.1 200 OK\r\n${ECHO}\r\nConnection: close\r\n\r\nhalf`,
-  reset,
+  closeByReset,
 );
-const crossed = answerWith(formatFramed('200 OK', 'other', 'X-Request-Id: id-0'));
-const encoded = answerWith(formatFramed('200 OK', 'zzz', `${ECHO}\r\nContent-Encoding: gzip`));
+const crossed = createAnswer(formatFramed('200 OK', 'other', 'X-Request-Id: id-0'));
+const encoded = createAnswer(formatFramed('200 OK', 'zzz', `${ECHO}\r\nContent-Encoding: gzip`));
 
 const ONCE: RouteFields = { kind: 'once' };
 const SAFE: RouteFields = { kind: 'idempotent' };
@@ -159,7 +159,7 @@
   {
     name: 'silence, repeatable',
     route: { ...SAFE, targetLatencyMs: 50 },
-    answers: [keepSilent, good],
+    answers: [sendNothing, good],
     status: 200,
     body: 'good',
     sent: [1, 1],
@@ -167,7 +167,7 @@
   {
     name: 'silence until the route ends the wait',
     route: { ...ONCE, timeoutMs: 150 },
-    answers: [keepSilent, good],
+    answers: [sendNothing, good],
     status: 504,
     sent: [1, 0],
   },
@@ -230,11 +230,14 @@
   readonly resumedAfter?: string;
 }
 
-const wholeStream = answerWith(`${SSE}${formatEvents(1, 4)}${END}`);
-const restOfStream = answerWith(`${SSE}${formatEvents(3, 4)}${END}`);
-const brokenStream = answerWith(`${SSE}${formatEvents(1, 2)}`, reset);
-const tornStream = answerWith(`${SSE}${formatEvents(1, 2)}${formatChunk('id: 3\nda')}`, reset);
-const stalledStream = answerWith(`${SSE}${formatEvents(1, 2)}`);
+const wholeStream = createAnswer(`${SSE}${formatEvents(1, 4)}${END}`);
+const restOfStream = createAnswer(`${SSE}${formatEvents(3, 4)}${END}`);
+const brokenStream = createAnswer(`${SSE}${formatEvents(1, 2)}`, closeByReset);
+const tornStream = createAnswer(
+  `${SSE}${formatEvents(1, 2)}${formatChunk('id: 3\nda')}`,
+  closeByReset,
+);
+const stalledStream = createAnswer(`${SSE}${formatEvents(1, 2)}`);
 
 const streamCases: readonly StreamCase[] = [
   { name: 'whole', route: STREAM, answers: [wholeStream], ids: [1, 2, 3, 4], isWhole: true },
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -102,7 +102,7 @@
   },
 });
 
-const listen = (server: Server | NetServer): Promise<number> =>
+const startListening = (server: Server | NetServer): Promise<number> =>
   new Promise((resolve) => {
     server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
   });
@@ -132,7 +132,7 @@
       answer(socket, head);
     });
   });
-  const port = await listen(server);
+  const port = await startListening(server);
   const stop = (): void => {
     sockets.forEach((socket) => socket.destroy());
     server.close();
@@ -143,7 +143,7 @@
 const readAnswer = (message: IncomingMessage): Promise<CallerResult> =>
   new Promise((resolve) => {
     const pieces: Buffer[] = [];
-    const finish = (isWhole: boolean): void =>
+    const handleEnd = (isWhole: boolean): void =>
       resolve({
         status: message.statusCode!,
         headers: message.headers,
@@ -151,8 +151,8 @@
         isWhole,
       });
     message.on('data', (piece: Buffer) => pieces.push(piece));
-    message.on('end', () => finish(message.complete));
-    message.on('error', () => finish(false));
+    message.on('end', () => handleEnd(message.complete));
+    message.on('error', () => handleEnd(false));
   });
 
 /** Starts a gateway before endpoints that answer as given; the first listed is tried first. */
@@ -273,7 +273,7 @@
 /** Creates an unused server, so that its port refuses connections. */
 export const findClosedPort = async (): Promise<number> => {
   const server = createServer();
-  const port = await listen(server);
+  const port = await startListening(server);
   await new Promise((resolve) => {
     server.close(resolve);
   });
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -150,6 +150,5 @@
 /** Takes over how long callers may take and stay idle. */
 export const updateTimeouts = (app: FastifyInstance, facts: RoutingFacts): void => {
   const { headerTimeoutMs, idleTimeoutMs } = facts.table.config.limits;
-  app.server.headersTimeout = headerTimeoutMs;
-  app.server.keepAliveTimeout = idleTimeoutMs;
+  Object.assign(app.server, { headersTimeout: headerTimeoutMs, keepAliveTimeout: idleTimeoutMs });
 };
--- a/src/node/gateway/deadline.ts
+++ b/src/node/gateway/deadline.ts
@@ -10,9 +10,9 @@
         clearTimeout(timer);
         resolve({ type: 'done', value });
       },
-      (cause: unknown) => {
+      (cause: Error) => {
         clearTimeout(timer);
-        reject(cause as Error);
+        reject(cause);
       },
     );
   });
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -80,21 +80,53 @@
 const countShared = ({ caller }: ChoiceRequest): number =>
   caller.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
 
-/** Creates a chooser over this gateway's view. */
-export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
-  const { zone, sessionMs, exposureShare, registry, loads, sessions, beliefs } = options;
-  const rates = new Map<string, ReadRates>();
+interface RateTable {
+  readonly acquire: (service: string, engine: EngineProfile) => ReadRates;
+}
 
-  const acquireRates = (service: string, { models }: EngineProfile): ReadRates => {
-    const known = rates.get(service);
-    if (known) return known;
-    const created = createReadRates(models);
-    rates.set(service, created);
-    return created;
+const createRateTable = (): RateTable => {
+  const rates = new Map<string, ReadRates>();
+  return {
+    acquire: (service, { models }) => {
+      const known = rates.get(service);
+      if (known) return known;
+      const created = createReadRates(models);
+      rates.set(service, created);
+      return created;
+    },
   };
+};
+
+const findEngine = (facts: RoutingFacts, service: string): EngineProfile | undefined =>
+  facts.table.findService(service)?.engine;
+
+const choosePlain = (
+  { loads, zone }: Pick<ChooserOptions, 'loads' | 'zone'>,
+  request: ChoiceRequest,
+  reports: readonly EndpointReport[],
+  ejected: ReadonlySet<string>,
+): EndpointChoice => {
+  const placement = placeRequest({
+    candidates: reports.map((report) => ({
+      id: report.id,
+      isOwnZone: report.zone === zone,
+      slots: report.slots,
+      running: loads.findAll(report.id).running,
+      isWarmingUp: report.warmupMs > 0,
+      isEjected: ejected.has(report.id),
+    })),
+    requestId: request.caller.requestId,
+  });
+  if (placement.type === 'refused') return placement;
+  const endpoint = reports.find(({ id }) => id === placement.id)!;
+  const { reason } = placement;
+  return { type: 'placed', endpoint, reason, predictedMs: 0, unreadTokens: 0, readMs: 0 };
+};
 
-  const findEngine = (facts: RoutingFacts, service: string): EngineProfile | undefined =>
-    facts.table.findService(service)?.engine;
+/** Creates a chooser over this gateway's view. */
+export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
+  const { zone, sessionMs, exposureShare, registry, loads, sessions, beliefs } = options;
+  const rates = createRateTable();
 
   const listByVersion = (
     facts: RoutingFacts,
@@ -134,7 +166,7 @@
     const model = request.model ?? caller.model ?? '';
     const service = reports[0]?.service ?? '';
     const engine = findEngine(facts, service);
-    const msPerToken = engine ? acquireRates(service, engine).read(model) : 0;
+    const msPerToken = engine ? rates.acquire(service, engine).read(model) : 0;
     const unread = new Map(
       reports.map(({ id }) => [id, beliefs.countUnread(id, model, caller.parts)]),
     );
@@ -172,29 +204,6 @@
     };
   };
 
-  const choosePlain = (
-    _facts: RoutingFacts,
-    request: ChoiceRequest,
-    reports: readonly EndpointReport[],
-    ejected: ReadonlySet<string>,
-  ): EndpointChoice => {
-    const placement = placeRequest({
-      candidates: reports.map((report) => ({
-        id: report.id,
-        isOwnZone: report.zone === zone,
-        slots: report.slots,
-        running: loads.findAll(report.id).running,
-        isWarmingUp: report.warmupMs > 0,
-        isEjected: ejected.has(report.id),
-      })),
-      requestId: request.caller.requestId,
-    });
-    if (placement.type === 'refused') return placement;
-    const endpoint = reports.find(({ id }) => id === placement.id)!;
-    const { reason } = placement;
-    return { type: 'placed', endpoint, reason, predictedMs: 0, unreadTokens: 0, readMs: 0 };
-  };
-
   return {
     choose: (facts, request, now) => {
       const { route, caller } = request;
@@ -203,8 +212,9 @@
       const ids = reports.map(({ id }) => id);
       const ejected = loads.listEjected(ids, now);
       const isEngine = findEngine(facts, service) !== undefined && caller.parts.length > 0;
-      const choose = isEngine ? chooseEngine : choosePlain;
-      return choose(facts, request, reports, ejected);
+      return isEngine
+        ? chooseEngine(facts, request, reports, ejected)
+        : choosePlain(options, request, reports, ejected);
     },
     recordSent: (facts, { caller, model }, { id, service }) => {
       const engine = findEngine(facts, service);
@@ -214,7 +224,7 @@
     },
     recordFirstToken: (facts, { service, model, unreadTokens }, delayMs) => {
       const engine = findEngine(facts, service);
-      if (engine) acquireRates(service, engine).record(model, unreadTokens, delayMs);
+      if (engine) rates.acquire(service, engine).record(model, unreadTokens, delayMs);
     },
   };
 };
--- a/src/node/gateway/endpointLoads.ts
+++ b/src/node/gateway/endpointLoads.ts
@@ -55,14 +55,14 @@
       state.readMs += readMs;
       let isReading = true;
       let isOpen = true;
-      const endReading = (): void => {
+      const removeReading = (): void => {
         if (isReading) state.readMs = Math.max(0, state.readMs - readMs);
         isReading = false;
       };
       return {
-        endReading,
+        endReading: removeReading,
         end: () => {
-          endReading();
+          removeReading();
           if (isOpen) state.running -= 1;
           isOpen = false;
           if (state.running === 0 && rows.get(endpoint) === state) rows.delete(endpoint);
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -3,7 +3,8 @@
 import type { CallerReply } from './callerReply';
 import { waitAtMost } from './deadline';
 import type { EndpointChoice } from './endpointChoice';
-import type { AdmittedRequest, Exchange, ExchangeEnd, ExchangeParts } from './exchangeTypes';
+import { createExchangeEnds, FAILED_RETRY_MS } from './exchangeEnds';
+import type { AdmittedRequest, Exchange, ExchangeParts } from './exchangeTypes';
 import { relayAnswer, type AttemptContext, type AttemptResult } from './relayAnswer';
 import type { RoutingFacts } from './routingView';
 
@@ -19,9 +20,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Without a lease the next renewal is worth waiting for, in milliseconds. */
 const NO_LEASE_RETRY_MS = 300;
-/** After failures that did not run, another gateway or moment may do better, in milliseconds. */
-const FAILED_RETRY_MS = 200;
-
 const createExchange = (request: AdmittedRequest, reply: CallerReply): Exchange => ({
   request,
   reply,
@@ -43,73 +41,34 @@
   return !mayHaveRun || kind === 'idempotent' || (kind === 'stream' && canResume);
 };
 
+const logPlaced = (context: AttemptContext, choice: PlacedChoice): void => {
+  const { parts, exchange, facts, endpoint, model, startedAt } = context;
+  parts.log.info(
+    {
+      request: exchange.request.caller.requestId,
+      route: exchange.request.route.name,
+      endpoint: endpoint.id,
+      version: endpoint.version,
+      model,
+      reason: choice.reason,
+      predictedMs: Math.round(choice.predictedMs),
+      unreadTokens: choice.unreadTokens,
+      running: parts.loads.findAll(endpoint.id).running,
+      attempt: exchange.attempts + 1,
+      revision: facts.revision,
+      reportSequence: endpoint.sequence,
+      waitedMs: Math.round(startedAt - exchange.request.receivedAt),
+    },
+    'request placed',
+  );
+};
+
 /** Creates a runner of requests. */
 export const createExchangeRunner = (parts: ExchangeParts): ExchangeRunner => {
   const { codec, chooser, loads, metrics, log, readNow } = parts;
+  const ends = createExchangeEnds(parts);
   let active = 0;
 
-  const logEnd = (exchange: Exchange, end: ExchangeEnd, status: number): void => {
-    const { request, attempts, reason, dropped, firstByteAt, events } = exchange;
-    const { caller, route, receivedAt, organisation } = request;
-    const elapsedMs = Math.round(readNow() - receivedAt);
-    metrics.requests.inc({ route: route.name, end });
-    metrics.duration.observe({ route: route.name }, elapsedMs / 1_000);
-    log.info(
-      {
-        request: caller.requestId,
-        route: route.name,
-        organisation: organisation?.name,
-        end,
-        status,
-        attempts,
-        dropped,
-        elapsedMs,
-        firstByteMs: firstByteAt === undefined ? undefined : Math.round(firstByteAt - receivedAt),
-        events,
-        reason,
-      },
-      'request ended',
-    );
-  };
-
-  // Every way out goes through here once, so that nothing is answered or counted twice.
-  const settle = (exchange: Exchange, end: ExchangeEnd, status: number): boolean => {
-    if (exchange.isOver) return false;
-    exchange.isOver = true;
-    exchange.current?.cancel();
-    logEnd(exchange, end, status);
-    return true;
-  };
-
-  const refuse = (exchange: Exchange, status: number, retryAfterMs?: number): void => {
-    const { request, reply } = exchange;
-    const end = status === 503 ? 'refused' : status === 504 ? 'timed_out' : 'failed';
-    if (reply.isStarted()) {
-      if (settle(exchange, 'broken_off', 0)) reply.abort();
-      return;
-    }
-    if (!settle(exchange, end, status)) return;
-    const body = Buffer.from(JSON.stringify({ error: exchange.reason }));
-    const headers = codec.encodeRefusal(request.caller.requestId, retryAfterMs);
-    reply.send({ status, headers }, body);
-  };
-
-  // Only what has certainly not run may be called refused.
-  const giveUp = (exchange: Exchange, retryAfterMs: number): void => {
-    const { doubtful } = exchange;
-    if (doubtful && settle(exchange, 'answered', doubtful.head.status)) {
-      exchange.reply.send(doubtful.head, doubtful.body);
-      return;
-    }
-    if (exchange.mayHaveRun) refuse(exchange, 502);
-    else refuse(exchange, 503, retryAfterMs);
-  };
-
-  const handleLimit = (exchange: Exchange): void => {
-    exchange.reason = `no answer in time${exchange.reason && `, before: ${exchange.reason}`}`;
-    refuse(exchange, exchange.mayHaveRun || exchange.current ? 504 : 503, FAILED_RETRY_MS);
-  };
-
   const startAttempt = (
     exchange: Exchange,
     facts: RoutingFacts,
@@ -143,34 +102,12 @@
     return { ...common, startedAt: now, budget, share, unreadTokens };
   };
 
-  const logPlaced = (context: AttemptContext, choice: PlacedChoice): void => {
-    const { exchange, facts, endpoint, model, startedAt } = context;
-    log.info(
-      {
-        request: exchange.request.caller.requestId,
-        route: exchange.request.route.name,
-        endpoint: endpoint.id,
-        version: endpoint.version,
-        model,
-        reason: choice.reason,
-        predictedMs: Math.round(choice.predictedMs),
-        unreadTokens: choice.unreadTokens,
-        running: loads.findAll(endpoint.id).running,
-        attempt: exchange.attempts + 1,
-        revision: facts.revision,
-        reportSequence: endpoint.sequence,
-        waitedMs: Math.round(startedAt - exchange.request.receivedAt),
-      },
-      'request placed',
-    );
-  };
-
   const handleResult = (exchange: Exchange, result: AttemptResult): void => {
     if (exchange.isOver) return;
     const handlers: Readonly<Record<AttemptResult['type'], () => void>> = {
       done: () => {
         const { status } = result as Extract<AttemptResult, { readonly type: 'done' }>;
-        settle(exchange, 'answered', status);
+        ends.settle(exchange, 'answered', status);
       },
       // The reason was noted where the attempt failed; the loop goes on.
       again: () => {},
@@ -184,12 +121,12 @@
     const facts = parts.readFacts();
     if (!facts) {
       exchange.reason = 'this gateway has no lease on the configuration';
-      giveUp(exchange, NO_LEASE_RETRY_MS);
+      ends.settleUnanswered(exchange, NO_LEASE_RETRY_MS);
       return;
     }
     if (exchange.attempts > 0) {
       if (!canRepeat(exchange) || exchange.attempts >= route.attemptLimit) {
-        giveUp(exchange, FAILED_RETRY_MS);
+        ends.settleUnanswered(exchange, FAILED_RETRY_MS);
         return;
       }
     }
@@ -200,7 +137,7 @@
     const choice = chooser.choose(facts, wanted, readNow());
     if (choice.type === 'refused') {
       exchange.reason = [exchange.reason, choice.reason].filter(Boolean).join('; ');
-      giveUp(exchange, choice.retryAfterMs);
+      ends.settleUnanswered(exchange, choice.retryAfterMs);
       return;
     }
     const { endpoint } = choice;
@@ -208,7 +145,7 @@
     const isRepeat = exchange.attempts > 0;
     if (isRepeat && !budget.acquire(readNow(), facts.gatewayCount)) {
       exchange.reason = `${exchange.reason}; no budget for a repeat`;
-      giveUp(exchange, FAILED_RETRY_MS);
+      ends.settleUnanswered(exchange, FAILED_RETRY_MS);
       return;
     }
     const context = startAttempt(exchange, facts, choice, model);
@@ -230,19 +167,19 @@
     const exchange = createExchange(request, reply);
     active += 1;
     metrics.active.set(active);
-    reply.onGone(() => settle(exchange, 'caller_gone', 0));
+    reply.onGone(() => ends.settle(exchange, 'caller_gone', 0));
     request.route.targets.forEach(({ service }) =>
       parts.findBudget(service).recordRequest(readNow()),
     );
     try {
       const limited = await waitAtMost(runLoop(exchange), request.limitAt - readNow());
-      if (limited.type === 'late') handleLimit(exchange);
+      if (limited.type === 'late') ends.handleLimit(exchange);
     } catch (cause) {
       const error = convertToRouterError(cause, 'gateway.run');
       log.error({ request: request.caller.requestId, err: error }, 'request failed inside');
       exchange.mayHaveRun = true;
       exchange.reason = error.message;
-      refuse(exchange, 502);
+      ends.refuse(exchange, 502);
     } finally {
       active -= 1;
       metrics.active.set(active);
--- a/src/node/gateway/loadExchange.ts
+++ b/src/node/gateway/loadExchange.ts
@@ -30,7 +30,7 @@
   const { gateway, rpc, log, loads, findHost } = options;
   let isStopped = false;
 
-  const exchangeOnce = async (): Promise<void> => {
+  const callHost = async (): Promise<void> => {
     const host = findHost();
     if (host === undefined) return;
     const params = { gateway, loads: loads.listOwn() };
@@ -43,7 +43,7 @@
 
   const run = async (): Promise<void> => {
     while (!isStopped) {
-      await exchangeOnce();
+      await callHost();
       await sleep(EXCHANGE_INTERVAL_MS);
     }
   };
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -50,7 +50,7 @@
 const formatIncarnation = ({ report }: EndpointRecord): string =>
   `${report.id}|${report.startedAt}`;
 
-const groupByService = (
+const computeGroups = (
   endpoints: readonly KnownEndpoint[],
 ): ReadonlyMap<string, readonly KnownEndpoint[]> => {
   const groups = new Map<string, KnownEndpoint[]>();
@@ -96,7 +96,7 @@
     const lists = [...hosts.values()].map(({ records }) => [...records.values()]);
     const next = mergeRecords([...lists, [...ended.values()].map(({ record }) => record)]);
     logChanges(next);
-    byService = groupByService(next);
+    byService = computeGroups(next);
     byId = new Map(next.map((endpoint) => [endpoint.report.id, endpoint]));
   };
 
@@ -121,7 +121,7 @@
     else log.warn({ peer: host }, 'control host does not answer');
   };
 
-  const watchOnce = async (host: string, state: HostState): Promise<void> => {
+  const fetchRecords = async (host: string, state: HostState): Promise<void> => {
     const { bootId, revision } = state;
     const params = { bootId, revision, waitMs: WATCH_WAIT_MS };
     const timeoutMs = WATCH_WAIT_MS + WATCH_GRACE_MS;
@@ -133,7 +133,7 @@
   };
 
   const run = async (host: string, state: HostState): Promise<void> => {
-    while (!isStopped && hosts.get(host) === state) await watchOnce(host, state);
+    while (!isStopped && hosts.get(host) === state) await fetchRecords(host, state);
   };
 
   const expireEnded = (): void => {
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -232,6 +232,24 @@
   return true;
 };
 
+const recordNotRun = (context: AttemptContext, head: AnswerHead): void => {
+  const { parts, exchange, endpoint, model } = context;
+  exchange.tried.add(endpoint.id);
+  exchange.reason = `endpoint declined with ${head.status}`;
+  parts.metrics.attempts.inc({ service: endpoint.service, result: 'declined' });
+  parts.loads.recordOutcome(endpoint.id, 'overloaded', parts.readNow());
+  parts.log.info(
+    {
+      request: exchange.request.caller.requestId,
+      endpoint: endpoint.id,
+      model,
+      status: head.status,
+      retryAfterMs: head.retryAfterMs,
+    },
+    'attempt declined',
+  );
+};
+
 const handleHead = async (context: AttemptContext, head: AnswerHead): Promise<AttemptResult> => {
   const { exchange, parts, endpoint } = context;
   const { requestId } = exchange.request.caller;
@@ -265,25 +283,6 @@
   return isStream ? relayEvents(context, head) : relayWhole(context, head);
 };
 
-/** Takes note that an endpoint declined a request. */
-function recordNotRun(context: AttemptContext, head: AnswerHead): void {
-  const { parts, exchange, endpoint, model } = context;
-  exchange.tried.add(endpoint.id);
-  exchange.reason = `endpoint declined with ${head.status}`;
-  parts.metrics.attempts.inc({ service: endpoint.service, result: 'declined' });
-  parts.loads.recordOutcome(endpoint.id, 'overloaded', parts.readNow());
-  parts.log.info(
-    {
-      request: exchange.request.caller.requestId,
-      endpoint: endpoint.id,
-      model,
-      status: head.status,
-      retryAfterMs: head.retryAfterMs,
-    },
-    'attempt declined',
-  );
-}
-
 /** Takes one attempt's answer to the caller, or finds out why there is none. */
 export const relayAnswer = async (context: AttemptContext): Promise<AttemptResult> => {
   const { attempt, exchange } = context;
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -3,7 +3,12 @@
 import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
 import { createRouteTable, type RouteTable, type ServiceRollout } from '../routing';
-import type { RetiredVersion, RoutingAnswer, VersionTally } from '../routingControl';
+import {
+  createWatchQueue,
+  type RetiredVersion,
+  type RoutingAnswer,
+  type VersionTally,
+} from '../routingControl';
 import type { RpcClient } from '../rpc';
 import type { LeaseClock, Moment } from './leaseClock';
 
@@ -73,7 +78,7 @@
   let facts: RoutingFacts | undefined;
   let revision = -1;
   let confirmedAt: Moment | undefined;
-  const waiting = new Set<() => void>();
+  const arrivals = createWatchQueue();
   let wasLeased = false;
   let isStopped = false;
 
@@ -81,10 +86,6 @@
 
   const isLeased = (): boolean => countAge() < leaseMs;
 
-  const emitFacts = (): void => {
-    if (facts && isLeased()) [...waiting].forEach((resolve) => resolve());
-  };
-
   const logLease = (): void => {
     const holds = isLeased();
     if (holds === wasLeased) return;
@@ -132,7 +133,7 @@
     }
     confirmedAt = askedAt;
     logLease();
-    emitFacts();
+    if (facts) arrivals.emit();
   };
 
   const chooseHost = (): string => {
@@ -140,7 +141,7 @@
     return hosts[turn % hosts.length]!;
   };
 
-  const watchOnce = async (): Promise<void> => {
+  const renewLease = async (): Promise<void> => {
     const host = chooseHost();
     const askedAt = clock.readMoment();
     const params = {
@@ -167,21 +168,13 @@
   };
 
   const run = async (): Promise<void> => {
-    while (!isStopped) await watchOnce();
+    while (!isStopped) await renewLease();
   };
 
   const readFacts = (): RoutingFacts | undefined => (isLeased() ? facts : undefined);
 
   const waitForFacts: RoutingView['waitForFacts'] = async (timeoutMs) => {
-    if (readFacts() || timeoutMs <= 0) return readFacts();
-    await new Promise<void>((resolve) => {
-      const handleEnd = (): void => {
-        waiting.delete(handleEnd);
-        resolve();
-      };
-      waiting.add(handleEnd);
-      setTimeout(handleEnd, timeoutMs);
-    });
+    if (!readFacts() && timeoutMs > 0) await arrivals.wait(timeoutMs);
     return readFacts();
   };
 
--- a/src/node/registry/registry.ts
+++ b/src/node/registry/registry.ts
@@ -54,7 +54,7 @@
   };
 
   // An address belongs to the newest incarnation that has reported from it.
-  const endEarlier = (report: EndpointReport, now: number): void => {
+  const removeEarlier = (report: EndpointReport, now: number): void => {
     for (const { record } of rows.values()) {
       const isOther = record.report.id !== report.id && record.state !== 'gone';
       const isEarlier = record.report.startedAt < report.startedAt;
@@ -95,7 +95,7 @@
       const known = rows.get(report.id)?.record;
       if (!known) updateRow({ report, state: report.state, heardAt: now });
       const outcome = known ? applyKnown(known, report, now) : 'added';
-      if (outcome !== 'late') endEarlier(report, now);
+      if (outcome !== 'late') removeEarlier(report, now);
       return outcome;
     },
     applyLeave: (id, startedAt, now) => {
--- a/src/node/replication/__tests__/openMembership.test.ts
+++ b/src/node/replication/__tests__/openMembership.test.ts
@@ -14,7 +14,7 @@
 // Hosts without disks, since only the list of members is looked at; messages arrive a tick later.
 const createHosts = (founders: readonly string[], seed: number) => {
   const generator = xoroshiro128plus(seed);
-  const random = (): number => unsafeUniformIntDistribution(0, RANGE - 1, generator) / RANGE;
+  const sampleUnit = (): number => unsafeUniformIntDistribution(0, RANGE - 1, generator) / RANGE;
   const hosts = new Map<string, Host>();
   let flying: Message[] = [];
 
@@ -29,7 +29,7 @@
         snapshot: { index: 0, term: 0, members: [], size: 0 },
         entries: [],
       },
-      random,
+      random: sampleUnit,
       createGroupId: () => 'group',
       hasOpenMembership: true,
       campaignsEarly: true,
@@ -83,9 +83,24 @@
 const FOUNDERS = ['a', 'b', 'c'];
 
 const cases = [
-  { name: 'two more hosts join at the start', lost: [], added: ['d', 'e'], voters: ['a', 'b', 'c', 'd', 'e'] },
-  { name: 'a host is lost for good and another comes', lost: ['c'], added: ['d'], voters: ['a', 'b', 'd'] },
-  { name: 'two are replaced one after the other', lost: ['c', 'b'], added: ['d', 'e'], voters: ['a', 'd', 'e'] },
+  {
+    name: 'two more hosts join at the start',
+    lost: [],
+    added: ['d', 'e'],
+    voters: ['a', 'b', 'c', 'd', 'e'],
+  },
+  {
+    name: 'a host is lost for good and another comes',
+    lost: ['c'],
+    added: ['d'],
+    voters: ['a', 'b', 'd'],
+  },
+  {
+    name: 'two are replaced one after the other',
+    lost: ['c', 'b'],
+    added: ['d', 'e'],
+    voters: ['a', 'd', 'e'],
+  },
 ] as const;
 
 for (const { name, lost, added, voters } of cases) {
--- a/src/node/replication/core/core.ts
+++ b/src/node/replication/core/core.ts
@@ -27,7 +27,13 @@
   sendToAll,
 } from './replicate';
 import { handleSnapshot, handleSnapshotAnswer, isSendingSnapshot } from './snapshotTransfer';
-import { findSelf, sampleElectionTicks, sampleFirstElectionTicks, sendUrgent, type CoreState } from './state';
+import {
+  findSelf,
+  sampleElectionTicks,
+  sampleFirstElectionTicks,
+  sendUrgent,
+  type CoreState,
+} from './state';
 import type {
   Body,
   CoreOptions,
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -111,20 +111,23 @@
   while (core.status().role === 'leader' && performance.now() < end) await sleep(POLL_MS);
 };
 
-/** Creates the replica of one group on this host: drives its core, store and state machine. */
-export const createReplica = <Command, Result>(
-  options: ReplicaOptions<Command, Result>,
-): DrivenReplica<Command, Result> => {
-  const { group, self, peers, store, log, handleFailure } = options;
-  const core = createCore({
-    self,
-    peers,
-    initial: store.initial,
+const createReplicaCore = (options: ReplicaOptions<never, unknown>): Core =>
+  createCore({
+    self: options.self,
+    peers: options.peers,
+    initial: options.store.initial,
     random: Math.random,
     createGroupId: randomUUID,
     campaignsEarly: options.campaignsEarly,
     hasOpenMembership: options.hasOpenMembership,
   });
+
+/** Creates the replica of one group on this host: drives its core, store and state machine. */
+export const createReplica = <Command, Result>(
+  options: ReplicaOptions<Command, Result>,
+): DrivenReplica<Command, Result> => {
+  const { group, store, log, handleFailure } = options;
+  const core = createReplicaCore(options);
   const applier: Applier<Result> = createApplier(options.machine);
   if (store.snapshot) applier.restore(store.snapshot.state as ApplierState);
   const proposals = createProposals<Result>(core);
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -6,3 +6,4 @@
 export * from './routingDesk';
 export * from './routingState';
 export * from './settings';
+export * from './watchQueue';
--- a/src/node/routingControl/registryDesk.ts
+++ b/src/node/routingControl/registryDesk.ts
@@ -48,7 +48,7 @@
     );
   };
 
-  const sharePeer = async (peer: string, report: EndpointReport, hasLeft: boolean) => {
+  const callPeer = async (peer: string, report: EndpointReport, hasLeft: boolean) => {
     const params = { report, hasLeft };
     const answer = await rpc.call(peer, 'registry.share', params, { timeoutMs: SHARE_TIMEOUT_MS });
     answer.ifLeft((error) => log.debug({ peer, err: error }, 'news not shared'));
@@ -56,10 +56,10 @@
   };
 
   // One other host is enough: should this one die now, the other still tells the gateways.
-  const share = async (report: EndpointReport, hasLeft: boolean): Promise<void> => {
+  const sendNews = async (report: EndpointReport, hasLeft: boolean): Promise<void> => {
     const peers = listPeers();
     if (peers.length === 0) return;
-    await Promise.any(peers.map((peer) => sharePeer(peer, report, hasLeft))).catch(() => {
+    await Promise.any(peers.map((peer) => callPeer(peer, report, hasLeft))).catch(() => {
       log.warn({ endpoint: report.id, peers }, 'no other control host took the news');
     });
   };
@@ -74,7 +74,7 @@
       const outcome = registry.applyReport(report, readNow());
       if (outcome === 'added' || outcome === 'changed') {
         handleNews(report, outcome);
-        await share(report, false);
+        await sendNews(report, false);
       }
       return outcome;
     },
@@ -83,7 +83,7 @@
       const record = registry.find(id);
       if (wasKnown && record) {
         handleNews(record.report, 'left');
-        await share(record.report, true);
+        await sendNews(record.report, true);
       }
       return wasKnown;
     },
