--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -4,7 +4,7 @@
 import { createWindowBudget, type WindowBudget } from '../decisions';
 import type { Service } from '../kernel';
 import { createPartLogger, type Logger } from '../log';
-import { createInternalServer, type Metrics } from '../metrics';
+import { createInternalServer, createMetricsService, type Metrics } from '../metrics';
 import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { createCallerServer, updateTimeouts } from './callerServer';
 import { createEndpointChooser } from './endpointChoice';
@@ -217,6 +217,7 @@
   codec: HeaderCodec,
 ): readonly Service[] => [
   createRpcService({ secret: settings.secret }),
+  createMetricsService(settings.metricsListen),
   {
     name: 'gateway-metrics',
     needs: ['metrics'],
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -27,6 +27,7 @@
   /** Path of that answer. */
   readonly readyPath: string;
   readonly internalListen: ListenAddress;
+  readonly metricsListen: ListenAddress;
   /** Internal addresses of control hosts that are known at the start. */
   readonly controlHosts: readonly string[];
   /** Shared by all processes of the deployment. */
--- a/src/node/metrics/index.ts
+++ b/src/node/metrics/index.ts
@@ -1,3 +1,4 @@
 export * from './metrics';
 export * from './definitions';
 export * from './internalServer';
+export * from './metricsServer';
--- /dev/null
+++ b/src/node/metrics/metricsServer.ts
@@ -0,0 +1,15 @@
+import type { Service } from '../kernel';
+import { createHttpServer, startHttpServer, type ListenAddress } from '../rpc';
+import { registerMetrics, type Metrics } from './metrics';
+
+/** Creates the service `metrics-server`, which serves `GET /metrics` on an address of its own. */
+export const createMetricsService = (listen: ListenAddress): Service => ({
+  name: 'metrics-server',
+  needs: ['metrics'],
+  start: async (find) => {
+    const app = createHttpServer();
+    registerMetrics(app, find<Metrics>('metrics'));
+    const address = await startHttpServer(app, listen);
+    return { value: { address }, stop: () => app.close() };
+  },
+});
--- /dev/null
+++ b/src/node/registry/__tests__/registry.test.ts
@@ -0,0 +1,139 @@
+import test from 'ava';
+import { createRegistry, mergeRecords, type EndpointReport, type Registry } from '..';
+
+const BASE: EndpointReport = {
+  id: 'e-1',
+  startedAt: 100,
+  sequence: 1,
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'a',
+  version: 'v1',
+  slots: 4,
+  state: 'ready',
+  warmupMs: 0,
+  models: [],
+};
+
+type Step = (registry: Registry) => void;
+
+const report =
+  (fields: Partial<EndpointReport>, now = 0): Step =>
+  (registry) => {
+    registry.applyReport({ ...BASE, ...fields }, now);
+  };
+const leave =
+  (id: string, startedAt?: number): Step =>
+  (registry) => {
+    registry.applyLeave(id, startedAt, 0);
+  };
+const expire =
+  (now: number): Step =>
+  (registry) => {
+    registry.expire(now);
+  };
+
+const cases: readonly {
+  readonly name: string;
+  readonly steps: readonly Step[];
+  readonly states: Readonly<Record<string, string>>;
+}[] = [
+  { name: 'a first report', steps: [report({})], states: { 'e-1': 'ready' } },
+  {
+    name: 'a late report does not undo draining',
+    steps: [report({ sequence: 5, state: 'draining' }), report({ sequence: 4 })],
+    states: { 'e-1': 'draining' },
+  },
+  {
+    name: 'a newer report of the same start does not undo draining',
+    steps: [report({ sequence: 5, state: 'draining' }), report({ sequence: 6 })],
+    states: { 'e-1': 'draining' },
+  },
+  {
+    name: 'a late report does not bring a left endpoint back',
+    steps: [report({}), leave('e-1'), report({ sequence: 9 })],
+    states: { 'e-1': 'gone' },
+  },
+  {
+    name: 'a new start under the old name does',
+    steps: [report({}), leave('e-1'), report({ startedAt: 200 })],
+    states: { 'e-1': 'ready' },
+  },
+  {
+    name: 'a leave of an earlier start says nothing of a later one',
+    steps: [report({ startedAt: 200 }), leave('e-1', 100)],
+    states: { 'e-1': 'ready' },
+  },
+  {
+    name: 'a later start at the address ends the earlier one',
+    steps: [report({}), report({ id: 'e-2', startedAt: 200, service: 't' })],
+    states: { 'e-1': 'gone', 'e-2': 'ready' },
+  },
+  {
+    name: 'a delayed report of the earlier one does not take the address back',
+    steps: [report({ id: 'e-2', startedAt: 200 }), report({ sequence: 7 })],
+    states: { 'e-2': 'ready' },
+  },
+  {
+    name: 'silence',
+    steps: [report({}), expire(1_001)],
+    states: { 'e-1': 'silent' },
+  },
+  {
+    name: 'a report after silence',
+    steps: [report({}), expire(1_001), report({ sequence: 2 }, 1_002)],
+    states: { 'e-1': 'ready' },
+  },
+  { name: 'retention', steps: [report({}), leave('e-1'), expire(10_001)], states: {} },
+];
+
+for (const { name, steps, states } of cases) {
+  test(`registry: ${name}`, (t) => {
+    const registry = createRegistry({ silenceMs: 1_000, retentionMs: 10_000 });
+    steps.forEach((step) => step(registry));
+    const found = registry.list().map((record) => [record.report.id, record.state]);
+    t.deepEqual(Object.fromEntries(found), states);
+  });
+}
+
+test('registry: refreshed reports are no change, all else is listed since a revision', (t) => {
+  const registry = createRegistry({ silenceMs: 1_000, retentionMs: 10_000 });
+  registry.applyReport(BASE, 0);
+  const revision = registry.revision();
+  t.is(registry.applyReport({ ...BASE, sequence: 2 }, 5), 'refreshed');
+  t.deepEqual(registry.listSince(revision), []);
+  t.is(registry.applyReport({ ...BASE, sequence: 3, state: 'draining' }, 6), 'changed');
+  t.is(registry.listSince(revision).length, 1);
+});
+
+const createRecord = (state: 'ready' | 'draining' | 'gone' | 'silent', fields = {}) => ({
+  report: { ...BASE, ...fields },
+  state,
+  heardAt: 0,
+});
+
+const merges = [
+  { name: 'silence at one host is no sign', lists: [['silent'], ['ready']], known: ['e-1 ready'] },
+  { name: 'leaving at one host is final', lists: [['gone'], ['ready']], known: [] },
+  { name: 'draining goes before ready', lists: [['draining'], ['ready']], known: ['e-1 draining'] },
+  { name: 'silent everywhere', lists: [['silent'], ['silent']], known: [] },
+] as const;
+
+for (const { name, lists, known } of merges) {
+  test(`records of several control hosts: ${name}`, (t) => {
+    const merged = mergeRecords(lists.map((states) => states.map((state) => createRecord(state))));
+    t.deepEqual(
+      merged.map(({ report: { id }, isReady }) => `${id} ${isReady ? 'ready' : 'draining'}`),
+      [...known],
+    );
+  });
+}
+
+test('records of several control hosts: the later start at an address is the one there', (t) => {
+  const later = createRecord('ready', { id: 'e-2', startedAt: 300 });
+  const merged = mergeRecords([[createRecord('ready')], [later]]);
+  t.deepEqual(
+    merged.map((item) => item.report.id),
+    ['e-2'],
+  );
+});
--- /dev/null
+++ b/src/node/routing/__tests__/routing.test.ts
@@ -0,0 +1,98 @@
+import test from 'ava';
+import { checkRoutingConfig, createRouteTable, type Route, type RoutingConfig } from '..';
+
+const ROUTE: Route = {
+  name: 'r-1',
+  host: 'shop.example',
+  pathPrefix: '/a/',
+  kind: 'idempotent',
+  timeoutMs: 1_000,
+  targetLatencyMs: 100,
+  gapTargetMs: undefined,
+  rank: 0,
+  targets: [{ service: 's', weight: 1 }],
+  attemptLimit: 2,
+  isPublic: false,
+  canResume: false,
+  models: [],
+};
+
+const CONFIG: RoutingConfig = {
+  version: 1,
+  routes: [ROUTE, { ...ROUTE, name: 'r-2', pathPrefix: '/a/b/' }],
+  services: [{ name: 's', connectionLimit: 10, engine: undefined }],
+  organisations: [
+    { name: 'north', keys: ['k-1'], rank: undefined },
+    { name: 'south', keys: ['k-2'], rank: 1 },
+  ],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+const withRoute = (fields: Partial<Route>): Partial<RoutingConfig> => ({
+  routes: [{ ...ROUTE, ...fields }],
+});
+
+const faults: readonly {
+  readonly name: string;
+  readonly change: Partial<RoutingConfig>;
+  readonly finds: RegExp | undefined;
+}[] = [
+  { name: 'a valid one', change: {}, finds: undefined },
+  {
+    name: 'an unknown service',
+    change: withRoute({ targets: [{ service: 'x', weight: 1 }] }),
+    finds: /route 'r-1' names the unknown service 'x'/,
+  },
+  { name: 'a shared place', change: { routes: [ROUTE, ROUTE] }, finds: /shop.example\/a\// },
+  {
+    name: 'the same host in capitals',
+    change: { routes: [ROUTE, { ...ROUTE, host: 'SHOP.example' }] },
+    finds: /share the place/,
+  },
+  {
+    name: 'no weight',
+    change: withRoute({ targets: [{ service: 's', weight: 0 }] }),
+    finds: /weights of route 'r-1' add up to 0/,
+  },
+  { name: 'no timeout', change: withRoute({ timeoutMs: 0 }), finds: /not above 0 ms/ },
+  {
+    name: 'a prefix without a slash',
+    change: withRoute({ pathPrefix: '/a' }),
+    finds: /lacks a slash/,
+  },
+  {
+    name: 'a shared key',
+    change: { organisations: [...CONFIG.organisations, { name: 'west', keys: ['k-1'], rank: 0 }] },
+    finds: /'north' and 'west' share a key/,
+  },
+];
+
+for (const { name, change, finds } of faults) {
+  test(`routing configuration: ${name}`, (t) => {
+    const found = checkRoutingConfig({ ...CONFIG, ...change }).join('; ');
+    if (finds) t.regex(found, finds);
+    else t.is(found, '');
+    t.false(found.includes('k-1'), 'a key is not for logs');
+  });
+}
+
+const lookups = [
+  { host: 'shop.example', path: '/a/x', route: 'r-1' },
+  { host: 'shop.example', path: '/a/b/c?d=/e/', route: 'r-2' },
+  { host: 'shop.example', path: '/a/b', route: 'r-1' },
+  { host: 'Shop.Example:8080', path: '/a/', route: 'r-1' },
+  { host: 'shop.example', path: '/a', route: undefined },
+  { host: 'other.example', path: '/a/x', route: undefined },
+] as const;
+
+for (const { host, path, route } of lookups) {
+  test(`route of ${host}${path}`, (t) => {
+    t.is(createRouteTable(CONFIG).findRoute(host, path)?.name, route);
+  });
+}
+
+test('organisation of a key', (t) => {
+  const table = createRouteTable(CONFIG);
+  t.is(table.findOrganisation('k-2')?.name, 'south');
+  t.is(table.findOrganisation('k-3'), undefined);
+});
--- /dev/null
+++ b/src/node/routingControl/__tests__/routingState.test.ts
@@ -0,0 +1,97 @@
+import test from 'ava';
+import type { RoutingConfig } from '../../routing';
+import { createLoadBoard, createRoutingState, type RoutingCommand } from '..';
+
+const createConfig = (version: number): RoutingConfig => ({
+  version,
+  routes: [],
+  services: [],
+  organisations: [],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+
+const put = (version: number, source = `text ${version}`): RoutingCommand => ({
+  type: 'replaceConfig',
+  config: createConfig(version),
+  source,
+});
+const start = (target: string): RoutingCommand => ({
+  type: 'startRollout',
+  service: 's',
+  target,
+  durationMs: 1_000,
+});
+const move = (
+  target: string,
+  from: 'canary' | 'ramp',
+  to: 'ramp' | 'rolledBack' | 'completed',
+): RoutingCommand => ({ type: 'advanceRollout', service: 's', target, from, to });
+
+interface Case {
+  readonly name: string;
+  readonly commands: readonly RoutingCommand[];
+  readonly source?: string;
+  readonly rollout?: string;
+  readonly retired?: readonly string[];
+}
+
+const cases: readonly Case[] = [
+  { name: 'a higher version is taken', commands: [put(1), put(3)], source: 'text 3' },
+  { name: 'a lower one changes nothing', commands: [put(3), put(2)], source: 'text 3' },
+  {
+    name: 'other content of the same version neither',
+    commands: [put(3), put(3, 'x')],
+    source: 'text 3',
+  },
+  { name: 'a roll-out begins small', commands: [start('v2')], rollout: 'v2 canary' },
+  {
+    name: 'a repeated order begins nothing anew',
+    commands: [start('v2'), move('v2', 'canary', 'ramp'), start('v2')],
+    rollout: 'v2 ramp',
+  },
+  {
+    name: 'a move from another stage is late',
+    commands: [start('v2'), move('v2', 'ramp', 'completed')],
+    rollout: 'v2 canary',
+  },
+  {
+    name: 'a bad version gets no more traffic',
+    commands: [start('v2'), move('v2', 'canary', 'rolledBack')],
+    rollout: 'v2 rolledBack',
+    retired: ['v2'],
+  },
+  {
+    name: 'another target replaces a running one',
+    commands: [start('v2'), start('v3')],
+    rollout: 'v3 canary',
+    retired: ['v2'],
+  },
+];
+
+for (const { name, commands, source, rollout, retired } of cases) {
+  test(`routing state: ${name}`, (t) => {
+    const first = createRoutingState();
+    commands.forEach((command, index) => first.apply(index + 1, command));
+    const restored = createRoutingState();
+    restored.restore(JSON.parse(JSON.stringify(first.snapshot())));
+    for (const state of [first, restored]) {
+      t.is(state.source(), source);
+      t.is(state.listRollouts().map((item) => `${item.target} ${item.stage}`)[0], rollout);
+      t.deepEqual(
+        state.listRetired().map((item) => item.version),
+        [...(retired ?? [])],
+      );
+      t.is(state.revision(), first.revision());
+    }
+  });
+}
+
+test('load board: a gateway gets the sums of the others, without old ones', (t) => {
+  const board = createLoadBoard();
+  const tell = (gateway: string, running: number, now: number) =>
+    board.exchange({ gateway, loads: [{ endpoint: 'e', running, readMs: running * 10 }] }, now);
+  tell('a', 1, 0);
+  tell('b', 2, 900);
+  t.deepEqual(tell('c', 4, 1_000).loads, [{ endpoint: 'e', running: 3, readMs: 30 }]);
+  t.deepEqual(tell('c', 4, 1_500).loads, [{ endpoint: 'e', running: 2, readMs: 20 }]);
+});
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -2,7 +2,7 @@
 import type { FastifyInstance } from 'fastify';
 import type { Service } from '../kernel';
 import { createPartLogger, type Logger } from '../log';
-import { createInternalServer, type Metrics } from '../metrics';
+import { createInternalServer, createMetricsService, type Metrics } from '../metrics';
 import { createRegistry, type Registry } from '../registry';
 import { createReplicationHost, type Replica, type ReplicationHost } from '../replication';
 import {
@@ -180,6 +180,7 @@
   registerRoutes: RegisterRoutes,
 ): readonly Service[] => [
   createRpcService({ secret: settings.secret }),
+  createMetricsService(settings.metricsListen),
   createReplicationService(settings),
   createGroupService(),
   createDesksService(settings),
--- a/src/node/routingControl/settings.ts
+++ b/src/node/routingControl/settings.ts
@@ -7,6 +7,7 @@
   /** Port of operators and endpoints. */
   readonly listen: ListenAddress;
   readonly internalListen: ListenAddress;
+  readonly metricsListen: ListenAddress;
   /** Internal addresses of control hosts that are known at the start. */
   readonly peers: readonly string[];
   /** Whether this start may form the group: true only when the whole deployment starts anew. */
