Bind a session to its version when a request is sent

It is noted at the sending and again at the end; a test shows it on a request that never gets an answer.

--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import { startGateway, type CallOptions, type RouteFields, type SocketAnswer } from './harness';
 
@@ -309,3 +310,13 @@
   t.true(head.includes('X-Expected-Instance: e-0'));
   await gateway.stop();
 });
+
+test('a session is bound to its version as soon as a request is sent', async (t) => {
+  const gateway = await startGateway({ ...ONCE, timeoutMs: 300 }, [sendNothing]);
+  const answer = gateway.call({ headers: { Session: 'one' } });
+  while (gateway.heads[0]!.length === 0) await sleep(PAUSE_MS);
+  t.is(gateway.findSessionVersion('one'), 'v1');
+  t.is((await answer).status, 504);
+  t.is(gateway.findSessionVersion('one'), 'v1');
+  await gateway.stop();
+});
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -41,6 +41,8 @@
   /** Heads of the requests that each endpoint has got. */
   readonly heads: readonly string[][];
   readonly logs: readonly string[];
+  /** Finds the version that a session's latest request was sent to. */
+  readonly findSessionVersion: (session: string) => string | undefined;
   readonly stop: () => Promise<void>;
 }
 
@@ -262,6 +264,7 @@
     call,
     heads,
     logs,
+    findSessionVersion: (session) => sessions.find('s', session, readNow()),
     stop: async () => {
       endpoints.forEach((endpoint) => endpoint.stop());
       server.server.closeAllConnections();
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -1,5 +1,6 @@
 import { chooseModelRun } from '../decisions';
 import { convertToRouterError } from '../errors';
+import type { EndpointReport } from '../registry';
 import type { CallerReply } from './callerReply';
 import { waitAtMost } from './deadline';
 import type { EndpointChoice } from './endpointChoice';
@@ -63,6 +64,17 @@
   );
 };
 
+// Both at the beginning and at the end: the next request of a session may come before either.
+const recordSession = (
+  parts: ExchangeParts,
+  { request }: Exchange,
+  sentTo: EndpointReport,
+): void => {
+  const { session } = request.caller;
+  if (session === undefined) return;
+  parts.sessions.record(sentTo.service, session, sentTo.version, parts.readNow());
+};
+
 /** Creates a runner of requests. */
 export const createExchangeRunner = (parts: ExchangeParts): ExchangeRunner => {
   const { codec, chooser, loads, metrics, log, readNow } = parts;
@@ -96,6 +108,7 @@
     });
     exchange.current = attempt;
     chooser.recordSent(facts, { caller, model }, endpoint);
+    recordSession(parts, exchange, endpoint);
     const budget = parts.findBudget(endpoint.service);
     const share = loads.add(endpoint.id, readMs);
     const common = { parts, exchange, facts, endpoint, model, attempt };
@@ -154,6 +167,7 @@
       handleResult(exchange, await relayAnswer(context));
     } finally {
       context.share.end();
+      recordSession(parts, exchange, choice.endpoint);
       exchange.current?.cancel();
       exchange.current = undefined;
     }
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -68,14 +68,11 @@
 const recordSuccess = (context: AttemptContext, timeMs: number): void => {
   const { parts, exchange, endpoint, model } = context;
   const { service, version } = endpoint;
-  const { route, caller } = exchange.request;
+  const { route } = exchange.request;
   const task = `${route.name}/${model ?? ''}`;
   parts.metrics.attempts.inc({ service, result: 'ok' });
   parts.loads.recordOutcome(endpoint.id, 'ok', parts.readNow());
   parts.tallies.record({ service, version, task }, { type: 'answered', cost: 0, timeMs });
-  if (caller.session !== undefined) {
-    parts.sessions.record(service, caller.session, version, parts.readNow());
-  }
 };
 
 const recordFirstByte = ({ parts, exchange }: AttemptContext): void => {
--- a/src/node/registry/__tests__/registry.test.ts
+++ b/src/node/registry/__tests__/registry.test.ts
@@ -17,17 +17,17 @@
 
 type Step = (registry: Registry) => void;
 
-const report =
+const createReportStep =
   (fields: Partial<EndpointReport>, now = 0): Step =>
   (registry) => {
     registry.applyReport({ ...BASE, ...fields }, now);
   };
-const leave =
+const createLeaveStep =
   (id: string, startedAt?: number): Step =>
   (registry) => {
     registry.applyLeave(id, startedAt, 0);
   };
-const expire =
+const createExpiryStep =
   (now: number): Step =>
   (registry) => {
     registry.expire(now);
@@ -38,53 +38,67 @@
   readonly steps: readonly Step[];
   readonly states: Readonly<Record<string, string>>;
 }[] = [
-  { name: 'a first report', steps: [report({})], states: { 'e-1': 'ready' } },
+  { name: 'a first report', steps: [createReportStep({})], states: { 'e-1': 'ready' } },
   {
     name: 'a late report does not undo draining',
-    steps: [report({ sequence: 5, state: 'draining' }), report({ sequence: 4 })],
+    steps: [
+      createReportStep({ sequence: 5, state: 'draining' }),
+      createReportStep({ sequence: 4 }),
+    ],
     states: { 'e-1': 'draining' },
   },
   {
     name: 'a newer report of the same start does not undo draining',
-    steps: [report({ sequence: 5, state: 'draining' }), report({ sequence: 6 })],
+    steps: [
+      createReportStep({ sequence: 5, state: 'draining' }),
+      createReportStep({ sequence: 6 }),
+    ],
     states: { 'e-1': 'draining' },
   },
   {
     name: 'a late report does not bring a left endpoint back',
-    steps: [report({}), leave('e-1'), report({ sequence: 9 })],
+    steps: [createReportStep({}), createLeaveStep('e-1'), createReportStep({ sequence: 9 })],
     states: { 'e-1': 'gone' },
   },
   {
     name: 'a new start under the old name does',
-    steps: [report({}), leave('e-1'), report({ startedAt: 200 })],
+    steps: [createReportStep({}), createLeaveStep('e-1'), createReportStep({ startedAt: 200 })],
     states: { 'e-1': 'ready' },
   },
   {
     name: 'a leave of an earlier start says nothing of a later one',
-    steps: [report({ startedAt: 200 }), leave('e-1', 100)],
+    steps: [createReportStep({ startedAt: 200 }), createLeaveStep('e-1', 100)],
     states: { 'e-1': 'ready' },
   },
   {
     name: 'a later start at the address ends the earlier one',
-    steps: [report({}), report({ id: 'e-2', startedAt: 200, service: 't' })],
+    steps: [createReportStep({}), createReportStep({ id: 'e-2', startedAt: 200, service: 't' })],
     states: { 'e-1': 'gone', 'e-2': 'ready' },
   },
   {
     name: 'a delayed report of the earlier one does not take the address back',
-    steps: [report({ id: 'e-2', startedAt: 200 }), report({ sequence: 7 })],
+    steps: [createReportStep({ id: 'e-2', startedAt: 200 }), createReportStep({ sequence: 7 })],
     states: { 'e-2': 'ready' },
   },
   {
     name: 'silence',
-    steps: [report({}), expire(1_001)],
+    steps: [createReportStep({}), createExpiryStep(1_001)],
     states: { 'e-1': 'silent' },
   },
   {
     name: 'a report after silence',
-    steps: [report({}), expire(1_001), report({ sequence: 2 }, 1_002)],
+    steps: [
+      createReportStep({}),
+      createExpiryStep(1_001),
+      createReportStep({ sequence: 2 }, 1_002),
+    ],
     states: { 'e-1': 'ready' },
   },
-  { name: 'retention', steps: [report({}), leave('e-1'), expire(10_001)], states: {} },
+  {
+    name: 'retention',
+    steps: [createReportStep({}), createLeaveStep('e-1'), createExpiryStep(10_001)],
+    states: {},
+  },
 ];
 
 for (const { name, steps, states } of cases) {
--- a/src/node/routing/__tests__/routing.test.ts
+++ b/src/node/routing/__tests__/routing.test.ts
@@ -28,7 +28,7 @@
   limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
 
-const withRoute = (fields: Partial<Route>): Partial<RoutingConfig> => ({
+const createChange = (fields: Partial<Route>): Partial<RoutingConfig> => ({
   routes: [{ ...ROUTE, ...fields }],
 });
 
@@ -40,7 +40,7 @@
   { name: 'a valid one', change: {}, finds: undefined },
   {
     name: 'an unknown service',
-    change: withRoute({ targets: [{ service: 'x', weight: 1 }] }),
+    change: createChange({ targets: [{ service: 'x', weight: 1 }] }),
     finds: /route 'r-1' names the unknown service 'x'/,
   },
   { name: 'a shared place', change: { routes: [ROUTE, ROUTE] }, finds: /shop.example\/a\// },
@@ -51,13 +51,13 @@
   },
   {
     name: 'no weight',
-    change: withRoute({ targets: [{ service: 's', weight: 0 }] }),
+    change: createChange({ targets: [{ service: 's', weight: 0 }] }),
     finds: /weights of route 'r-1' add up to 0/,
   },
-  { name: 'no timeout', change: withRoute({ timeoutMs: 0 }), finds: /not above 0 ms/ },
+  { name: 'no timeout', change: createChange({ timeoutMs: 0 }), finds: /not above 0 ms/ },
   {
     name: 'a prefix without a slash',
-    change: withRoute({ pathPrefix: '/a' }),
+    change: createChange({ pathPrefix: '/a' }),
     finds: /lacks a slash/,
   },
   {
--- a/src/node/routingControl/__tests__/routingState.test.ts
+++ b/src/node/routingControl/__tests__/routingState.test.ts
@@ -10,18 +10,18 @@
   limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
 
-const put = (version: number, source = `text ${version}`): RoutingCommand => ({
+const createPut = (version: number, source = `text ${version}`): RoutingCommand => ({
   type: 'replaceConfig',
   config: createConfig(version),
   source,
 });
-const start = (target: string): RoutingCommand => ({
+const createStart = (target: string): RoutingCommand => ({
   type: 'startRollout',
   service: 's',
   target,
   durationMs: 1_000,
 });
-const move = (
+const createMove = (
   target: string,
   from: 'canary' | 'ramp',
   to: 'ramp' | 'rolledBack' | 'completed',
@@ -36,33 +36,33 @@
 }
 
 const cases: readonly Case[] = [
-  { name: 'a higher version is taken', commands: [put(1), put(3)], source: 'text 3' },
-  { name: 'a lower one changes nothing', commands: [put(3), put(2)], source: 'text 3' },
+  { name: 'a higher version is taken', commands: [createPut(1), createPut(3)], source: 'text 3' },
+  { name: 'a lower one changes nothing', commands: [createPut(3), createPut(2)], source: 'text 3' },
   {
     name: 'other content of the same version neither',
-    commands: [put(3), put(3, 'x')],
+    commands: [createPut(3), createPut(3, 'x')],
     source: 'text 3',
   },
-  { name: 'a roll-out begins small', commands: [start('v2')], rollout: 'v2 canary' },
+  { name: 'a roll-out begins small', commands: [createStart('v2')], rollout: 'v2 canary' },
   {
     name: 'a repeated order begins nothing anew',
-    commands: [start('v2'), move('v2', 'canary', 'ramp'), start('v2')],
+    commands: [createStart('v2'), createMove('v2', 'canary', 'ramp'), createStart('v2')],
     rollout: 'v2 ramp',
   },
   {
     name: 'a move from another stage is late',
-    commands: [start('v2'), move('v2', 'ramp', 'completed')],
+    commands: [createStart('v2'), createMove('v2', 'ramp', 'completed')],
     rollout: 'v2 canary',
   },
   {
     name: 'a bad version gets no more traffic',
-    commands: [start('v2'), move('v2', 'canary', 'rolledBack')],
+    commands: [createStart('v2'), createMove('v2', 'canary', 'rolledBack')],
     rollout: 'v2 rolledBack',
     retired: ['v2'],
   },
   {
     name: 'another target replaces a running one',
-    commands: [start('v2'), start('v3')],
+    commands: [createStart('v2'), createStart('v3')],
     rollout: 'v3 canary',
     retired: ['v2'],
   },
@@ -88,10 +88,10 @@
 
 test('load board: a gateway gets the sums of the others, without old ones', (t) => {
   const board = createLoadBoard();
-  const tell = (gateway: string, running: number, now: number) =>
+  const callBoard = (gateway: string, running: number, now: number) =>
     board.exchange({ gateway, loads: [{ endpoint: 'e', running, readMs: running * 10 }] }, now);
-  tell('a', 1, 0);
-  tell('b', 2, 900);
-  t.deepEqual(tell('c', 4, 1_000).loads, [{ endpoint: 'e', running: 3, readMs: 30 }]);
-  t.deepEqual(tell('c', 4, 1_500).loads, [{ endpoint: 'e', running: 2, readMs: 20 }]);
+  callBoard('a', 1, 0);
+  callBoard('b', 2, 900);
+  t.deepEqual(callBoard('c', 4, 1_000).loads, [{ endpoint: 'e', running: 3, readMs: 30 }]);
+  t.deepEqual(callBoard('c', 4, 1_500).loads, [{ endpoint: 'e', running: 2, readMs: 20 }]);
 });
