--- a/src/node/routingControl/routingDesk.ts
+++ b/src/node/routingControl/routingDesk.ts
@@ -72,6 +72,8 @@
       return Left(createError({ type: 'invalid_request', message, step: 'config.check' }));
     }
     const held = state.config()?.version ?? 0;
+    const { leader, role, term } = replica.status();
+    log.info({ version, held, leader, role, term }, 'configuration received');
     const answer = await propose({ type: 'replaceConfig', config, source });
     answer.ifRight((result) => log.info({ version, held, result }, 'configuration committed'));
     answer.ifLeft((error) =>
