--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -3,7 +3,12 @@
 import { createLedgerState } from '../ledger';
 import { createPartLogger, type Logger } from '../log';
 import { createInternalServer, type Metrics } from '../metrics';
-import { createReplicationHost, registerReplaceRoute, type ReplicationHost } from '../replication';
+import {
+  createDiskFailureHandler,
+  createReplicationHost,
+  registerReplaceRoute,
+  type ReplicationHost,
+} from '../replication';
 import { createHttpServer, createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { resolveRpcOptions, type ControlConfig } from '../settings';
 import { createConfigState } from './configState';
@@ -20,8 +25,6 @@
 import { createMembers, type Members } from './members';
 import { createPolicyMethods, createPolicyService, type PolicyService } from './policy';
 
-const DISK_FAILURE_EXIT = 1;
-
 const createReplicationService = (settings: ControlConfig): Service => ({
   name: 'replication',
   needs: ['rpc', 'log'],
@@ -35,10 +38,7 @@
       data,
       log,
       rpc: find<RpcClient>('rpc'),
-      handleFailure: (cause) => {
-        log.fatal({ err: cause }, 'a write failed, the process ends');
-        process.exit(DISK_FAILURE_EXIT);
-      },
+      handleFailure: createDiskFailureHandler(log),
     });
     return { value, stop: value.stop };
   },
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -1,5 +1,5 @@
 /** The roles that have metrics of their own; `all` stands in every role. */
-export type MetricRole = 'entry' | 'agent' | 'control' | 'all';
+export type MetricRole = 'entry' | 'gateway' | 'agent' | 'control' | 'all';
 
 /** One metric: its name carries the unit. */
 export interface MetricDefinition {
@@ -57,7 +57,7 @@
     "Attempts after a request's first.",
   ),
   gatewayRequests: createDefinition(
-    'entry',
+    'gateway',
     'counter',
     'gateway_requests_total',
     'requests',
@@ -65,7 +65,7 @@
     ['route', 'end'],
   ),
   gatewayAttempts: createDefinition(
-    'entry',
+    'gateway',
     'counter',
     'gateway_attempts_total',
     'attempts',
@@ -73,7 +73,7 @@
     ['service', 'result'],
   ),
   gatewayFirstByte: createDefinition(
-    'entry',
+    'gateway',
     'histogram',
     'gateway_first_byte_seconds',
     'seconds',
@@ -81,7 +81,7 @@
     ['route'],
   ),
   gatewayDuration: createDefinition(
-    'entry',
+    'gateway',
     'histogram',
     'gateway_request_seconds',
     'seconds',
@@ -89,7 +89,7 @@
     ['route'],
   ),
   gatewayActive: createDefinition(
-    'entry',
+    'gateway',
     'gauge',
     'gateway_requests_active',
     'requests',
--- a/src/node/replication/replicationHost.ts
+++ b/src/node/replication/replicationHost.ts
@@ -59,6 +59,15 @@
 }
 
 const TICK_MS = 50;
+const DISK_FAILURE_EXIT = 1;
+
+/** Creates what ends the process when its disk fails: after that it must not say another word. */
+export const createDiskFailureHandler =
+  (log: Logger) =>
+  (cause: unknown): void => {
+    log.fatal({ err: cause }, 'a write failed, the process ends');
+    process.exit(DISK_FAILURE_EXIT);
+  };
 
 const replaceParams = z.strictObject({
   group: z.string(),
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -4,7 +4,12 @@
 import { createPartLogger, type Logger } from '../log';
 import { createInternalServer, createMetricsService, type Metrics } from '../metrics';
 import { createRegistry, type Registry } from '../registry';
-import { createReplicationHost, type Replica, type ReplicationHost } from '../replication';
+import {
+  createDiskFailureHandler,
+  createReplicationHost,
+  type Replica,
+  type ReplicationHost,
+} from '../replication';
 import {
   createHttpServer,
   createMethod,
@@ -36,7 +41,6 @@
 /** Registers the routes of operators and endpoints in a deployment's own form. */
 export type RegisterRoutes = (app: FastifyInstance, desks: ControlDesks, log: Logger) => void;
 
-const DISK_FAILURE_EXIT = 1;
 /** Reports may come late by seconds, so several must be missing before an endpoint counts as lost. */
 const SILENT_REPORTS = 6;
 /** How long a left endpoint is remembered, far beyond the delay of any report. */
@@ -64,10 +68,7 @@
       data: settings.data,
       log,
       rpc: find<RpcClient>('rpc'),
-      handleFailure: (cause) => {
-        log.fatal({ err: cause }, 'a write failed, the process ends');
-        process.exit(DISK_FAILURE_EXIT);
-      },
+      handleFailure: createDiskFailureHandler(log),
     });
     return { value, stop: value.stop };
   },
