Predict a second run only for doubtful answers, and write three rules once

Every streamed answer ran the whole choice of an endpoint for a second run, also confident ones and those of the largest model; it is asked for last now. What may be repeated on a route stood twice, as did the key of a tally and the way from the server into the gateway; a table of handlers for two results was one condition. Members that nobody called are gone.

--- a/src/node/decisions/__tests__/routedRequests.test.ts
+++ b/src/node/decisions/__tests__/routedRequests.test.ts
@@ -112,7 +112,7 @@
   attemptsLeft: 2,
   hasBudget: true,
   timeLeftMs: 2_000,
-  secondRunMs: 400,
+  estimateSecondRun: () => 400,
   rank: 0,
 };
 
@@ -123,7 +123,11 @@
   { name: 'the largest model', change: { model: 'large' }, isDropped: false },
   { name: 'no attempt left', change: { attemptsLeft: 0 }, isDropped: false },
   { name: 'no budget', change: { hasBudget: false }, isDropped: false },
-  { name: 'a second run that would be late', change: { secondRunMs: 1_900 }, isDropped: false },
+  {
+    name: 'a second run that would be late',
+    change: { estimateSecondRun: () => 1_900 },
+    isDropped: false,
+  },
   {
     name: 'the least urgent while the largest model has a queue',
     change: { rank: 2 },
@@ -131,7 +135,7 @@
   },
   {
     name: 'the least urgent without a queue',
-    change: { rank: 2, secondRunMs: 100 },
+    change: { rank: 2, estimateSecondRun: () => 100 },
     isDropped: true,
   },
 ];
--- a/src/node/decisions/chooseModelRun.ts
+++ b/src/node/decisions/chooseModelRun.ts
@@ -21,8 +21,8 @@
   readonly hasBudget: boolean;
   /** Milliseconds left until the answer would be late. */
   readonly timeLeftMs: number;
-  /** Time to the first token of the largest model as predicted, in milliseconds. */
-  readonly secondRunMs: number;
+  /** Predicts the time to the first token of the largest model; asked for doubtful answers only. */
+  readonly estimateSecondRun: () => number;
   /** Urgency of the request, 0 is the most urgent. */
   readonly rank: number;
 }
@@ -46,6 +46,6 @@
   if (confidence === undefined || confidence >= CONFIDENCE_FLOOR) return false;
   const isLargest = model === models.at(-1);
   const part = SECOND_RUN_PARTS[Math.min(question.rank, SECOND_RUN_PARTS.length - 1)]!;
-  const isInTime = question.secondRunMs < part * question.timeLeftMs;
-  return !isLargest && attemptsLeft > 0 && hasBudget && isInTime;
+  if (isLargest || attemptsLeft <= 0 || !hasBudget) return false;
+  return question.estimateSecondRun() < part * question.timeLeftMs;
 };
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -1,4 +1,4 @@
-import { createServer, request as openRequest, type IncomingMessage, type Server } from 'node:http';
+import { request as openRequest, type IncomingMessage } from 'node:http';
 import {
   createServer as createNetServer,
   type AddressInfo,
@@ -104,7 +104,7 @@
   },
 });
 
-const startListening = (server: Server | NetServer): Promise<number> =>
+const startListening = (server: NetServer): Promise<number> =>
   new Promise((resolve) => {
     server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
   });
@@ -190,7 +190,6 @@
     beliefs: createCacheBeliefs(),
     registry: {
       listEndpoints: () => known,
-      findEndpoint: () => undefined,
       hasAnswer: () => true,
       start: () => {},
       stop: () => {},
@@ -272,13 +271,3 @@
     },
   };
 };
-
-/** Creates an unused server, so that its port refuses connections. */
-export const findClosedPort = async (): Promise<number> => {
-  const server = createServer();
-  const port = await startListening(server);
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-};
--- a/src/node/gateway/cacheBeliefs.ts
+++ b/src/node/gateway/cacheBeliefs.ts
@@ -23,8 +23,6 @@
     parts: readonly PromptPart[],
     cacheTokens: number,
   ) => void;
-  /** Forgets what an endpoint held. */
-  readonly remove: (endpoint: string) => void;
 }
 
 interface EndpointCache {
@@ -69,8 +67,5 @@
       parts.forEach((part) => addPart(state, formatPart(model, part), part.tokens));
       removeOldest(state, CACHED_PART * cacheTokens);
     },
-    remove: (endpoint) => {
-      caches.delete(endpoint);
-    },
   };
 };
--- a/src/node/gateway/callerReply.ts
+++ b/src/node/gateway/callerReply.ts
@@ -30,7 +30,8 @@
   readonly onGone: (listener: () => void) => void;
 }
 
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** Statuses whose answers have no body. */
+export const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** Creates the way back over Node's response object. */
 export const createCallerReply = (
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -116,6 +116,14 @@
     );
   };
 
+  const runHandler = (request: FastifyRequest, reply: FastifyReply): void => {
+    reply.hijack();
+    handle(request.raw, reply.raw).catch((cause: unknown) => {
+      log.error({ err: convertToRouterError(cause, 'gateway.receive') }, 'request lost');
+      reply.raw.destroy();
+    });
+  };
+
   const app = fastify({
     logger: false,
     forceCloseConnections: false,
@@ -124,24 +132,14 @@
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
       requestTimeout: 0,
     },
-    frameworkErrors: (_failure: unknown, request: FastifyRequest, reply: FastifyReply) => {
-      reply.hijack();
-      handle(request.raw, reply.raw).catch((cause: unknown) => {
-        log.error({ err: convertToRouterError(cause, 'gateway.receive') }, 'request lost');
-        reply.raw.destroy();
-      });
-    },
+    frameworkErrors: (_failure: unknown, request: FastifyRequest, reply: FastifyReply) =>
+      runHandler(request, reply),
   } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
   app.server.headersTimeout = DEFAULT_HEAD_TIMEOUT_MS;
   app.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
   // Any method and path goes the same way; what the configuration does not know is answered there.
   app.addHook('onRequest', (request, reply, done) => {
-    reply.hijack();
-    handle(request.raw, reply.raw).catch((cause: unknown) => {
-      const error = convertToRouterError(cause, 'gateway.receive');
-      log.error({ err: error }, 'request lost');
-      reply.raw.destroy();
-    });
+    runHandler(request, reply);
     done();
   });
   return app;
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -1,12 +1,13 @@
 import { chooseModelRun } from '../decisions';
 import { convertToRouterError } from '../errors';
 import type { EndpointReport } from '../registry';
+import { isRepeatableRoute } from '../routing';
 import type { CallerReply } from './callerReply';
 import { waitAtMost } from './deadline';
 import type { EndpointChoice } from './endpointChoice';
 import { createExchangeEnds, FAILED_RETRY_MS } from './exchangeEnds';
 import type { AdmittedRequest, Exchange, ExchangeParts } from './exchangeTypes';
-import { relayAnswer, type AttemptContext, type AttemptResult } from './relayAnswer';
+import { relayAnswer, type AttemptContext } from './relayAnswer';
 import type { RoutingFacts } from './routingView';
 
 /** Runs requests from their admission to their answer. */
@@ -37,10 +38,8 @@
   isOver: false,
 });
 
-const canRepeat = ({ request, mayHaveRun }: Exchange): boolean => {
-  const { kind, canResume } = request.route;
-  return !mayHaveRun || kind === 'idempotent' || (kind === 'stream' && canResume);
-};
+const canRepeat = ({ request, mayHaveRun }: Exchange): boolean =>
+  !mayHaveRun || isRepeatableRoute(request.route);
 
 const logPlaced = (context: AttemptContext, choice: PlacedChoice): void => {
   const { parts, exchange, facts, endpoint, model, startedAt } = context;
@@ -115,19 +114,6 @@
     return { ...common, startedAt: now, budget, share, unreadTokens };
   };
 
-  const handleResult = (exchange: Exchange, result: AttemptResult): void => {
-    if (exchange.isOver) return;
-    const handlers: Readonly<Record<AttemptResult['type'], () => void>> = {
-      done: () => {
-        const { status } = result as Extract<AttemptResult, { readonly type: 'done' }>;
-        ends.settle(exchange, 'answered', status);
-      },
-      // The reason was noted where the attempt failed; the loop goes on.
-      again: () => {},
-    };
-    handlers[result.type]();
-  };
-
   const runAttempt = async (exchange: Exchange): Promise<void> => {
     const { request } = exchange;
     const { route, caller } = request;
@@ -164,7 +150,8 @@
     const context = startAttempt(exchange, facts, choice, model);
     logPlaced(context, choice);
     try {
-      handleResult(exchange, await relayAnswer(context));
+      const result = await relayAnswer(context);
+      if (result.type === 'done') ends.settle(exchange, 'answered', result.status);
     } finally {
       context.share.end();
       recordSession(parts, exchange, choice.endpoint);
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -10,7 +10,6 @@
 export interface RegistryView {
   /** Endpoints of a service, those that take no new work included. */
   readonly listEndpoints: (service: string) => readonly KnownEndpoint[];
-  readonly findEndpoint: (id: string) => KnownEndpoint | undefined;
   /** Whether any control host has answered. */
   readonly hasAnswer: () => boolean;
   readonly start: () => void;
@@ -163,7 +162,6 @@
 
   return {
     listEndpoints: (service) => byService.get(service) ?? [],
-    findEndpoint: (id) => byId.get(id),
     hasAnswer: () => hasAnswer,
     start: () => {
       updateHosts();
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -1,6 +1,7 @@
 import { isAnswerDoubtful, type WindowBudget } from '../decisions';
 import type { EndpointReport } from '../registry';
-import type { ReplyHead } from './callerReply';
+import { isRepeatableRoute } from '../routing';
+import { BODILESS_STATUSES, type ReplyHead } from './callerReply';
 import { waitAtMost } from './deadline';
 import type { LoadShare } from './endpointLoads';
 import { createEventReader } from './eventReader';
@@ -35,9 +36,14 @@
 /** Longest good pause in milliseconds where a route states none. */
 const DEFAULT_GAP_MS = 1_500;
 
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const AGAIN: AttemptResult = { type: 'again' };
 
+const createTallyKey = ({ exchange, endpoint, model }: AttemptContext) => ({
+  service: endpoint.service,
+  version: endpoint.version,
+  task: `${exchange.request.route.name}/${model ?? ''}`,
+});
+
 const recordFailure = (context: AttemptContext, reason: string, mayHaveRun: boolean): void => {
   const { parts, exchange, endpoint, model, startedAt } = context;
   const now = parts.readNow();
@@ -46,11 +52,7 @@
   if (mayHaveRun) exchange.mayHaveRun = true;
   parts.metrics.attempts.inc({ service: endpoint.service, result: 'failed' });
   parts.loads.recordOutcome(endpoint.id, 'failed', now);
-  const task = `${exchange.request.route.name}/${model ?? ''}`;
-  if (mayHaveRun) {
-    const { service, version } = endpoint;
-    parts.tallies.record({ service, version, task }, { type: 'failed' });
-  }
+  if (mayHaveRun) parts.tallies.record(createTallyKey(context), { type: 'failed' });
   parts.log.info(
     {
       request: exchange.request.caller.requestId,
@@ -66,13 +68,10 @@
 };
 
 const recordSuccess = (context: AttemptContext, timeMs: number): void => {
-  const { parts, exchange, endpoint, model } = context;
-  const { service, version } = endpoint;
-  const { route } = exchange.request;
-  const task = `${route.name}/${model ?? ''}`;
-  parts.metrics.attempts.inc({ service, result: 'ok' });
+  const { parts, endpoint } = context;
+  parts.metrics.attempts.inc({ service: endpoint.service, result: 'ok' });
   parts.loads.recordOutcome(endpoint.id, 'ok', parts.readNow());
-  parts.tallies.record({ service, version, task }, { type: 'answered', cost: 0, timeMs });
+  parts.tallies.record(createTallyKey(context), { type: 'answered', cost: 0, timeMs });
 };
 
 const recordFirstByte = ({ parts, exchange }: AttemptContext): void => {
@@ -93,9 +92,8 @@
 };
 
 const isRepeatable = ({ exchange }: AttemptContext): boolean => {
-  const { kind, canResume, attemptLimit } = exchange.request.route;
-  const isIdempotent = kind === 'idempotent' || (kind === 'stream' && canResume);
-  return isIdempotent && exchange.attempts < attemptLimit;
+  const { route } = exchange.request;
+  return isRepeatableRoute(route) && exchange.attempts < route.attemptLimit;
 };
 
 // Work that may not be repeated gains nothing from giving up early.
@@ -210,7 +208,10 @@
   const { tried } = exchange;
   const timeLeftMs = receivedAt + route.targetLatencyMs - now;
   const wanted = { route, caller, model: route.models.at(-1), tried, timeLeftMs };
-  const second = parts.chooser.choose(facts, wanted, now);
+  const estimateSecondRun = (): number => {
+    const second = parts.chooser.choose(facts, wanted, now);
+    return second.type === 'placed' ? second.predictedMs : Infinity;
+  };
   const isDoubtful = isAnswerDoubtful({
     models: route.models,
     model,
@@ -219,7 +220,7 @@
     hasBudget: budget.canAcquire(now, facts.gatewayCount),
     timeLeftMs,
     rank: exchange.request.organisation?.rank ?? route.rank,
-    secondRunMs: second.type === 'placed' ? second.predictedMs : Infinity,
+    estimateSecondRun,
   });
   if (!isDoubtful) return false;
   const { requestId: request } = exchange.request.caller;
--- a/src/node/routing/routeTable.ts
+++ b/src/node/routing/routeTable.ts
@@ -9,6 +9,10 @@
   readonly findService: (name: string) => RoutedService | undefined;
 }
 
+/** Says whether requests of a route may run more than once. */
+export const isRepeatableRoute = ({ kind, canResume }: Route): boolean =>
+  kind === 'idempotent' || (kind === 'stream' && canResume);
+
 const removePort = (host: string): string => host.replace(/:\d+$/, '').toLowerCase();
 
 const removeQuery = (path: string): string => path.split(/[?#]/, 1)[0]!;
