--- a/src/node/control/__tests__/ledgerUpkeep.test.ts
+++ b/src/node/control/__tests__/ledgerUpkeep.test.ts
@@ -6,7 +6,7 @@
 import type { Replica } from '../../replication';
 import type { RpcClient } from '../../rpc';
 import { createConfigState } from '../configState';
-import type { ControlParts } from '../controlApi';
+import type { ControlParts } from '../controlParts';
 import { createLedgerUpkeep } from '../ledgerUpkeep';
 
 const ENTRY = { node: 'entry-1', incarnation: 5 };
--- a/src/node/control/admin/explain.ts
+++ b/src/node/control/admin/explain.ts
@@ -2,7 +2,7 @@
 import type { RpcClient } from '../../rpc';
 import type { DecisionRecord, Explanation } from '../../shared';
 import type { NodeRecord } from '../configState';
-import type { ControlParts } from '../controlApi';
+import type { ControlParts } from '../controlParts';
 import { computeBillRows } from './bills';
 
 interface EntryAnswer {
--- a/src/node/control/admin/status.ts
+++ b/src/node/control/admin/status.ts
@@ -1,6 +1,6 @@
 import type { AdminStatus, NodeState } from '../../shared';
 import type { ViewKind, ViewValues } from '../../view';
-import type { ControlParts } from '../controlApi';
+import type { ControlParts } from '../controlParts';
 import type { Members } from '../members';
 
 /** Gives all values of one kind of the view that this host holds. */
--- a/src/node/control/adminApi.ts
+++ b/src/node/control/adminApi.ts
@@ -8,7 +8,7 @@
 import { createExplanation } from './admin/explain';
 import { readStatus } from './admin/status';
 import { putInventorySchema, type ConfigCommand, type ConfigResult } from './configState';
-import { commit, type ControlParts } from './controlApi';
+import { commit, type ControlParts } from './controlParts';
 import type { Members } from './members';
 
 /** What the operators' routes work on. */
--- a/src/node/control/configCommands.ts
+++ b/src/node/control/configCommands.ts
@@ -1,26 +1,11 @@
 import { z } from 'zod';
-import { inventorySchema, servedVersion, type Inventory } from '../inventory';
+import { inventorySchema, type Inventory } from '../inventory';
+import type { Announcement } from '../shared';
 import type { Rollout, Withdrawal } from '../view';
 import type { RolloutChange } from './rolloutActions';
 
 const changeId = z.string().min(1).max(128);
 
-/** What an agent says of its endpoint. */
-export const announcementSchema = z
-  .strictObject({
-    endpoint: z.string(),
-    host: z.string(),
-    serves: z.array(servedVersion).readonly(),
-    service: z.string().optional(),
-    slots: z.number().int().positive(),
-    checksFencing: z.boolean(),
-    state: z.enum(['live', 'leaving']),
-  })
-  .readonly();
-
-/** What an agent says of its endpoint. */
-export type Announcement = z.infer<typeof announcementSchema>;
-
 /** The commands of the `config` group. */
 export type ConfigCommand =
   | {
--- a/src/node/control/controlServices.ts
+++ b/src/node/control/controlServices.ts
@@ -13,7 +13,8 @@
 import { resolveRpcOptions, type ControlConfig } from '../settings';
 import { createConfigState } from './configState';
 import { registerAdminRoutes } from './adminApi';
-import { createControlMethods, type ControlParts } from './controlApi';
+import { createControlMethods } from './controlApi';
+import type { ControlParts } from './controlParts';
 import {
   checkShardCount,
   createShardedLedger,
--- a/src/node/control/index.ts
+++ b/src/node/control/index.ts
@@ -1,4 +1,5 @@
 export * from './adminApi';
 export * from './configState';
 export * from './controlApi';
+export * from './controlParts';
 export * from './controlServices';
--- a/src/node/control/ledgerUpkeep.ts
+++ b/src/node/control/ledgerUpkeep.ts
@@ -1,7 +1,7 @@
 import type { OrphanAttempt, Owner } from '../ledger';
 import type { RpcClient } from '../rpc';
 import type { AttemptEnd } from '../shared';
-import type { ControlParts } from './controlApi';
+import type { ControlParts } from './controlParts';
 import type { LedgerShard } from './ledgerShards';
 
 /** Tells the ledger which processes are gone and what time it is, on the ledger's leader. */
--- a/src/node/control/members/expiry.ts
+++ b/src/node/control/members/expiry.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks';
 import type { NodeRecord } from '../configState';
-import type { ControlParts } from '../controlApi';
+import type { ControlParts } from '../controlParts';
 import type { NodeTracker } from './nodeTracker';
 
 /** Removes nodes whose lease has run out, on the leader of the `config` group. */
--- a/src/node/control/members/members.ts
+++ b/src/node/control/members/members.ts
@@ -4,7 +4,7 @@
 import type { NodeState, StaleIncarnation } from '../../shared';
 import type { ViewUpdate } from '../../view';
 import type { NodeRecord } from '../configState';
-import type { ControlParts } from '../controlApi';
+import type { ControlParts } from '../controlParts';
 import { createExpiry } from './expiry';
 import { createLoadPermits } from './loadPermits';
 import { createNodeTracker, type Sighting } from './nodeTracker';
--- a/src/node/control/policy/__tests__/policyService.test.ts
+++ b/src/node/control/policy/__tests__/policyService.test.ts
@@ -8,7 +8,7 @@
 import type { Replica } from '../../../replication';
 import type { Rollout } from '../../../view';
 import { createConfigState, type ConfigCommand, type ConfigResult } from '../../configState';
-import type { ControlParts } from '../../controlApi';
+import type { ControlParts } from '../../controlParts';
 import { createPolicyService, type PolicyService } from '..';
 
 interface Host {
--- a/src/node/control/policy/policyService.ts
+++ b/src/node/control/policy/policyService.ts
@@ -5,7 +5,7 @@
 import type { Organisation } from '../../inventory';
 import { createMethod, type RpcClient, type RpcMethods } from '../../rpc';
 import { policyExchangeParams, type PolicyAnswer, type PolicyExchange } from '../../shared';
-import type { ControlParts } from '../controlApi';
+import type { ControlParts } from '../controlParts';
 import { createCellStore, type CellStore } from './cellStore';
 import { createRolloutGuard, type RolloutGuard } from './rolloutGuard';
 import { judgeRollouts } from './rolloutJudge';
--- a/src/node/control/policy/rolloutJudge.ts
+++ b/src/node/control/policy/rolloutJudge.ts
@@ -1,7 +1,7 @@
 import { formatRolloutName } from '../../decisions';
 import type { Rollout, ViewEntry } from '../../view';
 import type { ConfigCommand } from '../configState';
-import { commit, type ControlParts } from '../controlApi';
+import { commit, type ControlParts } from '../controlParts';
 import type { RolloutGuard } from './rolloutGuard';
 
 type RolloutCommand = Extract<ConfigCommand, { readonly type: 'withdraw' | 'advanceRollout' }>;
--- a/src/node/decisions/serviceRollout.ts
+++ b/src/node/decisions/serviceRollout.ts
@@ -27,18 +27,27 @@
 
 /** Chance of rolling back a version that is as good as the one before it. */
 const FALSE_ROLLBACK_RATE = 0.01;
-/** Answers of the new version without which it is not trusted with more. */
+/** Answers of the new version without which it is not trusted with more, while there is time for them. */
 const CANARY_SAMPLES = 20;
-/** Answers at half of the traffic before all of it follows. */
+/** Fewer have to do once the roll-out would otherwise end too late; five of them tell a bad version. */
+const LATE_CANARY_SAMPLES = 10;
+/** Answers that must have come by the time all of the traffic follows. */
 const RAMP_SAMPLES = 40;
 /** Sessions may move only in the second half of a roll-out. */
-const RAMP_ELAPSED_SHARE = 0.52;
-/** Parts of the whole time that the later stages last, so that work on the old version ends by itself. */
-const RAMP_SHARE = 0.08;
+const EARLY_ELAPSED_SHARE = 0.52;
+/** Part of the time after which few answers are reason to go on rather than to wait. */
+const LATE_ELAPSED_SHARE = 0.58;
+/** Parts of the whole time that the later stages last, so that caches fill and old work ends by itself. */
+const EARLY_SHARE = 0.06;
+const RAMP_SHARE = 0.06;
 const FULL_SHARE = 0.18;
+/** A roll-out that is behind ends at this part of its time, after a shorter last stage. */
+const END_ELAPSED_SHARE = 0.9;
+const SHORTEST_FULL_SHARE = 0.06;
 /** Part of the allowed exposure that the first stage uses, since a late fault adds to it. */
 const CANARY_EXPOSURE_PART = 0.6;
-/** Part of the traffic that the second stage moves. */
+/** Parts of the traffic that the stages in between move; each moves the reading of prompts it takes. */
+const EARLY_TRAFFIC_SHARE = 0.2;
 const RAMP_TRAFFIC_SHARE = 0.5;
 /** The new version needs this many endpoints for each one before it takes all traffic. */
 const READY_RATIO = 0.6;
@@ -92,21 +101,30 @@
 
 type StageRule = (facts: ServiceRolloutFacts) => RolloutStage | undefined;
 
+const countNeeded = ({ elapsedMs, durationMs }: ServiceRolloutFacts): number =>
+  elapsedMs >= LATE_ELAPSED_SHARE * durationMs ? LATE_CANARY_SAMPLES : CANARY_SAMPLES;
+
+const isFullOver = ({ stageMs, elapsedMs, durationMs }: ServiceRolloutFacts): boolean =>
+  stageMs >= FULL_SHARE * durationMs ||
+  (elapsedMs >= END_ELAPSED_SHARE * durationMs && stageMs >= SHORTEST_FULL_SHARE * durationMs);
+
 const STAGE_RULES: Readonly<Record<RolloutStage, StageRule>> = {
   canary: (facts) => {
-    const isDue = facts.elapsedMs >= RAMP_ELAPSED_SHARE * facts.durationMs;
-    const isTrusted = countCandidate(facts) >= CANARY_SAMPLES && hasCapacity(facts);
-    return isDue && isTrusted ? 'ramp' : undefined;
+    const isDue = facts.elapsedMs >= EARLY_ELAPSED_SHARE * facts.durationMs;
+    const isTrusted = countCandidate(facts) >= countNeeded(facts);
+    return isDue && isTrusted && hasCapacity(facts) ? 'early' : undefined;
+  },
+  early: (facts) => {
+    const isDue = facts.stageMs >= EARLY_SHARE * facts.durationMs;
+    const isTrusted = countCandidate(facts) >= CANARY_SAMPLES;
+    return isDue && isTrusted && hasCapacity(facts) ? 'ramp' : undefined;
   },
   ramp: (facts) => {
     const isDue = facts.stageMs >= RAMP_SHARE * facts.durationMs;
-    const isTrusted = countCandidate(facts) >= CANARY_SAMPLES + RAMP_SAMPLES;
+    const isTrusted = countCandidate(facts) >= RAMP_SAMPLES;
     return isDue && isTrusted && hasCapacity(facts) ? 'full' : undefined;
   },
-  full: (facts) => {
-    const isDue = facts.stageMs >= FULL_SHARE * facts.durationMs;
-    return isDue && hasCapacity(facts) ? 'completed' : undefined;
-  },
+  full: (facts) => (isFullOver(facts) && hasCapacity(facts) ? 'completed' : undefined),
   completed: () => undefined,
   rolledBack: () => undefined,
 };
@@ -125,6 +143,7 @@
 export const computeStageShare = (stage: RolloutStage, exposureShare: number): number => {
   const shares: Readonly<Record<RolloutStage, number>> = {
     canary: CANARY_EXPOSURE_PART * exposureShare,
+    early: EARLY_TRAFFIC_SHARE,
     ramp: RAMP_TRAFFIC_SHARE,
     full: 1,
     completed: 1,
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -47,6 +47,7 @@
     {
       request: exchange.request.caller.requestId,
       route: exchange.request.route.name,
+      promptTokens: exchange.request.caller.promptTokens,
       endpoint: endpoint.id,
       version: endpoint.version,
       model,
--- a/src/node/ledger/ledgerClient.ts
+++ b/src/node/ledger/ledgerClient.ts
@@ -1,8 +1,15 @@
 import { createError, type RouterError } from '../errors';
-import type { LeaseClient } from '../lease';
 import type { RpcClient } from '../rpc';
 import type { LedgerCommand, LedgerResult, RequestRecord } from './types';
 
+/** Tells which control host to call. */
+export interface ControlAddresses {
+  /** The control host that answered last. */
+  readonly controlAddress: () => string;
+  /** Turns to the next one after a failure. */
+  readonly chooseNextControl: () => void;
+}
+
 /** Writes to and reads from the ledger through a control host. */
 export interface LedgerClient {
   /** Resolves once the command is committed; an error leaves open whether it will be. */
@@ -23,7 +30,7 @@
 const TRIES = 4;
 
 /** Creates a client that sends what waits in few batches at a time. */
-export const createLedgerClient = (rpc: RpcClient, lease: LeaseClient): LedgerClient => {
+export const createLedgerClient = (rpc: RpcClient, addresses: ControlAddresses): LedgerClient => {
   const waiting: Waiting[] = [];
   let sending = 0;
 
@@ -31,10 +38,10 @@
   const callWithRetry = async <T>(method: string, params: unknown): Promise<T> => {
     let last: RouterError | undefined;
     for (let attempt = 0; attempt < TRIES; attempt += 1) {
-      const answer = await rpc.call<T>(lease.controlAddress(), method, params);
+      const answer = await rpc.call<T>(addresses.controlAddress(), method, params);
       if (answer.isRight()) return answer.extract();
       last = answer.extract() as RouterError;
-      lease.chooseNextControl();
+      addresses.chooseNextControl();
     }
     throw createError({
       type: 'unavailable',
--- a/src/node/routing/types.ts
+++ b/src/node/routing/types.ts
@@ -88,7 +88,7 @@
 }
 
 /** Stages of a roll-out, in order; the last two are final. */
-export type RolloutStage = 'canary' | 'ramp' | 'full' | 'completed' | 'rolledBack';
+export type RolloutStage = 'canary' | 'early' | 'ramp' | 'full' | 'completed' | 'rolledBack';
 
 /** A roll-out of a new version of a routed service. */
 export interface ServiceRollout {
--- a/src/node/shared/index.ts
+++ b/src/node/shared/index.ts
@@ -1,3 +1,4 @@
+export * from './announcement';
 export * from './protocol';
 export * from './adminProtocol';
 export * from './policyProtocol';
--- a/src/node/shared/protocol.ts
+++ b/src/node/shared/protocol.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
-import { announcementSchema } from '../control/configState';
 import { ledgerCommandSchema, ownerSchema } from '../ledger';
 import type { ViewUpdate } from '../view';
+import { announcementSchema } from './announcement';
 
 /** `control.register`: a process asks for its incarnation. */
 export const registerParams = z.strictObject({
