Gateways tell each other of the prompts they send; model choice rests on predicted first tokens

Large prompts were late, and shared parts were read again by each gateway that had not sent them. Ruled out: queues of other gateways (exchanged every 150 ms before), slow endpoints. Change: load.exchange carries the prompts sent since the last call, by cursor; every gateway holds the same beliefs. Reading time grows with the text before a token. Unread work of a prompt falls while it is read. The first run is the largest model's where only one run is in time; a doubtful answer gives way to the largest model that is in time, counting a queue twice. Beliefs about endpoints that are gone are dropped.

--- a/src/node/decisions/chooseModelRun.ts
+++ b/src/node/decisions/chooseModelRun.ts
@@ -1,17 +1,31 @@
 // Load pattern: easy and hard requests mixed, whose hardness nobody tells beforehand; a small model
-// answers the easy ones at a tenth of the price and says how sure it is before its first token.
+// answers the easy ones at a tenth of the price and says how sure it is before its first token. Long
+// prompts take most of the time to a good first token, so that a run may leave no time for another.
 
-/** What is known when a model has to be named. */
+/** When a model's first token is likely to come, at the best endpoint for it. */
+export interface FirstTokenEstimate {
+  /** Milliseconds until then. */
+  readonly firstTokenMs: number;
+  /** How much of that is the reading of other prompts. */
+  readonly queueMs: number;
+}
+
+/** Predicts a model's first token; nothing when no endpoint takes the request. */
+export type EstimateFirstToken = (model: string) => FirstTokenEstimate | undefined;
+
+/** What is known of a request when a model has to be named. */
 export interface ModelQuestion {
   /** Models that may answer, smallest first. */
   readonly models: readonly string[];
-  /** Model of the answer that was dropped, if any. */
-  readonly dropped: string | undefined;
+  /** Milliseconds left until the answer would be late. */
+  readonly timeLeftMs: number;
+  /** Urgency of the request, 0 is the most urgent. */
+  readonly rank: number;
+  readonly estimateFirstToken: EstimateFirstToken;
 }
 
 /** What is known when a model's answer begins. */
-export interface ConfidenceQuestion {
-  readonly models: readonly string[];
+export interface ConfidenceQuestion extends ModelQuestion {
   readonly model: string;
   /** The model's own opinion of its answer, 0 to 100; absent when it has none. */
   readonly confidence: number | undefined;
@@ -19,33 +33,58 @@
   readonly attemptsLeft: number;
   /** Whether the budget of repeated work allows another run. */
   readonly hasBudget: boolean;
-  /** Milliseconds left until the answer would be late. */
-  readonly timeLeftMs: number;
-  /** Predicts the time to the first token of the largest model; asked for doubtful answers only. */
-  readonly estimateSecondRun: () => number;
-  /** Urgency of the request, 0 is the most urgent. */
-  readonly rank: number;
 }
 
 /** Below this opinion a small model's answers are mostly not good enough; from trials on both sites. */
 const CONFIDENCE_FLOOR = 60;
+/** Part of the time left within which a prediction is in time nine times of ten; from logged days. */
+const IN_TIME_PART = 0.85;
+/** The same for the least urgent, which leave the larger models to the others as soon as they queue. */
+const LEAST_URGENT_PART = 0.15;
+/** Ranks from this one on are the least urgent. */
+const LEAST_URGENT_RANK = 2;
+
+/**
+ * Weight of a queue beyond the waiting itself: a run that joins one delays all that come behind it, so
+ * that large models step back before anybody is late.
+ */
+const QUEUE_WEIGHT = 1;
+
+const computeCostMs = ({ estimateFirstToken }: ModelQuestion, model: string): number => {
+  const estimate = estimateFirstToken(model);
+  return estimate ? estimate.firstTokenMs + QUEUE_WEIGHT * estimate.queueMs : Infinity;
+};
+
+const computeLimitMs = ({ rank, timeLeftMs }: ModelQuestion): number =>
+  timeLeftMs * (rank >= LEAST_URGENT_RANK ? LEAST_URGENT_PART : IN_TIME_PART);
+
+/**
+ * Chooses the model of the first run: the smallest, unless only one run is in time and the largest
+ * model's is.
+ */
+export const chooseFirstModel = (question: ModelQuestion): string | undefined => {
+  const { models, rank } = question;
+  const [smallest] = models;
+  const largest = models.at(-1);
+  if (smallest === undefined || largest === undefined || smallest === largest) return smallest;
+  if (rank >= LEAST_URGENT_RANK) return smallest;
+  const limitMs = computeLimitMs(question);
+  const largestMs = computeCostMs(question, largest);
+  const isOnlyOneInTime = computeCostMs(question, smallest) + largestMs > limitMs;
+  return isOnlyOneInTime && largestMs <= limitMs ? largest : smallest;
+};
+
 /**
- * Part of the time left that a second run may take to its first token, by rank. Predictions are off
- * both ways, so that one which would just make it is likely late; the less urgent leave the largest
- * model to the others as soon as it has a queue.
+ * Chooses the model that shall answer instead of one whose answer has just begun: the largest that is
+ * in time, or none when the answer is good enough or nothing better would be in time.
  */
-const SECOND_RUN_PARTS: readonly number[] = [0.75, 0.75, 0.15];
-
-/** Chooses the model of the next run: the smallest first, the largest after a doubtful answer. */
-export const chooseModelRun = ({ models, dropped }: ModelQuestion): string | undefined =>
-  dropped === undefined ? models[0] : models.at(-1);
-
-/** Says whether an answer that has just begun shall be dropped for one of the largest model. */
-export const isAnswerDoubtful = (question: ConfidenceQuestion): boolean => {
-  const { models, model, confidence, attemptsLeft, hasBudget } = question;
-  if (confidence === undefined || confidence >= CONFIDENCE_FLOOR) return false;
-  const isLargest = model === models.at(-1);
-  const part = SECOND_RUN_PARTS[Math.min(question.rank, SECOND_RUN_PARTS.length - 1)]!;
-  if (isLargest || attemptsLeft <= 0 || !hasBudget) return false;
-  return question.estimateSecondRun() < part * question.timeLeftMs;
+export const chooseSecondModel = (question: ConfidenceQuestion): string | undefined => {
+  const { models, model, confidence, attemptsLeft, hasBudget, rank } = question;
+  if (confidence === undefined || confidence >= CONFIDENCE_FLOOR) return undefined;
+  if (attemptsLeft <= 0 || !hasBudget) return undefined;
+  const limitMs = computeLimitMs(question);
+  const larger = models.slice(models.indexOf(model) + 1).reverse();
+  // A model in between answers little more than the smallest, so the least urgent do without it.
+  const candidates = rank >= LEAST_URGENT_RANK ? larger.slice(0, 1) : larger;
+  return candidates.find((candidate) => computeCostMs(question, candidate) <= limitMs);
 };
--- a/src/node/decisions/placeEngineRequest.ts
+++ b/src/node/decisions/placeEngineRequest.ts
@@ -13,9 +13,10 @@
   readonly running: number;
   /** Reading of prompts that is ahead of a new request, in milliseconds. */
   readonly queueMs: number;
-  /** Tokens of the shared beginning, and of the request's own part, likely not read there yet. */
+  /** Reading of what the endpoint does not hold of this prompt, in milliseconds. */
+  readonly readMs: number;
+  /** Tokens of the shared beginning among that. */
   readonly unreadShared: number;
-  readonly unreadOwn: number;
   readonly isWarmingUp: boolean;
   /** Whether its latest answers were failures. */
   readonly isEjected: boolean;
@@ -26,10 +27,6 @@
   readonly candidates: readonly EngineCandidate[];
   /** Shared beginning of the prompt with its model. */
   readonly affinity: string;
-  /** Tokens of the shared beginning. */
-  readonly sharedTokens: number;
-  /** Time that the model takes to read one token, in milliseconds. */
-  readonly msPerToken: number;
   /** Milliseconds left until a first token would be late. */
   readonly timeLeftMs: number;
 }
@@ -45,17 +42,13 @@
 const OTHER_ZONE_MS = 12;
 /** An endpoint just started is slower by a factor that its reports do not give. */
 const WARMUP_FACTOR = 2;
-/**
- * Part of the shared tokens that is likely read again: at the endpoint that all gateways rank first
- * for them, and at one that this gateway alone sent them to, which keeps them only by chance.
- */
-const HOME_REREAD_PART = 0.1;
-const OTHER_REREAD_PART = 0.35;
 /**
  * What reading a shared token again costs the other requests, in milliseconds: it takes the engine's
  * time and pushes another part out of its memory.
  */
 const REREAD_MS_PER_TOKEN = 0.03;
+/** Part of that cost at a beginning's home, where later requests with it will come. */
+const HOME_PART = 0.3;
 /** Part of the time left within which an earlier first token is worth little to the caller. */
 const COMFORT_PART = 0.3;
 /** What a millisecond counts for within that time. */
@@ -81,25 +74,20 @@
 }
 
 const estimateCost = (
-  question: EngineQuestion,
+  { timeLeftMs }: EngineQuestion,
   candidate: EngineCandidate,
   home: string,
 ): Estimate => {
-  const { msPerToken, sharedTokens, timeLeftMs } = question;
-  const { unreadShared, unreadOwn, queueMs, running, isOwnZone, isWarmingUp } = candidate;
-  const known = candidate.id === home ? HOME_REREAD_PART : OTHER_REREAD_PART;
-  const isKnown = candidate.id === home || unreadShared === 0;
-  const reread = isKnown ? known * sharedTokens : unreadShared;
-  const unread = unreadOwn + reread;
-  const readMs = (queueMs + unread * msPerToken) * (isWarmingUp ? WARMUP_FACTOR : 1);
-  const predictedMs = readMs + running * RUNNING_MS + (isOwnZone ? 0 : OTHER_ZONE_MS);
+  const { id, unreadShared, queueMs, readMs, running, isOwnZone, isWarmingUp } = candidate;
+  const engineMs = (queueMs + readMs) * (isWarmingUp ? WARMUP_FACTOR : 1);
+  const predictedMs = engineMs + running * RUNNING_MS + (isOwnZone ? 0 : OTHER_ZONE_MS);
   const lateMs = Math.max(0, predictedMs - COMFORT_PART * timeLeftMs);
-  const costMs = lateMs + COMFORT_WEIGHT * predictedMs + reread * REREAD_MS_PER_TOKEN;
-  return { id: candidate.id, predictedMs, costMs };
+  const rereadMs = unreadShared * REREAD_MS_PER_TOKEN * (id === home ? HOME_PART : 1);
+  return { id, predictedMs, costMs: lateMs + COMFORT_WEIGHT * predictedMs + rereadMs };
 };
 
 /**
- * Chooses the endpoint that likely holds a prompt's beginning while its first token comes in good
+ * Chooses an endpoint that holds a prompt's beginning, or its home, while its first token comes in good
  * time, else the one with the earliest first token, as far as a gateway can tell.
  */
 export const placeEngineRequest = (question: EngineQuestion): EnginePlacement => {
--- a/src/node/decisions/readRates.ts
+++ b/src/node/decisions/readRates.ts
@@ -7,12 +7,20 @@
   readonly cost: number;
 }
 
-/** Time that each model takes to read one token. */
+/** How much of a prompt an endpoint has to read. */
+export interface PromptReading {
+  /** Tokens that the endpoint does not hold yet. */
+  readonly unreadTokens: number;
+  /** Tokens of the whole prompt. */
+  readonly promptTokens: number;
+}
+
+/** Time that each model takes to read a prompt. */
 export interface ReadRates {
-  /** Gives milliseconds for one token of the prompt. */
-  readonly read: (model: string) => number;
-  /** Takes note of the delay of a first token after so many unread tokens. */
-  readonly record: (model: string, unreadTokens: number, delayMs: number) => void;
+  /** Estimates the milliseconds that reading takes when nothing else is read. */
+  readonly estimate: (model: string, reading: PromptReading) => number;
+  /** Takes note of the delay of a first token before which nothing else was read. */
+  readonly record: (model: string, reading: PromptReading, delayMs: number) => void;
 }
 
 /** Pace of the cheapest model before any measurement, in milliseconds a token. */
@@ -21,9 +29,20 @@
 const COST_EXPONENT = 0.85;
 /** Below this the delay tells of steps and ways, not of reading. */
 const SMALLEST_SAMPLE_TOKENS = 1_500;
-/** Waiting only ever adds to a delay, so low samples count for much and high ones for little. */
-const FALL_WEIGHT = 0.3;
-const RISE_WEIGHT = 0.02;
+/** Waiting that was not known of only ever adds to a delay, so low samples count for more. */
+const FALL_WEIGHT = 0.2;
+const RISE_WEIGHT = 0.05;
+/**
+ * Length of the text before a token at which attending to it costs as much as all else about the
+ * token: 2 operations for each of 70 billion weights, against 4 for each of 80 layers of 8,192.
+ */
+const ATTENTION_TOKENS = 53_000;
+
+/** Computes the work of reading in tokens at the beginning of a text; later tokens count for more. */
+export const computeReadWork = ({ unreadTokens, promptTokens }: PromptReading): number => {
+  const before = Math.max(0, promptTokens - unreadTokens / 2);
+  return unreadTokens * (1 + before / ATTENTION_TOKENS);
+};
 
 /** Creates rates for the models of a pool. */
 export const createReadRates = (models: readonly PricedModel[]): ReadRates => {
@@ -34,12 +53,13 @@
       FIRST_MS_PER_TOKEN * (cheapest > 0 ? (cost / cheapest) ** COST_EXPONENT : 1),
     ]),
   );
+  const readRate = (model: string): number => rates.get(model) ?? FIRST_MS_PER_TOKEN;
   return {
-    read: (model) => rates.get(model) ?? FIRST_MS_PER_TOKEN,
-    record: (model, unreadTokens, delayMs) => {
-      if (unreadTokens < SMALLEST_SAMPLE_TOKENS) return;
-      const known = rates.get(model) ?? FIRST_MS_PER_TOKEN;
-      const sample = delayMs / unreadTokens;
+    estimate: (model, reading) => readRate(model) * computeReadWork(reading),
+    record: (model, reading, delayMs) => {
+      if (reading.unreadTokens < SMALLEST_SAMPLE_TOKENS) return;
+      const known = readRate(model);
+      const sample = delayMs / computeReadWork(reading);
       const weight = sample < known ? FALL_WEIGHT : RISE_WEIGHT;
       rates.set(model, known + weight * (sample - known));
     },
--- /dev/null
+++ b/src/node/gateway/__tests__/cacheBeliefs.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import { createCacheBeliefs } from '../cacheBeliefs';
+import type { PromptPart } from '../types';
+
+const createParts = (...ids: readonly string[]): readonly PromptPart[] =>
+  ids.map((id) => ({ id, tokens: 1_000 }));
+
+const cases = [
+  { name: 'nothing was sent', sent: [], asked: ['a', 'b', 'c'], shared: 2_000, all: 3_000 },
+  { name: 'the same prompt', sent: [['a', 'b', 'c']], asked: ['a', 'b', 'c'], shared: 0, all: 0 },
+  {
+    name: 'the same beginning',
+    sent: [['a', 'b', 'x']],
+    asked: ['a', 'b', 'c'],
+    shared: 0,
+    all: 1_000,
+  },
+  { name: 'a shorter one', sent: [['a', 'x']], asked: ['a', 'b', 'c'], shared: 1_000, all: 2_000 },
+  {
+    name: 'a part held without the one before it counts for nothing',
+    sent: [['b', 'x']],
+    asked: ['a', 'b', 'c'],
+    shared: 2_000,
+    all: 3_000,
+  },
+  {
+    name: 'parts that others have pushed out',
+    sent: [
+      ['a', 'x'],
+      ['d', 'e'],
+      ['f', 'g'],
+      ['h', 'i'],
+    ],
+    asked: ['a', 'c'],
+    shared: 1_000,
+    all: 2_000,
+  },
+] as const;
+
+for (const { name, sent, asked, shared, all } of cases) {
+  for (const way of ['sent here', 'sent by another gateway'] as const) {
+    test(`what an endpoint holds: ${name}, ${way}`, (t) => {
+      const beliefs = createCacheBeliefs(() => 10_000);
+      sent.forEach((ids) => {
+        if (way === 'sent here') beliefs.record('e', 'm', createParts(...ids));
+        else {
+          const parts = ids.map((id) => [id, 1_000] as [string, number]);
+          beliefs.applyOthers([{ endpoint: 'e', model: 'm', parts }]);
+        }
+      });
+      t.deepEqual(beliefs.countUnread('e', 'm', createParts(...asked)), { shared, all });
+      t.is(beliefs.countUnread('e', 'other', createParts(...asked)).all, asked.length * 1_000);
+    });
+  }
+}
+
+test('what an endpoint holds: endpoints that are gone are forgotten', (t) => {
+  const sizes = new Map([['e', 10_000]]);
+  const beliefs = createCacheBeliefs((endpoint) => sizes.get(endpoint));
+  beliefs.record('e', 'm', createParts('a', 'b'));
+  t.is(beliefs.countUnread('e', 'm', createParts('a', 'b')).all, 0);
+  sizes.clear();
+  beliefs.expire();
+  t.is(beliefs.countUnread('e', 'm', createParts('a', 'b')).all, 2_000);
+});
+
+test('what an endpoint holds: news go out once, and again when they did not arrive', (t) => {
+  const beliefs = createCacheBeliefs(() => 10_000);
+  beliefs.record('e', 'm', createParts('a'));
+  const news = beliefs.drainNews();
+  t.is(news.length, 1);
+  t.deepEqual(beliefs.drainNews(), []);
+  beliefs.record('e', 'm', createParts('b'));
+  beliefs.restoreNews(news);
+  t.deepEqual(
+    beliefs.drainNews().map((read) => read.parts[0]![0]),
+    ['a', 'b'],
+  );
+});
--- a/src/node/gateway/cacheBeliefs.ts
+++ b/src/node/gateway/cacheBeliefs.ts
@@ -1,14 +1,15 @@
+import type { PromptRead } from '../routingControl';
 import type { PromptPart } from './types';
 
 /** Tokens of a prompt that an endpoint has likely not read yet. */
 export interface UnreadTokens {
   /** Of the parts that other requests have too. */
   readonly shared: number;
-  /** Of the last part, which belongs to the request or its session. */
-  readonly own: number;
+  /** Of all parts. */
+  readonly all: number;
 }
 
-/** What this gateway believes that the endpoints' caches hold: the parts it sent there lately. */
+/** What this gateway believes that the endpoints' memories hold: the parts all gateways sent there lately. */
 export interface CacheBeliefs {
   /** Counts the tokens after the longest known beginning of a prompt. */
   readonly countUnread: (
@@ -16,13 +17,16 @@
     model: string,
     parts: readonly PromptPart[],
   ) => UnreadTokens;
-  /** Takes note that an endpoint has been sent a prompt; `cacheTokens` is what its memory holds. */
-  readonly record: (
-    endpoint: string,
-    model: string,
-    parts: readonly PromptPart[],
-    cacheTokens: number,
-  ) => void;
+  /** Takes note of a prompt that this gateway has sent. */
+  readonly record: (endpoint: string, model: string, parts: readonly PromptPart[]) => void;
+  /** Takes over what the other gateways have sent. */
+  readonly applyOthers: (reads: readonly PromptRead[]) => void;
+  /** Gives what this gateway has sent since the last call, for the others. */
+  readonly drainNews: () => readonly PromptRead[];
+  /** Takes news back that did not reach the others. */
+  readonly restoreNews: (reads: readonly PromptRead[]) => void;
+  /** Forgets endpoints that are not in use any more. */
+  readonly expire: () => void;
 }
 
 interface EndpointCache {
@@ -33,8 +37,10 @@
 
 /** Part of an endpoint's memory that cached parts may have; the rest is for running requests. */
 const CACHED_PART = 0.6;
+/** News that wait while no control host answers; older ones say little of what is held by then. */
+const NEWS_LIMIT = 500;
 
-const formatPart = (model: string, part: PromptPart): string => `${model}|${part.id}`;
+const formatPart = (model: string, id: string): string => `${model}|${id}`;
 
 const addPart = (state: EndpointCache, name: string, tokens: number): void => {
   state.total += tokens - (state.parts.get(name) ?? 0);
@@ -50,22 +56,58 @@
   }
 };
 
-/** Creates beliefs about nothing. */
-export const createCacheBeliefs = (): CacheBeliefs => {
+const countTokens = (parts: readonly PromptPart[]): number =>
+  parts.reduce((sum, { tokens }) => sum + tokens, 0);
+
+/**
+ * Creates beliefs about nothing. `findCacheTokens` gives the tokens that an endpoint's memory holds,
+ * or nothing for an endpoint that is not in use.
+ */
+export const createCacheBeliefs = (
+  findCacheTokens: (endpoint: string) => number | undefined,
+): CacheBeliefs => {
   const caches = new Map<string, EndpointCache>();
+  let news: PromptRead[] = [];
+
+  const addRead = ({ endpoint, model, parts }: PromptRead): void => {
+    const cacheTokens = findCacheTokens(endpoint);
+    if (cacheTokens === undefined) return;
+    const state = caches.get(endpoint) ?? { parts: new Map(), total: 0 };
+    caches.set(endpoint, state);
+    parts.forEach(([id, tokens]) => addPart(state, formatPart(model, id), tokens));
+    removeOldest(state, CACHED_PART * cacheTokens);
+  };
+
   return {
     countUnread: (endpoint, model, parts) => {
       const held = caches.get(endpoint)?.parts;
-      const first = parts.findIndex((part) => !held?.has(formatPart(model, part)));
-      if (first < 0) return { shared: 0, own: 0 };
-      const shared = parts.slice(first, -1).reduce((sum, { tokens }) => sum + tokens, 0);
-      return { shared, own: parts.at(-1)!.tokens };
+      const first = parts.findIndex(({ id }) => !held?.has(formatPart(model, id)));
+      if (first < 0) return { shared: 0, all: 0 };
+      return { shared: countTokens(parts.slice(first, -1)), all: countTokens(parts.slice(first)) };
+    },
+    record: (endpoint, model, parts) => {
+      const read: PromptRead = {
+        endpoint,
+        model,
+        parts: parts.map(({ id, tokens }) => [id, tokens]),
+      };
+      addRead(read);
+      news.push(read);
+      if (news.length > NEWS_LIMIT) news.shift();
+    },
+    applyOthers: (reads) => reads.forEach(addRead),
+    drainNews: () => {
+      const drained = news;
+      news = [];
+      return drained;
+    },
+    restoreNews: (reads) => {
+      news = [...reads, ...news].slice(-NEWS_LIMIT);
     },
-    record: (endpoint, model, parts, cacheTokens) => {
-      const state = caches.get(endpoint) ?? { parts: new Map(), total: 0 };
-      caches.set(endpoint, state);
-      parts.forEach((part) => addPart(state, formatPart(model, part), part.tokens));
-      removeOldest(state, CACHED_PART * cacheTokens);
+    expire: () => {
+      for (const endpoint of caches.keys()) {
+        if (findCacheTokens(endpoint) === undefined) caches.delete(endpoint);
+      }
     },
   };
 };
--- /dev/null
+++ b/src/node/gateway/choiceRequest.ts
@@ -0,0 +1,32 @@
+import type { FirstTokenEstimate } from '../decisions';
+import type { ChoiceRequest } from './endpointChoice';
+import type { Exchange, ExchangeParts } from './exchangeTypes';
+import type { RoutingFacts } from './routingView';
+
+/** Counts the milliseconds until a request's answer, or its first token, would be late. */
+export const countTimeLeft = ({ request }: Exchange, now: number): number =>
+  request.receivedAt + request.route.targetLatencyMs - now;
+
+/** Says what a request's next run needs an endpoint for. */
+export const createChoiceRequest = (
+  exchange: Exchange,
+  model: string | undefined,
+  now: number,
+): ChoiceRequest => {
+  const { request, tried } = exchange;
+  const { route, caller } = request;
+  return { route, caller, model, tried, timeLeftMs: countTimeLeft(exchange, now) };
+};
+
+/** Predicts a model's first token; nothing when no endpoint takes the request. */
+export const estimateFirstToken = (
+  { chooser, readNow }: Pick<ExchangeParts, 'chooser' | 'readNow'>,
+  exchange: Exchange,
+  facts: RoutingFacts,
+  model: string,
+): FirstTokenEstimate | undefined => {
+  const now = readNow();
+  const choice = chooser.choose(facts, createChoiceRequest(exchange, model, now), now);
+  if (choice.type === 'refused') return undefined;
+  return { firstTokenMs: choice.predictedMs, queueMs: choice.queueMs };
+};
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -5,6 +5,7 @@
   placeEngineRequest,
   placeRequest,
   type Placement,
+  type PromptReading,
   type ReadRates,
 } from '../decisions';
 import type { EndpointReport } from '../registry';
@@ -36,6 +37,8 @@
       readonly reason: string;
       /** Time to the first token as predicted, in milliseconds; 0 at a plain service. */
       readonly predictedMs: number;
+      /** Reading of other prompts that is ahead, in milliseconds. */
+      readonly queueMs: number;
       /** Tokens of the prompt that the endpoint has likely not read yet, and the time for them. */
       readonly unreadTokens: number;
       readonly readMs: number;
@@ -65,7 +68,7 @@
   /** Takes note of the delay of a first token, in milliseconds. */
   readonly recordFirstToken: (
     facts: RoutingFacts,
-    place: { readonly service: string; readonly model: string; readonly unreadTokens: number },
+    read: PromptReading & { readonly service: string; readonly model: string },
     delayMs: number,
   ) => void;
 }
@@ -77,9 +80,6 @@
   return shared ? `${model ?? ''}|${shared.id}` : '';
 };
 
-const countShared = ({ caller }: ChoiceRequest): number =>
-  caller.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
-
 interface RateTable {
   readonly acquire: (service: string, engine: EngineProfile) => ReadRates;
 }
@@ -105,13 +105,14 @@
   request: ChoiceRequest,
   reports: readonly EndpointReport[],
   ejected: ReadonlySet<string>,
+  now: number,
 ): EndpointChoice => {
   const placement = placeRequest({
     candidates: reports.map((report) => ({
       id: report.id,
       isOwnZone: report.zone === zone,
       slots: report.slots,
-      running: loads.findAll(report.id).running,
+      running: loads.findAll(report.id, now).running,
       isWarmingUp: report.warmupMs > 0,
       isEjected: ejected.has(report.id),
     })),
@@ -120,7 +121,8 @@
   if (placement.type === 'refused') return placement;
   const endpoint = reports.find(({ id }) => id === placement.id)!;
   const { reason } = placement;
-  return { type: 'placed', endpoint, reason, predictedMs: 0, unreadTokens: 0, readMs: 0 };
+  const reading = { predictedMs: 0, queueMs: 0, unreadTokens: 0, readMs: 0 };
+  return { type: 'placed', endpoint, reason, ...reading };
 };
 
 /** Creates a chooser over this gateway's view. */
@@ -161,47 +163,40 @@
     request: ChoiceRequest,
     reports: readonly EndpointReport[],
     ejected: ReadonlySet<string>,
+    now: number,
   ): EndpointChoice => {
-    const { caller } = request;
-    const model = request.model ?? caller.model ?? '';
+    const { parts, promptTokens, model: named } = request.caller;
+    const model = request.model ?? named ?? '';
     const service = reports[0]?.service ?? '';
     const engine = findEngine(facts, service);
-    const msPerToken = engine ? rates.acquire(service, engine).read(model) : 0;
-    const unread = new Map(
-      reports.map(({ id }) => [id, beliefs.countUnread(id, model, caller.parts)]),
+    const rate = engine && rates.acquire(service, engine);
+    const states = new Map(
+      reports.map(({ id }) => {
+        const load = loads.findAll(id, now);
+        const { shared, all: unreadTokens } = beliefs.countUnread(id, model, parts);
+        const readMs = rate?.estimate(model, { unreadTokens, promptTokens }) ?? 0;
+        const { running, readMs: queueMs } = load;
+        return [id, { running, queueMs, readMs, unreadTokens, unreadShared: shared }] as const;
+      }),
     );
     const placement = placeEngineRequest({
-      candidates: reports.map((report) => {
-        const load = loads.findAll(report.id);
-        return {
-          id: report.id,
-          isOwnZone: report.zone === zone,
-          slots: report.slots,
-          running: load.running,
-          queueMs: load.readMs,
-          unreadShared: unread.get(report.id)!.shared,
-          unreadOwn: unread.get(report.id)!.own,
-          isWarmingUp: report.warmupMs > 0,
-          isEjected: ejected.has(report.id),
-        };
-      }),
+      candidates: reports.map((report) => ({
+        ...states.get(report.id)!,
+        id: report.id,
+        isOwnZone: report.zone === zone,
+        slots: report.slots,
+        isWarmingUp: report.warmupMs > 0,
+        isEjected: ejected.has(report.id),
+      })),
       affinity: formatAffinity(request),
-      sharedTokens: countShared(request),
-      msPerToken,
       timeLeftMs: request.timeLeftMs,
     });
     if (placement.type === 'refused') return placement;
     const endpoint = reports.find(({ id }) => id === placement.id)!;
-    const { shared, own } = unread.get(endpoint.id)!;
-    const unreadTokens = shared + own;
-    return {
-      type: 'placed',
-      endpoint,
-      reason: 'shared prompt and first token',
-      predictedMs: placement.predictedMs,
-      unreadTokens,
-      readMs: unreadTokens * msPerToken,
-    };
+    const { queueMs, unreadTokens, readMs } = states.get(endpoint.id)!;
+    const { predictedMs } = placement;
+    const reason = 'shared prompt and first token';
+    return { type: 'placed', endpoint, reason, predictedMs, queueMs, unreadTokens, readMs };
   };
 
   return {
@@ -213,18 +208,18 @@
       const ejected = loads.listEjected(ids, now);
       const isEngine = findEngine(facts, service) !== undefined && caller.parts.length > 0;
       return isEngine
-        ? chooseEngine(facts, request, reports, ejected)
-        : choosePlain(options, request, reports, ejected);
+        ? chooseEngine(facts, request, reports, ejected, now)
+        : choosePlain(options, request, reports, ejected, now);
     },
     recordSent: (facts, { caller, model }, { id, service }) => {
       const engine = findEngine(facts, service);
       const name = model ?? caller.model;
       if (!engine || name === undefined) return;
-      beliefs.record(id, name, caller.parts, engine.cacheTokens);
+      beliefs.record(id, name, caller.parts);
     },
-    recordFirstToken: (facts, { service, model, unreadTokens }, delayMs) => {
+    recordFirstToken: (facts, { service, model, ...reading }, delayMs) => {
       const engine = findEngine(facts, service);
-      if (engine) rates.acquire(service, engine).record(model, unreadTokens, delayMs);
+      if (engine) rates.acquire(service, engine).record(model, reading, delayMs);
     },
   };
 };
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -1,10 +1,11 @@
-import { chooseModelRun } from '../decisions';
+import { chooseFirstModel } from '../decisions';
 import { convertToRouterError } from '../errors';
 import type { EndpointReport } from '../registry';
 import { isRepeatableRoute } from '../routing';
 import type { CallerReply } from './callerReply';
 import { waitAtMost } from './deadline';
 import type { EndpointChoice } from './endpointChoice';
+import { countTimeLeft, createChoiceRequest, estimateFirstToken } from './choiceRequest';
 import { createExchangeEnds, FAILED_RETRY_MS } from './exchangeEnds';
 import type { AdmittedRequest, Exchange, ExchangeParts } from './exchangeTypes';
 import { relayAnswer, type AttemptContext } from './relayAnswer';
@@ -29,6 +30,7 @@
   attempts: 0,
   mayHaveRun: false,
   dropped: undefined,
+  secondModel: undefined,
   doubtful: undefined,
   lastEventId: request.caller.lastEventId,
   firstByteAt: undefined,
@@ -53,8 +55,9 @@
       model,
       reason: choice.reason,
       predictedMs: Math.round(choice.predictedMs),
+      queueMs: Math.round(choice.queueMs),
       unreadTokens: choice.unreadTokens,
-      running: parts.loads.findAll(endpoint.id).running,
+      running: parts.loads.findAll(endpoint.id, startedAt).running,
       attempt: exchange.attempts + 1,
       revision: facts.revision,
       reportSequence: endpoint.sequence,
@@ -81,13 +84,24 @@
   const ends = createExchangeEnds(parts);
   let active = 0;
 
+  const chooseFirst = (exchange: Exchange, facts: RoutingFacts): string | undefined => {
+    const { route, organisation } = exchange.request;
+    const now = readNow();
+    return chooseFirstModel({
+      models: route.models,
+      timeLeftMs: countTimeLeft(exchange, now),
+      rank: organisation?.rank ?? route.rank,
+      estimateFirstToken: (model) => estimateFirstToken(parts, exchange, facts, model),
+    });
+  };
+
   const startAttempt = (
     exchange: Exchange,
     facts: RoutingFacts,
     choice: PlacedChoice,
     model: string | undefined,
   ): AttemptContext => {
-    const { endpoint, unreadTokens, readMs } = choice;
+    const { endpoint, unreadTokens, queueMs, readMs } = choice;
     const { request, lastEventId } = exchange;
     const { caller, method, path, body, organisation, limitAt } = request;
     const now = readNow();
@@ -110,14 +124,14 @@
     chooser.recordSent(facts, { caller, model }, endpoint);
     recordSession(parts, exchange, endpoint);
     const budget = parts.findBudget(endpoint.service);
-    const share = loads.add(endpoint.id, readMs);
+    const share = loads.add(endpoint.id, { startsAt: now + queueMs, readMs });
     const common = { parts, exchange, facts, endpoint, model, attempt };
-    return { ...common, startedAt: now, budget, share, unreadTokens };
+    return { ...common, startedAt: now, budget, share, queueMs, unreadTokens };
   };
 
   const runAttempt = async (exchange: Exchange): Promise<void> => {
     const { request } = exchange;
-    const { route, caller } = request;
+    const { route } = request;
     const facts = parts.readFacts();
     if (!facts) {
       exchange.reason = 'this gateway has no lease on the configuration';
@@ -130,11 +144,12 @@
         return;
       }
     }
-    const { dropped, tried } = exchange;
-    const model = chooseModelRun({ models: route.models, dropped });
-    const timeLeftMs = request.receivedAt + route.targetLatencyMs - readNow();
-    const wanted = { route, caller, model, tried, timeLeftMs };
-    const choice = chooser.choose(facts, wanted, readNow());
+    const model = exchange.secondModel ?? chooseFirst(exchange, facts);
+    const choice = chooser.choose(
+      facts,
+      createChoiceRequest(exchange, model, readNow()),
+      readNow(),
+    );
     if (choice.type === 'refused') {
       exchange.reason = [exchange.reason, choice.reason].filter(Boolean).join('; ');
       ends.settleUnanswered(exchange, choice.retryAfterMs);
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -61,8 +61,9 @@
   attempts: number;
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean;
-  /** Model of the answer that was dropped, if any. */
+  /** Model of the answer that was dropped, if any, and the one that shall answer instead. */
   dropped: string | undefined;
+  secondModel: string | undefined;
   /** An answer that may have been cut, kept in case that no better one comes. */
   doubtful: DoubtfulAnswer | undefined;
   /** Last event that the caller has. */
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -8,7 +8,7 @@
 import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { createCallerServer, updateTimeouts } from './callerServer';
 import { createEndpointChooser } from './endpointChoice';
-import { createCacheBeliefs } from './cacheBeliefs';
+import { createCacheBeliefs, type CacheBeliefs } from './cacheBeliefs';
 import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
 import { startEndpointAttempt } from './endpointAttempt';
 import { createExchangeRunner, type ExchangeRunner } from './exchange';
@@ -23,6 +23,8 @@
 import { createVersionTallies, type VersionTallies } from './versionTallies';
 
 const HOUSEKEEPING_INTERVAL_MS = 500;
+/** Endpoints come and go within minutes; what is believed of their memories may stay as long. */
+const EXPIRE_INTERVAL_MS = 10_000;
 /** The balancer asks once a second and needs two misses before it sends callers elsewhere. */
 const ROTATION_MS = 3_000;
 /** Time kept back for the end of the process itself. */
@@ -72,9 +74,24 @@
       return { value, stop: value.stop };
     },
   },
+  {
+    name: 'beliefs',
+    needs: ['routing-view', 'registry-view'],
+    start: (find) => {
+      const view = find<RoutingView>('routing-view');
+      const registry = find<RegistryView>('registry-view');
+      const value = createCacheBeliefs((endpoint) => {
+        const service = registry.findEndpoint(endpoint)?.service;
+        if (service === undefined) return undefined;
+        return view.read()?.table.findService(service)?.engine?.cacheTokens;
+      });
+      const timer = setInterval(value.expire, EXPIRE_INTERVAL_MS);
+      return { value, stop: () => clearInterval(timer) };
+    },
+  },
   {
     name: 'loads',
-    needs: ['rpc', 'log', 'routing-view'],
+    needs: ['rpc', 'log', 'routing-view', 'beliefs'],
     start: (find) => {
       const value = createEndpointLoads();
       const exchange = createLoadExchange({
@@ -82,6 +99,8 @@
         rpc: find<RpcClient>('rpc'),
         log: createPartLogger(find<Logger>('log'), 'gateway'),
         loads: value,
+        beliefs: find<CacheBeliefs>('beliefs'),
+        readNow,
         findHost: find<RoutingView>('routing-view').findLeader,
       });
       exchange.start();
@@ -107,7 +126,7 @@
 
 const createRunnerService = (settings: GatewaySettings, codec: HeaderCodec): Service => ({
   name: 'runner',
-  needs: ['routing-view', 'registry-view', 'loads', 'tallies', 'gateway-metrics', 'log'],
+  needs: ['routing-view', 'registry-view', 'loads', 'beliefs', 'tallies', 'gateway-metrics', 'log'],
   start: (find) => {
     const { zone, bounds } = settings;
     const loads = find<EndpointLoads>('loads');
@@ -121,7 +140,7 @@
         zone,
         loads,
         sessions,
-        beliefs: createCacheBeliefs(),
+        beliefs: find<CacheBeliefs>('beliefs'),
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
--- a/src/node/gateway/loadExchange.ts
+++ b/src/node/gateway/loadExchange.ts
@@ -1,11 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
-import type { ExchangeLoadAnswer } from '../routingControl';
+import type { ExchangeLoadAnswer, ReadCursor } from '../routingControl';
 import type { RpcClient } from '../rpc';
+import type { CacheBeliefs } from './cacheBeliefs';
 import type { EndpointLoads } from './endpointLoads';
 
-/** Tells the other gateways of this one's work, and learns of theirs, at the leading control host. */
+/** Tells the other gateways of this one's work and prompts, and learns of theirs, at the leading control host. */
 export interface LoadExchange {
   readonly start: () => void;
   readonly stop: () => void;
@@ -17,6 +18,9 @@
   readonly rpc: Pick<RpcClient, 'call'>;
   readonly log: Logger;
   readonly loads: EndpointLoads;
+  readonly beliefs: CacheBeliefs;
+  /** Gives milliseconds on a steady clock. */
+  readonly readNow: () => number;
   /** Address of the control host that all gateways tell, if one is known. */
   readonly findHost: () => string | undefined;
 }
@@ -27,18 +31,28 @@
 
 /** Creates the exchange; nothing is sent before `start`. */
 export const createLoadExchange = (options: LoadExchangeOptions): LoadExchange => {
-  const { gateway, rpc, log, loads, findHost } = options;
+  const { gateway, rpc, log, loads, beliefs, findHost, readNow } = options;
+  let cursor: ReadCursor | undefined;
   let isStopped = false;
 
   const callHost = async (): Promise<void> => {
     const host = findHost();
     if (host === undefined) return;
-    const params = { gateway, loads: loads.listOwn() };
+    const reads = beliefs.drainNews();
+    const params = { gateway, loads: loads.listOwn(readNow()), reads, cursor };
     const answer = await rpc.call<ExchangeLoadAnswer>(host, 'load.exchange', params, {
       timeoutMs: EXCHANGE_TIMEOUT_MS,
     });
     // What the others told before says nothing of now, so that only the own work is left.
     loads.updateOthers(answer.map((value) => value.loads).orDefault([]));
+    answer.ifRight((value) => {
+      cursor = value.cursor;
+      beliefs.applyOthers(value.reads);
+    });
+    answer.ifLeft((error) => {
+      beliefs.restoreNews(reads);
+      log.debug({ peer: host, err: error }, 'loads not exchanged');
+    });
   };
 
   const run = async (): Promise<void> => {
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -2,7 +2,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
-import { mergeRecords, type EndpointRecord, type KnownEndpoint } from '../registry';
+import {
+  mergeRecords,
+  type EndpointRecord,
+  type EndpointReport,
+  type KnownEndpoint,
+} from '../registry';
 import type { RegistryAnswer } from '../routingControl';
 import type { RpcClient } from '../rpc';
 
@@ -10,6 +15,7 @@
 export interface RegistryView {
   /** Endpoints of a service, those that take no new work included. */
   readonly listEndpoints: (service: string) => readonly KnownEndpoint[];
+  readonly findEndpoint: (id: string) => EndpointReport | undefined;
   /** Whether any control host has answered. */
   readonly hasAnswer: () => boolean;
   readonly start: () => void;
@@ -162,6 +168,7 @@
 
   return {
     listEndpoints: (service) => byService.get(service) ?? [],
+    findEndpoint: (id) => byId.get(id)?.report,
     hasAnswer: () => hasAnswer,
     start: () => {
       updateHosts();
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -1,7 +1,8 @@
-import { isAnswerDoubtful, type WindowBudget } from '../decisions';
+import { chooseSecondModel, type WindowBudget } from '../decisions';
 import type { EndpointReport } from '../registry';
 import { isRepeatableRoute } from '../routing';
 import { BODILESS_STATUSES, type ReplyHead } from './callerReply';
+import { countTimeLeft, estimateFirstToken } from './choiceRequest';
 import { waitAtMost } from './deadline';
 import type { LoadShare } from './endpointLoads';
 import { createEventReader } from './eventReader';
@@ -21,6 +22,8 @@
   readonly startedAt: number;
   readonly budget: WindowBudget;
   readonly share: LoadShare;
+  /** Reading of other prompts that was ahead, in milliseconds. */
+  readonly queueMs: number;
   /** Tokens of the prompt that the endpoint had likely not read before. */
   readonly unreadTokens: number;
 }
@@ -36,6 +39,9 @@
 /** Longest good pause in milliseconds where a route states none. */
 const DEFAULT_GAP_MS = 1_500;
 
+/** A queue that adds little to the delay of a first token, in milliseconds: some steps of an engine. */
+const LONGEST_SAMPLE_QUEUE_MS = 50;
+
 const AGAIN: AttemptResult = { type: 'again' };
 
 const createTallyKey = ({ exchange, endpoint, model }: AttemptContext) => ({
@@ -83,12 +89,15 @@
 };
 
 const recordFirstEvent = (context: AttemptContext): void => {
-  const { parts, endpoint, facts, model, exchange, share, unreadTokens, startedAt } = context;
+  const { parts, endpoint, facts, model, exchange, share, queueMs, unreadTokens } = context;
   share.endReading();
-  const name = model ?? exchange.request.caller.model;
-  if (name === undefined) return;
-  const place = { service: endpoint.service, model: name, unreadTokens };
-  parts.chooser.recordFirstToken(facts, place, parts.readNow() - startedAt);
+  const { caller } = exchange.request;
+  const name = model ?? caller.model;
+  // After a queue the delay says more of the others' prompts than of this one.
+  if (name === undefined || queueMs > LONGEST_SAMPLE_QUEUE_MS) return;
+  const { promptTokens } = caller;
+  const read = { service: endpoint.service, model: name, unreadTokens, promptTokens };
+  parts.chooser.recordFirstToken(facts, read, parts.readNow() - context.startedAt);
 };
 
 const isRepeatable = ({ exchange }: AttemptContext): boolean => {
@@ -200,33 +209,32 @@
   return { type: 'done', status: head.status };
 };
 
-const isDropped = (context: AttemptContext, head: AnswerHead): boolean => {
-  const { exchange, parts, facts, model, budget } = context;
-  const { route, receivedAt, caller } = exchange.request;
+/** Drops an answer that has just begun when a larger model shall answer instead. */
+const settleDropped = (context: AttemptContext, head: AnswerHead): boolean => {
+  const { exchange, parts, facts, model, budget, endpoint } = context;
+  const { route, caller, organisation } = exchange.request;
   if (model === undefined || exchange.reply.isStarted()) return false;
   const now = parts.readNow();
-  const { tried } = exchange;
-  const timeLeftMs = receivedAt + route.targetLatencyMs - now;
-  const wanted = { route, caller, model: route.models.at(-1), tried, timeLeftMs };
-  const estimateSecondRun = (): number => {
-    const second = parts.chooser.choose(facts, wanted, now);
-    return second.type === 'placed' ? second.predictedMs : Infinity;
-  };
-  const isDoubtful = isAnswerDoubtful({
+  const { confidence } = head;
+  const secondModel = chooseSecondModel({
     models: route.models,
     model,
-    confidence: head.confidence,
+    confidence,
     attemptsLeft: route.attemptLimit - exchange.attempts,
     hasBudget: budget.canAcquire(now, facts.gatewayCount),
-    timeLeftMs,
-    rank: exchange.request.organisation?.rank ?? route.rank,
-    estimateSecondRun,
+    timeLeftMs: countTimeLeft(exchange, now),
+    rank: organisation?.rank ?? route.rank,
+    estimateFirstToken: (candidate) => estimateFirstToken(parts, exchange, facts, candidate),
   });
-  if (!isDoubtful) return false;
-  const { requestId: request } = exchange.request.caller;
-  const { confidence } = head;
-  parts.log.info({ request, model, confidence, endpoint: context.endpoint.id }, 'answer dropped');
-  parts.metrics.attempts.inc({ service: context.endpoint.service, result: 'dropped' });
+  if (secondModel === undefined) return false;
+  exchange.dropped = model;
+  exchange.secondModel = secondModel;
+  const { requestId: request } = caller;
+  parts.log.info(
+    { request, model, confidence, secondModel, endpoint: endpoint.id },
+    'answer dropped',
+  );
+  parts.metrics.attempts.inc({ service: endpoint.service, result: 'dropped' });
   return true;
 };
 
@@ -265,10 +273,7 @@
     recordFailure(context, 'answer has an encoding that was not asked for', true);
     return AGAIN;
   }
-  if (isDropped(context, head)) {
-    exchange.dropped = context.model;
-    return AGAIN;
-  }
+  if (settleDropped(context, head)) return AGAIN;
   if (exchange.reply.isStarted() && !(head.status === 200 && head.isEventStream)) {
     recordFailure(context, `resumed stream answered ${head.status}`, true);
     return AGAIN;
