A new leader learns from gateways how long a roll-out has run

Change: gateways tell with each watch for how long they have known of a roll-out; control takes the longest.

--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -6,6 +6,7 @@
 import {
   createWatchQueue,
   type RetiredVersion,
+  type RolloutAge,
   type RoutingAnswer,
   type VersionTally,
 } from '../routingControl';
@@ -105,6 +106,12 @@
     );
   };
 
+  const listRolloutAges = (now: number): readonly RolloutAge[] =>
+    (facts?.rollouts ?? []).map(({ service, target }) => {
+      const seenAt = facts?.rolloutSeenAt.get(formatRollout({ service, target })) ?? now;
+      return { service, target, ageMs: Math.max(0, now - seenAt) };
+    });
+
   const applyAnswer = (answer: RoutingAnswer, askedAt: Moment): void => {
     hosts = mergeAddresses([answer.controlHosts, options.controlHosts]);
     // A host that lags may answer with less than this process has already acted upon.
@@ -150,6 +157,7 @@
       revision,
       waitMs: WATCH_WAIT_MS,
       tallies: options.listTallies(),
+      rolloutAges: listRolloutAges(askedAt.steadyMs),
     };
     const timeoutMs = WATCH_WAIT_MS + WATCH_GRACE_MS;
     const answer = await rpc.call<RoutingAnswer>(host, 'routing.watch', params, { timeoutMs });
--- /dev/null
+++ b/src/node/routingControl/__tests__/rolloutSupervisor.test.ts
@@ -0,0 +1,71 @@
+import test from 'ava';
+import { Right } from 'purify-ts';
+import { pino } from 'pino';
+import { createRegistry } from '../../registry';
+import { createRolloutSupervisor, createRoutingState, type VersionTally } from '..';
+
+const DURATION_MS = 24_000;
+
+const createTally = (version: string, requests: number): VersionTally => ({
+  service: 's',
+  version,
+  task: 'r/m',
+  requests,
+  errors: 0,
+  times: requests,
+  logTimeSum: requests,
+  logTimeSquares: requests,
+});
+
+const createReport = (id: string, version: string) => ({
+  id,
+  startedAt: 1,
+  sequence: 1,
+  service: 's',
+  address: `10.0.0.${id}:1`,
+  zone: 'a',
+  version,
+  slots: 4,
+  state: 'ready' as const,
+  warmupMs: 0,
+  models: [],
+});
+
+// The leader is lost in the middle of a roll-out; the next one has seen it for a moment only.
+const cases = [
+  { name: 'gateways have known of it for long', ageMs: 14_000, stage: 'early' },
+  { name: 'nobody has known of it for long', ageMs: 300, stage: 'canary' },
+  { name: 'gateways know of another target', ageMs: 14_000, target: 'v9', stage: 'canary' },
+] as const;
+
+for (const { name, ageMs, stage, ...rest } of cases) {
+  test(`a new leader goes on with a roll-out: ${name}`, async (t) => {
+    const state = createRoutingState();
+    const target = 'v2';
+    state.apply(1, { type: 'startRollout', service: 's', target, durationMs: DURATION_MS });
+    const registry = createRegistry({ silenceMs: 10_000, retentionMs: 10_000 });
+    registry.applyReport(createReport('1', 'v1'), 0);
+    registry.applyReport(createReport('2', 'v2'), 0);
+    let now = 0;
+    const supervisor = createRolloutSupervisor({
+      replica: {
+        status: () => ({ role: 'leader' }) as never,
+        propose: async (command) => Right({ result: state.apply(2, command), index: 2 }) as never,
+      },
+      state,
+      registry,
+      log: pino({ level: 'silent' }),
+      readNow: () => now,
+    });
+    await supervisor.advance();
+    now = 500;
+    supervisor.recordTallies({
+      gateway: 'g',
+      bootId: 'b',
+      tallies: [createTally('v1', 200), createTally('v2', 30)],
+      rolloutAges: [{ service: 's', target: 'target' in rest ? rest.target : target, ageMs }],
+    });
+    await supervisor.advance();
+    t.is(state.listRollouts()[0]?.stage, stage);
+  });
+}
--- a/src/node/routingControl/protocol.ts
+++ b/src/node/routingControl/protocol.ts
@@ -19,6 +19,16 @@
 /** What a gateway counted of one version on one route since it started. */
 export type VersionTally = Readonly<z.infer<typeof versionTallySchema>>;
 
+/** How long a gateway has known of a roll-out, which outlasts the control host that began it. */
+export const rolloutAgeSchema = z.strictObject({
+  service: z.string(),
+  target: z.string(),
+  ageMs: z.number().min(0),
+});
+
+/** How long a gateway has known of a roll-out. */
+export type RolloutAge = Readonly<z.infer<typeof rolloutAgeSchema>>;
+
 /** Parameters of `routing.watch`. */
 export const watchRoutingParams = z.strictObject({
   gateway: z.string(),
@@ -27,6 +37,7 @@
   revision: z.number().int(),
   waitMs: z.number().int().min(0).max(5_000),
   tallies: z.array(versionTallySchema).max(2_000),
+  rolloutAges: z.array(rolloutAgeSchema).max(500),
 });
 
 /** Parameters of `routing.watch`. */
--- a/src/node/routingControl/rolloutSupervisor.ts
+++ b/src/node/routingControl/rolloutSupervisor.ts
@@ -10,7 +10,7 @@
 import type { Registry } from '../registry';
 import type { Replica } from '../replication';
 import type { ServiceRollout } from '../routing';
-import type { VersionTally, WatchRoutingParams } from './protocol';
+import type { RolloutAge, VersionTally, WatchRoutingParams } from './protocol';
 import {
   isFinalStage,
   type RoutingCommand,
@@ -30,9 +30,9 @@
 
 /** Watches the roll-outs of one control host; only the leader's moves them on. */
 export interface RolloutSupervisor {
-  /** Takes the counts of a gateway, which replace those it sent before. */
+  /** Takes the counts of a gateway, which replace those it sent before, and what it knows of roll-outs. */
   readonly recordTallies: (
-    params: Pick<WatchRoutingParams, 'gateway' | 'bootId' | 'tallies'>,
+    params: Pick<WatchRoutingParams, 'gateway' | 'bootId' | 'tallies' | 'rolloutAges'>,
   ) => void;
   /** Judges every roll-out once. */
   readonly advance: () => Promise<void>;
@@ -115,6 +115,14 @@
     }));
   };
 
+  // A control host that leads anew knows when it first saw a roll-out, not when that began.
+  const updateStart = ({ service, target, ageMs }: RolloutAge): void => {
+    const known = seen.get(service);
+    const startedAt = readNow() - ageMs;
+    if (known?.rollout.target !== target || startedAt >= known.startedAt) return;
+    seen.set(service, { ...known, startedAt });
+  };
+
   const countReady = (service: string, isCandidate: (version: string) => boolean): number =>
     registry
       .list()
@@ -166,10 +174,11 @@
   };
 
   return {
-    recordTallies: ({ gateway, bootId, tallies }) => {
+    recordTallies: ({ gateway, bootId, tallies, rolloutAges }) => {
       const known = counts.get(gateway);
       if (known && known.bootId !== bootId) ended.push(...known.tallies);
       counts.set(gateway, { bootId, tallies });
+      rolloutAges.forEach(updateStart);
     },
     advance,
     start: () => {
