Notice silent connections to control hosts sooner; log the confidence that a request's answer had

Found by reading, no run shows it. request ended carries the confidence, so that a poor answer that was kept can be explained.

--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -31,6 +31,7 @@
   mayHaveRun: false,
   dropped: undefined,
   secondModel: undefined,
+  confidence: undefined,
   doubtful: undefined,
   lastEventId: request.caller.lastEventId,
   firstByteAt: undefined,
--- a/src/node/gateway/exchangeEnds.ts
+++ b/src/node/gateway/exchangeEnds.ts
@@ -24,7 +24,7 @@
   const { codec, metrics, log, readNow } = parts;
 
   const logEnd = (exchange: Exchange, end: ExchangeEnd, status: number): void => {
-    const { request, attempts, reason, dropped, firstByteAt, events } = exchange;
+    const { request, attempts, reason, dropped, confidence, firstByteAt, events } = exchange;
     const { caller, route, receivedAt, organisation } = request;
     const elapsedMs = Math.round(readNow() - receivedAt);
     metrics.requests.inc({ route: route.name, end });
@@ -38,6 +38,7 @@
         status,
         attempts,
         dropped,
+        confidence,
         elapsedMs,
         firstByteMs: firstByteAt === undefined ? undefined : Math.round(firstByteAt - receivedAt),
         events,
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -64,6 +64,8 @@
   /** Model of the answer that was dropped, if any, and the one that shall answer instead. */
   dropped: string | undefined;
   secondModel: string | undefined;
+  /** Opinion of the latest answer's model of it, if it had one. */
+  confidence: number | undefined;
   /** An answer that may have been cut, kept in case that no better one comes. */
   doubtful: DoubtfulAnswer | undefined;
   /** Last event that the caller has. */
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -41,8 +41,11 @@
   isReachable: boolean;
 }
 
-/** A watch waits this long for news, which end it at once; each gateway holds one at each control host. */
-const WATCH_WAIT_MS = 2_500;
+/**
+ * A watch waits this long for news, which end it at once. A connection that has gone silent is noticed
+ * after this and the time beyond it, so that it may not be long.
+ */
+const WATCH_WAIT_MS = 1_600;
 /** Time beyond the wait after which a control host counts as silent. */
 const WATCH_GRACE_MS = 600;
 const RETRY_PAUSE_MS = 200;
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -265,6 +265,7 @@
     return AGAIN;
   }
   exchange.mayHaveRun = true;
+  exchange.confidence = head.confidence;
   if (head.requestId !== undefined && head.requestId !== requestId) {
     recordFailure(context, `answer to another request '${head.requestId}'`, true);
     return AGAIN;
