Bound the list of prompts that a gateway gets at once

Cause, found by reading: a gateway that starts was answered with up to 6,000 prompts, 660 KB; at 7 Mbit/s that takes longer than the call's 400 ms, so that it would ask for the same again for ever and fill its link. The test fails with the list as it was (6,000 where 500 are allowed).

--- a/src/node/decisions/serviceRollout.ts
+++ b/src/node/decisions/serviceRollout.ts
@@ -29,7 +29,7 @@
 const FALSE_ROLLBACK_RATE = 0.01;
 /** Answers of the new version without which it is not trusted with more, while there is time for them. */
 const CANARY_SAMPLES = 20;
-/** Fewer have to do once the roll-out would otherwise end too late; five of them tell a bad version. */
+/** Fewer are enough once the roll-out would otherwise end too late. */
 const LATE_CANARY_SAMPLES = 10;
 /** Answers that must have come by the time all of the traffic follows. */
 const RAMP_SAMPLES = 40;
--- a/src/node/routingControl/__tests__/loadBoard.test.ts
+++ b/src/node/routingControl/__tests__/loadBoard.test.ts
@@ -44,7 +44,8 @@
   t.deepEqual(callReads(other, 'a', [], a.cursor).parts, ['4'], 'a cursor of another board');
 });
 
-test('load board: only the newest prompts are kept', (t) => {
+// A whole history would not reach a gateway with a narrow link before the call times out, ever.
+test('load board: an answer holds the newest prompts only', (t) => {
   const board = createLoadBoard('one');
   const first = callReads(board, 'a', ['first']);
   for (let round = 0; round < 20; round += 1) {
@@ -55,6 +56,6 @@
     );
   }
   const { parts } = callReads(board, 'b', [], first.cursor);
-  t.true(parts.length >= 3_000 && parts.length < 6_500, String(parts.length));
+  t.is(parts.length, 500);
   t.is(parts.at(-1), '19-499');
 });
--- a/src/node/routingControl/loadBoard.ts
+++ b/src/node/routingControl/loadBoard.ts
@@ -64,8 +64,11 @@
 
 /** What was told before this many milliseconds says little of now. */
 const FRESH_MS = 1_000;
-/** Prompts that are kept for gateways that start; about what the memories of a small pool hold. */
-const READS_LIMIT = 3_000;
+/**
+ * Prompts that an answer holds at most, the newest: some 60 KB, which a gateway with a narrow link gets
+ * well inside the time of the call. A gateway that starts or lags goes without the older ones.
+ */
+const READS_LIMIT = 500;
 
 interface KeptRead {
   readonly gateway: string;
@@ -111,7 +114,7 @@
     const isFollowing = cursor?.board === board;
     const since = isFollowing ? Math.max(0, cursor.next - first) : 0;
     return kept
-      .slice(since)
+      .slice(Math.max(since, kept.length - READS_LIMIT))
       .filter((item) => !isFollowing || item.gateway !== gateway)
       .map(({ read }) => read);
   };
