--- a/bench/emulator/__tests__/emulator.test.ts
+++ b/bench/emulator/__tests__/emulator.test.ts
@@ -14,7 +14,9 @@
 
 const countInTime = (outcomes: readonly Outcome[], rank: number): number => {
   const list = outcomes.filter(({ request }) => request.task.rank === rank);
-  return list.filter((item) => item.firstTokenMs <= item.request.task.targetMs).length / list.length;
+  return (
+    list.filter((item) => item.firstTokenMs <= item.request.task.targetMs).length / list.length
+  );
 };
 
 const countEarned = (outcomes: readonly Outcome[]): number =>
