Build the question for the choice of a model in one place

The first choice and the one after a doubtful answer put the same four fields together, in exchange and in relayAnswer. createModelQuestion serves both.

--- a/src/node/gateway/choiceRequest.ts
+++ b/src/node/gateway/choiceRequest.ts
@@ -1,9 +1,10 @@
+import type { ModelQuestion } from '../decisions';
 import type { ChoiceRequest } from './endpointChoice';
 import type { Exchange, ExchangeParts } from './exchangeTypes';
 import type { RoutingFacts } from './routingView';
 
-/** Counts the milliseconds until a request's answer, or its first token, would be late. */
-export const countTimeLeft = ({ request }: Exchange, now: number): number =>
+// Counts the milliseconds until a request's answer, or its first token, would be late.
+const countTimeLeft = ({ request }: Exchange, now: number): number =>
   request.receivedAt + request.route.targetLatencyMs - now;
 
 /** Says what a request's next run needs an endpoint for. */
@@ -17,8 +18,8 @@
   return { route, caller, model, tried, timeLeftMs: countTimeLeft(exchange, now) };
 };
 
-/** Predicts the milliseconds to a model's first token; infinite when no endpoint takes the request. */
-export const estimateFirstToken = (
+// Predicts the milliseconds to a model's first token; infinite when no endpoint takes the request.
+const estimateFirstToken = (
   { chooser, readNow }: Pick<ExchangeParts, 'chooser' | 'readNow'>,
   exchange: Exchange,
   facts: RoutingFacts,
@@ -28,3 +29,18 @@
   const choice = chooser.choose(facts, createChoiceRequest(exchange, model, now), now);
   return choice.type === 'placed' ? choice.predictedMs : Infinity;
 };
+
+/** Says what the choice of a model for a request rests on. */
+export const createModelQuestion = (
+  parts: Pick<ExchangeParts, 'chooser' | 'readNow'>,
+  exchange: Exchange,
+  facts: RoutingFacts,
+): ModelQuestion => {
+  const { route, organisation } = exchange.request;
+  return {
+    models: route.models,
+    timeLeftMs: countTimeLeft(exchange, parts.readNow()),
+    rank: organisation?.rank ?? route.rank,
+    estimateFirstToken: (model) => estimateFirstToken(parts, exchange, facts, model),
+  };
+};
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -5,7 +5,7 @@
 import type { CallerReply } from './callerReply';
 import { waitAtMost } from './deadline';
 import type { EndpointChoice } from './endpointChoice';
-import { countTimeLeft, createChoiceRequest, estimateFirstToken } from './choiceRequest';
+import { createChoiceRequest, createModelQuestion } from './choiceRequest';
 import { createExchangeEnds, FAILED_RETRY_MS } from './exchangeEnds';
 import type { AdmittedRequest, Exchange, ExchangeParts } from './exchangeTypes';
 import { relayAnswer, type AttemptContext } from './relayAnswer';
@@ -85,17 +85,6 @@
   const ends = createExchangeEnds(parts);
   let active = 0;
 
-  const chooseFirst = (exchange: Exchange, facts: RoutingFacts): string | undefined => {
-    const { route, organisation } = exchange.request;
-    const now = readNow();
-    return chooseFirstModel({
-      models: route.models,
-      timeLeftMs: countTimeLeft(exchange, now),
-      rank: organisation?.rank ?? route.rank,
-      estimateFirstToken: (model) => estimateFirstToken(parts, exchange, facts, model),
-    });
-  };
-
   const startAttempt = (
     exchange: Exchange,
     facts: RoutingFacts,
@@ -145,7 +134,8 @@
         return;
       }
     }
-    const model = exchange.secondModel ?? chooseFirst(exchange, facts);
+    const model =
+      exchange.secondModel ?? chooseFirstModel(createModelQuestion(parts, exchange, facts));
     const choice = chooser.choose(
       facts,
       createChoiceRequest(exchange, model, readNow()),
--- a/src/node/gateway/relayAnswer.ts
+++ b/src/node/gateway/relayAnswer.ts
@@ -2,7 +2,7 @@
 import type { EndpointReport } from '../registry';
 import { isRepeatableRoute } from '../routing';
 import { BODILESS_STATUSES, type ReplyHead } from './callerReply';
-import { countTimeLeft, estimateFirstToken } from './choiceRequest';
+import { createModelQuestion } from './choiceRequest';
 import { waitAtMost } from './deadline';
 import type { LoadShare } from './endpointLoads';
 import { createEventReader } from './eventReader';
@@ -212,19 +212,16 @@
 /** Drops an answer that has just begun when a larger model shall answer instead. */
 const settleDropped = (context: AttemptContext, head: AnswerHead): boolean => {
   const { exchange, parts, facts, model, budget, endpoint } = context;
-  const { route, caller, organisation } = exchange.request;
+  const { route, caller } = exchange.request;
   if (model === undefined || exchange.reply.isStarted()) return false;
   const now = parts.readNow();
   const { confidence } = head;
   const secondModel = chooseSecondModel({
-    models: route.models,
+    ...createModelQuestion(parts, exchange, facts),
     model,
     confidence,
     attemptsLeft: route.attemptLimit - exchange.attempts,
     hasBudget: budget.canAcquire(now, facts.gatewayCount),
-    timeLeftMs: countTimeLeft(exchange, now),
-    rank: organisation?.rank ?? route.rank,
-    estimateFirstToken: (candidate) => estimateFirstToken(parts, exchange, facts, candidate),
   });
   if (secondModel === undefined) return false;
   exchange.dropped = model;
