Log the session and what decided the version of a request

The request placed line had the version but neither the session nor the inputs of the choice, so the hypotheses of the incident (the record stays at another gateway; the period for older sessions counted from the gateway's own start; a fallback or an expired record) looked the same in the logs. It now has session, versionReason, versionFallback, rolloutStage, rolloutAgeMs, sessionVersion and sessionAgeMs.

--- a/bench/emulator/policies.ts
+++ b/bench/emulator/policies.ts
@@ -83,6 +83,7 @@
   queueMs: 0,
   uncachedTokens: 0,
   prefillMs: 0,
+  versionBasis: { reason: 'no roll-out' },
 });
 
 const readModels = ({ pattern }: PolicyView) => ({
--- a/src/node/decisions/chooseServiceVersion.ts
+++ b/src/node/decisions/chooseServiceVersion.ts
@@ -20,8 +20,13 @@
   readonly exposureShare: number;
 }
 
+/** What decided the version of a request. */
+export type VersionReason =
+  'no roll-out' | 'roll-out completed' | 'session' | 'session may predate the roll-out' | 'draw';
+
 /** The versions that may answer. Allowed versions serve as a fallback for the preferred ones. */
 export interface VersionChoice {
+  readonly reason: VersionReason;
   readonly isPreferred: (version: string) => boolean;
   readonly isAllowed: (version: string) => boolean;
 }
@@ -42,28 +47,44 @@
   return targets.at(-1)!.service;
 };
 
-const isTargetWanted = (input: ServiceVersionInput, rollout: ServiceRollout): boolean => {
+interface TargetDecision {
+  readonly isWanted: boolean;
+  readonly reason: VersionReason;
+}
+
+const chooseTargetVersion = (
+  input: ServiceVersionInput,
+  rollout: ServiceRollout,
+): TargetDecision => {
   const { sessionVersion, mayPredateRollout, hashKey, exposureShare } = input;
   const share = computeStageShare(rollout.stage, exposureShare);
   const isCanary = rollout.stage === 'canary';
-  if (sessionVersion !== undefined && isCanary) return sessionVersion === rollout.target;
-  if (sessionVersion === rollout.target && share > 0) return true;
-  if (mayPredateRollout && isCanary) return false;
-  return computeDraw('version', rollout.service, rollout.target, hashKey) < share;
+  if (sessionVersion !== undefined && isCanary) {
+    return { isWanted: sessionVersion === rollout.target, reason: 'session' };
+  }
+  if (sessionVersion === rollout.target && share > 0) return { isWanted: true, reason: 'session' };
+  if (mayPredateRollout && isCanary) {
+    return { isWanted: false, reason: 'session may predate the roll-out' };
+  }
+  const draw = computeDraw('version', rollout.service, rollout.target, hashKey);
+  return { isWanted: draw < share, reason: 'draw' };
 };
 
 /** Chooses the version of a service for one request. */
 export const chooseServiceVersion = (input: ServiceVersionInput): VersionChoice => {
   const { rollout, retired } = input;
   const isAllowed = (version: string): boolean => !retired.includes(version);
-  if (!rollout || rollout.stage === 'rolledBack') return { isPreferred: isAllowed, isAllowed };
+  if (!rollout || rollout.stage === 'rolledBack') {
+    return { reason: 'no roll-out', isPreferred: isAllowed, isAllowed };
+  }
   const { target } = rollout;
   if (rollout.stage === 'completed') {
     const isTarget = (version: string): boolean => version === target;
-    return { isPreferred: isTarget, isAllowed: isTarget };
+    return { reason: 'roll-out completed', isPreferred: isTarget, isAllowed: isTarget };
   }
-  const isWanted = isTargetWanted(input, rollout);
+  const { isWanted, reason } = chooseTargetVersion(input, rollout);
   return {
+    reason,
     isPreferred: (version) => isAllowed(version) && (version === target) === isWanted,
     isAllowed,
   };
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -212,7 +212,8 @@
         const report = reports.find(({ id }) => !request.tried.has(id));
         if (!report) return chooser.choose(given, request, now);
         const placed = { type: 'placed', endpoint: report, reason: 'test' } as const;
-        return { ...placed, predictedMs: 0, queueMs: 0, uncachedTokens: 0, prefillMs: 0 };
+        const prefill = { predictedMs: 0, queueMs: 0, uncachedTokens: 0, prefillMs: 0 };
+        return { ...placed, ...prefill, versionBasis: { reason: 'no roll-out' } };
       },
     },
     loads,
@@ -269,7 +270,7 @@
     call,
     heads,
     logs,
-    findSessionVersion: (session) => sessions.find('s', session, readNow()),
+    findSessionVersion: (session) => sessions.find('s', session, readNow())?.version,
     stop: async () => {
       endpoints.forEach((endpoint) => endpoint.stop());
       server.server.closeAllConnections();
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -7,9 +7,10 @@
   type Placement,
   type PromptPrefill,
   type PrefillRates,
+  type VersionReason,
 } from '../decisions';
 import type { EndpointReport } from '../registry';
-import type { EngineProfile, Route } from '../routing';
+import type { EngineProfile, RolloutStage, Route } from '../routing';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLoads } from './endpointLoads';
 import type { RegistryView } from './registryView';
@@ -29,24 +30,42 @@
   readonly tried: ReadonlySet<string>;
 }
 
+/** Why a request runs on its version, with the inputs of that decision, for the log. */
+export interface VersionBasis {
+  readonly reason: VersionReason;
+  /** Whether no endpoint of the preferred version was available, so that another version answers. */
+  readonly isFallback?: boolean;
+  /** Stage of the service's roll-out, and milliseconds since this gateway first saw it. */
+  readonly rolloutStage?: RolloutStage;
+  readonly rolloutAgeMs?: number;
+  /** Recorded version of the session, and the age of that record in milliseconds. */
+  readonly sessionVersion?: string;
+  readonly sessionAgeMs?: number;
+}
+
+interface PlacedEndpoint {
+  readonly type: 'placed';
+  readonly endpoint: EndpointReport;
+  readonly reason: string;
+  /** Predicted time to the first token in milliseconds; 0 for a service without an engine. */
+  readonly predictedMs: number;
+  /** Prefill time of the prompts queued ahead, in milliseconds. */
+  readonly queueMs: number;
+  /**
+   * Prompt tokens that are probably not in the endpoint's prefix cache, and their prefill time in
+   * milliseconds.
+   */
+  readonly uncachedTokens: number;
+  readonly prefillMs: number;
+}
+
+type RefusedPlacement = Extract<Placement, { readonly type: 'refused' }>;
+
+type EndpointPlacement = PlacedEndpoint | RefusedPlacement;
+
 /** The endpoint chosen for a request, or why the request is refused. */
 export type EndpointChoice =
-  | {
-      readonly type: 'placed';
-      readonly endpoint: EndpointReport;
-      readonly reason: string;
-      /** Predicted time to the first token in milliseconds; 0 for a service without an engine. */
-      readonly predictedMs: number;
-      /** Prefill time of the prompts queued ahead, in milliseconds. */
-      readonly queueMs: number;
-      /**
-       * Prompt tokens that are probably not in the endpoint's prefix cache, and their prefill time
-       * in milliseconds.
-       */
-      readonly uncachedTokens: number;
-      readonly prefillMs: number;
-    }
-  | Extract<Placement, { readonly type: 'refused' }>;
+  (PlacedEndpoint & { readonly versionBasis: VersionBasis }) | RefusedPlacement;
 
 /** Options of an endpoint chooser. */
 export interface ChooserOptions {
@@ -114,7 +133,7 @@
   reports: readonly EndpointReport[],
   ejected: ReadonlySet<string>,
   now: number,
-): EndpointChoice => {
+): EndpointPlacement => {
   const placement = placeRequest({
     candidates: reports.map((report) => ({
       id: report.id,
@@ -133,6 +152,11 @@
   return { type: 'placed', endpoint, reason, ...prefill };
 };
 
+interface VersionCandidates {
+  readonly reports: readonly EndpointReport[];
+  readonly versionBasis: VersionBasis;
+}
+
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
   const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
@@ -143,7 +167,7 @@
     request: ChoiceRequest,
     service: string,
     now: number,
-  ): readonly EndpointReport[] => {
+  ): VersionCandidates => {
     const { caller, tried } = request;
     const ready = registry
       .listEndpoints(service)
@@ -151,22 +175,32 @@
       .map(({ report }) => report);
     const rollout = snapshot.rollouts.find((item) => item.service === service);
     const seenAt = rollout && snapshot.rolloutSeenAt.get(formatRolloutKey(rollout));
+    const session =
+      caller.session === undefined ? undefined : sessions.find(service, caller.session, now);
     const choice = chooseServiceVersion({
       rollout,
       retired: snapshot.retired
         .filter((item) => item.service === service)
         .map((item) => item.version),
       hashKey: caller.session ?? caller.requestId,
-      sessionVersion:
-        caller.session === undefined ? undefined : sessions.find(service, caller.session, now),
+      sessionVersion: session?.version,
       mayPredateRollout:
         caller.session !== undefined && seenAt !== undefined && now - seenAt < sessionMs,
       exposureShare,
     });
     const preferred = ready.filter(({ version }) => choice.isPreferred(version));
-    return preferred.length > 0
-      ? preferred
-      : ready.filter(({ version }) => choice.isAllowed(version));
+    const isFallback = preferred.length === 0;
+    return {
+      reports: isFallback ? ready.filter(({ version }) => choice.isAllowed(version)) : preferred,
+      versionBasis: {
+        reason: choice.reason,
+        isFallback,
+        rolloutStage: rollout?.stage,
+        rolloutAgeMs: seenAt === undefined ? undefined : now - seenAt,
+        sessionVersion: session?.version,
+        sessionAgeMs: session?.ageMs,
+      },
+    };
   };
 
   const chooseEngineEndpoint = (
@@ -175,7 +209,7 @@
     reports: readonly EndpointReport[],
     ejected: ReadonlySet<string>,
     now: number,
-  ): EndpointChoice => {
+  ): EndpointPlacement => {
     const { promptBlocks, promptTokens, model: requestedModel } = request.caller;
     const model = request.model ?? requestedModel ?? '';
     const service = reports[0]?.service ?? '';
@@ -215,14 +249,15 @@
     choose: (snapshot, request, now) => {
       const { route, caller } = request;
       const service = chooseWeightedService(route.targets, caller.session ?? caller.requestId);
-      const reports = listByVersion(snapshot, request, service, now);
+      const { reports, versionBasis } = listByVersion(snapshot, request, service, now);
       const ids = reports.map(({ id }) => id);
       const ejected = loads.listEjected(ids, now);
       const isEngine =
         findEngine(snapshot, service) !== undefined && caller.promptBlocks.length > 0;
-      return isEngine
+      const placement = isEngine
         ? chooseEngineEndpoint(snapshot, request, reports, ejected, now)
         : choosePlainEndpoint(options, request, reports, ejected, now);
+      return placement.type === 'placed' ? { ...placement, versionBasis } : placement;
     },
     recordSent: (snapshot, { caller, model }, { id, service }) => {
       const engine = findEngine(snapshot, service);
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -4,7 +4,7 @@
 import { isRetryableRoute } from '../routing';
 import type { CallerReply } from './callerReply';
 import { waitWithTimeout } from './deadline';
-import type { EndpointChoice } from './endpointChoice';
+import type { EndpointChoice, VersionBasis } from './endpointChoice';
 import { createChoiceRequest, createModelInput } from './choiceRequest';
 import { createExchangeCompletion, FAILED_RETRY_MS } from './exchangeCompletion';
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
@@ -48,6 +48,18 @@
 const canRetry = ({ request, mayHaveRun }: Exchange): boolean =>
   !mayHaveRun || isRetryableRoute(request.route);
 
+const convertToWholeMs = (value: number | undefined): number | undefined =>
+  value === undefined ? undefined : Math.round(value);
+
+const formatVersionBasis = (basis: VersionBasis) => ({
+  versionReason: basis.reason,
+  versionFallback: basis.isFallback,
+  rolloutStage: basis.rolloutStage,
+  rolloutAgeMs: convertToWholeMs(basis.rolloutAgeMs),
+  sessionVersion: basis.sessionVersion,
+  sessionAgeMs: convertToWholeMs(basis.sessionAgeMs),
+});
+
 const logPlaced = (context: AttemptContext, choice: PlacedChoice): void => {
   const { deps, exchange, snapshot, endpoint, model, startedAt } = context;
   deps.log.info(
@@ -57,6 +69,8 @@
       promptTokens: exchange.request.caller.promptTokens,
       endpoint: endpoint.id,
       version: endpoint.version,
+      session: exchange.request.caller.session,
+      ...formatVersionBasis(choice.versionBasis),
       model,
       reason: choice.reason,
       predictedMs: Math.round(choice.predictedMs),
--- a/src/node/gateway/sessionVersions.ts
+++ b/src/node/gateway/sessionVersions.ts
@@ -1,6 +1,13 @@
+/** The version that a session is bound to. */
+export interface SessionVersion {
+  readonly version: string;
+  /** Milliseconds since the session's latest request was sent or ended. */
+  readonly ageMs: number;
+}
+
 /** Remembers, for each session, the version that its latest request through this gateway ran on. */
 export interface SessionVersions {
-  readonly find: (service: string, session: string, now: number) => string | undefined;
+  readonly find: (service: string, session: string, now: number) => SessionVersion | undefined;
   readonly record: (service: string, session: string, version: string, now: number) => void;
   /** Removes sessions that have ended. */
   readonly expire: (now: number) => void;
@@ -17,7 +24,8 @@
   return {
     find: (service, session, now) => {
       const row = rows.get(`${service}|${session}`);
-      return row && now - row.at <= sessionMs ? row.version : undefined;
+      if (!row || now - row.at > sessionMs) return undefined;
+      return { version: row.version, ageMs: now - row.at };
     },
     record: (service, session, version, now) => {
       const name = `${service}|${session}`;
