--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -241,6 +241,7 @@
       log.info({ active: runner.countActive() }, 'stopping');
       await drainGateway(runner, callers, settings.bounds.graceMs, state.stoppedAt);
       clearInterval(timer);
+      [callers, ready, internal].forEach(({ server }) => server.close());
       log.info({ left: runner.countActive() }, 'stopped');
     };
     return { value: { address }, stop };
