Keep a session while one of its requests is in progress

A session's record expired sessionMs after its request was sent, also while the request was still running: the session's next request found no record and drew a version anew. The record now counts the requests in progress, and expires sessionMs after the last of them has ended.

--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -143,7 +143,8 @@
 for (const { name, stage, now, bound, reason } of bases) {
   test(`the choice says what decided the version: ${name}`, (t) => {
     const sessions = createSessionVersions(SESSION_MS);
-    if (bound !== undefined) sessions.record('s', 'one', bound, now - 100);
+    if (bound !== undefined)
+      sessions.record({ service: 's', session: 'one', version: bound }, now - 100);
     const choice = chooseFor(sessions, createSnapshot(stage, 0), 'one', now);
     if (choice.type === 'refused') return t.fail(choice.reason);
     const { versionBasis } = choice;
@@ -157,7 +158,7 @@
 
 test('the choice says that no endpoint of the preferred version was available', (t) => {
   const sessions = createSessionVersions(SESSION_MS);
-  sessions.record('s', 'one', 'v1', 8_900);
+  sessions.record({ service: 's', session: 'one', version: 'v1' }, 8_900);
   const choice = chooseFor(sessions, createSnapshot('canary', 0), 'one', 9_000, ['v2']);
   t.true(choice.type === 'placed' && choice.versionBasis.isFallback);
 });
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -86,16 +86,16 @@
   );
 };
 
-// Called at the start and at the end of an attempt: the session's next request may arrive while the
-// attempt is running or after it has ended.
-const recordSession = (
-  deps: ExchangeDependencies,
+// The session's next request may arrive while the attempt is running or after it has ended.
+const startSession = (
+  { sessions, readNow }: ExchangeDependencies,
   { request }: Exchange,
-  sentTo: EndpointReport,
-): void => {
+  { service, version }: EndpointReport,
+): (() => void) => {
   const { session } = request.caller;
-  if (session === undefined) return;
-  deps.sessions.record(sentTo.service, session, sentTo.version, deps.readNow());
+  if (session === undefined) return () => {};
+  const end = sessions.start({ service, session, version }, readNow());
+  return () => end(readNow());
 };
 
 /** Creates a runner for admitted requests. */
@@ -131,11 +131,11 @@
     });
     exchange.currentAttempt = attempt;
     chooser.recordSent(snapshot, { caller, model }, endpoint);
-    recordSession(deps, exchange, endpoint);
+    const endSession = startSession(deps, exchange, endpoint);
     const budget = deps.findBudget(endpoint.service);
     const loadEntry = loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
     const common = { deps, exchange, snapshot, endpoint, model, attempt };
-    return { ...common, startedAt: now, budget, loadEntry, queueMs, uncachedTokens };
+    return { ...common, startedAt: now, budget, loadEntry, endSession, queueMs, uncachedTokens };
   };
 
   const runAttempt = async (exchange: Exchange): Promise<void> => {
@@ -180,7 +180,7 @@
       if (result.type === 'done') completion.settle(exchange, 'answered', result.status);
     } finally {
       context.loadEntry.release();
-      recordSession(deps, exchange, choice.endpoint);
+      context.endSession();
       exchange.currentAttempt?.cancel();
       exchange.currentAttempt = undefined;
     }
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -22,6 +22,8 @@
   readonly startedAt: number;
   readonly budget: WindowBudget;
   readonly loadEntry: LoadEntry;
+  /** Records that the session's request has ended. */
+  readonly endSession: () => void;
   /** Prefill time of the prompts that were queued ahead, in milliseconds. */
   readonly queueMs: number;
   /** Prompt tokens that were probably not in the endpoint's prefix cache. */
