Count a roll-out's age from its start, not from the start of the gateway

A gateway that started or was added during a roll-out counted the roll-out's age from then on. For sessionMs it took every session for an older one, and sent those that other gateways had given the new version back to the previous one. The control host now returns the age of each roll-out with every answer to a watch, and the gateway keeps the earliest start that it knows.

The cases of resolveStartTimes failed before (the function took the time of the first sight).

--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -66,7 +66,7 @@
   }),
   rollouts: [],
   retired: [],
-  rolloutSeenAt: new Map(),
+  rolloutStartedAt: new Map(),
   gatewayCount: pattern.gateways,
 });
 
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -178,7 +178,7 @@
     table: createRouteTable(createConfig(createRoute(fields))),
     rollouts: [],
     retired: [],
-    rolloutSeenAt: new Map(),
+    rolloutStartedAt: new Map(),
     gatewayCount: 1,
   };
   const logs: string[] = [];
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -35,7 +35,7 @@
   readonly reason: VersionReason;
   /** Whether no endpoint of the preferred version was available, so that another version answers. */
   readonly isFallback?: boolean;
-  /** Stage of the service's roll-out, and milliseconds since this gateway first saw it. */
+  /** Stage of the service's roll-out, and milliseconds since it started. */
   readonly rolloutStage?: RolloutStage;
   readonly rolloutAgeMs?: number;
   /** Recorded version of the session, and the age of that record in milliseconds. */
@@ -174,7 +174,7 @@
       .filter(({ isReady, report }) => isReady && !tried.has(report.id))
       .map(({ report }) => report);
     const rollout = snapshot.rollouts.find((item) => item.service === service);
-    const seenAt = rollout && snapshot.rolloutSeenAt.get(formatRolloutKey(rollout));
+    const startedAt = rollout && snapshot.rolloutStartedAt.get(formatRolloutKey(rollout));
     const session =
       caller.session === undefined ? undefined : sessions.find(service, caller.session, now);
     const choice = chooseServiceVersion({
@@ -185,7 +185,7 @@
       hashKey: caller.session ?? caller.requestId,
       sessionVersion: session?.version,
       mayPredateRollout:
-        caller.session !== undefined && seenAt !== undefined && now - seenAt < sessionMs,
+        caller.session !== undefined && startedAt !== undefined && now - startedAt < sessionMs,
       exposureShare,
     });
     const preferred = ready.filter(({ version }) => choice.isPreferred(version));
@@ -196,7 +196,7 @@
         reason: choice.reason,
         isFallback,
         rolloutStage: rollout?.stage,
-        rolloutAgeMs: seenAt === undefined ? undefined : now - seenAt,
+        rolloutAgeMs: startedAt === undefined ? undefined : now - startedAt,
         sessionVersion: session?.version,
         sessionAgeMs: session?.ageMs,
       },
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -20,9 +20,10 @@
   readonly rollouts: readonly ServiceRollout[];
   readonly retired: readonly RetiredVersion[];
   /**
-   * Monotonic time in milliseconds at which each roll-out was first seen, by service and target.
+   * Monotonic time in milliseconds at which each roll-out started, by service and target: the
+   * earliest that the control hosts or this gateway know of.
    */
-  readonly rolloutSeenAt: ReadonlyMap<string, number>;
+  readonly rolloutStartedAt: ReadonlyMap<string, number>;
   /** Gateways that share the endpoints, this one included. */
   readonly gatewayCount: number;
 }
@@ -77,6 +78,34 @@
 export const formatRolloutKey = ({ service, target }: Pick<ServiceRollout, 'service' | 'target'>) =>
   `${service}|${target}`;
 
+interface StartTimesInput {
+  readonly rollouts: readonly ServiceRollout[];
+  /** Ages by the control host's answer. */
+  readonly ages: readonly RolloutAge[];
+  /** Start times known so far. */
+  readonly known: ReadonlyMap<string, number> | undefined;
+  readonly now: number;
+}
+
+/**
+ * Resolves the start times of roll-outs. A gateway that starts during a roll-out learns its age from
+ * the control host.
+ */
+export const resolveStartTimes = ({
+  rollouts,
+  ages,
+  known,
+  now,
+}: StartTimesInput): ReadonlyMap<string, number> => {
+  const ageByKey = new Map(ages.map((age) => [formatRolloutKey(age), age.ageMs]));
+  return new Map(
+    rollouts.map((rollout) => {
+      const key = formatRolloutKey(rollout);
+      return [key, Math.min(known?.get(key) ?? now, now - (ageByKey.get(key) ?? 0))] as const;
+    }),
+  );
+};
+
 /** Creates a routing view. It sends no calls before `start`. */
 export const createRoutingView = (options: RoutingViewOptions): RoutingView => {
   const { gateway, leaseMs, rpc, clock, log } = options;
@@ -103,28 +132,20 @@
     else log.warn({ revision, ageMs: Math.round(readAgeMs()) }, 'lease expired; refusing work');
   };
 
-  const resolveFirstSeen = (rollouts: readonly ServiceRollout[]): ReadonlyMap<string, number> => {
-    const now = clock.readClocks().monotonicMs;
-    const known = snapshot?.rolloutSeenAt;
-    return new Map(
-      rollouts.map((rollout) => {
-        const name = formatRolloutKey(rollout);
-        return [name, known?.get(name) ?? now] as const;
-      }),
-    );
-  };
-
   const listRolloutAges = (now: number): readonly RolloutAge[] =>
     (snapshot?.rollouts ?? []).map(({ service, target }) => {
-      const seenAt = snapshot?.rolloutSeenAt.get(formatRolloutKey({ service, target })) ?? now;
-      return { service, target, ageMs: Math.max(0, now - seenAt) };
+      const startedAt =
+        snapshot?.rolloutStartedAt.get(formatRolloutKey({ service, target })) ?? now;
+      return { service, target, ageMs: Math.max(0, now - startedAt) };
     });
 
   const applyAnswer = (answer: RoutingAnswer, askedAt: ClockReading): void => {
     hosts = mergeAddresses([answer.controlHosts, options.controlHosts]);
     // A host that lags behind may return an older revision than the one in use.
     if (answer.revision < revision) return;
-    const { update, gatewayCount } = answer;
+    const { update, gatewayCount, rolloutAges: ages = [] } = answer;
+    const known = snapshot?.rolloutStartedAt;
+    const now = clock.readClocks().monotonicMs;
     if (update) {
       const before = revision;
       revision = answer.revision;
@@ -138,13 +159,17 @@
                 : createRouteTable(config),
             rollouts,
             retired,
-            rolloutSeenAt: resolveFirstSeen(rollouts),
+            rolloutStartedAt: resolveStartTimes({ rollouts, ages, known, now }),
             gatewayCount: Math.max(1, gatewayCount),
           }
         : undefined;
       log.info({ before, revision, version: config?.version ?? 0, rollouts }, 'routing updated');
     } else if (snapshot) {
-      snapshot = { ...snapshot, gatewayCount: Math.max(1, gatewayCount) };
+      snapshot = {
+        ...snapshot,
+        rolloutStartedAt: resolveStartTimes({ rollouts: snapshot.rollouts, ages, known, now }),
+        gatewayCount: Math.max(1, gatewayCount),
+      };
     }
     confirmedAt = askedAt;
     logLease();
--- a/src/node/routingControl/protocol.ts
+++ b/src/node/routingControl/protocol.ts
@@ -54,6 +54,8 @@
   readonly controlHosts: readonly string[];
   /** Number of gateways that have called this host recently. */
   readonly gatewayCount: number;
+  /** Time since the start of each roll-out, as far as this host knows; absent in older versions. */
+  readonly rolloutAges?: readonly RolloutAge[];
   /** Absent if the caller has the latest revision. */
   readonly update?: {
     readonly config: RoutingConfig | null;
--- a/src/node/routingControl/rolloutSupervisor.ts
+++ b/src/node/routingControl/rolloutSupervisor.ts
@@ -39,6 +39,8 @@
   readonly recordTallies: (
     params: Pick<WatchRoutingParams, 'gateway' | 'bootId' | 'tallies' | 'rolloutAges'>,
   ) => void;
+  /** Returns how long this host has known each roll-out. */
+  readonly listAges: () => readonly RolloutAge[];
   /** Judges every active roll-out once and proposes stage changes. */
   readonly advance: () => Promise<void>;
   readonly start: () => void;
@@ -191,6 +193,12 @@
       countsByGateway.set(gateway, { bootId, tallies });
       rolloutAges.forEach(updateStartTime);
     },
+    listAges: () =>
+      [...observed.values()].map(({ rollout, startedAt }) => ({
+        service: rollout.service,
+        target: rollout.target,
+        ageMs: readNow() - startedAt,
+      })),
     advance,
     start: () => {
       timer = setInterval(() => {
--- a/src/node/routingControl/routingHandler.ts
+++ b/src/node/routingControl/routingHandler.ts
@@ -134,6 +134,7 @@
         leader: replica.status().leaderAddress,
         controlHosts: listControlHosts(),
         gatewayCount: countGateways(now),
+        rolloutAges: supervisor.listAges(),
       };
       if (revision === params.revision) return answer;
       const update = {
