Bind a session to one version at all gateways during the canary stage

A gateway without a record drew a version from the session's id. A session from before the roll-out is not new, so the draw must not apply to it, but only its old gateway knew.

Only sessions whose draw is below the canary share can get the new version in that stage. Gateways now report these to the leading control host while a roll-out is in that stage, and a gateway that does not know such a session asks before it sends the first request. The directory is soft state: it expires with the sessions, is bounded, and grants no claim until every gateway has had time to report to it. Later stages need no lookup, since the draw only grows with the stage.

Considered: sending all sessions to all gateways (traffic grows with the square of the gateways, and leaves a race of one interval); deriving the version from the id alone (a session's age cannot be derived).

--- a/src/node/decisions/chooseServiceVersion.ts
+++ b/src/node/decisions/chooseServiceVersion.ts
@@ -14,7 +14,7 @@
   readonly hashKey: string;
   /** Version of the session's latest request, if that request was recent. */
   readonly sessionVersion: string | undefined;
-  /** Whether the session may have started before this roll-out at another gateway. */
+  /** Whether the session may have started before this roll-out. */
   readonly mayPredateRollout: boolean;
   /** Largest share of the traffic for a version that has not passed the canary stage. */
   readonly exposureShare: number;
@@ -47,6 +47,19 @@
   return targets.at(-1)!.service;
 };
 
+const computeVersionDraw = ({ service, target }: ServiceRollout, hashKey: string): number =>
+  computeDraw('version', service, target, hashKey);
+
+/**
+ * Returns whether the canary stage gives the new version to a session, if the session is new. All
+ * gateways return the same.
+ */
+export const isCanarySession = (
+  rollout: ServiceRollout,
+  session: string,
+  exposureShare: number,
+): boolean => computeVersionDraw(rollout, session) < computeStageShare('canary', exposureShare);
+
 interface TargetDecision {
   readonly isWanted: boolean;
   readonly reason: VersionReason;
@@ -66,8 +79,7 @@
   if (mayPredateRollout && isCanary) {
     return { isWanted: false, reason: 'session may predate the roll-out' };
   }
-  const draw = computeDraw('version', rollout.service, rollout.target, hashKey);
-  return { isWanted: draw < share, reason: 'draw' };
+  return { isWanted: computeVersionDraw(rollout, hashKey) < share, reason: 'draw' };
 };
 
 /** Chooses the version of a service for one request. */
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -218,6 +218,7 @@
     },
     loads,
     sessions,
+    sessionExchange: { bindUnknown: async () => {} },
     tallies: createVersionTallies(),
     metrics,
     log,
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -99,6 +99,12 @@
   ) => void;
 }
 
+/** Chooses the service of a request by the weights of its route. */
+export const chooseService = (
+  route: Route,
+  { session, requestId }: Pick<CallerHeaders, 'session' | 'requestId'>,
+): string => chooseWeightedService(route.targets, session ?? requestId);
+
 // The last block is specific to the request or its session. The block before it is the last shared
 // one.
 const formatAffinity = ({ caller, model }: ChoiceRequest): string => {
@@ -248,7 +254,7 @@
   return {
     choose: (snapshot, request, now) => {
       const { route, caller } = request;
-      const service = chooseWeightedService(route.targets, caller.session ?? caller.requestId);
+      const service = chooseService(route, caller);
       const { reports, versionBasis } = listByVersion(snapshot, request, service, now);
       const ids = reports.map(({ id }) => id);
       const ejected = loads.listEjected(ids, now);
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -4,7 +4,7 @@
 import { isRetryableRoute } from '../routing';
 import type { CallerReply } from './callerReply';
 import { waitWithTimeout } from './deadline';
-import type { EndpointChoice, VersionBasis } from './endpointChoice';
+import { chooseService, type EndpointChoice, type VersionBasis } from './endpointChoice';
 import { createChoiceRequest, createModelInput } from './choiceRequest';
 import { createExchangeCompletion, FAILED_RETRY_MS } from './exchangeCompletion';
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
@@ -98,6 +98,15 @@
   return () => end(readNow());
 };
 
+const bindSession = async (
+  { sessionExchange }: ExchangeDependencies,
+  { route, caller }: AdmittedRequest,
+  snapshot: RoutingSnapshot,
+): Promise<void> => {
+  if (caller.session === undefined) return;
+  await sessionExchange.bindUnknown(snapshot, chooseService(route, caller), caller.session);
+};
+
 /** Creates a runner for admitted requests. */
 export const createExchangeRunner = (deps: ExchangeDependencies): ExchangeRunner => {
   const { codec, chooser, loads, metrics, log, readNow } = deps;
@@ -153,6 +162,8 @@
         return;
       }
     }
+    await bindSession(deps, request, snapshot);
+    if (exchange.isFinished) return;
     const model =
       exchange.secondModel ?? chooseFirstModel(createModelInput(deps, exchange, snapshot));
     const choice = chooser.choose(
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -6,6 +6,7 @@
 import type { EndpointLoads } from './endpointLoads';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { RoutingSnapshot } from './routingView';
+import type { SessionExchange } from './sessionExchange';
 import type { SessionVersions } from './sessionVersions';
 import type { AttemptTarget, CallerHeaders, EndpointAttempt, HeaderCodec } from './types';
 import type { VersionTallies } from './versionTallies';
@@ -39,6 +40,7 @@
   readonly chooser: EndpointChooser;
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
+  readonly sessionExchange: Pick<SessionExchange, 'bindUnknown'>;
   readonly tallies: VersionTallies;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -17,6 +17,7 @@
 import { createLoadExchange } from './loadExchange';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
+import { createSessionExchange, type SessionExchange } from './sessionExchange';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec } from './types';
@@ -116,6 +117,39 @@
   },
 ];
 
+const createSessionServices = ({ node, bounds }: GatewaySettings): readonly Service[] => [
+  {
+    name: 'sessions',
+    dependencies: [],
+    start: () => {
+      const value = createSessionVersions(bounds.sessionMs);
+      const timer = setInterval(() => value.expire(readNow()), HOUSEKEEPING_INTERVAL_MS);
+      return { value, stop: () => clearInterval(timer) };
+    },
+  },
+  {
+    name: 'session-exchange',
+    dependencies: ['rpc', 'log', 'sessions', 'routing-view', 'registry-view'],
+    start: (find) => {
+      const view = find<RoutingView>('routing-view');
+      const value = createSessionExchange({
+        gateway: node,
+        sessionMs: bounds.sessionMs,
+        exposureShare: bounds.exposureShare,
+        rpc: find<RpcClient>('rpc'),
+        log: createPartLogger(find<Logger>('log'), 'gateway'),
+        sessions: find<SessionVersions>('sessions'),
+        registry: find<RegistryView>('registry-view'),
+        readNow,
+        readSnapshot: view.read,
+        findControlHost: view.findLeader,
+      });
+      value.start();
+      return { value, stop: value.stop };
+    },
+  },
+];
+
 const createBudgetFinder = ({ bounds }: GatewaySettings): ((service: string) => WindowBudget) => {
   const budgets = new Map<string, WindowBudget>();
   return (service) => {
@@ -138,6 +172,8 @@
     'registry-view',
     'loads',
     'beliefs',
+    'sessions',
+    'session-exchange',
     'tallies',
     'gateway-metrics',
     'log',
@@ -145,12 +181,12 @@
   start: (find) => {
     const { zone, bounds } = settings;
     const loads = find<EndpointLoads>('loads');
-    const sessions: SessionVersions = createSessionVersions(bounds.sessionMs);
-    const timer = setInterval(() => sessions.expire(readNow()), HOUSEKEEPING_INTERVAL_MS);
+    const sessions = find<SessionVersions>('sessions');
     const value = createExchangeRunner({
       codec,
       loads,
       sessions,
+      sessionExchange: find<SessionExchange>('session-exchange'),
       chooser: createEndpointChooser({
         zone,
         loads,
@@ -168,7 +204,7 @@
       startAttempt: (target) => startEndpointAttempt(target, codec.decodeResponse),
       readNow,
     });
-    return { value, stop: () => clearInterval(timer) };
+    return { value };
   },
 });
 
@@ -261,6 +297,7 @@
     start: (find) => ({ value: createGatewayMetrics(find<Metrics>('metrics').registry) }),
   },
   ...createViewServices(settings),
+  ...createSessionServices(settings),
   createRunnerService(settings, codec),
   createServersService(settings, codec),
 ];
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -5,5 +5,6 @@
 export * from './routingControlServices';
 export * from './routingHandler';
 export * from './routingState';
+export * from './sessionDirectory';
 export * from './settings';
 export * from './changeNotifier';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -18,6 +18,7 @@
   type RpcClient,
 } from '../rpc';
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
+import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
 import { shareReportParams, watchRegistryParams, watchRoutingParams } from './protocol';
 import { createRegistryHandler, type RegistryHandler } from './registryHandler';
 import { createRolloutSupervisor } from './rolloutSupervisor';
@@ -141,6 +142,7 @@
     const { replica, state } = find<RoutingGroup>('routing-group');
     const metrics = find<Metrics>('metrics');
     const loadAggregator = createLoadAggregator();
+    const sessionDirectory = createSessionDirectory();
     const internalServer = createInternalServer({
       methods: {
         ...find<ReplicationHost>('replication').methods,
@@ -149,6 +151,9 @@
         'load.exchange': createMethod(exchangeLoadParams, (params) =>
           loadAggregator.exchange(params, readNow()),
         ),
+        'session.bind': createMethod(bindSessionsParams, (params) =>
+          sessionDirectory.bind(params, readNow()),
+        ),
         'registry.share': createMethod(shareReportParams, ({ report, hasLeft }) => {
           handlers.registry.handlePeerReport(report, hasLeft);
           return { type: 'recorded' };
