Bound the bytes of a response that never ends

An endpoint may send bytes without end in a head or a body. The gateway then buffered a body of a plain service until the route's timeout (the process ends when its memory is used up), an event of a stream likewise, and read interim responses and chunk extensions for as long. Bytes that complete no event also kept restarting the stall timer of a stream.

Now a body without a declared length is buffered up to 4 MiB, and one event up to 1 MiB; bytes that become neither head nor body are limited to 1 MiB and 16 times the body; the stall timer runs from the last complete event. The attempt fails, the connection is closed, and another endpoint answers where the route allows a retry, otherwise the caller gets a 502. A body with a declared length above the limit is relayed as it arrives, since the caller can tell whether it is complete.

--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -10,6 +10,13 @@
 /** Maximum size of an endpoint's response head, in bytes. */
 const HEAD_LIMIT_BYTES = 32 * 1024;
 
+/**
+ * Bytes from an endpoint that may arrive without becoming part of a head or body: interim responses
+ * and chunk framing. The allowance per body byte covers chunks of one byte.
+ */
+const MAX_OVERHEAD_BYTES = 1024 * 1024;
+const MAX_OVERHEAD_PER_BODY_BYTE = 16;
+
 const readMessage = (cause: unknown): string =>
   cause instanceof Error ? cause.message || cause.name : String(cause);
 
@@ -32,6 +39,8 @@
   let isConnected = false;
   let isReset = false;
   let isCancelled = false;
+  let bodyBytes = 0;
+  let limitFailure: Error | undefined;
   const connect = buildConnector({ timeout: target.connectTimeoutMs });
   const client = new Client(`http://${target.endpoint.address}`, {
     pipelining: 1,
@@ -42,6 +51,15 @@
         socket?.on('error', (cause) => {
           if (isSystemError(cause)) isReset = true;
         });
+        // Without a head or body bytes, the client would read and discard such bytes for ever.
+        socket?.on('readable', () => {
+          const overhead = socket.bytesRead - bodyBytes;
+          if (overhead <= MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * bodyBytes) return;
+          limitFailure = new Error(
+            `the endpoint sent ${socket.bytesRead} bytes with ${bodyBytes} bytes of a body`,
+          );
+          socket.destroy(limitFailure);
+        });
         if (socket) callback(null, socket);
         else callback(failure, null);
       }),
@@ -74,15 +92,20 @@
       Right({ status: statusCode, ...decodeAnswer(statusCode, convertHeaders(headers)) }),
     (cause: unknown) => {
       cancel();
-      return Left({ mayHaveRun: isConnected, reason: readMessage(cause) });
+      return Left({ mayHaveRun: isConnected, reason: readMessage(limitFailure ?? cause) });
     },
   );
 
   async function* readBody(): AsyncGenerator<Buffer> {
     const { body } = await response;
     try {
-      for await (const chunk of body) yield chunk as Buffer;
+      for await (const chunk of body) {
+        bodyBytes += (chunk as Buffer).length;
+        yield chunk as Buffer;
+      }
       if (isReset) throw new Error('the endpoint reset the connection');
+    } catch (cause) {
+      throw limitFailure ?? cause;
     } finally {
       cancel();
     }
--- a/src/node/gateway/eventReader.ts
+++ b/src/node/gateway/eventReader.ts
@@ -7,12 +7,17 @@
 
 /** Splits a byte stream into complete events without changing the bytes. */
 export interface EventReader {
-  /** Adds a chunk and returns the events that it completes. */
+  /**
+   * Adds a chunk and returns the events that it completes. Throws if the incomplete last event
+   * exceeds the size limit.
+   */
   readonly add: (chunk: Buffer) => readonly StreamEvent[];
   /** Returns the number of bytes of the incomplete last event. */
   readonly countPending: () => number;
 }
 
+/** Bounds the memory for an endpoint that sends bytes without the end of an event. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(.*)$/m;
@@ -43,6 +48,11 @@
         start = end;
       }
       pending = pending.subarray(start);
+      if (pending.length > MAX_EVENT_BYTES) {
+        throw new Error(
+          `an event has more than ${MAX_EVENT_BYTES} bytes: ${pending.length} without its end`,
+        );
+      }
       return events;
     },
     countPending: () => pending.length,
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -55,6 +55,9 @@
  */
 const MAX_SAMPLE_QUEUE_MS = 50;
 
+/** Limit of a response body that is buffered until it is complete, in bytes. */
+const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+
 const RETRY: AttemptResult = { type: 'again' };
 
 const createTallyKey = ({ exchange, endpoint, model }: AttemptContext) => ({
@@ -143,8 +146,17 @@
 
 const readFullBody = async (context: AttemptContext): Promise<Buffer | undefined> => {
   const chunks: Buffer[] = [];
+  let size = 0;
   try {
-    for await (const chunk of context.attempt.readBody()) chunks.push(chunk);
+    for await (const chunk of context.attempt.readBody()) {
+      size += chunk.length;
+      if (size > MAX_BUFFERED_BYTES) {
+        const reason = `response body has more than ${MAX_BUFFERED_BYTES} bytes and no length`;
+        recordFailure(context, reason, true);
+        return undefined;
+      }
+      chunks.push(chunk);
+    }
     return Buffer.concat(chunks);
   } catch (cause) {
     recordFailure(context, `response body was truncated: ${(cause as Error).message}`, true);
@@ -152,12 +164,44 @@
   }
 };
 
+const findDeclaredLength = ({ forwarded }: ResponseHead): number | undefined => {
+  const index = forwarded.findIndex(
+    (name, at) => at % 2 === 0 && name.toLowerCase() === 'content-length',
+  );
+  return index < 0 ? undefined : Number(forwarded[index + 1]);
+};
+
 const createReplyHead = ({ status, forwarded, isCloseDelimited }: ResponseHead): ReplyHead => ({
   status,
   headers: forwarded,
   isCloseDelimited: isCloseDelimited && !BODILESS_STATUSES.has(status),
 });
 
+// Relays a body with a declared length as it arrives: the caller can tell if it is truncated.
+const relayLargeBody = async (
+  context: AttemptContext,
+  head: ResponseHead,
+): Promise<AttemptResult> => {
+  const { exchange, deps, attempt, startedAt } = context;
+  const { reply } = exchange;
+  recordFirstByte(context);
+  reply.start(createReplyHead(head));
+  try {
+    for await (const chunk of attempt.readBody()) {
+      if (exchange.isFinished) return RETRY;
+      await reply.write(chunk);
+    }
+  } catch (cause) {
+    if (!exchange.isFinished) {
+      recordFailure(context, `response body was truncated: ${(cause as Error).message}`, true);
+    }
+    return RETRY;
+  }
+  recordSuccess(context, deps.readNow() - startedAt);
+  reply.end();
+  return { type: 'done', status: head.status };
+};
+
 const relayBuffered = async (
   context: AttemptContext,
   head: ResponseHead,
@@ -191,18 +235,20 @@
   const { reply } = exchange;
   const reader = createEventReader();
   const chunks = attempt.readBody()[Symbol.asyncIterator]();
-  const firstEventDeadline = startedAt + computeResponseTimeoutMs(context);
   let firstAt: number | undefined;
+  let waitStartedAt = startedAt;
+  let nextEventDeadline = startedAt + computeResponseTimeoutMs(context);
   try {
     for (;;) {
-      const limitMs =
-        firstAt === undefined
-          ? firstEventDeadline - deps.readNow()
-          : computeStallTimeoutMs(context);
+      const limitMs = nextEventDeadline - deps.readNow();
       const next = await waitFor(chunks.next(), limitMs);
       if (exchange.isFinished) return RETRY;
       if (next.type === 'late') {
-        recordFailure(context, `no event within ${Math.round(limitMs)} ms`, true);
+        recordFailure(
+          context,
+          `no event within ${Math.round(nextEventDeadline - waitStartedAt)} ms`,
+          true,
+        );
         return RETRY;
       }
       if (next.value.done === true) break;
@@ -216,6 +262,8 @@
         firstAt = deps.readNow();
         recordFirstEvent(context);
       }
+      waitStartedAt = deps.readNow();
+      nextEventDeadline = waitStartedAt + computeStallTimeoutMs(context);
       exchange.lastEventId =
         events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
       exchange.events += events.length;
@@ -316,7 +364,11 @@
     'response started',
   );
   const isStream = head.isEventStream && head.status === 200;
-  return isStream ? relayEventStream(context, head) : relayBuffered(context, head);
+  if (isStream) return relayEventStream(context, head);
+  const isLarge = (findDeclaredLength(head) ?? 0) > MAX_BUFFERED_BYTES;
+  return isLarge && head.status < 500 && !exchange.reply.isStarted()
+    ? relayLargeBody(context, head)
+    : relayBuffered(context, head);
 };
 
 /** Relays the response of one attempt to the caller, or records why the attempt failed. */
