Keep a session on its version while its gateway knows of no roll-out

Endpoints of a new version register with every control host, but a gateway learns of the roll-out from the leading one. Where the leader is lost at that moment, the gateway knows the endpoints first, and chose any version for a session that it had already bound. The record now counts there too.

Of the four cases, 'a session keeps its version' failed before.

--- a/src/node/decisions/__tests__/routedRequests.test.ts
+++ b/src/node/decisions/__tests__/routedRequests.test.ts
@@ -266,6 +266,39 @@
   );
 });
 
+const withoutRollout = [
+  { name: 'keeps its version', rollout: undefined, bound: 'v1', retired: [], preferred: ['v1'] },
+  {
+    name: 'keeps its version after a roll-back',
+    rollout: { ...ROLLOUT, stage: 'rolledBack' as const },
+    bound: 'v1',
+    retired: ['v2'],
+    preferred: ['v1'],
+  },
+  {
+    name: 'of a retired version gets another version',
+    rollout: undefined,
+    bound: 'v2',
+    retired: ['v2'],
+    preferred: ['v1'],
+  },
+  {
+    name: 'that is new may get any version',
+    rollout: undefined,
+    bound: undefined,
+    retired: [],
+    preferred: ['v1', 'v2'],
+  },
+];
+
+// The endpoints of a new version register while the gateway cannot reach the leading control host.
+for (const { name, rollout, bound, retired, preferred } of withoutRollout) {
+  test(`version choice without a known roll-out: a session ${name}`, (t) => {
+    const choice = chooseServiceVersion({ ...QUESTION, rollout, retired, sessionVersion: bound });
+    t.deepEqual(['v1', 'v2'].filter(choice.isPreferred), preferred);
+  });
+}
+
 const allowances = [
   {
     name: 'rolled back',
--- a/src/node/decisions/chooseServiceVersion.ts
+++ b/src/node/decisions/chooseServiceVersion.ts
@@ -82,13 +82,22 @@
   return { isWanted: computeVersionDraw(rollout, hashKey) < share, reason: 'draw' };
 };
 
+// Endpoints of a new version may be known before its roll-out is.
+const chooseWithoutRollout = (
+  { sessionVersion }: ServiceVersionInput,
+  isAllowed: (version: string) => boolean,
+): VersionChoice => {
+  if (sessionVersion === undefined || !isAllowed(sessionVersion)) {
+    return { reason: 'no roll-out', isPreferred: isAllowed, isAllowed };
+  }
+  return { reason: 'session', isPreferred: (version) => version === sessionVersion, isAllowed };
+};
+
 /** Chooses the version of a service for one request. */
 export const chooseServiceVersion = (input: ServiceVersionInput): VersionChoice => {
   const { rollout, retired } = input;
   const isAllowed = (version: string): boolean => !retired.includes(version);
-  if (!rollout || rollout.stage === 'rolledBack') {
-    return { reason: 'no roll-out', isPreferred: isAllowed, isAllowed };
-  }
+  if (!rollout || rollout.stage === 'rolledBack') return chooseWithoutRollout(input, isAllowed);
   const { target } = rollout;
   if (rollout.stage === 'completed') {
     const isTarget = (version: string): boolean => version === target;
