--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -1,30 +1,17 @@
 import test from 'ava';
 import type { EndpointReport, KnownEndpoint } from '../../registry';
-import { createRouteTable, type Route, type RolloutStage } from '../../routing';
+import { createRouteTable, type RolloutStage } from '../../routing';
 import { createEndpointChooser, type EndpointChoice } from '../endpointChoice';
 import { createEndpointLoads } from '../endpointLoads';
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
 import { formatRolloutKey, type RoutingSnapshot } from '../routingView';
 import { createSessionVersions, type SessionVersions } from '../sessionVersions';
 import type { CallerHeaders } from '../types';
+import { createRoute } from './harness';
 
 const SESSION_MS = 5_000;
 
-const ROUTE: Route = {
-  name: 'r-1',
-  host: 'shop.example',
-  pathPrefix: '/a/',
-  kind: 'idempotent',
-  timeoutMs: 5_000,
-  targetLatencyMs: 1_000,
-  gapTargetMs: undefined,
-  rank: 0,
-  targets: [{ service: 's', weight: 1 }],
-  attemptLimit: 3,
-  isPublic: true,
-  canResume: false,
-  models: [],
-};
+const ROUTE = createRoute({ isPublic: true });
 
 const TABLE = createRouteTable({
   version: 1,
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -62,7 +62,8 @@
 const HOST = 'shop.example';
 const KEY = 'key-1';
 
-const createRoute = (fields: RouteFields): Route => ({
+/** Creates a test's route. */
+export const createRoute = (fields: RouteFields): Route => ({
   name: 'r-1',
   host: HOST,
   pathPrefix: '/a/',
