Log the prompt blocks of a request and what its failed attempts had received

The logs could not tell which prompts were at an endpoint when it was lost, nor whether an attempt had received an event by then. 'request placed' and 'attempt failed' now have the prompt's blocks; 'attempt failed' also has the endpoint's incarnation and the events of the attempt. No logic is changed.

--- a/src/node/gateway/__tests__/relayResponse.test.ts
+++ b/src/node/gateway/__tests__/relayResponse.test.ts
@@ -20,7 +20,7 @@
   const route = createRoute({ kind: 'stream', canResume: true, gapTargetMs: GAP_TARGET_MS });
   let isStarted = false;
   const exchange = {
-    request: { route, caller: { requestId: 'id-1' }, receivedAt: 0 },
+    request: { route, caller: { requestId: 'id-1', promptBlocks: [] }, receivedAt: 0 },
     reply: {
       isStarted: () => isStarted,
       start: () => {
@@ -62,6 +62,7 @@
     endpoint: { id: 'e-0', service: 's', version: 'v1' },
     attempt: { head: Promise.resolve(Right(head)), readBody, cancel: () => {} },
     startedAt: performance.now(),
+    eventsBefore: 0,
     budget: createWindowBudget({ ratio: 1, slack: 1, windowMs: 1_000 }),
     loadEntry: { endPrefill: () => {}, release: () => {} },
     queueMs: 0,
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -9,6 +9,7 @@
 import { createExchangeCompletion, FAILED_RETRY_MS } from './exchangeCompletion';
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
 import { relayResponse, type AttemptContext } from './relayResponse';
+import { listLoggedBlocks } from './promptBlocks';
 import type { RoutingSnapshot } from './routingView';
 
 /** Runs admitted requests until they are answered or refused. */
@@ -68,6 +69,7 @@
       request: exchange.request.caller.requestId,
       route: exchange.request.route.name,
       promptTokens: exchange.request.caller.promptTokens,
+      blocks: listLoggedBlocks(exchange.request.caller),
       endpoint: endpoint.id,
       version: endpoint.version,
       session: exchange.request.caller.session,
@@ -145,7 +147,8 @@
     const budget = deps.findBudget(endpoint.service);
     const loadEntry = loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
     const common = { deps, exchange, snapshot, endpoint, model, attempt };
-    return { ...common, startedAt: now, budget, loadEntry, endSession, queueMs, uncachedTokens };
+    const before = { startedAt: now, eventsBefore: exchange.events };
+    return { ...common, ...before, budget, loadEntry, endSession, queueMs, uncachedTokens };
   };
 
   const runAttempt = async (exchange: Exchange): Promise<void> => {
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -7,6 +7,7 @@
 import type { LoadEntry } from './endpointLoads';
 import { createEventReader } from './eventReader';
 import type { Exchange, ExchangeDependencies } from './exchangeTypes';
+import { listLoggedBlocks } from './promptBlocks';
 import type { RoutingSnapshot } from './routingView';
 import type { ResponseHead, EndpointAttempt } from './types';
 
@@ -20,6 +21,8 @@
   readonly attempt: EndpointAttempt;
   /** Monotonic time in milliseconds. */
   readonly startedAt: number;
+  /** Events of earlier attempts that the caller had received when this attempt started. */
+  readonly eventsBefore: number;
   readonly budget: WindowBudget;
   readonly loadEntry: LoadEntry;
   /** Records that the session's request has ended. */
@@ -78,11 +81,14 @@
   deps.log.info(
     {
       request: exchange.request.caller.requestId,
+      blocks: listLoggedBlocks(exchange.request.caller),
       endpoint: endpoint.id,
+      endpointStartedAt: endpoint.startedAt,
       model,
       mayHaveRun,
       reason,
       attemptMs: Math.round(now - startedAt),
+      attemptEvents: exchange.events - context.eventsBefore,
       lastEventId: exchange.lastEventId,
     },
     'attempt failed',
