Share facts between gateways through one exchange

Loads and the sessions of the canary stage each had a loop of their own that called the leading control host at the same interval. Both are now topics of one exchange with one call, 'gateway.exchange', and a handler for each topic. Behaviour is unchanged: same interval, same timeout, same tables, same handling of failed calls; in the canary stage a gateway makes one call where it made two. Control hosts still serve 'load.exchange' and 'session.bind' for gateways of earlier versions; claims of single sessions still use the latter.

--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -14,7 +14,8 @@
 import { createExchangeRunner, type ExchangeRunner } from './exchange';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { createLeaseClock } from './leaseClock';
-import { createLoadExchange } from './loadExchange';
+import { createLoadTopic } from './loadTopic';
+import { createPeerExchange } from './peerExchange';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
@@ -97,23 +98,8 @@
   },
   {
     name: 'loads',
-    dependencies: ['rpc', 'log', 'routing-view', 'beliefs'],
-    start: (find) => {
-      const value = createEndpointLoads();
-      const view = find<RoutingView>('routing-view');
-      const exchange = createLoadExchange({
-        gateway: settings.node,
-        rpc: find<RpcClient>('rpc'),
-        log: createPartLogger(find<Logger>('log'), 'gateway'),
-        loads: value,
-        cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
-        readNow,
-        countGateways: () => view.read()?.gatewayCount ?? 1,
-        findControlHost: view.findLeader,
-      });
-      exchange.start();
-      return { value, stop: exchange.stop };
-    },
+    dependencies: [],
+    start: () => ({ value: createEndpointLoads() }),
   },
 ];
 
@@ -144,12 +130,36 @@
         readSnapshot: view.read,
         findControlHost: view.findLeader,
       });
-      value.start();
-      return { value, stop: value.stop };
+      return { value };
     },
   },
 ];
 
+const createExchangeService = ({ node }: GatewaySettings): Service => ({
+  name: 'peer-exchange',
+  dependencies: ['rpc', 'log', 'routing-view', 'loads', 'beliefs', 'session-exchange'],
+  start: (find) => {
+    const view = find<RoutingView>('routing-view');
+    const value = createPeerExchange({
+      gateway: node,
+      rpc: find<RpcClient>('rpc'),
+      log: createPartLogger(find<Logger>('log'), 'gateway'),
+      topics: [
+        createLoadTopic({
+          loads: find<EndpointLoads>('loads'),
+          cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
+          readNow,
+        }),
+        find<SessionExchange>('session-exchange').topic,
+      ],
+      countGateways: () => view.read()?.gatewayCount ?? 1,
+      findControlHost: view.findLeader,
+    });
+    value.start();
+    return { value, stop: value.stop };
+  },
+});
+
 const createBudgetFinder = ({ bounds }: GatewaySettings): ((service: string) => WindowBudget) => {
   const budgets = new Map<string, WindowBudget>();
   return (service) => {
@@ -298,6 +308,7 @@
   },
   ...createViewServices(settings),
   ...createSessionServices(settings),
+  createExchangeService(settings),
   createRunnerService(settings, codec),
   createServersService(settings, codec),
 ];
--- a/src/node/gateway/index.ts
+++ b/src/node/gateway/index.ts
@@ -4,6 +4,6 @@
 export * from './prefixCacheEstimates';
 export * from './endpointChoice';
 export * from './endpointLoads';
-export { computeExchangeInterval } from './loadExchange';
+export { computeExchangeInterval } from './peerExchange';
 export * from './sessionVersions';
 export type { RoutingSnapshot as RoutingFacts } from './routingView';
--- /dev/null
+++ b/src/node/gateway/loadTopic.ts
@@ -0,0 +1,38 @@
+import type { PromptCursor } from '../routingControl';
+import type { PrefixCacheEstimates } from './prefixCacheEstimates';
+import type { EndpointLoads } from './endpointLoads';
+import type { ExchangeTopic } from './peerExchange';
+
+/** Options of the load topic. */
+export interface LoadTopicOptions {
+  readonly loads: EndpointLoads;
+  readonly cacheEstimates: PrefixCacheEstimates;
+  /** Returns the monotonic time in milliseconds. */
+  readonly readNow: () => number;
+}
+
+/** Creates the topic that shares loads and sent prompts with the other gateways. */
+export const createLoadTopic = (options: LoadTopicOptions): ExchangeTopic<'loads'> => {
+  const { loads, cacheEstimates, readNow } = options;
+  let cursor: PromptCursor | undefined;
+  return {
+    name: 'loads',
+    createReport: () => {
+      const reads = cacheEstimates.drainDispatched();
+      return {
+        report: { loads: loads.listOwn(readNow()), reads, cursor },
+        applyAnswer: (answer) => {
+          loads.updatePeerLoads(answer.loads);
+          cursor = answer.cursor;
+          cacheEstimates.applyPeerPrompts(answer.reads);
+        },
+        handleFailure: () => {
+          // After a failed call the earlier reports are out of date, so only this gateway's own
+          // load counts.
+          loads.updatePeerLoads([]);
+          cacheEstimates.restoreDispatched(reads);
+        },
+      };
+    },
+  };
+};
--- a/src/node/gateway/sessionExchange.ts
+++ b/src/node/gateway/sessionExchange.ts
@@ -1,11 +1,9 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { isCanarySession } from '../decisions';
-import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
 import type { ServiceRollout } from '../routing';
 import type { BindSessionsAnswer, BoundSession } from '../routingControl';
 import type { RpcClient } from '../rpc';
-import { computeExchangeInterval } from './loadExchange';
+import type { ExchangeTopic } from './peerExchange';
 import type { RegistryView } from './registryView';
 import { formatRolloutKey, type RoutingSnapshot } from './routingView';
 import type { SessionVersions } from './sessionVersions';
@@ -25,8 +23,8 @@
     service: string,
     session: string,
   ) => Promise<void>;
-  readonly start: () => void;
-  readonly stop: () => void;
+  /** Reports the canary sessions of this gateway. */
+  readonly topic: ExchangeTopic<'sessions'>;
 }
 
 /** Options of a session exchange. */
@@ -47,7 +45,6 @@
 
 /** A request waits at most this long for its session's version, in milliseconds. */
 const CLAIM_TIMEOUT_MS = 200;
-const REPORT_TIMEOUT_MS = 400;
 
 const findCanary = (
   snapshot: RoutingSnapshot | undefined,
@@ -61,7 +58,7 @@
     .map(formatRolloutKey)
     .join(',');
 
-/** Creates a session exchange. It sends no reports before `start`. */
+/** Creates a session exchange. */
 export const createSessionExchange = (options: SessionExchangeOptions): SessionExchange => {
   const { gateway, sessionMs, exposureShare, rpc, log, sessions, registry } = options;
   const { readNow, readSnapshot, findControlHost } = options;
@@ -69,17 +66,6 @@
   let directory = '';
   let reportedCanaries = '';
   let reportedAt = -Infinity;
-  let isStopped = false;
-
-  const callDirectory = (
-    host: string,
-    recorded: readonly BoundSession[],
-    claimed: readonly BoundSession[],
-    timeoutMs: number,
-  ) => {
-    const params = { gateway, sessionMs, recorded, claimed };
-    return rpc.call<BindSessionsAnswer>(host, 'session.bind', params, { timeoutMs });
-  };
 
   const isPreviousVersion = (
     snapshot: RoutingSnapshot,
@@ -105,7 +91,10 @@
   const claim = async (session: BoundSession, previous: string): Promise<string> => {
     const host = findControlHost();
     if (host === undefined) return previous;
-    const answer = await callDirectory(host, [], [session], CLAIM_TIMEOUT_MS);
+    const params = { gateway, sessionMs, recorded: [], claimed: [session] };
+    const answer = await rpc.call<BindSessionsAnswer>(host, 'session.bind', params, {
+      timeoutMs: CLAIM_TIMEOUT_MS,
+    });
     answer.ifLeft((error) =>
       log.warn(
         { ...session, peer: host, err: error.message, fallback: previous },
@@ -137,48 +126,27 @@
       return isShared ? [{ service, session, version }] : [];
     });
 
-  const sendReport = async (): Promise<void> => {
+  const createReport: ExchangeTopic<'sessions'>['createReport'] = (host) => {
     const snapshot = readSnapshot();
     const canaries = formatCanaries(snapshot);
-    const host = findControlHost();
-    if (!snapshot || canaries === '' || host === undefined) return;
+    if (!snapshot || canaries === '') return undefined;
     const since = canaries === reportedCanaries ? reportedAt : -Infinity;
     const now = readNow();
-    const answer = await callDirectory(host, listShared(snapshot, since), [], REPORT_TIMEOUT_MS);
-    answer.ifRight((value) => {
-      // A directory that has not had all sessions yet gets them with the next report.
-      const isSame = value.directory === directory;
-      if (!isSame)
-        log.info({ peer: host, directory: value.directory }, 'session directory changed');
-      directory = value.directory;
-      reportedCanaries = isSame || since === -Infinity ? canaries : '';
-      reportedAt = now;
-    });
-    answer.ifLeft((error) =>
-      log.debug(
-        { peer: host, err: error.message },
-        'report of sessions failed; they will be sent again',
-      ),
-    );
+    return {
+      report: { sessionMs, recorded: listShared(snapshot, since), claimed: [] },
+      applyAnswer: (answer) => {
+        // A directory that has not had all sessions yet gets them with the next report.
+        const isSame = answer.directory === directory;
+        if (!isSame)
+          log.info({ peer: host, directory: answer.directory }, 'session directory changed');
+        directory = answer.directory;
+        reportedCanaries = isSame || since === -Infinity ? canaries : '';
+        reportedAt = now;
+      },
+      // The sessions since the last report that was answered are sent again.
+      handleFailure: () => {},
+    };
   };
 
-  const run = async (): Promise<void> => {
-    while (!isStopped) {
-      await sendReport();
-      await sleep(computeExchangeInterval(readSnapshot()?.gatewayCount ?? 1));
-    }
-  };
-
-  return {
-    bindUnknown,
-    start: () => {
-      run().catch((cause: unknown) => {
-        const error = convertToRouterError(cause, 'gateway.sessions');
-        log.error({ err: error }, 'reports of sessions stopped after an unexpected error');
-      });
-    },
-    stop: () => {
-      isStopped = true;
-    },
-  };
+  return { bindUnknown, topic: { name: 'sessions', createReport } };
 };
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -8,3 +8,4 @@
 export * from './sessionDirectory';
 export * from './settings';
 export * from './changeNotifier';
+export * from './gatewayExchange';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -17,6 +17,7 @@
   startHttpServer,
   type RpcClient,
 } from '../rpc';
+import { createExchangeHandler, exchangeParams } from './gatewayExchange';
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
 import { shareReportParams, watchRegistryParams, watchRoutingParams } from './protocol';
@@ -143,11 +144,19 @@
     const metrics = find<Metrics>('metrics');
     const loadAggregator = createLoadAggregator();
     const sessionDirectory = createSessionDirectory();
+    const handleExchange = createExchangeHandler({
+      loads: loadAggregator,
+      sessions: sessionDirectory,
+    });
     const internalServer = createInternalServer({
       methods: {
         ...find<ReplicationHost>('replication').methods,
         'routing.watch': createMethod(watchRoutingParams, handlers.routing.watch),
         'registry.watch': createMethod(watchRegistryParams, handlers.registry.watch),
+        'gateway.exchange': createMethod(exchangeParams, (params) =>
+          handleExchange(params, readNow()),
+        ),
+        // Called by gateways of earlier versions.
         'load.exchange': createMethod(exchangeLoadParams, (params) =>
           loadAggregator.exchange(params, readNow()),
         ),
