--- /dev/null
+++ b/src/node/decisions/__tests__/blockSuspicion.test.ts
@@ -0,0 +1,201 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  chooseCulprits,
+  computeHoldMs,
+  countIndependentLosses,
+  createSuspectBlock,
+  judgeSuspect,
+  mergeSuspects,
+  type BlockLoss,
+  type SuspectBlock,
+  type SuspicionVerdict,
+} from '..';
+
+const createLoss = (
+  incarnation: string,
+  startedAt: number,
+  lostAt: number,
+  companions: readonly string[] = [],
+): BlockLoss => ({ incarnation, startedAt, lostAt, companions });
+
+const createBlock = (fields: Partial<SuspectBlock>): SuspectBlock => ({
+  ...createSuspectBlock({ service: 's', block: 'b', depth: 1, isOwn: false }),
+  ...fields,
+});
+
+const QUARANTINE = { level: 1, since: 0 };
+const IN_A_ROW = [createLoss('e1', 0, 1_000), createLoss('e2', 1_100, 2_000)];
+const AT_ONCE = [
+  createLoss('e1', 0, 1_000),
+  createLoss('e2', 200, 1_010),
+  createLoss('e3', 300, 1_050),
+];
+/** Two requests that were in progress at the same time, lost one after the other. */
+const OVERLAPPING = [createLoss('e1', 0, 1_000), createLoss('e2', 500, 2_000)];
+const CALM = { otherAttempts: 100, otherLosses: 0 };
+const OUTAGE = { otherAttempts: 100, otherLosses: 60 };
+
+const judgements = [
+  { name: 'two losses in a row', losses: IN_A_ROW, counts: CALM, isDeadly: true },
+  { name: 'a single loss', losses: IN_A_ROW.slice(0, 1), counts: CALM, isDeadly: false },
+  { name: 'losses of one moment', losses: AT_ONCE, counts: CALM, isDeadly: false },
+  { name: 'two losses in an outage', losses: IN_A_ROW, counts: OUTAGE, isDeadly: false },
+  { name: 'overlapping losses', losses: OVERLAPPING, counts: CALM, isDeadly: true },
+  {
+    name: 'two losses of a block that was answered before',
+    losses: IN_A_ROW,
+    answeredAt: -5_000,
+    counts: CALM,
+    isDeadly: false,
+  },
+  {
+    name: 'three losses in a row of a block that was answered before',
+    losses: [...IN_A_ROW, createLoss('e3', 2_100, 3_000)],
+    answeredAt: -5_000,
+    counts: CALM,
+    isDeadly: true,
+  },
+  {
+    name: 'three overlapping losses of a block that was answered before',
+    losses: [...OVERLAPPING, createLoss('e3', 900, 3_000)],
+    answeredAt: -5_000,
+    counts: CALM,
+    isDeadly: false,
+  },
+  {
+    name: 'losses beside a quarantined block that was lost more often',
+    losses: IN_A_ROW,
+    quarantined: [
+      createBlock({
+        block: 'c',
+        quarantine: QUARANTINE,
+        losses: [...IN_A_ROW, createLoss('e3', 2_100, 3_000)],
+      }),
+    ],
+    counts: CALM,
+    isDeadly: false,
+  },
+  {
+    name: 'losses beside a quarantined block that was lost as often',
+    losses: IN_A_ROW,
+    quarantined: [createBlock({ block: 'c', quarantine: QUARANTINE, losses: IN_A_ROW })],
+    counts: CALM,
+    isDeadly: true,
+  },
+  {
+    name: 'losses in the prompts of one quarantined block',
+    losses: [createLoss('e1', 0, 1_000, ['c']), createLoss('e2', 1_100, 2_000, ['c'])],
+    quarantined: [createBlock({ block: 'c', quarantine: QUARANTINE })],
+    counts: CALM,
+    isDeadly: false,
+  },
+  {
+    name: 'losses in the prompts of two quarantined blocks, which it has in common',
+    losses: [createLoss('e1', 0, 1_000, ['c']), createLoss('e2', 1_100, 2_000, ['d'])],
+    quarantined: ['c', 'd'].map((block) => createBlock({ block, quarantine: QUARANTINE })),
+    counts: CALM,
+    isDeadly: true,
+  },
+] as const;
+
+for (const { name, losses, counts, isDeadly, ...rest } of judgements) {
+  test(`suspicion of a prompt block: ${name}`, (t) => {
+    const answeredAt = 'answeredAt' in rest ? rest.answeredAt : undefined;
+    const quarantined = 'quarantined' in rest ? rest.quarantined : [];
+    const suspect = createBlock({ losses, answeredAt });
+    t.is(judgeSuspect({ suspect, quarantined, ...counts }) !== undefined, isDeadly);
+  });
+}
+
+const createVerdict = (fields: Partial<SuspectBlock>, losses: number): SuspicionVerdict => ({
+  suspect: createBlock(fields),
+  losses,
+  needed: 2,
+});
+
+const choices = [
+  {
+    name: 'the block with most losses',
+    verdicts: [createVerdict({ block: 'a' }, 4), createVerdict({ block: 'b', depth: 2 }, 2)],
+    chosen: ['a'],
+  },
+  {
+    name: 'of equal ones the last in the prompt',
+    verdicts: [
+      createVerdict({ block: 'a', depth: 0 }, 2),
+      createVerdict({ block: 'b', depth: 2 }, 2),
+    ],
+    chosen: ['b'],
+  },
+  {
+    name: 'a shared block beside the own block of a request',
+    verdicts: [
+      createVerdict({ block: 'a', depth: 0 }, 2),
+      createVerdict({ block: 'own', depth: 3, isOwn: true }, 2),
+    ],
+    chosen: ['a', 'own'],
+  },
+] as const;
+
+for (const { name, verdicts, chosen } of choices) {
+  test(`choice of the blocks to quarantine: ${name}`, (t) => {
+    t.deepEqual(
+      chooseCulprits(verdicts).map(({ suspect }) => suspect.block),
+      [...chosen],
+    );
+  });
+}
+
+test('an answer refutes the losses and the quarantine before it', (t) => {
+  const suspect = createBlock({ losses: IN_A_ROW, quarantine: { level: 2, since: 2_500 } });
+  const after = mergeSuspects(suspect, { ...suspect, answeredAt: 3_000 });
+  t.deepEqual([after.losses, after.quarantine], [[], undefined]);
+  const before = mergeSuspects(suspect, { ...suspect, answeredAt: 1_500 });
+  t.deepEqual([before.losses, before.quarantine], [[IN_A_ROW[1]!], suspect.quarantine]);
+});
+
+test('probes of a quarantined block become rare, up to a limit', (t) => {
+  const holds = [1, 2, 3, 4].map((level) => computeHoldMs({ level, since: 0 }));
+  t.deepEqual(holds, [3_000, 30_000, 300_000, 300_000]);
+});
+
+const times = fc.integer({ min: 0, max: 50 }).map((value) => value * 1_000);
+const arbitrarySuspect = fc
+  .record({
+    losses: fc.uniqueArray(fc.integer({ min: 0, max: 9 }), { maxLength: 6 }),
+    answeredAt: fc.option(times, { nil: undefined }),
+    quarantine: fc.option(
+      fc.integer({ min: 1, max: 3 }).map((level) => ({ level, since: level * 10_000 })),
+      { nil: undefined },
+    ),
+  })
+  .map(({ losses, ...fields }) =>
+    createBlock({
+      ...fields,
+      losses: losses
+        .sort((a, b) => a - b)
+        .map((index) => createLoss(`e${index}`, index * 4_000, index * 5_000)),
+    }),
+  );
+
+// Reports arrive in any order, more than once, and through several directories.
+test('records merge to the same result in any order and any number of times', (t) => {
+  fc.assert(
+    fc.property(arbitrarySuspect, arbitrarySuspect, arbitrarySuspect, (a, b, c) => {
+      const left = mergeSuspects(mergeSuspects(a, b), c);
+      const right = mergeSuspects(mergeSuspects(c, a), mergeSuspects(b, a));
+      t.deepEqual(left, right);
+      t.deepEqual(mergeSuspects(left, b), left);
+    }),
+    { seed: 1 },
+  );
+});
+
+test('the number of losses that are kept is bounded', (t) => {
+  const suspect = Array.from({ length: 100 }, (_item, index) =>
+    createBlock({ losses: [createLoss(`e${index}`, index * 1_000, index * 1_000 + 500)] }),
+  ).reduce(mergeSuspects);
+  t.is(suspect.losses.length, 12);
+  t.is(countIndependentLosses(suspect, []), 12);
+});
--- /dev/null
+++ b/src/node/decisions/blockSuspicion.ts
@@ -0,0 +1,240 @@
+// Load pattern: requests with one prompt block, a few a second and at any gateway, crash each
+// endpoint that begins to answer them. Each crash also cuts the sound requests at that endpoint,
+// which share the API key and other blocks. Besides, endpoints and connections fail by themselves,
+// one by one or many at once.
+
+/** An attempt that ended with its connection before the endpoint had proven to survive it. */
+export interface BlockLoss {
+  /** Incarnation of the endpoint; each one can crash only once. */
+  readonly incarnation: string;
+  /** Monotonic times in milliseconds at which the attempt started and ended. */
+  readonly startedAt: number;
+  readonly lostAt: number;
+  /** Other shared blocks of the prompts that were lost with the incarnation. */
+  readonly companions: readonly string[];
+}
+
+/** A block that is refused, but for one probe each time that the hold has passed. */
+export interface BlockQuarantine {
+  /** Number of probes granted so far, plus one. */
+  readonly level: number;
+  /** Monotonic time in milliseconds of the latest probe, or of the start. */
+  readonly since: number;
+}
+
+/** What is known about a prompt block whose requests were lost. */
+export interface SuspectBlock {
+  readonly service: string;
+  readonly block: string;
+  /** Position in the prompt; blocks that come later are in fewer requests. */
+  readonly depth: number;
+  /** Whether the block is the last one of its prompt, which belongs to one request or session. */
+  readonly isOwn: boolean;
+  /** Losses since the latest answer, the oldest first. */
+  readonly losses: readonly BlockLoss[];
+  /** Monotonic time in milliseconds of the latest answer to a request with the block. */
+  readonly answeredAt: number | undefined;
+  readonly quarantine: BlockQuarantine | undefined;
+}
+
+/** Input for the decision whether a block is quarantined. */
+export interface SuspicionInput {
+  readonly suspect: SuspectBlock;
+  /** The other quarantined blocks of the service. */
+  readonly quarantined: readonly SuspectBlock[];
+  /** Recent attempts of this gateway without the block: how many ended, and were lost. */
+  readonly otherAttempts: number;
+  readonly otherLosses: number;
+}
+
+/** Losses within this time have a common cause, such as a failed rack or link; in milliseconds. */
+const COINCIDENCE_MS = 100;
+/** Probability of as many losses in a row at which chance no longer explains them. */
+const MAX_CHANCE = 0.003;
+const MIN_LOSSES = 2;
+const MAX_LOSSES = 12;
+/** Further losses needed against a block that was answered before. */
+const ANSWERED_EXTRA_LOSSES = 1;
+const MAX_COMPANIONS = 16;
+/** Lower bound of the share of attempts that are lost for other reasons. */
+const MIN_LOSS_SHARE = 0.02;
+/** Weight of the prior estimate of that share, in attempts. */
+const PRIOR_ATTEMPTS = 20;
+/** An answer is remembered this long, in milliseconds: what a block does may change with a version. */
+export const ANSWER_MEMORY_MS = 60_000;
+/** Losses and quarantines without news are forgotten after this time, in milliseconds. */
+const LOSS_MEMORY_MS = 60_000;
+/** A block that is not deadly is free again after this time, if a request with it comes. */
+const FIRST_HOLD_MS = 3_000;
+const HOLD_FACTOR = 10;
+/** A probe of a deadly block costs an endpoint, so later ones are rare. */
+const MAX_HOLD_MS = 300_000;
+
+/** Creates the record of a block without losses. */
+export const createSuspectBlock = (
+  identity: Pick<SuspectBlock, 'service' | 'block' | 'depth' | 'isOwn'>,
+): SuspectBlock => ({
+  ...identity,
+  losses: [],
+  answeredAt: undefined,
+  quarantine: undefined,
+});
+
+const removeAnswered = (suspect: SuspectBlock): SuspectBlock => {
+  const { answeredAt, losses, quarantine } = suspect;
+  if (answeredAt === undefined) return suspect;
+  return {
+    ...suspect,
+    losses: losses.filter(({ lostAt }) => lostAt > answeredAt),
+    quarantine: quarantine && quarantine.since > answeredAt ? quarantine : undefined,
+  };
+};
+
+const mergeLoss = (a: BlockLoss, b: BlockLoss | undefined): BlockLoss =>
+  b === undefined
+    ? a
+    : {
+        ...a,
+        companions: [...new Set([...a.companions, ...b.companions])].slice(0, MAX_COMPANIONS),
+      };
+
+const mergeLosses = (a: readonly BlockLoss[], b: readonly BlockLoss[]): readonly BlockLoss[] => {
+  const byIncarnation = new Map(b.map((loss) => [loss.incarnation, loss]));
+  a.forEach((loss) =>
+    byIncarnation.set(loss.incarnation, mergeLoss(loss, byIncarnation.get(loss.incarnation))),
+  );
+  return [...byIncarnation.values()]
+    .sort((first, second) => first.lostAt - second.lostAt)
+    .slice(-MAX_LOSSES);
+};
+
+const findMax = (a: number | undefined, b: number | undefined): number | undefined =>
+  a === undefined || b === undefined ? (a ?? b) : Math.max(a, b);
+
+const chooseQuarantine = (
+  a: BlockQuarantine | undefined,
+  b: BlockQuarantine | undefined,
+): BlockQuarantine | undefined => {
+  if (!a || !b) return a ?? b;
+  return b.level > a.level ? b : a;
+};
+
+/** Merges two records of one block. An answer refutes every earlier loss and quarantine. */
+export const mergeSuspects = (a: SuspectBlock, b: SuspectBlock): SuspectBlock =>
+  removeAnswered({
+    ...a,
+    losses: mergeLosses(a.losses, b.losses),
+    answeredAt: findMax(a.answeredAt, b.answeredAt),
+    quarantine: chooseQuarantine(a.quarantine, b.quarantine),
+  });
+
+// A quarantined companion explains the losses that a block shares with it. If two companions were
+// quarantined one after the other, what they have in common is the more likely cause.
+const createCompanionTest = (
+  { losses }: SuspectBlock,
+  quarantined: readonly SuspectBlock[],
+): ((loss: BlockLoss) => boolean) => {
+  const names = new Set(quarantined.filter(({ isOwn }) => !isOwn).map(({ block }) => block));
+  const companions = new Set(losses.flatMap((loss) => loss.companions));
+  const found = [...companions].filter((block) => names.has(block));
+  return (loss) => found.length === 1 && loss.companions.includes(found[0]!);
+};
+
+// A block that was lost more often explains the losses of others at the same endpoints.
+const createBystanderTest = (
+  { losses }: SuspectBlock,
+  quarantined: readonly SuspectBlock[],
+): ((loss: BlockLoss) => boolean) => {
+  const explained = new Set(
+    quarantined
+      .filter((other) => other.losses.length > losses.length)
+      .flatMap((other) => other.losses.map(({ incarnation }) => incarnation)),
+  );
+  return ({ incarnation }) => explained.has(incarnation);
+};
+
+/**
+ * Counts the losses that speak against a block. Those of one moment count once. If the block was
+ * answered before, each must have started after the one before it ended, since many requests with a
+ * popular block are lost when several endpoints fail at once.
+ */
+export const countIndependentLosses = (
+  suspect: SuspectBlock,
+  quarantined: readonly SuspectBlock[],
+): number => {
+  const isFromCompanion = createCompanionTest(suspect, quarantined);
+  const isBystander = createBystanderTest(suspect, quarantined);
+  let count = 0;
+  let lastAt = -Infinity;
+  for (const loss of suspect.losses) {
+    const { startedAt, lostAt } = loss;
+    const isLater =
+      suspect.answeredAt === undefined ? lostAt - lastAt > COINCIDENCE_MS : startedAt > lastAt;
+    if (!isLater || isFromCompanion(loss) || isBystander(loss)) continue;
+    count += 1;
+    lastAt = lostAt;
+  }
+  return count;
+};
+
+/**
+ * Computes the number of losses in a row that chance does not explain, from the share of attempts
+ * that are lost without the block.
+ */
+export const computeNeededLosses = ({
+  suspect,
+  otherAttempts,
+  otherLosses,
+}: Pick<SuspicionInput, 'suspect' | 'otherAttempts' | 'otherLosses'>): number => {
+  const expected = otherLosses + PRIOR_ATTEMPTS * MIN_LOSS_SHARE;
+  const share = Math.max(MIN_LOSS_SHARE, expected / (otherAttempts + PRIOR_ATTEMPTS));
+  const needed = share < 1 ? Math.ceil(Math.log(MAX_CHANCE) / Math.log(share)) : MAX_LOSSES;
+  const extra = suspect.answeredAt === undefined ? 0 : ANSWERED_EXTRA_LOSSES;
+  return Math.min(MAX_LOSSES, Math.max(MIN_LOSSES, needed) + extra);
+};
+
+/** A block that takes endpoints down, with the inputs of that decision. */
+export interface SuspicionVerdict {
+  readonly suspect: SuspectBlock;
+  readonly losses: number;
+  readonly needed: number;
+}
+
+/** Decides whether a block takes endpoints down; returns undefined if chance explains its losses. */
+export const judgeSuspect = (input: SuspicionInput): SuspicionVerdict | undefined => {
+  const { suspect, quarantined } = input;
+  if (suspect.quarantine) return undefined;
+  const losses = countIndependentLosses(suspect, quarantined);
+  const needed = computeNeededLosses(input);
+  return losses >= needed ? { suspect, losses, needed } : undefined;
+};
+
+/**
+ * Chooses the blocks to quarantine of those that could explain the losses: those with most losses,
+ * and of equal ones the last in the prompts, which is in the fewest requests. A request's own block
+ * concerns nothing else, so it never stands in for a shared one.
+ */
+export const chooseCulprits = (
+  verdicts: readonly SuspicionVerdict[],
+): readonly SuspicionVerdict[] => {
+  const most = Math.max(...verdicts.map(({ losses }) => losses));
+  const equal = verdicts.filter(({ losses }) => losses === most);
+  const shared = equal.filter(({ suspect }) => !suspect.isOwn);
+  const depth = Math.max(...shared.map(({ suspect }) => suspect.depth));
+  return equal.filter(({ suspect }) => suspect.isOwn || suspect.depth === depth);
+};
+
+/** Computes the time from a probe to the next one, in milliseconds. */
+export const computeHoldMs = ({ level }: BlockQuarantine): number =>
+  Math.min(MAX_HOLD_MS, FIRST_HOLD_MS * HOLD_FACTOR ** (level - 1));
+
+/** Whether nothing has happened to a block for so long that its record is dropped. */
+export const isForgotten = (suspect: SuspectBlock, now: number): boolean => {
+  const { losses, answeredAt = -Infinity, quarantine } = suspect;
+  const lossesEnd = (losses.at(-1)?.lostAt ?? -Infinity) + LOSS_MEMORY_MS;
+  // A request that could be the next probe may be late.
+  const quarantineEnd = quarantine
+    ? quarantine.since + computeHoldMs(quarantine) + MAX_HOLD_MS
+    : -Infinity;
+  return now > Math.max(lossesEnd, quarantineEnd, answeredAt + ANSWER_MEMORY_MS);
+};
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -24,3 +24,4 @@
 export * from './admitDuringShutdown';
 export * from './placeEngineRequest';
 export * from './prefillRates';
+export * from './blockSuspicion';
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -8,8 +8,10 @@
 import { performance } from 'node:perf_hooks';
 import pino from 'pino';
 import { Registry } from 'prom-client';
+import { Left } from 'purify-ts';
 import { headerCodec } from '../../../../platform/headers';
 import { createWindowBudget } from '../../decisions';
+import { createError } from '../../errors';
 import type { EndpointReport, KnownEndpoint } from '../../registry';
 import { createRouteTable, type Route, type RoutingConfig } from '../../routing';
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
@@ -19,8 +21,11 @@
 import { createEndpointLoads } from '../endpointLoads';
 import { createExchangeRunner } from '../exchange';
 import { createGatewayMetrics } from '../gatewayMetrics';
+import { createPromptGuard } from '../promptGuard';
+import { createPromptQuarantine } from '../promptQuarantine';
 import type { RoutingSnapshot } from '../routingView';
 import { createSessionVersions } from '../sessionVersions';
+import { createSuspectTable } from '../suspectTable';
 import { createVersionTallies } from '../versionTallies';
 
 /**
@@ -203,6 +208,21 @@
     },
   });
   const metrics = createGatewayMetrics(new Registry());
+  const quarantine = createPromptQuarantine({
+    suspects: createSuspectTable(log, metrics),
+    log,
+    readNow,
+  });
+  const promptGuard = createPromptGuard({
+    quarantine,
+    rpc: {
+      call: async () =>
+        Left(createError({ type: 'unavailable', message: 'no control host', step: 'test' })),
+    },
+    log,
+    readNow,
+    findControlHost: () => undefined,
+  });
   const budget = createWindowBudget({ ratio: 1, slack: 100, windowMs: 10_000 });
   const runner = createExchangeRunner({
     codec: headerCodec,
@@ -220,6 +240,8 @@
     loads,
     sessions,
     sessionExchange: { bindUnknown: async () => {} },
+    quarantine,
+    promptGuard,
     tallies: createVersionTallies(),
     metrics,
     log,
--- /dev/null
+++ b/src/node/gateway/__tests__/promptQuarantine.test.ts
@@ -0,0 +1,89 @@
+import test from 'ava';
+import { runQuarantineLoad, type QuarantineLoad } from './quarantineWorld';
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+const CRASHES = 5;
+const REACTION_MS = 3_000;
+/** Requests with the block that may reach endpoints later than that. */
+const ALLOWED = 3;
+
+const BASE: QuarantineLoad = {
+  gateways: 5,
+  endpoints: 8,
+  lengthMs: 30_000,
+  soundPauseMs: 30,
+  deadlyPauseMs: undefined,
+  sections: 40,
+  brokenShare: 0,
+  outages: [],
+  leaderChanges: [],
+};
+
+const deadlyCases: readonly { readonly name: string; readonly load: Partial<QuarantineLoad> }[] = [
+  { name: 'a few requests', load: { deadlyPauseMs: 2_000 } },
+  { name: 'one in twenty requests', load: { deadlyPauseMs: 600 } },
+  { name: 'one in three requests', load: { deadlyPauseMs: 90 } },
+  { name: 'many gateways', load: { deadlyPauseMs: 300, gateways: 29, endpoints: 36 } },
+  { name: 'beside broken connections', load: { deadlyPauseMs: 600, brokenShare: 0.05 } },
+  {
+    name: 'beside an outage of all endpoints',
+    load: { deadlyPauseMs: 600, outages: [{ at: 5_000, share: 1 }] },
+  },
+  {
+    name: 'beside lost leaders',
+    load: { deadlyPauseMs: 600, leaderChanges: [2_000, 4_000, 9_000, 12_000] },
+  },
+];
+
+for (const { name, load } of deadlyCases) {
+  test(`requests with a deadly block stop reaching endpoints: ${name}`, async (t) => {
+    for (const seed of SEEDS) {
+      const outcome = await runQuarantineLoad({ ...BASE, ...load }, seed);
+      const { crashes, deadlyArrivals, sound } = outcome;
+      const boundFrom = (crashes[CRASHES - 1] ?? Infinity) + REACTION_MS;
+      const late = deadlyArrivals.filter((at) => at > boundFrom);
+      t.true(late.length <= ALLOWED, `Seed ${seed}: ${late.length} late arrivals`);
+      const settledAt = (crashes[CRASHES - 1] ?? crashes.at(-1) ?? Infinity) + 2 * REACTION_MS;
+      const judged = sound.filter(({ at }) => at > settledAt);
+      const refused = judged.filter(({ isRefused }) => isRefused).length;
+      t.true(refused <= judged.length / 2, `Seed ${seed}: ${refused} of ${judged.length} refused`);
+    }
+  });
+}
+
+const soundCases: readonly { readonly name: string; readonly load: Partial<QuarantineLoad> }[] = [
+  { name: 'connections that break', load: { brokenShare: 0.06 } },
+  {
+    name: 'outages of a third of the endpoints',
+    load: { outages: [5_000, 9_000, 13_000].map((at) => ({ at, share: 1 / 3 })) },
+  },
+  {
+    name: 'an outage of all endpoints, first of all',
+    load: { outages: [200, 5_000].map((at) => ({ at, share: 1 })) },
+  },
+  {
+    name: 'endpoints that fail one after the other',
+    load: {
+      outages: Array.from({ length: 10 }, (_item, index) => ({
+        at: 2_000 + 500 * index,
+        share: 1 / 8,
+      })),
+    },
+  },
+];
+
+// Such failures say nothing about prompts, so what they lead to must be over soon after them.
+for (const { name, load } of soundCases) {
+  test(`sound requests are not refused for long after ${name}`, async (t) => {
+    for (const seed of SEEDS) {
+      const { sound, quarantined } = await runQuarantineLoad({ ...BASE, ...load }, seed);
+      const refused = sound.filter(({ isRefused }) => isRefused).length;
+      t.true(refused < sound.length / 20, `Seed ${seed}: ${refused} of ${sound.length} refused`);
+      t.deepEqual(
+        quarantined.filter((block) => !block.startsWith('own-')),
+        [],
+        `Seed ${seed}`,
+      );
+    }
+  });
+}
--- a/src/node/gateway/__tests__/relayResponse.test.ts
+++ b/src/node/gateway/__tests__/relayResponse.test.ts
@@ -53,6 +53,7 @@
   return {
     deps: {
       loads: createEndpointLoads(),
+      quarantine: { recordAnswer: () => {}, recordLoss: () => {} },
       tallies: createVersionTallies(),
       metrics: createGatewayMetrics(new Registry()),
       log: pino({ level: 'silent' }),
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -24,6 +24,20 @@
 const isSystemError = (cause: Error): boolean =>
   (cause as NodeJS.ErrnoException).syscall !== undefined;
 
+/** Error codes of a connection that the endpoint closed or reset. */
+const CONNECTION_LOSS_CODES: ReadonlySet<unknown> = new Set([
+  'UND_ERR_SOCKET',
+  'ECONNRESET',
+  'EPIPE',
+]);
+
+/** Whether an attempt failed because the endpoint closed or reset the connection. */
+export const isConnectionLoss = (cause: unknown): boolean =>
+  CONNECTION_LOSS_CODES.has((cause as { readonly code?: unknown } | undefined)?.code);
+
+const createResetError = (): Error =>
+  Object.assign(new Error('the endpoint reset the connection'), { code: 'ECONNRESET' });
+
 const convertHeaders = (headers: unknown): RawHeaders =>
   (headers as readonly (string | Buffer)[]).map((item) => item.toString('latin1'));
 
@@ -92,7 +106,12 @@
       Right({ status: statusCode, ...decodeAnswer(statusCode, convertHeaders(headers)) }),
     (cause: unknown) => {
       cancel();
-      return Left({ mayHaveRun: isConnected, reason: readMessage(limitFailure ?? cause) });
+      const failure = limitFailure ?? cause;
+      return Left({
+        mayHaveRun: isConnected,
+        isConnectionLost: isConnected && isConnectionLoss(failure),
+        reason: readMessage(failure),
+      });
     },
   );
 
@@ -103,7 +122,7 @@
         bodyBytes += (chunk as Buffer).length;
         yield chunk as Buffer;
       }
-      if (isReset) throw new Error('the endpoint reset the connection');
+      if (isReset) throw createResetError();
     } catch (cause) {
       throw limitFailure ?? cause;
     } finally {
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -10,6 +10,7 @@
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
 import { relayResponse, type AttemptContext } from './relayResponse';
 import { listLoggedBlocks } from './promptBlocks';
+import type { PromptVerdict } from './promptGuard';
 import type { RoutingSnapshot } from './routingView';
 
 /** Runs admitted requests until they are answered or refused. */
@@ -34,6 +35,7 @@
   tried: new Set(),
   attempts: 0,
   mayHaveRun: false,
+  isProbe: false,
   dropped: undefined,
   secondModel: undefined,
   confidence: undefined,
@@ -110,45 +112,66 @@
   await sessionExchange.bindUnknown(snapshot, chooseService(route, caller), caller.session);
 };
 
+const startAttempt = (
+  deps: ExchangeDependencies,
+  exchange: Exchange,
+  snapshot: RoutingSnapshot,
+  choice: PlacedChoice,
+  model: string | undefined,
+): AttemptContext => {
+  const { codec, chooser, loads, readNow } = deps;
+  const { endpoint, uncachedTokens, queueMs, prefillMs } = choice;
+  const { request, lastEventId } = exchange;
+  const { caller, method, path, body, organisation, deadlineAt } = request;
+  const now = readNow();
+  const headers = codec.encodeAttempt(caller, {
+    endpointId: endpoint.id,
+    organisation: organisation?.name,
+    deadlineMs: caller.deadlineMs === undefined ? undefined : Math.max(1, deadlineAt - now),
+    model,
+    lastEventId,
+  });
+  const attempt = deps.startAttempt({
+    endpoint,
+    method,
+    path,
+    headers,
+    body,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+  });
+  exchange.currentAttempt = attempt;
+  chooser.recordSent(snapshot, { caller, model }, endpoint);
+  const endSession = startSession(deps, exchange, endpoint);
+  const budget = deps.findBudget(endpoint.service);
+  const loadEntry = loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
+  const common = { deps, exchange, snapshot, endpoint, model, attempt };
+  const before = { startedAt: now, eventsBefore: exchange.events };
+  return { ...common, ...before, budget, loadEntry, endSession, queueMs, uncachedTokens };
+};
+
+// An answer that has begun shows that the prompt is harmless.
+const checkPrompt = async (
+  { promptGuard }: ExchangeDependencies,
+  exchange: Exchange,
+): Promise<PromptVerdict> => {
+  const { route, caller } = exchange.request;
+  if (caller.promptBlocks.length === 0 || exchange.events > 0) return { type: 'free' };
+  const prompt = { service: chooseService(route, caller), blocks: caller.promptBlocks };
+  return promptGuard.check(prompt, caller.requestId, !exchange.mayHaveRun);
+};
+
 /** Creates a runner for admitted requests. */
 export const createExchangeRunner = (deps: ExchangeDependencies): ExchangeRunner => {
-  const { codec, chooser, loads, metrics, log, readNow } = deps;
+  const { chooser, metrics, log, readNow } = deps;
   const completion = createExchangeCompletion(deps);
   let active = 0;
 
-  const startAttempt = (
+  const settleRefused = (
     exchange: Exchange,
-    snapshot: RoutingSnapshot,
-    choice: PlacedChoice,
-    model: string | undefined,
-  ): AttemptContext => {
-    const { endpoint, uncachedTokens, queueMs, prefillMs } = choice;
-    const { request, lastEventId } = exchange;
-    const { caller, method, path, body, organisation, deadlineAt } = request;
-    const now = readNow();
-    const headers = codec.encodeAttempt(caller, {
-      endpointId: endpoint.id,
-      organisation: organisation?.name,
-      deadlineMs: caller.deadlineMs === undefined ? undefined : Math.max(1, deadlineAt - now),
-      model,
-      lastEventId,
-    });
-    const attempt = deps.startAttempt({
-      endpoint,
-      method,
-      path,
-      headers,
-      body,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    });
-    exchange.currentAttempt = attempt;
-    chooser.recordSent(snapshot, { caller, model }, endpoint);
-    const endSession = startSession(deps, exchange, endpoint);
-    const budget = deps.findBudget(endpoint.service);
-    const loadEntry = loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
-    const common = { deps, exchange, snapshot, endpoint, model, attempt };
-    const before = { startedAt: now, eventsBefore: exchange.events };
-    return { ...common, ...before, budget, loadEntry, endSession, queueMs, uncachedTokens };
+    { reason, retryAfterMs }: { readonly reason: string; readonly retryAfterMs: number },
+  ): void => {
+    exchange.reason = [exchange.reason, reason].filter(Boolean).join('; ');
+    completion.settleWithoutResponse(exchange, retryAfterMs);
   };
 
   const runAttempt = async (exchange: Exchange): Promise<void> => {
@@ -166,6 +189,13 @@
         return;
       }
     }
+    const verdict = await checkPrompt(deps, exchange);
+    if (exchange.isFinished) return;
+    if (verdict.type === 'refused') {
+      settleRefused(exchange, verdict);
+      return;
+    }
+    exchange.isProbe = verdict.type === 'probe';
     await bindSession(deps, request, snapshot);
     if (exchange.isFinished) return;
     const model =
@@ -176,8 +206,7 @@
       readNow(),
     );
     if (choice.type === 'refused') {
-      exchange.reason = [exchange.reason, choice.reason].filter(Boolean).join('; ');
-      completion.settleWithoutResponse(exchange, choice.retryAfterMs);
+      settleRefused(exchange, choice);
       return;
     }
     const { endpoint } = choice;
@@ -188,7 +217,7 @@
       completion.settleWithoutResponse(exchange, FAILED_RETRY_MS);
       return;
     }
-    const context = startAttempt(exchange, snapshot, choice, model);
+    const context = startAttempt(deps, exchange, snapshot, choice, model);
     logPlaced(context, choice);
     try {
       const result = await relayResponse(context);
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -5,6 +5,8 @@
 import type { EndpointChooser } from './endpointChoice';
 import type { EndpointLoads } from './endpointLoads';
 import type { GatewayMetrics } from './gatewayMetrics';
+import type { PromptGuard } from './promptGuard';
+import type { PromptQuarantine } from './promptQuarantine';
 import type { RoutingSnapshot } from './routingView';
 import type { SessionExchange } from './sessionExchange';
 import type { SessionVersions } from './sessionVersions';
@@ -41,6 +43,8 @@
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
   readonly sessionExchange: Pick<SessionExchange, 'bindUnknown'>;
+  readonly quarantine: Pick<PromptQuarantine, 'recordAnswer' | 'recordLoss'>;
+  readonly promptGuard: PromptGuard;
   readonly tallies: VersionTallies;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
@@ -66,6 +70,8 @@
   attempts: number;
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean;
+  /** Whether the request tests if a quarantined prompt block still takes endpoints down. */
+  isProbe: boolean;
   /** Model whose answer was dropped, if any, and the model that is to answer instead. */
   dropped: string | undefined;
   secondModel: string | undefined;
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -16,9 +16,13 @@
 import { createLeaseClock } from './leaseClock';
 import { createLoadTopic } from './loadTopic';
 import { createPeerExchange } from './peerExchange';
+import { createPromptGuard, type PromptGuard } from './promptGuard';
+import { createPromptQuarantine, type PromptQuarantine } from './promptQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
+import { createSuspectTable, type SuspectTable } from './suspectTable';
+import { createSuspectTopic } from './suspectTopic';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec } from './types';
@@ -135,9 +139,56 @@
   },
 ];
 
+const createQuarantineServices = (): readonly Service[] => [
+  {
+    name: 'suspects',
+    dependencies: ['log', 'gateway-metrics'],
+    start: (find) => ({
+      value: createSuspectTable(
+        createPartLogger(find<Logger>('log'), 'gateway'),
+        find<GatewayMetrics>('gateway-metrics'),
+      ),
+    }),
+  },
+  {
+    name: 'quarantine',
+    dependencies: ['log', 'suspects'],
+    start: (find) => {
+      const value = createPromptQuarantine({
+        suspects: find<SuspectTable>('suspects'),
+        log: createPartLogger(find<Logger>('log'), 'gateway'),
+        readNow,
+      });
+      const timer = setInterval(value.expire, EXPIRE_INTERVAL_MS);
+      return { value, stop: () => clearInterval(timer) };
+    },
+  },
+  {
+    name: 'prompt-guard',
+    dependencies: ['rpc', 'log', 'quarantine', 'routing-view'],
+    start: (find) => ({
+      value: createPromptGuard({
+        quarantine: find<PromptQuarantine>('quarantine'),
+        rpc: find<RpcClient>('rpc'),
+        log: createPartLogger(find<Logger>('log'), 'gateway'),
+        readNow,
+        findControlHost: find<RoutingView>('routing-view').findLeader,
+      }),
+    }),
+  },
+];
+
 const createExchangeService = ({ node }: GatewaySettings): Service => ({
   name: 'peer-exchange',
-  dependencies: ['rpc', 'log', 'routing-view', 'loads', 'beliefs', 'session-exchange'],
+  dependencies: [
+    'rpc',
+    'log',
+    'routing-view',
+    'loads',
+    'beliefs',
+    'session-exchange',
+    'quarantine',
+  ],
   start: (find) => {
     const view = find<RoutingView>('routing-view');
     const value = createPeerExchange({
@@ -151,6 +202,12 @@
           readNow,
         }),
         find<SessionExchange>('session-exchange').topic,
+        createSuspectTopic({
+          suspects: find<SuspectTable>('suspects'),
+          quarantine: find<PromptQuarantine>('quarantine'),
+          log: createPartLogger(find<Logger>('log'), 'gateway'),
+          readNow,
+        }),
       ],
       countGateways: () => view.read()?.gatewayCount ?? 1,
       findControlHost: view.findLeader,
@@ -184,6 +241,8 @@
     'beliefs',
     'sessions',
     'session-exchange',
+    'quarantine',
+    'prompt-guard',
     'tallies',
     'gateway-metrics',
     'log',
@@ -206,6 +265,8 @@
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
       }),
+      quarantine: find<PromptQuarantine>('quarantine'),
+      promptGuard: find<PromptGuard>('prompt-guard'),
       tallies: find<VersionTallies>('tallies'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
       log: createPartLogger(find<Logger>('log'), 'gateway'),
@@ -308,6 +369,7 @@
   },
   ...createViewServices(settings),
   ...createSessionServices(settings),
+  ...createQuarantineServices(),
   createExchangeService(settings),
   createRunnerService(settings, codec),
   createServersService(settings, codec),
--- /dev/null
+++ b/src/node/gateway/promptGuard.ts
@@ -0,0 +1,83 @@
+import type { Logger } from '../log';
+import { decodeSuspect, type ClaimProbeAnswer } from '../routingControl';
+import type { RpcClient } from '../rpc';
+import type { PromptQuarantine, QuarantineHold, ServicePrompt } from './promptQuarantine';
+
+/** Whether a request may be sent because of its prompt, and why not. */
+export type PromptVerdict =
+  | { readonly type: 'free' }
+  | { readonly type: 'probe' }
+  | { readonly type: 'refused'; readonly reason: string; readonly retryAfterMs: number };
+
+/** Refuses requests with quarantined prompt blocks, but for one probe at a time. */
+export interface PromptGuard {
+  /** Checks a request before it is sent; `canProbe` is false if it may have run already. */
+  readonly check: (
+    prompt: ServicePrompt,
+    request: string,
+    canProbe: boolean,
+  ) => Promise<PromptVerdict>;
+}
+
+/** Options of a prompt guard. */
+export interface PromptGuardOptions {
+  readonly quarantine: Pick<PromptQuarantine, 'listHolds' | 'applyPeerSuspects'>;
+  readonly rpc: Pick<RpcClient, 'call'>;
+  readonly log: Logger;
+  /** Returns the monotonic time in milliseconds. */
+  readonly readNow: () => number;
+  /** Returns the address of the control host that all gateways report to, if known. */
+  readonly findControlHost: () => string | undefined;
+}
+
+/** A request that may become a probe waits at most this long for the answer, in milliseconds. */
+const CLAIM_TIMEOUT_MS = 200;
+/** Shortest retry delay of a refused request, in milliseconds. */
+const MIN_RETRY_MS = 1_000;
+
+const createRefusal = ({ block, level, losses, waitMs }: QuarantineHold): PromptVerdict => ({
+  type: 'refused',
+  reason: `prompt block '${block}' is quarantined (level ${level}) after the loss of ${losses} endpoints; next probe in ${Math.round(waitMs)} ms`,
+  retryAfterMs: Math.max(MIN_RETRY_MS, waitMs),
+});
+
+/** Creates a prompt guard. */
+export const createPromptGuard = (options: PromptGuardOptions): PromptGuard => {
+  const { quarantine, rpc, log, readNow, findControlHost } = options;
+
+  const claimProbe = async (hold: QuarantineHold, request: string): Promise<boolean> => {
+    const host = findControlHost();
+    if (host === undefined) return false;
+    const { service, block, level } = hold;
+    const params = { service, block, level };
+    const answer = await rpc.call<ClaimProbeAnswer>(host, 'suspect.probe', params, {
+      timeoutMs: CLAIM_TIMEOUT_MS,
+    });
+    answer.ifLeft((error) =>
+      log.warn(
+        { request, ...params, peer: host, err: error.message },
+        'probe of a quarantined prompt block could not be claimed',
+      ),
+    );
+    const { isGranted, suspect } = answer.orDefault({ isGranted: false });
+    if (suspect) quarantine.applyPeerSuspects([decodeSuspect(suspect, readNow())]);
+    log.info({ request, ...params, isGranted }, 'probe of a quarantined prompt block claimed');
+    return isGranted;
+  };
+
+  return {
+    check: async (prompt, request, canProbe) => {
+      const holds = quarantine.listHolds(prompt);
+      const longest = holds.reduce<QuarantineHold | undefined>(
+        (known, hold) => (known && known.waitMs >= hold.waitMs ? known : hold),
+        undefined,
+      );
+      if (!longest) return { type: 'free' };
+      if (longest.waitMs > 0 || !canProbe) return createRefusal(longest);
+      for (const hold of holds) {
+        if (!(await claimProbe(hold, request))) return createRefusal(hold);
+      }
+      return { type: 'probe' };
+    },
+  };
+};
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -4,10 +4,12 @@
 import { BODILESS_STATUSES, type ReplyHead } from './callerReply';
 import { createModelInput } from './choiceRequest';
 import { waitWithTimeout } from './deadline';
+import { isConnectionLoss } from './endpointAttempt';
 import type { LoadEntry } from './endpointLoads';
 import { createEventReader } from './eventReader';
 import type { Exchange, ExchangeDependencies } from './exchangeTypes';
 import { listLoggedBlocks } from './promptBlocks';
+import type { ServicePrompt } from './promptQuarantine';
 import type { RoutingSnapshot } from './routingView';
 import type { ResponseHead, EndpointAttempt } from './types';
 
@@ -95,6 +97,23 @@
   );
 };
 
+const createPrompt = ({ exchange, endpoint }: AttemptContext): ServicePrompt => ({
+  service: endpoint.service,
+  blocks: exchange.request.caller.promptBlocks,
+});
+
+// Records that the endpoint went on after it had begun to answer.
+const recordSurvival = (context: AttemptContext): void => {
+  context.deps.quarantine.recordAnswer(createPrompt(context));
+};
+
+const recordConnectionLoss = (context: AttemptContext): void => {
+  const { deps, exchange, endpoint, startedAt } = context;
+  const incarnation = `${endpoint.id}|${endpoint.startedAt}`;
+  const loss = { incarnation, startedAt, lostAt: deps.readNow() };
+  deps.quarantine.recordLoss(createPrompt(context), exchange.request.caller.requestId, loss);
+};
+
 const recordSuccess = (context: AttemptContext, timeMs: number): void => {
   const { deps, endpoint } = context;
   deps.metrics.attempts.inc({ service: endpoint.service, result: 'ok' });
@@ -166,6 +185,7 @@
     return Buffer.concat(chunks);
   } catch (cause) {
     recordFailure(context, `response body was truncated: ${(cause as Error).message}`, true);
+    if (isConnectionLoss(cause)) recordConnectionLoss(context);
     return undefined;
   }
 };
@@ -227,6 +247,7 @@
     if (canRetry(context) && hasBudget) return RETRY;
   } else {
     recordSuccess(context, deps.readNow() - startedAt);
+    recordSurvival(context);
   }
   recordFirstByte(context);
   exchange.reply.send(replyHead, body);
@@ -242,6 +263,7 @@
   const reader = createEventReader();
   const chunks = attempt.readBody()[Symbol.asyncIterator]();
   let firstAt: number | undefined;
+  let hasSurvived = false;
   let waitStartedAt = startedAt;
   let nextEventDeadline = startedAt + computeResponseTimeoutMs(context);
   try {
@@ -267,6 +289,9 @@
       if (firstAt === undefined) {
         firstAt = deps.readNow();
         recordFirstEvent(context);
+      } else if (!hasSurvived) {
+        hasSurvived = true;
+        recordSurvival(context);
       }
       exchange.lastEventId =
         events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
@@ -279,14 +304,17 @@
   } catch (cause) {
     if (!exchange.isFinished) {
       recordFailure(context, `stream was interrupted: ${(cause as Error).message}`, true);
+      if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context);
     }
     return RETRY;
   }
   if (reader.countPending() > 0) {
     recordFailure(context, 'stream ended in the middle of an event', true);
+    if (!hasSurvived) recordConnectionLoss(context);
     return RETRY;
   }
   recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
+  if (!hasSurvived) recordSurvival(context);
   if (!reply.isStarted()) reply.start(createReplyHead(head));
   reply.end();
   return { type: 'done', status: head.status };
@@ -299,7 +327,8 @@
 const applyModelCascade = (context: AttemptContext, head: ResponseHead): boolean => {
   const { exchange, deps, snapshot, model, budget, endpoint } = context;
   const { route, caller } = exchange.request;
-  if (model === undefined || exchange.reply.isStarted()) return false;
+  // A probe may take the endpoint down, so it gets a single attempt.
+  if (model === undefined || exchange.reply.isStarted() || exchange.isProbe) return false;
   const now = deps.readNow();
   const { confidence } = head;
   const secondModel = chooseSecondModel({
@@ -390,8 +419,9 @@
   }
   const head = headResult.value;
   if (head.isRight()) return handleHead(context, head.unsafeCoerce());
-  const { mayHaveRun, reason } = head.swap().unsafeCoerce();
+  const { mayHaveRun, isConnectionLost, reason } = head.swap().unsafeCoerce();
   if (mayHaveRun) exchange.attempts += 1;
   recordFailure(context, reason, mayHaveRun);
+  if (isConnectionLost) recordConnectionLoss(context);
   return RETRY;
 };
--- /dev/null
+++ b/src/node/gateway/suspectTable.ts
@@ -0,0 +1,103 @@
+import { countIndependentLosses, isForgotten, type SuspectBlock } from '../decisions';
+import type { Logger } from '../log';
+import { formatSuspectKey } from '../routingControl';
+import type { GatewayMetrics } from './gatewayMetrics';
+
+/** The suspect blocks that a gateway knows, by key, and which of them the others must hear of. */
+export interface SuspectTable {
+  readonly find: (key: string) => SuspectBlock | undefined;
+  readonly count: () => number;
+  /** Replaces a record; `isNews` says whether the other gateways may not know it. */
+  readonly update: (key: string, next: SuspectBlock, isNews: boolean) => void;
+  readonly listQuarantined: (service: string) => readonly SuspectBlock[];
+  /** Takes the records that are to be sent next. */
+  readonly drainUnsent: () => readonly SuspectBlock[];
+  /** Puts drained records back that could not be sent. */
+  readonly restoreUnsent: (records: readonly SuspectBlock[]) => void;
+  /** Marks everything that is shared as unsent, for a directory that has been told nothing. */
+  readonly resendAll: () => void;
+  /** Removes records without news. `now` is monotonic time in milliseconds. */
+  readonly expire: (now: number) => void;
+}
+
+/** With more records than this, the ones that changed least recently are dropped. */
+const MAX_SUSPECTS = 2_000;
+/** Maximum number of records in one report; the rest follows with the next call. */
+const MAX_REPORT = 100;
+/** Losses of a block that was answered before, from which on the other gateways hear of it. */
+const MIN_SHARED_LOSSES = 2;
+
+// The other gateways hear of a block that was answered before only if it may be quarantined, since
+// many popular blocks are lost when endpoints fail.
+const canShare = (suspect: SuspectBlock): boolean => {
+  const { isOwn, answeredAt, quarantine } = suspect;
+  if (isOwn) return false;
+  if (answeredAt === undefined || quarantine) return true;
+  return countIndependentLosses(suspect, []) >= MIN_SHARED_LOSSES;
+};
+
+/** Creates an empty table. */
+export const createSuspectTable = (
+  log: Logger,
+  metrics: Pick<GatewayMetrics, 'quarantined'>,
+): SuspectTable => {
+  const suspects = new Map<string, SuspectBlock>();
+  const quarantinedKeys = new Set<string>();
+  const unsentKeys = new Set<string>();
+
+  const remove = (key: string): void => {
+    suspects.delete(key);
+    [quarantinedKeys, unsentKeys].forEach((keys) => keys.delete(key));
+    metrics.quarantined.set(quarantinedKeys.size);
+  };
+
+  const removeOldest = (): void => {
+    const isRemovable = (key: string): boolean => !quarantinedKeys.has(key);
+    const keys = [...suspects.keys()];
+    remove(keys.find(isRemovable) ?? keys[0]!);
+  };
+
+  const logLifted = ({ service, block, quarantine }: SuspectBlock): void =>
+    log.info({ service, block, level: quarantine?.level }, 'quarantine of a prompt block lifted');
+
+  const update: SuspectTable['update'] = (key, next, isNews) => {
+    const before = suspects.get(key);
+    // Deleting the record first moves it to the end, so the first one has changed least recently.
+    suspects.delete(key);
+    suspects.set(key, next);
+    if (next.quarantine) quarantinedKeys.add(key);
+    else if (quarantinedKeys.delete(key) && before) logLifted(before);
+    metrics.quarantined.set(quarantinedKeys.size);
+    const wasShared = before !== undefined && canShare(before);
+    if (isNews && (wasShared || canShare(next))) unsentKeys.add(key);
+    if (suspects.size > MAX_SUSPECTS) removeOldest();
+  };
+
+  return {
+    find: (key) => suspects.get(key),
+    count: () => suspects.size,
+    update,
+    listQuarantined: (service) =>
+      [...quarantinedKeys]
+        .map((key) => suspects.get(key)!)
+        .filter((suspect) => suspect.service === service),
+    drainUnsent: () => {
+      const keys = [...unsentKeys].slice(0, MAX_REPORT);
+      keys.forEach((key) => unsentKeys.delete(key));
+      return keys.map((key) => suspects.get(key)!);
+    },
+    restoreUnsent: (records) =>
+      records
+        .map(formatSuspectKey)
+        .filter((key) => suspects.has(key))
+        .forEach((key) => unsentKeys.add(key)),
+    resendAll: () =>
+      suspects.forEach((suspect, key) => {
+        if (canShare(suspect)) unsentKeys.add(key);
+      }),
+    expire: (now) =>
+      suspects.forEach((suspect, key) => {
+        if (isForgotten(suspect, now)) remove(key);
+      }),
+  };
+};
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -81,6 +81,8 @@
 export interface AttemptFailure {
   /** Whether the endpoint may have begun to run the request. */
   readonly mayHaveRun: boolean;
+  /** Whether the connection was closed or reset while the endpoint had the request. */
+  readonly isConnectionLost: boolean;
   readonly reason: string;
 }
 
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -101,6 +101,13 @@
     'requests',
     'Requests of routes in progress.',
   ),
+  gatewayQuarantined: createDefinition(
+    'gateway',
+    'gauge',
+    'gateway_prompt_blocks_quarantined',
+    'blocks',
+    'Prompt blocks whose requests are refused because they take endpoints down.',
+  ),
   queue: createDefinition(
     'agent',
     'gauge',
--- a/src/node/routingControl/__tests__/gatewayExchange.test.ts
+++ b/src/node/routingControl/__tests__/gatewayExchange.test.ts
@@ -1,10 +1,16 @@
 import test from 'ava';
-import { createExchangeHandler, createLoadAggregator, createSessionDirectory } from '..';
+import {
+  createExchangeHandler,
+  createLoadAggregator,
+  createSessionDirectory,
+  createSuspectDirectory,
+} from '..';
 
 const createHandler = () =>
   createExchangeHandler({
     loads: createLoadAggregator('loads'),
     sessions: createSessionDirectory('sessions'),
+    suspects: createSuspectDirectory('suspects'),
   });
 
 const LOADS = { loads: [{ endpoint: 'e', running: 1, readMs: 10 }], reads: [] };
@@ -26,6 +32,7 @@
 const cases = [
   { name: 'loads', params: { gateway: 'a', loads: LOADS } },
   { name: 'sessions', params: { gateway: 'a', sessions: SESSIONS } },
+  { name: 'suspects', params: { gateway: 'a', suspects: { suspects: [] } } },
 ] as const;
 
 for (const { name, params } of cases) {
--- /dev/null
+++ b/src/node/routingControl/__tests__/suspectDirectory.test.ts
@@ -0,0 +1,84 @@
+import test from 'ava';
+import { createSuspectDirectory, type SuspectReport } from '..';
+
+const createReport = (block: string, fields: Partial<SuspectReport> = {}): SuspectReport => ({
+  service: 's',
+  block,
+  depth: 1,
+  losses: [{ incarnation: 'e1', startedAgeMs: 300, lostAgeMs: 100, companions: [] }],
+  ...fields,
+});
+
+const QUARANTINED = { quarantine: { level: 1, ageMs: 0 } };
+
+test('suspect directory: a gateway gets what changed since its last call', (t) => {
+  const directory = createSuspectDirectory('one');
+  const first = directory.share({ suspects: [createReport('a')] }, 1_000);
+  t.deepEqual(
+    first.suspects.map(({ block }) => block),
+    ['a'],
+  );
+  const second = directory.share({ suspects: [createReport('b')], cursor: first.cursor }, 1_000);
+  t.deepEqual(
+    second.suspects.map(({ block }) => block),
+    ['b'],
+  );
+  const repeated = directory.share({ suspects: [createReport('b')], cursor: second.cursor }, 1_000);
+  t.deepEqual(repeated.suspects, [], 'a report without news is not sent to all gateways again');
+  const other = createSuspectDirectory('two').share({ suspects: [], cursor: second.cursor }, 1_000);
+  t.deepEqual(other, { suspects: [], cursor: { directory: 'two', revision: 0 } });
+});
+
+test('suspect directory: the ages of a record grow with its time in the directory', (t) => {
+  const directory = createSuspectDirectory();
+  directory.share({ suspects: [createReport('a', QUARANTINED)] }, 1_000);
+  const [record] = directory.share({ suspects: [] }, 1_500).suspects;
+  t.is(record?.losses[0]?.lostAgeMs, 600);
+  t.is(record?.quarantine?.ageMs, 500);
+});
+
+const claims = [
+  { name: 'before the hold has passed', now: 2_900, level: 1, isGranted: false },
+  { name: 'after the hold has passed', now: 3_000, level: 1, isGranted: true },
+  { name: 'of an earlier level', now: 3_000, level: 0, isGranted: false },
+  { name: 'of an unknown block', now: 3_000, level: 1, block: 'other', isGranted: false },
+] as const;
+
+for (const { name, now, level, isGranted, ...rest } of claims) {
+  test(`suspect directory: a claim of a probe ${name}`, (t) => {
+    const directory = createSuspectDirectory();
+    directory.share({ suspects: [createReport('a', QUARANTINED)] }, 0);
+    const block = 'block' in rest ? rest.block : 'a';
+    t.is(directory.claimProbe({ service: 's', block, level }, now).isGranted, isGranted);
+  });
+}
+
+test('suspect directory: of several gateways only one gets a probe', (t) => {
+  const directory = createSuspectDirectory();
+  directory.share({ suspects: [createReport('a', QUARANTINED)] }, 0);
+  const claim = { service: 's', block: 'a', level: 1 };
+  const answers = [1, 2, 3].map(() => directory.claimProbe(claim, 4_000));
+  t.deepEqual(
+    answers.map(({ isGranted }) => isGranted),
+    [true, false, false],
+  );
+  t.is(answers[2]!.suspect?.quarantine?.level, 2);
+});
+
+test('suspect directory: the number of records and their time are bounded', (t) => {
+  const directory = createSuspectDirectory();
+  for (let round = 0; round < 10; round += 1) {
+    const suspects = Array.from({ length: 500 }, (_item, index) =>
+      createReport(`${round}-${index}`),
+    );
+    directory.share({ suspects }, 0);
+  }
+  const counts: number[] = [];
+  let { cursor, suspects } = directory.share({ suspects: [] }, 0);
+  while (suspects.length > 0) {
+    counts.push(suspects.length);
+    ({ cursor, suspects } = directory.share({ suspects: [], cursor }, 0));
+  }
+  t.deepEqual(counts, [500, 500, 500, 500]);
+  t.deepEqual(directory.share({ suspects: [] }, 60_000).suspects, []);
+});
--- a/src/node/routingControl/gatewayExchange.ts
+++ b/src/node/routingControl/gatewayExchange.ts
@@ -5,6 +5,11 @@
   type BindSessionsAnswer,
   type SessionDirectory,
 } from './sessionDirectory';
+import {
+  shareSuspectsParams,
+  type ShareSuspectsAnswer,
+  type SuspectDirectory,
+} from './suspectDirectory';
 
 /**
  * Schema of the parameters of `gateway.exchange`: a gateway's reports, by topic. A topic without a
@@ -14,6 +19,7 @@
   gateway: z.string(),
   loads: exchangeLoadParams.omit({ gateway: true }).optional(),
   sessions: bindSessionsParams.omit({ gateway: true }).optional(),
+  suspects: shareSuspectsParams.optional(),
 });
 
 /** Parameters of `gateway.exchange`. */
@@ -23,6 +29,7 @@
 export interface ExchangeAnswer {
   readonly loads?: ExchangeLoadAnswer;
   readonly sessions?: BindSessionsAnswer;
+  readonly suspects?: ShareSuspectsAnswer;
 }
 
 /** Name of a topic of the exchange. */
@@ -32,6 +39,7 @@
 export interface ExchangeTables {
   readonly loads: LoadAggregator;
   readonly sessions: SessionDirectory;
+  readonly suspects: SuspectDirectory;
 }
 
 type TopicHandler<N extends ExchangeTopicName> = (
@@ -46,10 +54,12 @@
 export type ExchangeHandler = (params: ExchangeParams, now: number) => ExchangeAnswer;
 
 /** Creates the handler of `gateway.exchange`. */
-export const createExchangeHandler = ({ loads, sessions }: ExchangeTables): ExchangeHandler => {
+export const createExchangeHandler = (tables: ExchangeTables): ExchangeHandler => {
+  const { loads, sessions, suspects } = tables;
   const handlers: TopicHandlers = {
     loads: (report, gateway, now) => loads.exchange({ gateway, ...report }, now),
     sessions: (report, gateway, now) => sessions.bind({ gateway, ...report }, now),
+    suspects: (report, _gateway, now) => suspects.share(report, now),
   };
   const names = Object.keys(handlers) as readonly ExchangeTopicName[];
   return (params, now) =>
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -9,3 +9,4 @@
 export * from './settings';
 export * from './changeNotifier';
 export * from './gatewayExchange';
+export * from './suspectDirectory';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -20,6 +20,7 @@
 import { createExchangeHandler, exchangeParams } from './gatewayExchange';
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
+import { claimProbeParams, createSuspectDirectory } from './suspectDirectory';
 import { shareReportParams, watchRegistryParams, watchRoutingParams } from './protocol';
 import { createRegistryHandler, type RegistryHandler } from './registryHandler';
 import { createRolloutSupervisor } from './rolloutSupervisor';
@@ -144,9 +145,11 @@
     const metrics = find<Metrics>('metrics');
     const loadAggregator = createLoadAggregator();
     const sessionDirectory = createSessionDirectory();
+    const suspectDirectory = createSuspectDirectory();
     const handleExchange = createExchangeHandler({
       loads: loadAggregator,
       sessions: sessionDirectory,
+      suspects: suspectDirectory,
     });
     const internalServer = createInternalServer({
       methods: {
@@ -156,6 +159,9 @@
         'gateway.exchange': createMethod(exchangeParams, (params) =>
           handleExchange(params, readNow()),
         ),
+        'suspect.probe': createMethod(claimProbeParams, (params) =>
+          suspectDirectory.claimProbe(params, readNow()),
+        ),
         // Called by gateways of earlier versions.
         'load.exchange': createMethod(exchangeLoadParams, (params) =>
           loadAggregator.exchange(params, readNow()),
--- /dev/null
+++ b/src/node/routingControl/suspectDirectory.ts
@@ -0,0 +1,194 @@
+import { randomUUID } from 'node:crypto';
+import { z } from 'zod';
+import {
+  computeHoldMs,
+  createSuspectBlock,
+  isForgotten,
+  mergeSuspects,
+  type SuspectBlock,
+} from '../decisions';
+
+/** Schema of what a gateway or the directory knows about a block; times are ages in milliseconds. */
+export const suspectReportSchema = z.strictObject({
+  service: z.string(),
+  block: z.string(),
+  /** Position in the prompt. */
+  depth: z.number().int(),
+  losses: z
+    .array(
+      z.strictObject({
+        incarnation: z.string(),
+        startedAgeMs: z.number(),
+        lostAgeMs: z.number(),
+        companions: z.array(z.string()).max(50).readonly(),
+      }),
+    )
+    .max(50)
+    .readonly(),
+  answeredAgeMs: z.number().optional(),
+  quarantine: z.strictObject({ level: z.number().int(), ageMs: z.number() }).optional(),
+});
+
+/** What a gateway or the directory knows about a block. */
+export type SuspectReport = Readonly<z.infer<typeof suspectReportSchema>>;
+
+/** Schema of a gateway's position in the changes of a directory. */
+export const suspectCursorSchema = z.strictObject({
+  directory: z.string(),
+  revision: z.number().int(),
+});
+
+/** Position of a gateway in the changes of a directory. */
+export type SuspectCursor = Readonly<z.infer<typeof suspectCursorSchema>>;
+
+/** Schema of a gateway's report on suspect blocks. */
+export const shareSuspectsParams = z.strictObject({
+  suspects: z.array(suspectReportSchema).max(500).readonly(),
+  /** Absent in a gateway's first call. */
+  cursor: suspectCursorSchema.optional(),
+});
+
+/** A gateway's report on suspect blocks. */
+export type ShareSuspectsParams = Readonly<z.infer<typeof shareSuspectsParams>>;
+
+/** What the other gateways have reported since the cursor of the call. */
+export interface ShareSuspectsAnswer {
+  readonly suspects: readonly SuspectReport[];
+  readonly cursor: SuspectCursor;
+}
+
+/** Schema of the parameters of `suspect.probe`: a gateway asks to send one quarantined request. */
+export const claimProbeParams = z.strictObject({
+  service: z.string(),
+  block: z.string(),
+  /** Level of the quarantine that the gateway knows. */
+  level: z.number().int(),
+});
+
+/** Parameters of `suspect.probe`. */
+export type ClaimProbeParams = Readonly<z.infer<typeof claimProbeParams>>;
+
+/** Result of `suspect.probe`. */
+export interface ClaimProbeAnswer {
+  readonly isGranted: boolean;
+  /** The block's record after the call; absent if the directory has none. */
+  readonly suspect?: SuspectReport;
+}
+
+/** Knows the blocks that any gateway suspects, and grants their probes to one gateway at a time. */
+export interface SuspectDirectory {
+  /** Merges a gateway's report. `now` is monotonic time in milliseconds. */
+  readonly share: (params: ShareSuspectsParams, now: number) => ShareSuspectsAnswer;
+  readonly claimProbe: (params: ClaimProbeParams, now: number) => ClaimProbeAnswer;
+}
+
+/** With more suspect blocks than this, the ones that changed least recently are dropped. */
+const MAX_SUSPECTS = 2_000;
+/** Maximum number of records in one answer; the rest follows with the next call. */
+const MAX_ANSWER = 500;
+
+interface Row {
+  readonly suspect: SuspectBlock;
+  readonly revision: number;
+}
+
+/** Formats the key of a block. */
+export const formatSuspectKey = ({
+  service,
+  block,
+}: Pick<SuspectReport, 'service' | 'block'>): string => `${service}|${block}`;
+
+/** Converts a record's times to ages. */
+export const encodeSuspect = (suspect: SuspectBlock, now: number): SuspectReport => {
+  const { service, block, depth, losses, answeredAt, quarantine } = suspect;
+  return {
+    service,
+    block,
+    depth,
+    losses: losses.map(({ incarnation, startedAt, lostAt, companions }) => ({
+      incarnation,
+      companions,
+      startedAgeMs: now - startedAt,
+      lostAgeMs: now - lostAt,
+    })),
+    answeredAgeMs: answeredAt === undefined ? undefined : now - answeredAt,
+    quarantine: quarantine && { level: quarantine.level, ageMs: now - quarantine.since },
+  };
+};
+
+/** Converts a report's ages to times of this process. */
+export const decodeSuspect = (report: SuspectReport, now: number): SuspectBlock => {
+  const { service, block, depth, losses, answeredAgeMs, quarantine } = report;
+  return {
+    service,
+    block,
+    depth,
+    // Blocks of single requests are not shared.
+    isOwn: false,
+    losses: losses.map(({ incarnation, startedAgeMs, lostAgeMs, companions }) => ({
+      incarnation,
+      companions,
+      startedAt: now - startedAgeMs,
+      lostAt: now - lostAgeMs,
+    })),
+    answeredAt: answeredAgeMs === undefined ? undefined : now - answeredAgeMs,
+    quarantine: quarantine && { level: quarantine.level, since: now - quarantine.ageMs },
+  };
+};
+
+const formatState = ({ losses, answeredAt, quarantine }: SuspectBlock): string =>
+  JSON.stringify([losses.map(({ incarnation }) => incarnation), answeredAt, quarantine?.level]);
+
+/** Creates an empty directory. */
+export const createSuspectDirectory = (directoryId: string = randomUUID()): SuspectDirectory => {
+  /** In the order of their revisions. */
+  const rows = new Map<string, Row>();
+  let revision = 0;
+
+  // Deleting the row first moves it to the end.
+  const updateRow = (suspect: SuspectBlock): void => {
+    revision += 1;
+    const key = formatSuspectKey(suspect);
+    rows.delete(key);
+    rows.set(key, { suspect, revision });
+    if (rows.size > MAX_SUSPECTS) rows.delete(rows.keys().next().value!);
+  };
+
+  const expire = (now: number): void => {
+    for (const [key, { suspect }] of rows) {
+      if (isForgotten(suspect, now)) rows.delete(key);
+    }
+  };
+
+  const mergeReport = (report: SuspectReport, now: number): void => {
+    const known = rows.get(formatSuspectKey(report))?.suspect;
+    const received = decodeSuspect(report, now);
+    const before = known ?? createSuspectBlock(received);
+    const merged = mergeSuspects(before, received);
+    // Unchanged records must not be sent to all gateways again.
+    if (!known || formatState(before) !== formatState(merged)) updateRow(merged);
+  };
+
+  return {
+    share: ({ suspects, cursor }, now) => {
+      expire(now);
+      suspects.forEach((report) => mergeReport(report, now));
+      const since = cursor?.directory === directoryId ? cursor.revision : 0;
+      const changed = [...rows.values()].filter((row) => row.revision > since).slice(0, MAX_ANSWER);
+      return {
+        suspects: changed.map(({ suspect }) => encodeSuspect(suspect, now)),
+        cursor: { directory: directoryId, revision: changed.at(-1)?.revision ?? revision },
+      };
+    },
+    claimProbe: ({ service, block, level }, now) => {
+      const known = rows.get(formatSuspectKey({ service, block }))?.suspect;
+      if (!known) return { isGranted: false };
+      const { quarantine } = known;
+      const isDue = quarantine !== undefined && now - quarantine.since >= computeHoldMs(quarantine);
+      const isGranted = isDue && quarantine.level === level;
+      if (isGranted) updateRow({ ...known, quarantine: { level: level + 1, since: now } });
+      const { suspect } = rows.get(formatSuspectKey({ service, block }))!;
+      return { isGranted, suspect: encodeSuspect(suspect, now) };
+    },
+  };
+};
