Compare losses of answers that had begun among themselves

Sound blocks of requests that were lost twice by chance were quarantined for 3 s.

A crash takes requests with it that the endpoint has not begun to answer; only the one that it was answering caused it. So losses after the head are now compared with other losses after the head, and two of them can be enough. An endpoint may as well crash before the head; then all losses are compared as before, with three at least.

--- a/src/node/decisions/__tests__/blockSuspicion.test.ts
+++ b/src/node/decisions/__tests__/blockSuspicion.test.ts
@@ -17,7 +17,8 @@
   startedAt: number,
   lostAt: number,
   companions: readonly string[] = [],
-): BlockLoss => ({ incarnation, startedAt, lostAt, companions });
+  isAnswering = true,
+): BlockLoss => ({ incarnation, startedAt, lostAt, isAnswering, companions });
 
 const createBlock = (fields: Partial<SuspectBlock>): SuspectBlock => ({
   ...createSuspectBlock({ service: 's', block: 'b', depth: 1, isOwn: false }),
@@ -33,8 +34,13 @@
 ];
 /** Two requests that were in progress at the same time, lost one after the other. */
 const OVERLAPPING = [createLoss('e1', 0, 1_000), createLoss('e2', 500, 2_000)];
-const CALM = { otherAttempts: 100, otherLosses: 0 };
-const OUTAGE = { otherAttempts: 100, otherLosses: 60 };
+/** Requests that wait at endpoints which crash under others. */
+const WAITING = [1, 2, 3, 4, 5].map((index) =>
+  createLoss(`e${index}`, index * 1_000 - 900, index * 1_000, [], false),
+);
+const CALM = { otherAttempts: 100, otherLosses: 0, otherAnsweringLosses: 0 };
+const OUTAGE = { otherAttempts: 100, otherLosses: 60, otherAnsweringLosses: 50 };
+const CRASHES = { otherAttempts: 100, otherLosses: 30, otherAnsweringLosses: 0 };
 
 const judgements = [
   { name: 'two losses in a row', losses: IN_A_ROW, counts: CALM, isDeadly: true },
@@ -42,6 +48,25 @@
   { name: 'losses of one moment', losses: AT_ONCE, counts: CALM, isDeadly: false },
   { name: 'two losses in an outage', losses: IN_A_ROW, counts: OUTAGE, isDeadly: false },
   { name: 'overlapping losses', losses: OVERLAPPING, counts: CALM, isDeadly: true },
+  { name: 'two losses before a response', losses: WAITING.slice(3), counts: CALM, isDeadly: false },
+  {
+    name: 'three losses before a response',
+    losses: WAITING.slice(2),
+    counts: CALM,
+    isDeadly: true,
+  },
+  {
+    name: 'three losses before a response while many are lost so',
+    losses: WAITING.slice(2),
+    counts: CRASHES,
+    isDeadly: false,
+  },
+  {
+    name: 'two losses of a response that had begun while many are lost before',
+    losses: IN_A_ROW,
+    counts: CRASHES,
+    isDeadly: true,
+  },
   {
     name: 'two losses of a block that was answered before',
     losses: IN_A_ROW,
@@ -108,11 +133,11 @@
   });
 }
 
-const createVerdict = (fields: Partial<SuspectBlock>, losses: number): SuspicionVerdict => ({
-  suspect: createBlock(fields),
-  losses,
-  needed: 2,
-});
+const createVerdict = (
+  fields: Partial<SuspectBlock>,
+  losses: number,
+  isAnswering = true,
+): SuspicionVerdict => ({ suspect: createBlock(fields), losses, needed: 2, isAnswering });
 
 const choices = [
   {
@@ -120,6 +145,11 @@
     verdicts: [createVerdict({ block: 'a' }, 4), createVerdict({ block: 'b', depth: 2 }, 2)],
     chosen: ['a'],
   },
+  {
+    name: 'the block whose responses had begun',
+    verdicts: [createVerdict({ block: 'a' }, 2), createVerdict({ block: 'b', depth: 2 }, 4, false)],
+    chosen: ['a'],
+  },
   {
     name: 'of equal ones the last in the prompt',
     verdicts: [
--- a/src/node/decisions/blockSuspicion.ts
+++ b/src/node/decisions/blockSuspicion.ts
@@ -10,6 +10,8 @@
   /** Monotonic times in milliseconds at which the attempt started and ended. */
   readonly startedAt: number;
   readonly lostAt: number;
+  /** Whether the response had begun: its head had arrived, but no more than one event. */
+  readonly isAnswering: boolean;
   /** Other shared blocks of the prompts that were lost with the incarnation. */
   readonly companions: readonly string[];
 }
@@ -42,16 +44,20 @@
   readonly suspect: SuspectBlock;
   /** The other quarantined blocks of the service. */
   readonly quarantined: readonly SuspectBlock[];
-  /** Recent attempts of this gateway without the block: how many ended, and were lost. */
+  /** Recent attempts of this gateway without the block. */
   readonly otherAttempts: number;
+  /** How many of them were lost, and were lost when their response had begun. */
   readonly otherLosses: number;
+  readonly otherAnsweringLosses: number;
 }
 
 /** Losses within this time have a common cause, such as a failed rack or link; in milliseconds. */
 const COINCIDENCE_MS = 100;
 /** Probability of as many losses in a row at which chance no longer explains them. */
 const MAX_CHANCE = 0.003;
-const MIN_LOSSES = 2;
+/** Fewest losses that count, and fewest of them whose response had begun. */
+const MIN_LOSSES = 3;
+const MIN_ANSWERING_LOSSES = 2;
 const MAX_LOSSES = 12;
 /** Further losses needed against a block that was answered before. */
 const ANSWERED_EXTRA_LOSSES = 1;
@@ -95,6 +101,7 @@
     ? a
     : {
         ...a,
+        isAnswering: a.isAnswering || b.isAnswering,
         companions: [...new Set([...a.companions, ...b.companions])].slice(0, MAX_COMPANIONS),
       };
 
@@ -140,14 +147,22 @@
   return (loss) => found.length === 1 && loss.companions.includes(found[0]!);
 };
 
-// A block that was lost more often explains the losses of others at the same endpoints.
+const countAnswering = ({ losses }: SuspectBlock): number =>
+  losses.filter(({ isAnswering }) => isAnswering).length;
+
+const hasMoreEvidence = (a: SuspectBlock, b: SuspectBlock): boolean => {
+  const difference = countAnswering(a) - countAnswering(b);
+  return difference === 0 ? a.losses.length > b.losses.length : difference > 0;
+};
+
+// A block with more evidence against it explains the losses of others at the same endpoints.
 const createBystanderTest = (
-  { losses }: SuspectBlock,
+  suspect: SuspectBlock,
   quarantined: readonly SuspectBlock[],
 ): ((loss: BlockLoss) => boolean) => {
   const explained = new Set(
     quarantined
-      .filter((other) => other.losses.length > losses.length)
+      .filter((other) => hasMoreEvidence(other, suspect))
       .flatMap((other) => other.losses.map(({ incarnation }) => incarnation)),
   );
   return ({ incarnation }) => explained.has(incarnation);
@@ -178,50 +193,70 @@
 };
 
 /**
- * Computes the number of losses in a row that chance does not explain, from the share of attempts
- * that are lost without the block.
+ * Computes the number of losses in a row that chance does not explain, from the attempts of other
+ * requests and how many of them were lost in the same way.
  */
-export const computeNeededLosses = ({
-  suspect,
-  otherAttempts,
-  otherLosses,
-}: Pick<SuspicionInput, 'suspect' | 'otherAttempts' | 'otherLosses'>): number => {
-  const expected = otherLosses + PRIOR_ATTEMPTS * MIN_LOSS_SHARE;
-  const share = Math.max(MIN_LOSS_SHARE, expected / (otherAttempts + PRIOR_ATTEMPTS));
-  const needed = share < 1 ? Math.ceil(Math.log(MAX_CHANCE) / Math.log(share)) : MAX_LOSSES;
-  const extra = suspect.answeredAt === undefined ? 0 : ANSWERED_EXTRA_LOSSES;
-  return Math.min(MAX_LOSSES, Math.max(MIN_LOSSES, needed) + extra);
+const computeNeededLosses = (attempts: number, losses: number): number => {
+  const expected = losses + PRIOR_ATTEMPTS * MIN_LOSS_SHARE;
+  const share = Math.max(MIN_LOSS_SHARE, expected / (attempts + PRIOR_ATTEMPTS));
+  return share < 1 ? Math.ceil(Math.log(MAX_CHANCE) / Math.log(share)) : MAX_LOSSES;
 };
 
 /** A block that takes endpoints down, with the inputs of that decision. */
 export interface SuspicionVerdict {
   readonly suspect: SuspectBlock;
+  /** Independent losses, and the number that was needed. */
   readonly losses: number;
   readonly needed: number;
+  /** Whether only losses were counted whose response had begun. */
+  readonly isAnswering: boolean;
 }
 
-/** Decides whether a block takes endpoints down; returns undefined if chance explains its losses. */
+/**
+ * Decides whether a block takes endpoints down; returns undefined if chance explains its losses. An
+ * endpoint that fails takes many requests with it that it has not begun to answer, so losses of
+ * answers that had begun are compared with such losses alone.
+ */
 export const judgeSuspect = (input: SuspicionInput): SuspicionVerdict | undefined => {
-  const { suspect, quarantined } = input;
+  const { suspect, quarantined, otherAttempts, otherLosses, otherAnsweringLosses } = input;
   if (suspect.quarantine) return undefined;
-  const losses = countIndependentLosses(suspect, quarantined);
-  const needed = computeNeededLosses(input);
-  return losses >= needed ? { suspect, losses, needed } : undefined;
+  const extra = suspect.answeredAt === undefined ? 0 : ANSWERED_EXTRA_LOSSES;
+  const begun = { ...suspect, losses: suspect.losses.filter(({ isAnswering }) => isAnswering) };
+  const tests = [
+    { counted: begun, min: MIN_ANSWERING_LOSSES, others: otherAnsweringLosses, isAnswering: true },
+    { counted: suspect, min: MIN_LOSSES, others: otherLosses, isAnswering: false },
+  ];
+  return tests
+    .map(({ counted, min, others, isAnswering }) => ({
+      suspect,
+      isAnswering,
+      losses: countIndependentLosses(counted, quarantined),
+      needed: Math.min(
+        MAX_LOSSES,
+        Math.max(min, computeNeededLosses(otherAttempts, others)) + extra,
+      ),
+    }))
+    .find(({ losses, needed }) => losses >= needed);
+};
+
+const chooseMost = <T>(items: readonly T[], read: (item: T) => number): readonly T[] => {
+  const most = Math.max(...items.map(read));
+  return items.filter((item) => read(item) === most);
 };
 
 /**
- * Chooses the blocks to quarantine of those that could explain the losses: those with most losses,
- * and of equal ones the last in the prompts, which is in the fewest requests. A request's own block
- * concerns nothing else, so it never stands in for a shared one.
+ * Chooses the blocks to quarantine of those that could explain the losses: those with the strongest
+ * evidence, and of equal ones the last in the prompts, which is in the fewest requests. A request's
+ * own block concerns nothing else, so it never stands in for a shared one.
  */
 export const chooseCulprits = (
   verdicts: readonly SuspicionVerdict[],
 ): readonly SuspicionVerdict[] => {
-  const most = Math.max(...verdicts.map(({ losses }) => losses));
-  const equal = verdicts.filter(({ losses }) => losses === most);
+  const strongest = chooseMost(verdicts, ({ isAnswering }) => Number(isAnswering));
+  const equal = chooseMost(strongest, ({ losses }) => losses);
+  const own = equal.filter(({ suspect }) => suspect.isOwn);
   const shared = equal.filter(({ suspect }) => !suspect.isOwn);
-  const depth = Math.max(...shared.map(({ suspect }) => suspect.depth));
-  return equal.filter(({ suspect }) => suspect.isOwn || suspect.depth === depth);
+  return [...chooseMost(shared, ({ suspect }) => suspect.depth), ...own];
 };
 
 /** Computes the time from a probe to the next one, in milliseconds. */
--- a/src/node/gateway/__tests__/promptQuarantine.test.ts
+++ b/src/node/gateway/__tests__/promptQuarantine.test.ts
@@ -14,6 +14,7 @@
   soundPauseMs: 30,
   deadlyPauseMs: undefined,
   sections: 40,
+  sendsHead: true,
   brokenShare: 0,
   outages: [],
   leaderChanges: [],
@@ -23,6 +24,14 @@
   { name: 'a few requests', load: { deadlyPauseMs: 2_000 } },
   { name: 'one in twenty requests', load: { deadlyPauseMs: 600 } },
   { name: 'one in three requests', load: { deadlyPauseMs: 90 } },
+  {
+    name: 'endpoints that crash before the head of the response',
+    load: { deadlyPauseMs: 600, sendsHead: false },
+  },
+  {
+    name: 'one in three requests, before the head of the response',
+    load: { deadlyPauseMs: 90, sendsHead: false },
+  },
   { name: 'many gateways', load: { deadlyPauseMs: 300, gateways: 29, endpoints: 36 } },
   { name: 'beside broken connections', load: { deadlyPauseMs: 600, brokenShare: 0.05 } },
   {
--- a/src/node/gateway/__tests__/quarantineWorld.ts
+++ b/src/node/gateway/__tests__/quarantineWorld.ts
@@ -18,6 +18,8 @@
   readonly soundPauseMs: number;
   readonly deadlyPauseMs: number | undefined;
   readonly sections: number;
+  /** Whether the head of a response arrives before the endpoint crashes. */
+  readonly sendsHead: boolean;
   /** Share of the attempts whose connection breaks while the endpoint stays up. */
   readonly brokenShare: number;
   /** Times at which this share of the endpoints fails. */
@@ -113,18 +115,24 @@
     });
   };
 
-  const recordLoss = async (endpoint: Endpoint, running: Running): Promise<void> => {
+  const recordLoss = async (
+    endpoint: Endpoint,
+    running: Running,
+    isAnswering: boolean,
+  ): Promise<void> => {
     const incarnation = `${endpoints.indexOf(endpoint)}|${endpoint.incarnation}`;
     const { gateway, prompt, startedAt, attempt } = running;
-    const loss = { incarnation, startedAt, lostAt: now };
+    const loss = { incarnation, startedAt, lostAt: now, isAnswering };
     gateways[gateway]!.quarantine.recordLoss(prompt, 'request', loss);
     await send(gateway, prompt, attempt + 1);
   };
 
-  const runCrash = async (endpoint: Endpoint): Promise<void> => {
+  const runCrash = async (endpoint: Endpoint, cause?: Running): Promise<void> => {
     const lost = endpoint.running;
     Object.assign(endpoint, { running: [], downUntil: now + DOWN_MS });
-    for (const running of lost) await recordLoss(endpoint, running);
+    for (const running of lost) {
+      await recordLoss(endpoint, running, running === cause && load.sendsHead);
+    }
     Object.assign(endpoint, { incarnation: endpoint.incarnation + 1 });
   };
 
@@ -134,11 +142,11 @@
       if (!endpoint.running.includes(running)) continue;
       if (hasDeadly(running.prompt)) {
         crashes.push(now);
-        await runCrash(endpoint);
+        await runCrash(endpoint, running);
         continue;
       }
       Object.assign(endpoint, { running: endpoint.running.filter((other) => other !== running) });
-      if (running.isBroken) await recordLoss(endpoint, running);
+      if (running.isBroken) await recordLoss(endpoint, running, load.sendsHead);
       else gateways[running.gateway]!.quarantine.recordAnswer(running.prompt);
     }
   };
--- a/src/node/gateway/attemptHistory.ts
+++ b/src/node/gateway/attemptHistory.ts
@@ -4,6 +4,8 @@
   /** Keys of the prompt's blocks. */
   readonly keys: readonly string[];
   readonly isLost: boolean;
+  /** Whether the response had begun when the attempt was lost. */
+  readonly isAnswering: boolean;
   /** Monotonic time in milliseconds. */
   readonly at: number;
 }
@@ -12,6 +14,7 @@
 export interface AttemptCounts {
   readonly otherAttempts: number;
   readonly otherLosses: number;
+  readonly otherAnsweringLosses: number;
 }
 
 /** The recent attempts of this gateway, which show how often attempts are lost by chance. */
@@ -43,6 +46,8 @@
       return {
         otherAttempts: others.length,
         otherLosses: others.filter(({ isLost }) => isLost).length,
+        otherAnsweringLosses: others.filter(({ isLost, isAnswering }) => isLost && isAnswering)
+          .length,
       };
     },
   };
--- a/src/node/gateway/promptQuarantine.ts
+++ b/src/node/gateway/promptQuarantine.ts
@@ -79,13 +79,13 @@
       return verdict ? [verdict] : [];
     });
 
-  const startQuarantine = ({ suspect, losses, needed }: SuspicionVerdict): void => {
+  const startQuarantine = ({ suspect, losses, needed, isAnswering }: SuspicionVerdict): void => {
     const { service, block, answeredAt } = suspect;
     const key = formatSuspectKey(suspect);
     const counts = history.countOthers(service, key, readNow());
     const answeredAgeMs = answeredAt === undefined ? undefined : Math.round(readNow() - answeredAt);
     log.warn(
-      { service, block, losses, needed, ...counts, answeredAgeMs },
+      { service, block, losses, needed, isAnswering, ...counts, answeredAgeMs },
       'prompt block quarantined: its requests take endpoints down',
     );
     suspects.update(key, { ...suspect, quarantine: { level: 1, since: readNow() } }, true);
@@ -123,7 +123,13 @@
     recordAnswer: (prompt) => {
       const now = readNow();
       const keys = listKeys(prompt);
-      history.record({ service: prompt.service, keys, isLost: false, at: now });
+      history.record({
+        service: prompt.service,
+        keys,
+        isLost: false,
+        isAnswering: true,
+        at: now,
+      });
       keys.forEach((key) => {
         answered.record(key, now);
         const suspect = suspects.find(key);
@@ -135,7 +141,8 @@
     recordLoss: (prompt, request, loss) => {
       const { service, blocks } = prompt;
       const keys = listKeys(prompt);
-      history.record({ service, keys, isLost: true, at: loss.lostAt });
+      const { isAnswering, lostAt } = loss;
+      history.record({ service, keys, isLost: true, isAnswering, at: lostAt });
       const sharedIds = blocks.slice(0, -1).map(({ id }) => id);
       blocks.forEach(({ id }, depth) => {
         const key = keys[depth]!;
@@ -157,7 +164,8 @@
           blocks: blocks.map(({ id }) => id),
           losses: keys.map((key) => suspects.find(key)?.losses.length),
           incarnation: loss.incarnation,
-          attemptMs: Math.round(loss.lostAt - loss.startedAt),
+          isAnswering,
+          attemptMs: Math.round(lostAt - loss.startedAt),
         },
         'prompt blocks suspected: the endpoint was lost before it had answered',
       );
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -107,10 +107,10 @@
   context.deps.quarantine.recordAnswer(createPrompt(context));
 };
 
-const recordConnectionLoss = (context: AttemptContext): void => {
+const recordConnectionLoss = (context: AttemptContext, isAnswering: boolean): void => {
   const { deps, exchange, endpoint, startedAt } = context;
   const incarnation = `${endpoint.id}|${endpoint.startedAt}`;
-  const loss = { incarnation, startedAt, lostAt: deps.readNow() };
+  const loss = { incarnation, startedAt, lostAt: deps.readNow(), isAnswering };
   deps.quarantine.recordLoss(createPrompt(context), exchange.request.caller.requestId, loss);
 };
 
@@ -185,7 +185,7 @@
     return Buffer.concat(chunks);
   } catch (cause) {
     recordFailure(context, `response body was truncated: ${(cause as Error).message}`, true);
-    if (isConnectionLoss(cause)) recordConnectionLoss(context);
+    if (isConnectionLoss(cause)) recordConnectionLoss(context, true);
     return undefined;
   }
 };
@@ -304,13 +304,13 @@
   } catch (cause) {
     if (!exchange.isFinished) {
       recordFailure(context, `stream was interrupted: ${(cause as Error).message}`, true);
-      if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context);
+      if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context, true);
     }
     return RETRY;
   }
   if (reader.countPending() > 0) {
     recordFailure(context, 'stream ended in the middle of an event', true);
-    if (!hasSurvived) recordConnectionLoss(context);
+    if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
   }
   recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
@@ -422,6 +422,6 @@
   const { mayHaveRun, isConnectionLost, reason } = head.swap().unsafeCoerce();
   if (mayHaveRun) exchange.attempts += 1;
   recordFailure(context, reason, mayHaveRun);
-  if (isConnectionLost) recordConnectionLoss(context);
+  if (isConnectionLost) recordConnectionLoss(context, false);
   return RETRY;
 };
--- a/src/node/routingControl/__tests__/suspectDirectory.test.ts
+++ b/src/node/routingControl/__tests__/suspectDirectory.test.ts
@@ -5,7 +5,9 @@
   service: 's',
   block,
   depth: 1,
-  losses: [{ incarnation: 'e1', startedAgeMs: 300, lostAgeMs: 100, companions: [] }],
+  losses: [
+    { incarnation: 'e1', startedAgeMs: 300, lostAgeMs: 100, isAnswering: true, companions: [] },
+  ],
   ...fields,
 });
 
--- a/src/node/routingControl/suspectDirectory.ts
+++ b/src/node/routingControl/suspectDirectory.ts
@@ -20,6 +20,7 @@
         incarnation: z.string(),
         startedAgeMs: z.number(),
         lostAgeMs: z.number(),
+        isAnswering: z.boolean(),
         companions: z.array(z.string()).max(50).readonly(),
       }),
     )
@@ -105,8 +106,9 @@
     service,
     block,
     depth,
-    losses: losses.map(({ incarnation, startedAt, lostAt, companions }) => ({
+    losses: losses.map(({ incarnation, startedAt, lostAt, isAnswering, companions }) => ({
       incarnation,
+      isAnswering,
       companions,
       startedAgeMs: now - startedAt,
       lostAgeMs: now - lostAt,
@@ -125,8 +127,9 @@
     depth,
     // Blocks of single requests are not shared.
     isOwn: false,
-    losses: losses.map(({ incarnation, startedAgeMs, lostAgeMs, companions }) => ({
+    losses: losses.map(({ incarnation, startedAgeMs, lostAgeMs, isAnswering, companions }) => ({
       incarnation,
+      isAnswering,
       companions,
       startedAt: now - startedAgeMs,
       lostAt: now - lostAgeMs,
