Take a close-delimited response as complete if its endpoint goes on

A safe request whose endpoint answered without a length or chunks was run a second time at another endpoint, and the first endpoint and its version were charged with a failure, though such a response is complete unless it is reset. An endpoint that always answers so would be ejected, and a version of it rolled back.

What remains to be told apart is an endpoint that crashes: its system closes the connection in the same way. The gateway now tries to connect once the body has ended; only if the endpoint accepts no connection is the response charged and asked for again, where that is allowed. Streams that end so after an event are checked likewise and resumed.

Streams are relayed in chunks whatever the framing of the endpoint. Without chunks a stream that was broken off had to be reset, which discarded events that had been sent, and the loss of the gateway looked like its end.

Ruled out as well: the end of a stream inside an event, which was handled before; it has tests now, with a plain close, a last chunk, a reset, and without an endpoint to resume.

--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -17,6 +17,7 @@
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
 import { createCallerServer } from '../callerServer';
 import { startEndpointAttempt } from '../endpointAttempt';
+import { canConnect } from '../endpointConnection';
 import { createEndpointChooser } from '../endpointChoice';
 import { createEndpointLoads } from '../endpointLoads';
 import { createExchangeRunner } from '../exchange';
@@ -31,7 +32,7 @@
 /**
  * Responds to the request of one connection by writing directly to the socket of a test endpoint.
  */
-export type SocketAnswer = (socket: Socket, head: string) => void;
+export type SocketAnswer = (socket: Socket, head: string, stopListening: () => void) => void;
 
 /** The response that a test caller received. */
 export interface CallerResult {
@@ -139,7 +140,7 @@
     socket.once('data', (data) => {
       const head = data.toString('latin1');
       heads.push(head);
-      answer(socket, head);
+      answer(socket, head, () => server.close());
     });
   });
   const port = await startListening(server);
@@ -248,6 +249,7 @@
     readSnapshot: () => snapshot,
     findBudget: () => budget,
     startAttempt: (target) => startEndpointAttempt(target, headerCodec.decodeResponse),
+    canConnect: ({ address }) => canConnect(address, 400),
     readNow,
   });
   const server = createCallerServer({
--- /dev/null
+++ b/src/node/gateway/__tests__/streams.test.ts
@@ -0,0 +1,207 @@
+import test from 'ava';
+import { startGateway, type RouteFields, type SocketAnswer } from './harness';
+import {
+  close,
+  closeByReset,
+  createAnswer,
+  createLastAnswer,
+  ECHO,
+  LONG_DEADLINE,
+  LONG_ROUTE_TIMEOUT,
+} from './socketAnswers';
+
+const SSE = `HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+const formatChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+const formatEvents = (from: number, to: number): string =>
+  Array.from({ length: to - from + 1 }, (_item, index) => `id: ${from + index}\ndata: x\n\n`)
+    .map(formatChunk)
+    .join('');
+
+const END = '0\r\n\r\n';
+const STREAM: RouteFields = { kind: 'stream', canResume: true };
+
+interface StreamCase {
+  readonly name: string;
+  readonly route: RouteFields;
+  readonly answers: readonly SocketAnswer[];
+  readonly ids: readonly number[];
+  readonly isComplete: boolean;
+  /** Id of the last event sent to the second endpoint, which resumes the stream after it. */
+  readonly resumedAfter?: string;
+}
+
+const completeStream = createAnswer(`${SSE}${formatEvents(1, 4)}${END}`);
+const resumedStream = createAnswer(`${SSE}${formatEvents(3, 4)}${END}`);
+const interruptedStream = createAnswer(`${SSE}${formatEvents(1, 2)}`, closeByReset);
+const partialEventStream = createAnswer(
+  `${SSE}${formatEvents(1, 2)}${formatChunk('id: 3\nda')}`,
+  closeByReset,
+);
+const SSE_UNTIL_CLOSE = `HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n`;
+
+const formatPlainEvents = (from: number, to: number): string =>
+  Array.from({ length: to - from + 1 }, (_item, index) => `id: ${from + index}\ndata: x\n\n`).join(
+    '',
+  );
+
+const closedStream = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 4)}`, close);
+const closedResumedStream = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(3, 4)}`, close);
+const closedInsideEvent = createAnswer(
+  `${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 2)}id: 3\nda`,
+  close,
+);
+const closedInsideFirstEvent = createAnswer(`${SSE_UNTIL_CLOSE}id: 1\nda`, close);
+const endedInsideEvent = createAnswer(
+  `${SSE}${formatEvents(1, 2)}${formatChunk('id: 3\nda')}${END}`,
+);
+const resetUnframedStream = createAnswer(
+  `${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 2)}`,
+  closeByReset,
+);
+const lostUnframedStream = createLastAnswer(
+  createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 2)}`, close),
+);
+const stalledStream = createAnswer(`${SSE}${formatEvents(1, 2)}`);
+
+const streamCases: readonly StreamCase[] = [
+  {
+    name: 'complete',
+    route: STREAM,
+    answers: [completeStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+  },
+  {
+    name: 'interrupted and resumed',
+    route: STREAM,
+    answers: [interruptedStream, resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'interrupted in the middle of an event and resumed',
+    route: STREAM,
+    answers: [partialEventStream, resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'without a length or chunks, complete',
+    route: STREAM,
+    answers: [closedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+  },
+  {
+    name: 'without a length or chunks, on a route that does not allow resuming',
+    route: { ...STREAM, canResume: false },
+    answers: [closedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+  },
+  {
+    name: 'closed in the middle of an event and resumed',
+    route: STREAM,
+    answers: [closedInsideEvent, resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'closed in the middle of an event and resumed by one without a length or chunks',
+    route: STREAM,
+    answers: [closedInsideEvent, closedResumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'closed in the middle of its first event and sent again',
+    route: STREAM,
+    answers: [closedInsideFirstEvent, completeStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+  },
+  {
+    name: 'closed in the middle of an event, with no endpoint left',
+    route: STREAM,
+    answers: [closedInsideEvent],
+    ids: [1, 2],
+    isComplete: false,
+  },
+  {
+    name: 'closed in the middle of an event, on a route that does not allow resuming',
+    route: { ...STREAM, canResume: false },
+    answers: [closedInsideEvent, resumedStream],
+    ids: [1, 2],
+    isComplete: false,
+  },
+  {
+    name: 'ended by its last chunk in the middle of an event and resumed',
+    route: STREAM,
+    answers: [endedInsideEvent, resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'without a length or chunks, reset after an event and resumed',
+    route: STREAM,
+    answers: [resetUnframedStream, resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'without a length or chunks, closed after an event by a lost endpoint and resumed',
+    route: STREAM,
+    answers: [lostUnframedStream, resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'without a length or chunks, closed after an event by the only endpoint, which is lost',
+    route: STREAM,
+    answers: [lostUnframedStream],
+    ids: [1, 2],
+    isComplete: false,
+  },
+  {
+    name: 'stalled and resumed',
+    route: { ...STREAM, ...LONG_ROUTE_TIMEOUT, gapTargetMs: 500 },
+    answers: [stalledStream, resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'interrupted on a route that does not allow resuming',
+    route: { ...STREAM, canResume: false },
+    answers: [interruptedStream, resumedStream],
+    ids: [1, 2],
+    isComplete: false,
+  },
+];
+
+for (const { name, route, answers, ids, isComplete, resumedAfter } of streamCases) {
+  test(`stream through a gateway: ${name}`, async (t) => {
+    const gateway = await startGateway(route, answers);
+    const result = await gateway.call({ method: 'POST', body: '{}', ...LONG_DEADLINE });
+    t.is(result.status, 200);
+    t.deepEqual(
+      [...result.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1])),
+      ids,
+    );
+    t.is(result.isComplete, isComplete);
+    // Without chunks, the end of a stream that was broken off would look complete.
+    t.is(result.headers['transfer-encoding'], 'chunked');
+    const second = gateway.heads[1]?.[0];
+    t.is(/^Last-Event-Id: (.*)\r$/m.exec(second ?? '')?.[1], resumedAfter);
+    await gateway.stop();
+  });
+}
--- a/src/node/gateway/callerReply.ts
+++ b/src/node/gateway/callerReply.ts
@@ -6,8 +6,9 @@
   readonly status: number;
   readonly headers: RawHeaders;
   /**
-   * Whether the endpoint's body was close-delimited, so that it may be truncated. The response to
-   * the caller is then close-delimited too, because a length would state that the body is complete.
+   * Whether the body is close-delimited. Only for a whole body whose endpoint may have been lost: a
+   * length would state that it is complete. A body in chunks must not be, because it would look
+   * complete after an abort.
    */
   readonly isCloseDelimited?: boolean;
 }
@@ -39,8 +40,6 @@
   isClosing: () => boolean,
 ): CallerReply => {
   let isDisconnected = false;
-  /** Whether a normal close of the connection would look like the end of the body. */
-  let hasCloseDelimitedBody = false;
   const listeners: (() => void)[] = [];
   response.once('close', () => {
     if (response.writableFinished) return;
@@ -54,10 +53,7 @@
   const writeHead = ({ status, headers, isCloseDelimited }: ReplyHead): void => {
     const connectionHeaders = isClosing() || isCloseDelimited ? ['Connection', 'close'] : [];
     response.sendDate = false;
-    if (isCloseDelimited) {
-      response.useChunkedEncodingByDefault = false;
-      hasCloseDelimitedBody = true;
-    }
+    if (isCloseDelimited) response.useChunkedEncodingByDefault = false;
     response.writeHead(status, [...headers, ...connectionHeaders]);
   };
 
@@ -95,9 +91,6 @@
       if (!isDisconnected) response.end();
     },
     abort: () => {
-      // Only a close-delimited body needs a reset, because a reset may discard data that was
-      // already sent.
-      if (hasCloseDelimitedBody) response.socket?.resetAndDestroy();
       response.destroy();
     },
     isStarted: () => response.headersSent,
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '../log';
+import type { EndpointReport } from '../registry';
 import type { RouteTable, RoutedOrganisation, Route } from '../routing';
 import type { WindowBudget } from '../decisions';
 import type { CallerReply, ReplyHead } from './callerReply';
@@ -52,6 +53,8 @@
   readonly readSnapshot: () => RoutingSnapshot | undefined;
   readonly findBudget: (service: string) => WindowBudget;
   readonly startAttempt: (target: AttemptTarget) => EndpointAttempt;
+  /** Checks whether an endpoint accepts connections. */
+  readonly canConnect: (endpoint: EndpointReport) => Promise<boolean>;
   /** Returns the monotonic time in milliseconds. */
   readonly readNow: () => number;
 }
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -11,7 +11,8 @@
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
 import { startEndpointAttempt } from './endpointAttempt';
-import { createExchangeRunner, type ExchangeRunner } from './exchange';
+import { canConnect } from './endpointConnection';
+import { CONNECT_TIMEOUT_MS, createExchangeRunner, type ExchangeRunner } from './exchange';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { createLeaseClock } from './leaseClock';
 import { createLoadTopic } from './loadTopic';
@@ -273,6 +274,7 @@
       readSnapshot: find<RoutingView>('routing-view').read,
       findBudget: createBudgetFinder(settings),
       startAttempt: (target) => startEndpointAttempt(target, codec.decodeResponse),
+      canConnect: ({ address }) => canConnect(address, CONNECT_TIMEOUT_MS),
       readNow,
     });
     return { value };
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -169,6 +169,21 @@
 const waitFor = <T>(promise: Promise<T>, timeoutMs: number) =>
   waitWithTimeout(promise, Math.min(MAX_TIMER_MS, timeoutMs));
 
+// A close-delimited body that ended without a reset is complete, unless the endpoint was lost.
+const isTruncatedByLoss = async (
+  context: AttemptContext,
+  { isCloseDelimited }: ResponseHead,
+): Promise<boolean> => {
+  if (!isCloseDelimited) return false;
+  const { deps, exchange, endpoint } = context;
+  const isAccepting = await deps.canConnect(endpoint);
+  deps.log.info(
+    { request: exchange.request.caller.requestId, endpoint: endpoint.id, isAccepting },
+    'close-delimited response ended',
+  );
+  return !isAccepting;
+};
+
 const readFullBody = async (context: AttemptContext): Promise<Buffer | undefined> => {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -236,11 +251,14 @@
   const body = await readFullBody(context);
   if (body === undefined || exchange.isFinished) return RETRY;
   const replyHead = createReplyHead(head);
-  if (replyHead.isCloseDelimited && !exchange.unverified && canRetry(context)) {
-    exchange.unverified = { head: replyHead, body };
-    recordFailure(context, 'close-delimited response may be truncated', true);
+  const isBodiless = BODILESS_STATUSES.has(head.status);
+  if (!isBodiless && canRetry(context) && (await isTruncatedByLoss(context, head))) {
+    if (exchange.isFinished) return RETRY;
+    exchange.unverified ??= { head: replyHead, body };
+    recordFailure(context, 'the endpoint was lost at the end of a close-delimited response', true);
     return RETRY;
   }
+  if (exchange.isFinished) return RETRY;
   if (head.status >= 500) {
     recordFailure(context, `endpoint responded with status ${head.status}`, true);
     const hasBudget = context.budget.canAcquire(deps.readNow(), context.snapshot.gatewayCount);
@@ -262,6 +280,8 @@
   const { reply } = exchange;
   const reader = createEventReader();
   const chunks = attempt.readBody()[Symbol.asyncIterator]();
+  // The end of a close-delimited stream would look complete if this gateway failed before it.
+  const replyHead = { ...createReplyHead(head), isCloseDelimited: false };
   let firstAt: number | undefined;
   let hasSurvived = false;
   let waitStartedAt = startedAt;
@@ -284,7 +304,7 @@
       if (events.length === 0) continue;
       if (!reply.isStarted()) {
         recordFirstByte(context);
-        reply.start(createReplyHead(head));
+        reply.start(replyHead);
       }
       if (firstAt === undefined) {
         firstAt = deps.readNow();
@@ -313,9 +333,16 @@
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
   }
+  if (await isTruncatedByLoss(context, head)) {
+    if (exchange.isFinished) return RETRY;
+    recordFailure(context, 'the endpoint was lost at the end of a close-delimited stream', true);
+    if (!hasSurvived) recordConnectionLoss(context, true);
+    return RETRY;
+  }
+  if (exchange.isFinished) return RETRY;
   recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
   if (!hasSurvived) recordSurvival(context);
-  if (!reply.isStarted()) reply.start(createReplyHead(head));
+  if (!reply.isStarted()) reply.start(replyHead);
   reply.end();
   return { type: 'done', status: head.status };
 };
