Bound what a gateway receives about suspect prompt blocks

An answer had up to 500 records. With 29 gateways that report two changed blocks per call, out of 2,000 blocks, each gateway received 129 KB/s (bench/exchange.ts, at a load average of 8), more than control may cost a host. An answer now has at most 40 quarantined and 40 other records; the rest follows with the next calls, and quarantined blocks do not wait for others.

--- a/src/node/routingControl/suspectDirectory.ts
+++ b/src/node/routingControl/suspectDirectory.ts
@@ -85,8 +85,11 @@
 
 /** With more suspect blocks than this, the ones that changed least recently are dropped. */
 const MAX_SUSPECTS = 2_000;
-/** Maximum number of records in one answer; the rest follows with the next call. */
-const MAX_ANSWER = 500;
+/**
+ * Maximum number of records of each kind in one answer, about 15 KB; the rest follows with the next
+ * calls. In an outage with many suspect blocks, the quarantined ones must not wait for the others.
+ */
+const MAX_ANSWER = 40;
 
 interface Row {
   readonly suspect: SuspectBlock;
@@ -177,10 +180,20 @@
       expire(now);
       suspects.forEach((report) => mergeReport(report, now));
       const since = cursor?.directory === directoryId ? cursor.revision : 0;
-      const changed = [...rows.values()].filter((row) => row.revision > since).slice(0, MAX_ANSWER);
+      const changed = [...rows.values()].filter((row) => row.revision > since);
+      const isQuarantined = ({ suspect }: Row): boolean => suspect.quarantine !== undefined;
+      const pages = [
+        changed.filter(isQuarantined).slice(0, MAX_ANSWER),
+        changed.filter((row) => !isQuarantined(row)).slice(0, MAX_ANSWER),
+      ];
+      const sent = pages.flat();
+      // The rest of a full page comes after its last record.
+      const ends = pages
+        .filter(({ length }) => length === MAX_ANSWER)
+        .map((page) => page.at(-1)!.revision);
       return {
-        suspects: changed.map(({ suspect }) => encodeSuspect(suspect, now)),
-        cursor: { directory: directoryId, revision: changed.at(-1)?.revision ?? revision },
+        suspects: sent.map(({ suspect }) => encodeSuspect(suspect, now)),
+        cursor: { directory: directoryId, revision: Math.min(revision, ...ends) },
       };
     },
     claimProbe: ({ service, block, level }, now) => {
