Log the request limits that endpoints name

A response may name the requests per second that its endpoint takes from all gateways together. The gateway now decodes it and logs when an endpoint names, changes or ends its limit. No logic is changed.

--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -11,6 +11,7 @@
   isNotRun: false,
   retryAfterMs: undefined,
   confidence: undefined,
+  requestsPerSecond: undefined,
   isEventStream: false,
   isCloseDelimited: false,
   isEncoded: false,
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -19,6 +19,7 @@
 import { startEndpointAttempt } from '../endpointAttempt';
 import { canConnect } from '../endpointConnection';
 import { createEndpointChooser } from '../endpointChoice';
+import { createEndpointLimits } from '../endpointLimits';
 import { createEndpointLoads } from '../endpointLoads';
 import { createExchangeRunner } from '../exchange';
 import { createGatewayMetrics } from '../gatewayMetrics';
@@ -243,6 +244,7 @@
     sessionExchange: { bindUnknown: async () => {} },
     quarantine,
     promptGuard,
+    limits: createEndpointLimits(log),
     tallies: createVersionTallies(),
     metrics,
     log,
--- a/src/node/gateway/__tests__/relayResponse.test.ts
+++ b/src/node/gateway/__tests__/relayResponse.test.ts
@@ -40,6 +40,7 @@
     isNotRun: false,
     retryAfterMs: undefined,
     confidence: undefined,
+    requestsPerSecond: undefined,
     isEventStream: true,
     isCloseDelimited: false,
     isEncoded: false,
@@ -53,6 +54,7 @@
   return {
     deps: {
       loads: createEndpointLoads(),
+      limits: { record: () => {} },
       quarantine: { recordAnswer: () => {}, recordLoss: () => {} },
       tallies: createVersionTallies(),
       metrics: createGatewayMetrics(new Registry()),
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -4,6 +4,7 @@
 import type { WindowBudget } from '../decisions';
 import type { CallerReply, ReplyHead } from './callerReply';
 import type { EndpointChooser } from './endpointChoice';
+import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { PromptGuard } from './promptGuard';
@@ -46,6 +47,7 @@
   readonly sessionExchange: Pick<SessionExchange, 'bindUnknown'>;
   readonly quarantine: Pick<PromptQuarantine, 'recordAnswer' | 'recordLoss'>;
   readonly promptGuard: PromptGuard;
+  readonly limits: EndpointLimits;
   readonly tallies: VersionTallies;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -9,6 +9,7 @@
 import { createCallerServer, updateTimeouts } from './callerServer';
 import { createEndpointChooser } from './endpointChoice';
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
+import { createEndpointLimits, type EndpointLimits } from './endpointLimits';
 import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
 import { startEndpointAttempt } from './endpointAttempt';
 import { canConnect } from './endpointConnection';
@@ -179,6 +180,14 @@
   },
 ];
 
+const createLimitsService = (): Service => ({
+  name: 'limits',
+  dependencies: ['log'],
+  start: (find) => ({
+    value: createEndpointLimits(createPartLogger(find<Logger>('log'), 'gateway')),
+  }),
+});
+
 const createExchangeService = ({ node }: GatewaySettings): Service => ({
   name: 'peer-exchange',
   dependencies: [
@@ -244,6 +253,7 @@
     'session-exchange',
     'quarantine',
     'prompt-guard',
+    'limits',
     'tallies',
     'gateway-metrics',
     'log',
@@ -268,6 +278,7 @@
       }),
       quarantine: find<PromptQuarantine>('quarantine'),
       promptGuard: find<PromptGuard>('prompt-guard'),
+      limits: find<EndpointLimits>('limits'),
       tallies: find<VersionTallies>('tallies'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
       log: createPartLogger(find<Logger>('log'), 'gateway'),
@@ -372,6 +383,7 @@
   ...createViewServices(settings),
   ...createSessionServices(settings),
   ...createQuarantineServices(),
+  createLimitsService(),
   createExchangeService(settings),
   createRunnerService(settings, codec),
   createServersService(settings, codec),
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -398,7 +398,13 @@
 const handleHead = async (context: AttemptContext, head: ResponseHead): Promise<AttemptResult> => {
   const { exchange, deps, endpoint } = context;
   const { requestId } = exchange.request.caller;
+  const { requestsPerSecond } = head;
+  const { startedAt } = context;
   exchange.attempts += 1;
+  deps.limits.record(
+    { endpoint, request: requestId, requestsPerSecond, startedAt },
+    deps.readNow(),
+  );
   if (head.isNotRun) {
     recordDeclined(context, head);
     return RETRY;
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -54,6 +54,8 @@
   readonly retryAfterMs: number | undefined;
   /** The model's confidence in its answer, 0 to 100. */
   readonly confidence: number | undefined;
+  /** Requests per second that the endpoint takes from all gateways together; undefined if unlimited. */
+  readonly requestsPerSecond: number | undefined;
   readonly isEventStream: boolean;
   /** Whether the body is delimited only by the close of the connection. */
   readonly isCloseDelimited: boolean;
