Keep the request limits that endpoints name

Gateways placed requests by load, health and caches only.

Each gateway now sends to a limited endpoint only with a token. The leading control host grants tokens at the rate of the limit to gateways that have requests for the service, in a topic of the exchange; tokens are void after 1.5 s and at most two are kept. Why it works: in 4 s an endpoint gets at most what the limit allows in 5.5 s, plus two, whatever the number of gateways and their parts of the traffic; one and a half times the limit plus five is allowed. A new leader starts with a debt for tokens that may be held.

Ruled out: an equal part of the limit for each gateway, which needs room for one request at each of them: 41 requests in 4 s at 29 gateways and a limit of 3, where 23 are allowed (reckoned).

--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -103,6 +103,7 @@
     zone,
     sessionMs: 5_000,
     exposureShare: 0.1,
+    limits: { canSend: () => true },
     loads,
     cacheEstimates,
     sessions: createSessionVersions(5_000),
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -25,3 +25,4 @@
 export * from './placeEngineRequest';
 export * from './prefillRates';
 export * from './blockSuspicion';
+export * from './requestTokens';
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -71,6 +71,7 @@
   const reports = versions.map((version) => createReport(`e-${version}`, version));
   const known: readonly KnownEndpoint[] = reports.map((report) => ({ report, isReady: true }));
   const chooser = createEndpointChooser({
+    limits: { canSend: () => true },
     zone: 'a',
     sessionMs: SESSION_MS,
     exposureShare: 0.15,
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -194,10 +194,16 @@
   const readNow = (): number => performance.now();
   const loads = createEndpointLoads();
   const sessions = createSessionVersions(5_000);
+  const limits = createEndpointLimits({
+    log,
+    countEndpoints: () => reports.length,
+    countGateways: () => 1,
+  });
   const chooser = createEndpointChooser({
     zone: 'a',
     sessionMs: 5_000,
     exposureShare: 0.1,
+    limits,
     loads,
     sessions,
     cacheEstimates: createPrefixCacheEstimates(() => undefined),
@@ -244,7 +250,7 @@
     sessionExchange: { bindUnknown: async () => {} },
     quarantine,
     promptGuard,
-    limits: createEndpointLimits(log),
+    limits,
     tallies: createVersionTallies(),
     metrics,
     log,
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -12,6 +12,7 @@
 import type { EndpointReport } from '../registry';
 import type { EngineProfile, RolloutStage, Route } from '../routing';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
+import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
 import type { RegistryView } from './registryView';
 import { formatRolloutKey, type RoutingSnapshot } from './routingView';
@@ -75,6 +76,7 @@
   readonly registry: RegistryView;
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
+  readonly limits: Pick<EndpointLimits, 'canSend'>;
   readonly cacheEstimates: PrefixCacheEstimates;
 }
 
@@ -163,6 +165,15 @@
   readonly versionBasis: VersionBasis;
 }
 
+/** Retry time of a request that no endpoint has a token for; the next ones may have come by then. */
+const LIMIT_RETRY_MS = 500;
+
+const LIMITS_REACHED: RefusedPlacement = {
+  type: 'refused',
+  reason: 'all endpoints have reached their request limits',
+  retryAfterMs: LIMIT_RETRY_MS,
+};
+
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
   const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
@@ -255,7 +266,10 @@
     choose: (snapshot, request, now) => {
       const { route, caller } = request;
       const service = chooseService(route, caller);
-      const { reports, versionBasis } = listByVersion(snapshot, request, service, now);
+      const { reports: allowed, versionBasis } = listByVersion(snapshot, request, service, now);
+      // A limit must not move a session to another version, so it counts only among these.
+      const reports = allowed.filter((report) => options.limits.canSend(report, now));
+      if (allowed.length > 0 && reports.length === 0) return LIMITS_REACHED;
       const ids = reports.map(({ id }) => id);
       const ejected = loads.listEjected(ids, now);
       const isEngine =
--- a/src/node/gateway/endpointLimits.ts
+++ b/src/node/gateway/endpointLimits.ts
@@ -1,12 +1,13 @@
+import {
+  computeGrant,
+  computeRefill,
+  computeWantedTokens,
+  TOKEN_LIFETIME_MS,
+  type TokenBucket,
+} from '../decisions';
 import type { Logger } from '../log';
 import type { EndpointReport } from '../registry';
-
-/** A limit on the requests of all gateways that an endpoint has named. */
-export interface EndpointLimit {
-  readonly requestsPerSecond: number;
-  /** Monotonic time in milliseconds of the latest response that named it. */
-  readonly namedAt: number;
-}
+import { LIMIT_MEMORY_MS, type LimitReport, type SharedLimit } from '../routingControl';
 
 /** A response of an endpoint, as far as it concerns its limit. */
 export interface LimitObservation {
@@ -18,37 +19,173 @@
   readonly startedAt: number;
 }
 
-/** Remembers the limits that endpoints name in their responses. */
+/**
+ * Holds the limits on the requests of all gateways that endpoints name in their responses, and the
+ * tokens for requests that this gateway may send to them.
+ */
 export interface EndpointLimits {
   /** Records the head of a response. `now` is monotonic time in milliseconds. */
   readonly record: (observation: LimitObservation, now: number) => void;
+  /** Records that a request needs an endpoint of a service. */
+  readonly recordDemand: (service: string, now: number) => void;
+  /** Whether a request may be sent to an endpoint now. */
+  readonly canSend: (endpoint: EndpointReport, now: number) => boolean;
+  /** Uses up the token for a request that is sent. */
+  readonly recordSent: (endpoint: EndpointReport, now: number) => void;
+  /** Lists what the other gateways may not know, and the tokens that are wanted. */
+  readonly listReports: (now: number) => readonly LimitReport[];
+  /** Applies the limits and tokens that the control host returned. */
+  readonly applyShared: (limits: readonly SharedLimit[], now: number) => void;
+  /** Reports all limits again, for a control host that may not know them. */
+  readonly resendAll: () => void;
+  /** Removes old records. */
+  readonly expire: (now: number) => void;
+}
+
+/** Options of the limits. */
+export interface EndpointLimitsOptions {
+  readonly log: Logger;
+  readonly countEndpoints: (service: string) => number;
+  /** Returns the number of gateways that share the endpoints, including this one. */
+  readonly countGateways: () => number;
 }
 
+interface LimitRow {
+  readonly endpoint: string;
+  readonly requestsPerSecond: number | undefined;
+  /** Monotonic time in milliseconds of the latest response that named or ended the limit. */
+  readonly at: number;
+  /** Service of the endpoint; undefined until this gateway uses it. */
+  readonly service: string | undefined;
+  /** Times at which the tokens that are held become void, in order. */
+  readonly tokens: readonly number[];
+  /** What this gateway sends by itself while no control host grants tokens. */
+  readonly ownBucket: TokenBucket;
+  /** Whether the control host may not have the latest limit. */
+  readonly isNews: boolean;
+}
+
+/** Requests of this time show what a gateway needs, in milliseconds. */
+const DEMAND_WINDOW_MS = 1_000;
+/** Without an answer for this time no tokens can be expected, in milliseconds. */
+const CONTROL_LOST_MS = 2_000;
+/** Bounds the times that are kept for each service. */
+const MAX_DEMAND = 1_000;
+
 /** Formats the key of an endpoint's incarnation, for which a limit holds. */
 export const formatIncarnation = ({
   id,
   startedAt,
 }: Pick<EndpointReport, 'id' | 'startedAt'>): string => `${id}|${startedAt}`;
 
+const listValid = (tokens: readonly number[], now: number): readonly number[] =>
+  tokens.filter((endsAt) => endsAt > now);
+
 /** Creates an empty table. */
-export const createEndpointLimits = (log: Logger): EndpointLimits => {
-  const limits = new Map<string, EndpointLimit>();
+export const createEndpointLimits = (options: EndpointLimitsOptions): EndpointLimits => {
+  const { log, countEndpoints, countGateways } = options;
+  const rows = new Map<string, LimitRow>();
+  const demand = new Map<string, number[]>();
+  let answeredAt = -Infinity;
+
+  const countDemand = (service: string, now: number): number =>
+    (demand.get(service) ?? []).filter((at) => now - at <= DEMAND_WINDOW_MS).length;
+
+  const computeOwnShare = (requestsPerSecond: number): number =>
+    requestsPerSecond / Math.max(1, countGateways());
+
+  const readOwnBucket = ({ ownBucket, requestsPerSecond = 0 }: LimitRow, now: number) =>
+    computeRefill(ownBucket, computeOwnShare(requestsPerSecond), now);
+
+  const hasControl = (now: number): boolean => now - answeredAt <= CONTROL_LOST_MS;
+
+  const updateLimit = (
+    endpoint: string,
+    next: Pick<LimitRow, 'requestsPerSecond' | 'at' | 'service' | 'isNews'>,
+    facts: Readonly<Record<string, unknown>>,
+  ): void => {
+    const known = rows.get(endpoint);
+    const { requestsPerSecond, at } = next;
+    const { tokens = [], ownBucket = { tokens: 0, at } } = known ?? {};
+    const service = next.service ?? known?.service;
+    rows.set(endpoint, { ...next, service, endpoint, tokens, ownBucket });
+    const before = known?.requestsPerSecond;
+    if (before === requestsPerSecond) return;
+    const message =
+      requestsPerSecond === undefined
+        ? 'endpoint ended its request limit'
+        : 'endpoint named its request limit';
+    log.info({ ...facts, incarnation: endpoint, before, requestsPerSecond }, message);
+  };
+
   return {
     record: ({ endpoint, request, requestsPerSecond, startedAt }, now) => {
       const key = formatIncarnation(endpoint);
-      const known = limits.get(key);
-      const facts = { endpoint: endpoint.id, request, before: known?.requestsPerSecond };
-      if (requestsPerSecond !== undefined) {
-        limits.set(key, { requestsPerSecond, namedAt: now });
-        if (known?.requestsPerSecond !== requestsPerSecond) {
-          log.info({ ...facts, requestsPerSecond }, 'endpoint named its request limit');
+      const known = rows.get(key);
+      const isLimited = known?.requestsPerSecond !== undefined;
+      // A response to an earlier request may arrive after the one that named the limit.
+      if (requestsPerSecond === undefined && (!isLimited || startedAt <= known.at)) return;
+      const { service } = endpoint;
+      updateLimit(key, { requestsPerSecond, at: now, service, isNews: true }, { request });
+    },
+    recordDemand: (service, now) => {
+      const times = demand.get(service) ?? [];
+      demand.set(service, [...times.slice(-MAX_DEMAND), now]);
+    },
+    canSend: (endpoint, now) => {
+      const row = rows.get(formatIncarnation(endpoint));
+      if (row?.requestsPerSecond === undefined) return true;
+      if (listValid(row.tokens, now).length > 0) return true;
+      return !hasControl(now) && computeGrant(readOwnBucket(row, now), 1) > 0;
+    },
+    recordSent: (endpoint, now) => {
+      const key = formatIncarnation(endpoint);
+      const row = rows.get(key);
+      if (row?.requestsPerSecond === undefined) return;
+      const [, ...tokens] = listValid(row.tokens, now);
+      const bucket = readOwnBucket(row, now);
+      const isOwn = listValid(row.tokens, now).length === 0;
+      const ownBucket = isOwn ? { ...bucket, tokens: bucket.tokens - 1 } : row.ownBucket;
+      rows.set(key, { ...row, service: endpoint.service, tokens, ownBucket });
+    },
+    listReports: (now) =>
+      [...rows.values()].flatMap((row) => {
+        const { endpoint, requestsPerSecond, at, service, tokens, isNews } = row;
+        const isUsed = requestsPerSecond !== undefined && service !== undefined;
+        const wanted = isUsed
+          ? computeWantedTokens({
+              requestsPerSecond: countDemand(service, now) / (DEMAND_WINDOW_MS / 1_000),
+              endpoints: countEndpoints(service),
+              held: listValid(tokens, now).length,
+            })
+          : 0;
+        if (!isNews && wanted === 0) return [];
+        rows.set(endpoint, { ...row, isNews: false });
+        return [{ endpoint, requestsPerSecond, ageMs: now - at, wanted }];
+      }),
+    applyShared: (limits, now) => {
+      answeredAt = now;
+      limits.forEach(({ endpoint, requestsPerSecond, ageMs, granted }) => {
+        const known = rows.get(endpoint);
+        const at = now - ageMs;
+        if (!known || at > known.at) {
+          updateLimit(
+            endpoint,
+            { requestsPerSecond, at, service: known?.service, isNews: false },
+            { source: 'another gateway' },
+          );
         }
-        return;
+        const row = rows.get(endpoint)!;
+        const endsAt = now + TOKEN_LIFETIME_MS;
+        const added = Array.from({ length: granted }, () => endsAt);
+        rows.set(endpoint, { ...row, tokens: [...listValid(row.tokens, now), ...added] });
+      });
+    },
+    resendAll: () => rows.forEach((row, key) => rows.set(key, { ...row, isNews: true })),
+    expire: (now) => {
+      for (const [key, { at }] of rows) {
+        if (now - at > LIMIT_MEMORY_MS) rows.delete(key);
       }
-      // A response to an earlier request may arrive later.
-      if (!known || startedAt <= known.namedAt) return;
-      limits.delete(key);
-      log.info(facts, 'endpoint ended its request limit');
     },
   };
 };
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -140,6 +140,7 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
   });
   exchange.currentAttempt = attempt;
+  deps.limits.recordSent(endpoint, now);
   chooser.recordSent(snapshot, { caller, model }, endpoint);
   const endSession = startSession(deps, exchange, endpoint);
   const budget = deps.findBudget(endpoint.service);
@@ -196,6 +197,7 @@
       return;
     }
     exchange.isProbe = verdict.type === 'probe';
+    deps.limits.recordDemand(chooseService(route, request.caller), readNow());
     await bindSession(deps, request, snapshot);
     if (exchange.isFinished) return;
     const model =
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -16,8 +16,9 @@
 import { CONNECT_TIMEOUT_MS, createExchangeRunner, type ExchangeRunner } from './exchange';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { createLeaseClock } from './leaseClock';
+import { createLimitTopic } from './limitTopic';
 import { createLoadTopic } from './loadTopic';
-import { createPeerExchange } from './peerExchange';
+import { createPeerExchange, type PeerExchange } from './peerExchange';
 import { createPromptGuard, type PromptGuard } from './promptGuard';
 import { createPromptQuarantine, type PromptQuarantine } from './promptQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
@@ -182,10 +183,18 @@
 
 const createLimitsService = (): Service => ({
   name: 'limits',
-  dependencies: ['log'],
-  start: (find) => ({
-    value: createEndpointLimits(createPartLogger(find<Logger>('log'), 'gateway')),
-  }),
+  dependencies: ['log', 'routing-view', 'registry-view'],
+  start: (find) => {
+    const registry = find<RegistryView>('registry-view');
+    const view = find<RoutingView>('routing-view');
+    const value = createEndpointLimits({
+      log: createPartLogger(find<Logger>('log'), 'gateway'),
+      countEndpoints: (service) => registry.listEndpoints(service).length,
+      countGateways: () => view.read()?.gatewayCount ?? 1,
+    });
+    const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
+    return { value, stop: () => clearInterval(timer) };
+  },
 });
 
 const createExchangeService = ({ node }: GatewaySettings): Service => ({
@@ -197,7 +206,9 @@
     'loads',
     'beliefs',
     'session-exchange',
+    'suspects',
     'quarantine',
+    'limits',
   ],
   start: (find) => {
     const view = find<RoutingView>('routing-view');
@@ -218,6 +229,11 @@
           log: createPartLogger(find<Logger>('log'), 'gateway'),
           readNow,
         }),
+        createLimitTopic({
+          limits: find<EndpointLimits>('limits'),
+          log: createPartLogger(find<Logger>('log'), 'gateway'),
+          readNow,
+        }),
       ],
       countGateways: () => view.read()?.gatewayCount ?? 1,
       findControlHost: view.findLeader,
@@ -271,6 +287,7 @@
         zone,
         loads,
         sessions,
+        limits: find<EndpointLimits>('limits'),
         cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
@@ -317,15 +334,27 @@
 
 const createServersService = (settings: GatewaySettings, codec: HeaderCodec): Service => ({
   name: 'gateway-servers',
-  dependencies: ['runner', 'routing-view', 'registry-view', 'metrics', 'gateway-metrics', 'log'],
+  dependencies: [
+    'runner',
+    'routing-view',
+    'registry-view',
+    'peer-exchange',
+    'metrics',
+    'gateway-metrics',
+    'log',
+  ],
   start: async (find) => {
     const log = createPartLogger(find<Logger>('log'), 'gateway');
     const view = find<RoutingView>('routing-view');
     const registry = find<RegistryView>('registry-view');
+    const exchange = find<PeerExchange>('peer-exchange');
     const runner = find<ExchangeRunner>('runner');
     const state: GatewayState = { stoppedAt: undefined };
     const isReady = (): boolean =>
-      state.stoppedAt === undefined && view.read() !== undefined && registry.hasAnswer();
+      state.stoppedAt === undefined &&
+      view.read() !== undefined &&
+      registry.hasAnswer() &&
+      exchange.hasEndedCall();
     const callers = createCallerServer({
       codec,
       runner,
--- a/src/node/gateway/peerExchange.ts
+++ b/src/node/gateway/peerExchange.ts
@@ -36,6 +36,8 @@
 
 /** Shares facts with the other gateways, through the leading control host. */
 export interface PeerExchange {
+  /** Whether a first call has ended: this gateway knows what the others know, or cannot learn it. */
+  readonly hasEndedCall: () => boolean;
   readonly start: () => void;
   readonly stop: () => void;
 }
@@ -83,6 +85,7 @@
 /** Creates an exchange of all topics. It sends nothing before `start`. */
 export const createPeerExchange = (options: PeerExchangeOptions): PeerExchange => {
   const { gateway, rpc, log, topics, countGateways, findControlHost } = options;
+  let hasEndedCall = false;
   let isStopped = false;
 
   const callHost = async (): Promise<void> => {
@@ -98,6 +101,7 @@
     const answer = await rpc.call<ExchangeAnswer>(host, 'gateway.exchange', params, {
       timeoutMs: EXCHANGE_TIMEOUT_MS,
     });
+    hasEndedCall = true;
     answer.ifRight((value) =>
       pending.forEach(({ name, applyAnswer, handleFailure }) => {
         const topicAnswer = value[name];
@@ -120,6 +124,7 @@
   };
 
   return {
+    hasEndedCall: () => hasEndedCall,
     start: () => {
       run().catch((cause: unknown) => {
         const error = convertToRouterError(cause, 'gateway.exchange');
--- a/src/node/routingControl/__tests__/gatewayExchange.test.ts
+++ b/src/node/routingControl/__tests__/gatewayExchange.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
   createExchangeHandler,
+  createLimitTable,
   createLoadAggregator,
   createSessionDirectory,
   createSuspectDirectory,
@@ -11,6 +12,7 @@
     loads: createLoadAggregator('loads'),
     sessions: createSessionDirectory('sessions'),
     suspects: createSuspectDirectory('suspects'),
+    limits: createLimitTable('limits'),
   });
 
 const LOADS = { loads: [{ endpoint: 'e', running: 1, readMs: 10 }], reads: [] };
@@ -33,6 +35,7 @@
   { name: 'loads', params: { gateway: 'a', loads: LOADS } },
   { name: 'sessions', params: { gateway: 'a', sessions: SESSIONS } },
   { name: 'suspects', params: { gateway: 'a', suspects: { suspects: [] } } },
+  { name: 'limits', params: { gateway: 'a', limits: { limits: [] } } },
 ] as const;
 
 for (const { name, params } of cases) {
--- a/src/node/routingControl/gatewayExchange.ts
+++ b/src/node/routingControl/gatewayExchange.ts
@@ -5,6 +5,7 @@
   type BindSessionsAnswer,
   type SessionDirectory,
 } from './sessionDirectory';
+import { shareLimitsParams, type LimitTable, type ShareLimitsAnswer } from './limitTable';
 import {
   shareSuspectsParams,
   type ShareSuspectsAnswer,
@@ -20,6 +21,7 @@
   loads: exchangeLoadParams.omit({ gateway: true }).optional(),
   sessions: bindSessionsParams.omit({ gateway: true }).optional(),
   suspects: shareSuspectsParams.optional(),
+  limits: shareLimitsParams.optional(),
 });
 
 /** Parameters of `gateway.exchange`. */
@@ -30,6 +32,7 @@
   readonly loads?: ExchangeLoadAnswer;
   readonly sessions?: BindSessionsAnswer;
   readonly suspects?: ShareSuspectsAnswer;
+  readonly limits?: ShareLimitsAnswer;
 }
 
 /** Name of a topic of the exchange. */
@@ -40,6 +43,7 @@
   readonly loads: LoadAggregator;
   readonly sessions: SessionDirectory;
   readonly suspects: SuspectDirectory;
+  readonly limits: LimitTable;
 }
 
 type TopicHandler<N extends ExchangeTopicName> = (
@@ -55,11 +59,12 @@
 
 /** Creates the handler of `gateway.exchange`. */
 export const createExchangeHandler = (tables: ExchangeTables): ExchangeHandler => {
-  const { loads, sessions, suspects } = tables;
+  const { loads, sessions, suspects, limits } = tables;
   const handlers: TopicHandlers = {
     loads: (report, gateway, now) => loads.exchange({ gateway, ...report }, now),
     sessions: (report, gateway, now) => sessions.bind({ gateway, ...report }, now),
     suspects: (report, _gateway, now) => suspects.share(report, now),
+    limits: (report, _gateway, now) => limits.share(report, now),
   };
   const names = Object.keys(handlers) as readonly ExchangeTopicName[];
   return (params, now) =>
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -10,3 +10,4 @@
 export * from './changeNotifier';
 export * from './gatewayExchange';
 export * from './suspectDirectory';
+export * from './limitTable';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -18,6 +18,7 @@
   type RpcClient,
 } from '../rpc';
 import { createExchangeHandler, exchangeParams } from './gatewayExchange';
+import { createLimitTable } from './limitTable';
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
 import { claimProbeParams, createSuspectDirectory } from './suspectDirectory';
@@ -150,6 +151,7 @@
       loads: loadAggregator,
       sessions: sessionDirectory,
       suspects: suspectDirectory,
+      limits: createLimitTable(),
     });
     const internalServer = createInternalServer({
       methods: {
