--- a/src/node/gateway/__tests__/endpointLimits.test.ts
+++ b/src/node/gateway/__tests__/endpointLimits.test.ts
@@ -5,6 +5,7 @@
 import { createEndpointLimits } from '../endpointLimits';
 import { createLimitTopic } from '../limitTopic';
 import { computeExchangeInterval } from '../peerExchange';
+import { createRandom } from './random';
 
 const STEP_MS = 10;
 const RUN_MS = 20_000;
@@ -27,14 +28,6 @@
   models: [],
 };
 
-const createRandom = (seed: number): (() => number) => {
-  let state = seed;
-  return () => {
-    state = (state * 16_807) % 2_147_483_647;
-    return state / 2_147_483_647;
-  };
-};
-
 interface Load {
   readonly gateways: number;
   readonly limit: number;
--- a/src/node/gateway/__tests__/quarantineWorld.ts
+++ b/src/node/gateway/__tests__/quarantineWorld.ts
@@ -8,6 +8,7 @@
 import { createPromptQuarantine, type ServicePrompt } from '../promptQuarantine';
 import { createSuspectTable } from '../suspectTable';
 import { createSuspectTopic } from '../suspectTopic';
+import { createRandom } from './random';
 
 /** What a replayed load is made of; times in milliseconds. */
 export interface QuarantineLoad {
@@ -45,14 +46,6 @@
 const STEP_MS = 10;
 const ATTEMPT_LIMIT = 3;
 
-const createRandom = (seed: number): (() => number) => {
-  let state = seed;
-  return () => {
-    state = (state * 16_807) % 2_147_483_647;
-    return state / 2_147_483_647;
-  };
-};
-
 interface Running {
   readonly gateway: number;
   readonly prompt: ServicePrompt;
--- a/src/node/gateway/endpointLimits.ts
+++ b/src/node/gateway/endpointLimits.ts
@@ -6,7 +6,7 @@
   type TokenBucket,
 } from '../decisions';
 import type { Logger } from '../log';
-import type { EndpointReport } from '../registry';
+import { formatIncarnation, type EndpointReport } from '../registry';
 import { LIMIT_MEMORY_MS, type LimitReport, type SharedLimit } from '../routingControl';
 
 /** A response of an endpoint, as far as it concerns its limit. */
@@ -72,12 +72,6 @@
 /** Bounds the times that are kept for each service. */
 const MAX_DEMAND = 1_000;
 
-/** Formats the key of an endpoint's incarnation, for which a limit holds. */
-export const formatIncarnation = ({
-  id,
-  startedAt,
-}: Pick<EndpointReport, 'id' | 'startedAt'>): string => `${id}|${startedAt}`;
-
 const listValid = (tokens: readonly number[], now: number): readonly number[] =>
   tokens.filter((endsAt) => endsAt > now);
 
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -3,6 +3,7 @@
 import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
 import {
+  formatIncarnation,
   mergeRecords,
   type EndpointRecord,
   type EndpointReport,
@@ -55,9 +56,6 @@
 /** How often the list of control hosts is checked for changes. */
 const HOST_LIST_INTERVAL_MS = 250;
 
-const formatIncarnation = ({ report }: EndpointRecord): string =>
-  `${report.id}|${report.startedAt}`;
-
 const computeGroups = (
   endpoints: readonly KnownEndpoint[],
 ): ReadonlyMap<string, readonly KnownEndpoint[]> => {
@@ -125,7 +123,10 @@
     for (const record of answer.records) {
       state.records.set(record.report.id, record);
       if (record.state === 'gone' || record.state === 'draining') {
-        endedIncarnations.set(formatIncarnation(record), { record, seenAt: performance.now() });
+        endedIncarnations.set(formatIncarnation(record.report), {
+          record,
+          seenAt: performance.now(),
+        });
       }
     }
     if (answer.isWhole || answer.records.length > 0) mergeAll();
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,5 +1,5 @@
 import { chooseSecondModel, type WindowBudget } from '../decisions';
-import type { EndpointReport } from '../registry';
+import { formatIncarnation, type EndpointReport } from '../registry';
 import { isRetryableRoute } from '../routing';
 import { BODILESS_STATUSES, type ReplyHead } from './callerReply';
 import { createModelInput } from './choiceRequest';
@@ -109,7 +109,7 @@
 
 const recordConnectionLoss = (context: AttemptContext, isAnswering: boolean): void => {
   const { deps, exchange, endpoint, startedAt } = context;
-  const incarnation = `${endpoint.id}|${endpoint.startedAt}`;
+  const incarnation = formatIncarnation(endpoint);
   const loss = { incarnation, startedAt, lostAt: deps.readNow(), isAnswering };
   deps.quarantine.recordLoss(createPrompt(context), exchange.request.caller.requestId, loss);
 };
--- a/src/node/registry/index.ts
+++ b/src/node/registry/index.ts
@@ -1,3 +1,4 @@
 export * from './types';
+export * from './incarnation';
 export * from './registry';
 export * from './mergeRecords';
