--- a/src/node/gateway/endpointLimits.ts
+++ b/src/node/gateway/endpointLimits.ts
@@ -127,6 +127,8 @@
       demand.set(service, [...times.slice(-MAX_DEMAND), now]);
     },
     canSend: (endpoint, now) => {
+      // Asked for every endpoint of every choice.
+      if (rows.size === 0) return true;
       const row = rows.get(formatIncarnation(endpoint));
       if (row?.requestsPerSecond === undefined) return true;
       if (listValid(row.tokens, now).length > 0) return true;
