--- /dev/null
+++ b/src/node/gateway/__tests__/promptGuard.test.ts
@@ -0,0 +1,93 @@
+import test from 'ava';
+import pino from 'pino';
+import { Left, Right } from 'purify-ts';
+import { createError } from '../../errors';
+import type { ClaimProbeAnswer } from '../../routingControl';
+import type { RpcClient } from '../../rpc';
+import { createPromptGuard } from '../promptGuard';
+import type { QuarantineHold } from '../promptQuarantine';
+
+const PROMPT = { service: 's', blocks: [{ id: 'b', tokens: 100 }] };
+
+const createHold = (waitMs: number, block = 'b'): QuarantineHold => ({
+  service: 's',
+  block,
+  level: 1,
+  losses: 2,
+  waitMs,
+});
+
+const createCall = (answer: ClaimProbeAnswer): RpcClient['call'] =>
+  (async () => Right(answer)) as RpcClient['call'];
+
+const granted = createCall({ isGranted: true });
+const denied = createCall({ isGranted: false });
+const createFailure: RpcClient['call'] = async () =>
+  Left(createError({ type: 'unavailable', message: 'no answer', step: 'test' }));
+
+const cases = [
+  { name: 'no quarantined block', holds: [], call: createFailure, type: 'free' },
+  {
+    name: 'a hold that lasts',
+    holds: [createHold(2_500)],
+    call: granted,
+    type: 'refused',
+    retryAfterMs: 2_500,
+  },
+  { name: 'a due probe that is granted', holds: [createHold(0)], call: granted, type: 'probe' },
+  {
+    name: 'a due probe that another gateway has got',
+    holds: [createHold(0)],
+    call: denied,
+    type: 'refused',
+    retryAfterMs: 1_000,
+  },
+  {
+    name: 'a due probe without an answer of the control host',
+    holds: [createHold(0)],
+    call: createFailure,
+    type: 'refused',
+    retryAfterMs: 1_000,
+  },
+  {
+    name: 'a due probe without a known control host',
+    holds: [createHold(0)],
+    call: granted,
+    hasHost: false,
+    type: 'refused',
+    retryAfterMs: 1_000,
+  },
+  {
+    name: 'a due probe by a request that may have run',
+    holds: [createHold(0)],
+    call: granted,
+    canProbe: false,
+    type: 'refused',
+    retryAfterMs: 1_000,
+  },
+  {
+    name: 'two blocks, one of which is not due',
+    holds: [createHold(0), createHold(9_000, 'c')],
+    call: granted,
+    type: 'refused',
+    retryAfterMs: 9_000,
+  },
+] as const;
+
+for (const { name, holds, call, type, ...rest } of cases) {
+  test(`check of a prompt: ${name}`, async (t) => {
+    const hasHost = !('hasHost' in rest);
+    const guard = createPromptGuard({
+      quarantine: { listHolds: () => holds, applyPeerSuspects: () => {} },
+      rpc: { call },
+      log: pino({ level: 'silent' }),
+      readNow: () => 0,
+      findControlHost: () => (hasHost ? '127.0.0.1:1' : undefined),
+    });
+    const verdict = await guard.check(PROMPT, 'request', !('canProbe' in rest));
+    t.is(verdict.type, type);
+    if (verdict.type === 'refused' && 'retryAfterMs' in rest) {
+      t.is(verdict.retryAfterMs, rest.retryAfterMs);
+    }
+  });
+}
