--- a/src/node/gateway/__tests__/controlHostFailover.test.ts
+++ b/src/node/gateway/__tests__/controlHostFailover.test.ts
@@ -33,39 +33,42 @@
   },
 });
 
-test.serial('a gateway learns a change in time while its control host is cut off and another is gone', async (t) => {
-  // The order in which hosts are asked begins with the first one.
-  const { random } = Math;
-  Math.random = () => 0;
-  t.teardown(() => {
-    Math.random = random;
-  });
-  let isCutOff = false;
-  const call = async (host: string, _method: string, params: unknown, options?: CallOptions) => {
-    const { waitMs, revision } = params as WatchRoutingParams;
-    if (host === LEADER) return Right(createAnswer(2, LEADER));
-    if (host === GONE || isCutOff) {
-      await sleep(options?.timeoutMs);
-      return Left(createError({ type: 'timeout', message: 'no answer', step: 'test' }));
-    }
-    if (revision === 1) await sleep(waitMs / 10);
-    return Right(createAnswer(1, CUT_OFF));
-  };
-  const view = createRoutingView({
-    gateway: 'g',
-    controlHosts: [CUT_OFF],
-    leaseMs: 10_000,
-    rpc: { call: call as RpcClient['call'] },
-    clock: createLeaseClock(),
-    log: pino({ level: 'silent' }),
-    listTallies: () => [],
-  });
-  view.start();
-  t.teardown(view.stop);
-  while (view.read()?.revision !== 1) await sleep(POLL_MS);
-  isCutOff = true;
-  const cutAt = performance.now();
-  while (view.read()?.revision !== 2) await sleep(POLL_MS);
-  const elapsedMs = performance.now() - cutAt;
-  t.true(elapsedMs < PROPAGATION_MS, `Learnt after ${Math.round(elapsedMs)} ms`);
-});
+test.serial(
+  'a gateway learns a change in time while its control host is cut off and another is gone',
+  async (t) => {
+    // The order in which hosts are asked begins with the first one.
+    const { random } = Math;
+    Math.random = () => 0;
+    t.teardown(() => {
+      Math.random = random;
+    });
+    let isCutOff = false;
+    const call = async (host: string, _method: string, params: unknown, options?: CallOptions) => {
+      const { waitMs, revision } = params as WatchRoutingParams;
+      if (host === LEADER) return Right(createAnswer(2, LEADER));
+      if (host === GONE || isCutOff) {
+        await sleep(options?.timeoutMs);
+        return Left(createError({ type: 'timeout', message: 'no answer', step: 'test' }));
+      }
+      if (revision === 1) await sleep(waitMs / 10);
+      return Right(createAnswer(1, CUT_OFF));
+    };
+    const view = createRoutingView({
+      gateway: 'g',
+      controlHosts: [CUT_OFF],
+      leaseMs: 10_000,
+      rpc: { call: call as RpcClient['call'] },
+      clock: createLeaseClock(),
+      log: pino({ level: 'silent' }),
+      listTallies: () => [],
+    });
+    view.start();
+    t.teardown(view.stop);
+    while (view.read()?.revision !== 1) await sleep(POLL_MS);
+    isCutOff = true;
+    const cutAt = performance.now();
+    while (view.read()?.revision !== 2) await sleep(POLL_MS);
+    const elapsedMs = performance.now() - cutAt;
+    t.true(elapsedMs < PROPAGATION_MS, `Learnt after ${Math.round(elapsedMs)} ms`);
+  },
+);
