Keep the count of gateways over a change of the control host

Budgets and shares of exposure are divided by the number of gateways that the answering control host has heard from. A new leader, or a host that is asked because the leader is silent, has heard from few: each gateway then took a whole budget. Found by reading; the new case in controlHostFailover.test.ts failed before (1 instead of 68 gateways after the change).

The highest count of the last 3 s applies now, and counts of hosts that do not lead never lower it.

--- a/src/node/gateway/__tests__/controlHostFailover.test.ts
+++ b/src/node/gateway/__tests__/controlHostFailover.test.ts
@@ -72,3 +72,38 @@
     t.true(elapsedMs < PROPAGATION_MS, `Learnt after ${Math.round(elapsedMs)} ms`);
   },
 );
+
+test.serial('a gateway keeps the count of gateways when its control host changes', async (t) => {
+  const GATEWAYS = 68;
+  let leader = LEADER;
+  let calls = 0;
+  const call = async (host: string) => {
+    calls += 1;
+    await sleep(POLL_MS);
+    // A new leader has heard from this gateway only.
+    const gatewayCount = leader === LEADER ? GATEWAYS : 1;
+    return Right({
+      ...createAnswer(1, leader),
+      controlHosts: [LEADER, CUT_OFF],
+      gatewayCount,
+      host,
+    });
+  };
+  const view = createRoutingView({
+    gateway: 'g',
+    controlHosts: [LEADER],
+    leaseMs: 10_000,
+    rpc: { call: call as RpcClient['call'] },
+    clock: createLeaseClock(),
+    log: pino({ level: 'silent' }),
+    listTallies: () => [],
+  });
+  view.start();
+  t.teardown(view.stop);
+  while (!view.read()) await sleep(POLL_MS);
+  t.is(view.read()?.gatewayCount, GATEWAYS);
+  leader = CUT_OFF;
+  const callsBefore = calls;
+  while (calls < callsBefore + 5) await sleep(POLL_MS);
+  t.is(view.read()?.gatewayCount, GATEWAYS);
+});
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -10,6 +10,7 @@
   type VersionTally,
 } from '../routingControl';
 import type { RpcClient } from '../rpc';
+import { resolveGatewayCount, type CountSample } from './gatewayCount';
 import type { LeaseClock, ClockReading } from './leaseClock';
 import { createRoutingWatch } from './routingWatch';
 
@@ -120,6 +121,7 @@
   let nextHostIndex = Math.floor(Math.random() * Math.max(1, hosts.length));
   let snapshot: RoutingSnapshot | undefined;
   let revision = -1;
+  let countSamples: readonly CountSample[] = [];
   let confirmedAt: ClockReading | undefined;
   const snapshotNotifier = createChangeNotifier();
   let wasLeased = false;
@@ -137,14 +139,20 @@
     else log.warn({ revision, ageMs: Math.round(readAgeMs()) }, 'lease expired; refusing work');
   };
 
-  const applyAnswer = (answer: RoutingAnswer, askedAt: ClockReading): void => {
+  const applyAnswer = (host: string, answer: RoutingAnswer, askedAt: ClockReading): void => {
     hosts = mergeAddresses([answer.controlHosts, options.controlHosts]);
     // A host that lags behind may return an older revision than the one in use.
     if (answer.revision < revision) return;
     const { update, rolloutAges: ages = [] } = answer;
     const known = snapshot?.rolloutStartedAt;
     const now = clock.readClocks().monotonicMs;
-    const gatewayCount = Math.max(1, answer.gatewayCount);
+    const isFromLeader = host === answer.leader;
+    countSamples = resolveGatewayCount(countSamples, {
+      count: answer.gatewayCount,
+      isFromLeader,
+      now,
+    });
+    const gatewayCount = Math.max(...countSamples.map(({ count }) => count));
     if (update) {
       const before = revision;
       revision = answer.revision;
@@ -195,7 +203,7 @@
         log.info(facts, 'watch of the routing state answered by another control host');
       }
       preferredHost = answer.leader === '' ? host : answer.leader;
-      applyAnswer(answer, askedAt);
+      applyAnswer(host, answer, askedAt);
     });
     fetched.ifLeft((error) => {
       preferredHost = '';
