Ask endpoints with a request limit for its end, whoever named the limit

A gateway that had learnt a limit from the others asked for no tokens, since the service of the endpoint was recorded only when it sent a request, and no request could be sent without a token. After a restart of all gateways the limits never ended, and all prompts went to the one endpoint without a limit. The service now follows from the registry. A limit below 0.2 requests per second, zero included, is still tried every 5 s: only a response can show its end. recordSent looks the valid tokens up once.

Ruled out by the other cases: no control host, a lost table while the gateways know the service, no demand for a while.

--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -107,13 +107,7 @@
     loads,
     cacheEstimates,
     sessions: createSessionVersions(5_000),
-    registry: {
-      listEndpoints: () => endpoints,
-      findEndpoint: (id) => reports.find((report) => report.id === id),
-      hasAnswer: () => true,
-      start: () => {},
-      stop: () => {},
-    },
+    registry: { listEndpoints: () => endpoints },
   });
   let cursor: PromptCursor | undefined;
   return {
--- a/src/node/decisions/requestTokens.ts
+++ b/src/node/decisions/requestTokens.ts
@@ -25,8 +25,17 @@
 const MAX_TOKENS = 2;
 /** Bounds what one gateway takes from the others at once. */
 const MAX_WANTED = 10;
+/**
+ * Requests per second that all gateways together send to an endpoint with a lower limit. Only a
+ * response shows that a limit has ended.
+ */
+const MIN_REQUESTS_PER_SECOND = 0.2;
 const MS_PER_SECOND = 1_000;
 
+/** Resolves the requests per second that an endpoint with a limit is sent by all gateways. */
+export const resolveSentRate = (requestsPerSecond: number): number =>
+  Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond);
+
 /**
  * Creates the bucket of an endpoint that has just named its limit, or whose limit a new control host
  * has just learnt. The debt covers tokens that may still be held.
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -78,13 +78,7 @@
     loads: createEndpointLoads(),
     sessions,
     cacheEstimates: createPrefixCacheEstimates(() => undefined),
-    registry: {
-      listEndpoints: () => known,
-      findEndpoint: (id) => reports.find((report) => report.id === id),
-      hasAnswer: () => true,
-      start: () => {},
-      stop: () => {},
-    },
+    registry: { listEndpoints: () => known },
   });
   const request = {
     route: ROUTE,
--- a/src/node/gateway/__tests__/endpointLimits.test.ts
+++ b/src/node/gateway/__tests__/endpointLimits.test.ts
@@ -37,8 +37,14 @@
   readonly firstShare: number;
   /** Time at which the control host is replaced by one that knows nothing. */
   readonly leaderChangeAt?: number;
-  /** Time at which all gateways but the first two start again. */
+  /** Time at which all gateways but the first ones start again. */
   readonly restartAt?: number;
+  /** Gateways that do not start again; 2 by default. */
+  readonly kept?: number;
+  /** Time from which on the endpoint names no limit. */
+  readonly endsAt?: number;
+  /** Time without requests. */
+  readonly pause?: { readonly from: number; readonly to: number };
   /** Time from which on no control host answers. */
   readonly controlLostAt?: number;
 }
@@ -50,6 +56,7 @@
   const createGateway = () => {
     const limits = createEndpointLimits({
       log,
+      findService: () => 's',
       countEndpoints: () => ENDPOINTS,
       countGateways: () => load.gateways,
     });
@@ -70,7 +77,8 @@
     limits.recordSent(ENDPOINT, now);
     sent.push(now);
     const observation = { endpoint: ENDPOINT, request: 'r', startedAt: now };
-    limits.record({ ...observation, requestsPerSecond: load.limit }, now);
+    const requestsPerSecond = now >= (load.endsAt ?? Infinity) ? undefined : load.limit;
+    limits.record({ ...observation, requestsPerSecond }, now);
   };
 
   const runCall = (index: number): void => {
@@ -92,12 +100,13 @@
     if (now === load.leaderChangeAt) table = createLimitTable(String(now));
     if (now === load.restartAt) {
       // A gateway takes requests once its first exchange has ended.
-      for (let index = 2; index < gateways.length; index += 1) {
+      for (let index = load.kept ?? 2; index < gateways.length; index += 1) {
         gateways[index] = createGateway();
         runCall(index);
       }
     }
-    for (let due = (load.rate * STEP_MS) / 1_000; due > 0; due -= 1) {
+    const isPaused = load.pause && now >= load.pause.from && now < load.pause.to;
+    for (let due = isPaused ? 0 : (load.rate * STEP_MS) / 1_000; due > 0; due -= 1) {
       if (random() < due) sendRequest();
     }
     gateways.forEach((_gateway, index) => runExchange(index));
@@ -137,12 +146,48 @@
     const allowed = 1.5 * load.limit * (WINDOW_MS / 1_000) + 5;
     t.true(countMost(sent) <= allowed, `${countMost(sent)} in a window, ${allowed} allowed`);
     const used = sent.length / (load.limit * ((RUN_MS - REACTION_MS) / 1_000));
+    t.log(`Used share of the limit: ${used.toFixed(2)}`);
     t.true(used > 0.5, `Used share of the limit: ${used}`);
   });
 }
 
+const ENDS_AT = 9_000;
+/** Time within which every gateway learns that a limit has ended. */
+const END_KNOWN_MS = 6_000;
+
+const endings: readonly { readonly name: string; readonly load: Partial<Load> }[] = [
+  { name: 'few gateways', load: {} },
+  { name: 'hundreds of gateways', load: { gateways: 360, limit: 3, rate: 3_600 } },
+  { name: 'gateways that know the limit from others only', load: { restartAt: 8_000, kept: 0 } },
+  {
+    name: 'gateways that know it from others while no control host answers',
+    load: { restartAt: 8_000, kept: 0, controlLostAt: 8_010, rate: 300 },
+  },
+  {
+    name: 'gateways that know it from others and a control host that lost its table',
+    load: { restartAt: 8_000, kept: 0, leaderChangeAt: 8_500 },
+  },
+  { name: 'no requests for a while', load: { pause: { from: 7_000, to: 12_000 } } },
+  { name: 'a limit that allows no requests', load: { limit: 0 } },
+];
+
+for (const { name, load: fields } of endings) {
+  test(`a limit that has ended does not stay: ${name}`, (t) => {
+    const load = { ...BASE, ...fields, endsAt: ENDS_AT };
+    const knownAt = Math.max(ENDS_AT, load.pause?.to ?? 0) + END_KNOWN_MS;
+    const sent = runLoad(load).filter((at) => at > knownAt);
+    const wanted = (load.rate * (RUN_MS - knownAt)) / 1_000;
+    t.true(sent.length > 0.9 * wanted, `${sent.length} of ${wanted} requests`);
+  });
+}
+
 const createLimits = () =>
-  createEndpointLimits({ log, countEndpoints: () => 1, countGateways: () => 1 });
+  createEndpointLimits({
+    log,
+    findService: () => 's',
+    countEndpoints: () => 1,
+    countGateways: () => 1,
+  });
 
 const observations = [
   { name: 'a response without a limit', named: undefined, startedAt: 0, isLimited: false },
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -196,6 +196,7 @@
   const sessions = createSessionVersions(5_000);
   const limits = createEndpointLimits({
     log,
+    findService: () => 's',
     countEndpoints: () => reports.length,
     countGateways: () => 1,
   });
@@ -207,13 +208,7 @@
     loads,
     sessions,
     cacheEstimates: createPrefixCacheEstimates(() => undefined),
-    registry: {
-      listEndpoints: () => known,
-      findEndpoint: (id) => reports.find((report) => report.id === id),
-      hasAnswer: () => true,
-      start: () => {},
-      stop: () => {},
-    },
+    registry: { listEndpoints: () => known },
   });
   const metrics = createGatewayMetrics(new Registry());
   const quarantine = createPromptQuarantine({
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -73,7 +73,7 @@
   readonly zone: string;
   readonly sessionMs: number;
   readonly exposureShare: number;
-  readonly registry: RegistryView;
+  readonly registry: Pick<RegistryView, 'listEndpoints'>;
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
   readonly limits: Pick<EndpointLimits, 'canSend'>;
--- a/src/node/gateway/endpointLimits.ts
+++ b/src/node/gateway/endpointLimits.ts
@@ -2,6 +2,7 @@
   computeGrant,
   computeRefill,
   computeWantedTokens,
+  resolveSentRate,
   TOKEN_LIFETIME_MS,
   type TokenBucket,
 } from '../decisions';
@@ -45,6 +46,8 @@
 /** Options of the limits. */
 export interface EndpointLimitsOptions {
   readonly log: Logger;
+  /** Finds the service of an endpoint's incarnation; undefined if the incarnation is not known. */
+  readonly findService: (incarnation: string) => string | undefined;
   readonly countEndpoints: (service: string) => number;
   /** Returns the number of gateways that share the endpoints, including this one. */
   readonly countGateways: () => number;
@@ -55,8 +58,6 @@
   readonly requestsPerSecond: number | undefined;
   /** Monotonic time in milliseconds of the latest response that named or ended the limit. */
   readonly at: number;
-  /** Service of the endpoint; undefined until this gateway uses it. */
-  readonly service: string | undefined;
   /** Times at which the tokens that are held become void, in order. */
   readonly tokens: readonly number[];
   /** What this gateway sends by itself while no control host grants tokens. */
@@ -77,7 +78,7 @@
 
 /** Creates an empty table. */
 export const createEndpointLimits = (options: EndpointLimitsOptions): EndpointLimits => {
-  const { log, countEndpoints, countGateways } = options;
+  const { log, findService, countEndpoints, countGateways } = options;
   const rows = new Map<string, LimitRow>();
   const demand = new Map<string, number[]>();
   let answeredAt = -Infinity;
@@ -86,23 +87,32 @@
     (demand.get(service) ?? []).filter((at) => now - at <= DEMAND_WINDOW_MS).length;
 
   const computeOwnShare = (requestsPerSecond: number): number =>
-    requestsPerSecond / Math.max(1, countGateways());
+    resolveSentRate(requestsPerSecond) / Math.max(1, countGateways());
 
   const readOwnBucket = ({ ownBucket, requestsPerSecond = 0 }: LimitRow, now: number) =>
     computeRefill(ownBucket, computeOwnShare(requestsPerSecond), now);
 
   const hasControl = (now: number): boolean => now - answeredAt <= CONTROL_LOST_MS;
 
+  const computeWanted = ({ endpoint, tokens }: LimitRow, now: number): number => {
+    const service = findService(endpoint);
+    if (service === undefined) return 0;
+    return computeWantedTokens({
+      requestsPerSecond: countDemand(service, now) / (DEMAND_WINDOW_MS / 1_000),
+      endpoints: countEndpoints(service),
+      held: listValid(tokens, now).length,
+    });
+  };
+
   const updateLimit = (
     endpoint: string,
-    next: Pick<LimitRow, 'requestsPerSecond' | 'at' | 'service' | 'isNews'>,
+    next: Pick<LimitRow, 'requestsPerSecond' | 'at' | 'isNews'>,
     facts: Readonly<Record<string, unknown>>,
   ): void => {
     const known = rows.get(endpoint);
     const { requestsPerSecond, at } = next;
     const { tokens = [], ownBucket = { tokens: 0, at } } = known ?? {};
-    const service = next.service ?? known?.service;
-    rows.set(endpoint, { ...next, service, endpoint, tokens, ownBucket });
+    rows.set(endpoint, { ...next, endpoint, tokens, ownBucket });
     const before = known?.requestsPerSecond;
     if (before === requestsPerSecond) return;
     const message =
@@ -119,8 +129,7 @@
       const isLimited = known?.requestsPerSecond !== undefined;
       // A response to an earlier request may arrive after the one that named the limit.
       if (requestsPerSecond === undefined && (!isLimited || startedAt <= known.at)) return;
-      const { service } = endpoint;
-      updateLimit(key, { requestsPerSecond, at: now, service, isNews: true }, { request });
+      updateLimit(key, { requestsPerSecond, at: now, isNews: true }, { request });
     },
     recordDemand: (service, now) => {
       const times = demand.get(service) ?? [];
@@ -138,23 +147,18 @@
       const key = formatIncarnation(endpoint);
       const row = rows.get(key);
       if (row?.requestsPerSecond === undefined) return;
-      const [, ...tokens] = listValid(row.tokens, now);
+      const [used, ...tokens] = listValid(row.tokens, now);
+      if (used !== undefined) {
+        rows.set(key, { ...row, tokens });
+        return;
+      }
       const bucket = readOwnBucket(row, now);
-      const isOwn = listValid(row.tokens, now).length === 0;
-      const ownBucket = isOwn ? { ...bucket, tokens: bucket.tokens - 1 } : row.ownBucket;
-      rows.set(key, { ...row, service: endpoint.service, tokens, ownBucket });
+      rows.set(key, { ...row, tokens, ownBucket: { ...bucket, tokens: bucket.tokens - 1 } });
     },
     listReports: (now) =>
       [...rows.values()].flatMap((row) => {
-        const { endpoint, requestsPerSecond, at, service, tokens, isNews } = row;
-        const isUsed = requestsPerSecond !== undefined && service !== undefined;
-        const wanted = isUsed
-          ? computeWantedTokens({
-              requestsPerSecond: countDemand(service, now) / (DEMAND_WINDOW_MS / 1_000),
-              endpoints: countEndpoints(service),
-              held: listValid(tokens, now).length,
-            })
-          : 0;
+        const { endpoint, requestsPerSecond, at, isNews } = row;
+        const wanted = requestsPerSecond === undefined ? 0 : computeWanted(row, now);
         if (!isNews && wanted === 0) return [];
         rows.set(endpoint, { ...row, isNews: false });
         return [{ endpoint, requestsPerSecond, ageMs: now - at, wanted }];
@@ -167,7 +171,7 @@
         if (!known || at > known.at) {
           updateLimit(
             endpoint,
-            { requestsPerSecond, at, service: known?.service, isNews: false },
+            { requestsPerSecond, at, isNews: false },
             { source: 'another gateway' },
           );
         }
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -189,6 +189,7 @@
     const view = find<RoutingView>('routing-view');
     const value = createEndpointLimits({
       log: createPartLogger(find<Logger>('log'), 'gateway'),
+      findService: (incarnation) => registry.findIncarnation(incarnation)?.service,
       countEndpoints: (service) => registry.listEndpoints(service).length,
       countGateways: () => view.read()?.gatewayCount ?? 1,
     });
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -17,6 +17,8 @@
   /** Lists the endpoints of a service, including those that accept no new requests. */
   readonly listEndpoints: (service: string) => readonly KnownEndpoint[];
   readonly findEndpoint: (id: string) => EndpointReport | undefined;
+  /** Finds an endpoint by its incarnation, as `formatIncarnation` formats it. */
+  readonly findIncarnation: (incarnation: string) => EndpointReport | undefined;
   /** Whether any control host has answered. */
   readonly hasAnswer: () => boolean;
   readonly start: () => void;
@@ -83,6 +85,7 @@
   const endedIncarnations = new Map<string, EndedRecord>();
   let byService: ReadonlyMap<string, readonly KnownEndpoint[]> = new Map();
   let byId: ReadonlyMap<string, KnownEndpoint> = new Map();
+  let byIncarnation: ReadonlyMap<string, EndpointReport> = new Map();
   let hasAnswer = false;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
@@ -113,6 +116,7 @@
     logChanges(next);
     byService = computeGroups(next);
     byId = new Map(next.map((endpoint) => [endpoint.report.id, endpoint]));
+    byIncarnation = new Map(next.map(({ report }) => [formatIncarnation(report), report]));
   };
 
   const applyAnswer = (state: HostState, answer: RegistryAnswer): void => {
@@ -182,6 +186,7 @@
   return {
     listEndpoints: (service) => byService.get(service) ?? [],
     findEndpoint: (id) => byId.get(id)?.report,
+    findIncarnation: (incarnation) => byIncarnation.get(incarnation),
     hasAnswer: () => hasAnswer,
     start: () => {
       updateHosts();
--- a/src/node/routingControl/limitTable.ts
+++ b/src/node/routingControl/limitTable.ts
@@ -1,6 +1,12 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
-import { computeGrant, computeRefill, createTokenBucket, type TokenBucket } from '../decisions';
+import {
+  computeGrant,
+  computeRefill,
+  createTokenBucket,
+  resolveSentRate,
+  type TokenBucket,
+} from '../decisions';
 
 /** Schema of what a gateway knows about the request limit of an endpoint's incarnation. */
 export const limitReportSchema = z.strictObject({
@@ -108,7 +114,7 @@
   const grant = (endpoint: string, wanted: number, now: number): number => {
     const row = rows.get(endpoint);
     if (row?.requestsPerSecond === undefined) return 0;
-    const bucket = computeRefill(row.bucket, row.requestsPerSecond, now);
+    const bucket = computeRefill(row.bucket, resolveSentRate(row.requestsPerSecond), now);
     const granted = computeGrant(bucket, wanted);
     rows.set(endpoint, { ...row, bucket: { ...bucket, tokens: bucket.tokens - granted } });
     return granted;
