Check each topic of the exchange between gateways on its own

One report that its schema refused failed the whole call, loads and sessions included, and was sent again for ever. This happened with a negative request limit, with more than 500 limited endpoints, and with a lost prompt of more than 51 blocks. An answer that a topic could not apply ended the exchange of the gateway for good.

The control host checks each report by itself, answers the others, names the refused ones and logs them; the gateway does not send a refused report again. A lost and a regained peer are logged at info, once each. A topic that the control host does not know is ignored.

The new cases of gatewayExchange, promptQuarantine, endpointLimits, peerExchange and messages tests failed before. relayResponse's canRetry is now hasRetryLeft: exchange.ts has another canRetry.

--- a/bench/exchange.ts
+++ b/bench/exchange.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import pino from 'pino';
 import { computeExchangeInterval } from '../src/node/gateway';
 import {
   createExchangeHandler,
@@ -181,12 +182,13 @@
 };
 
 const runScenario = async (gateways: number, scenario: Scenario): Promise<void> => {
-  const handle = createExchangeHandler({
+  const tables = {
     loads: createLoadAggregator(),
     sessions: createSessionDirectory(),
     suspects: createSuspectDirectory(),
     limits: createLimitTable(),
-  });
+  };
+  const handle = createExchangeHandler(tables, pino({ level: 'silent' }));
   const app = createHttpServer({ tls: undefined });
   const method = createMethod(exchangeParams, (params) => handle(params, performance.now()));
   registerRpc(app, { 'gateway.exchange': method }, SECRET, () => {});
--- a/src/node/decisions/blockSuspicion.ts
+++ b/src/node/decisions/blockSuspicion.ts
@@ -61,7 +61,8 @@
 const MAX_LOSSES = 12;
 /** Further losses needed against a block that was answered before. */
 const ANSWERED_EXTRA_LOSSES = 1;
-const MAX_COMPANIONS = 16;
+/** Blocks of the same prompt that are kept with each loss of a block. */
+export const MAX_COMPANIONS = 16;
 /** Lower bound of the share of attempts that are lost for other reasons. */
 const MIN_LOSS_SHARE = 0.02;
 /** Weight of the prior estimate of that share, in attempts. */
--- a/src/node/gateway/__tests__/endpointLimits.test.ts
+++ b/src/node/gateway/__tests__/endpointLimits.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import pino from 'pino';
+import { createError } from '../../errors';
 import type { EndpointReport } from '../../registry';
-import { createLimitTable } from '../../routingControl';
+import { createLimitTable, shareLimitsParams } from '../../routingControl';
 import { createEndpointLimits } from '../endpointLimits';
 import { createLimitTopic } from '../limitTopic';
 import { computeExchangeInterval } from '../peerExchange';
@@ -14,6 +15,7 @@
 const ENDPOINTS = 8;
 
 const log = pino({ level: 'silent' });
+const LOST = createError({ type: 'timeout', message: 'no answer', step: 'test' });
 const ENDPOINT: EndpointReport = {
   id: 'e',
   startedAt: 1,
@@ -84,7 +86,7 @@
   const runCall = (index: number): void => {
     const pending = gateways[index]!.topic.createReport('control')!;
     if (now >= (load.controlLostAt ?? Infinity)) {
-      pending.handleFailure(undefined as never);
+      pending.handleFailure(LOST);
       return;
     }
     const report = JSON.parse(JSON.stringify(pending.report)) as typeof pending.report;
@@ -220,3 +222,21 @@
     t.true(limits.canSend({ ...ENDPOINT, startedAt: 2 }, 200), 'another incarnation has no limit');
   });
 }
+
+test('limits: reports of many limited endpoints fit the schema and leave none out', (t) => {
+  const ENDPOINT_COUNT = 1_200;
+  const limits = createLimits();
+  for (let index = 0; index < ENDPOINT_COUNT; index += 1) {
+    const endpoint = { ...ENDPOINT, id: `e-${index}` };
+    limits.record({ endpoint, request: 'r', requestsPerSecond: 2, startedAt: 0 }, 100);
+  }
+  const reported = new Set<string>();
+  for (let call = 0; call < 3; call += 1) {
+    // Every limited endpoint is wanted, so each call has more to report than fits.
+    limits.recordDemand('s', 100);
+    const reports = limits.listReports(100);
+    t.true(shareLimitsParams.safeParse({ limits: reports }).success);
+    reports.forEach(({ endpoint }) => reported.add(endpoint));
+  }
+  t.is(reported.size, ENDPOINT_COUNT);
+});
--- a/src/node/gateway/__tests__/peerExchange.test.ts
+++ b/src/node/gateway/__tests__/peerExchange.test.ts
@@ -5,7 +5,7 @@
 import { createError, type RouterError } from '../../errors';
 import type { ExchangeAnswer, ExchangeParams } from '../../routingControl';
 import type { RpcClient } from '../../rpc';
-import { createPeerExchange, type AnyExchangeTopic } from '../peerExchange';
+import { createPeerExchange, isRefusedReport, type AnyExchangeTopic } from '../peerExchange';
 
 const LOADS = { loads: [], reads: [] };
 const SESSIONS = { sessionMs: 1_000, recorded: [], claimed: [] };
@@ -18,11 +18,12 @@
 
 const createTopics = (hasSessions: boolean, events: string[]): readonly AnyExchangeTopic[] => {
   const createHandlers = (name: string) => ({
-    applyAnswer: () => {
+    applyAnswer: (answer: object) => {
+      if ('isBroken' in answer) throw new Error('broken');
       events.push(`${name} answered`);
     },
-    handleFailure: () => {
-      events.push(`${name} failed`);
+    handleFailure: (error: RouterError) => {
+      events.push(isRefusedReport(error) ? `${name} refused` : `${name} failed`);
     },
   });
   return [
@@ -64,6 +65,23 @@
     sent: { gateway: 'g', loads: LOADS, sessions: SESSIONS },
     events: ['loads failed', 'sessions answered'],
   },
+  {
+    name: 'a refused topic does not affect the others',
+    hasSessions: true,
+    answer: Right({ sessions: SESSIONS_ANSWER, refused: { loads: 'too many' } }) as Answer,
+    sent: { gateway: 'g', loads: LOADS, sessions: SESSIONS },
+    events: ['loads refused', 'sessions answered'],
+  },
+  {
+    name: 'an answer that cannot be applied does not affect the others',
+    hasSessions: true,
+    answer: Right({
+      loads: { ...LOADS_ANSWER, isBroken: true },
+      sessions: SESSIONS_ANSWER,
+    }) as Answer,
+    sent: { gateway: 'g', loads: LOADS, sessions: SESSIONS },
+    events: ['loads failed', 'sessions answered'],
+  },
 ] as const;
 
 for (const { name, hasSessions, answer, sent, events: expected } of cases) {
@@ -106,3 +124,29 @@
   await sleep(5);
   t.pass();
 });
+
+test('exchange with other gateways: a lost and a regained peer are logged once each', async (t) => {
+  const lines: string[] = [];
+  let calls = 0;
+  const exchange = createPeerExchange({
+    gateway: 'g',
+    rpc: {
+      call: (async () => {
+        calls += 1;
+        return calls > 2 ? Right({ loads: LOADS_ANSWER }) : failure;
+      }) as RpcClient['call'],
+    },
+    log: pino({ level: 'info' }, { write: (line: string) => lines.push(line) }),
+    topics: createTopics(false, []),
+    countGateways: () => 1,
+    findControlHost: () => '127.0.0.1:1',
+  });
+  exchange.start();
+  while (calls < 4) await sleep(10);
+  exchange.stop();
+  const messages = lines.map((line) => (JSON.parse(line) as { readonly msg: string }).msg);
+  t.deepEqual(messages, [
+    'exchange with other gateways failed',
+    'exchange with other gateways works again',
+  ]);
+});
--- a/src/node/gateway/__tests__/promptQuarantine.test.ts
+++ b/src/node/gateway/__tests__/promptQuarantine.test.ts
@@ -1,4 +1,8 @@
 import test from 'ava';
+import pino from 'pino';
+import { encodeSuspect, shareSuspectsParams } from '../../routingControl';
+import { createPromptQuarantine } from '../promptQuarantine';
+import { createSuspectTable } from '../suspectTable';
 import { runQuarantineLoad, type QuarantineLoad } from './quarantineWorld';
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
@@ -96,3 +100,16 @@
     }
   });
 }
+
+test('suspect blocks: the report of a long lost prompt fits the schema', (t) => {
+  const log = pino({ level: 'silent' });
+  const suspects = createSuspectTable(log, { quarantined: { set: () => {} } as never });
+  const quarantine = createPromptQuarantine({ suspects, log, readNow: () => 10 });
+  const blocks = Array.from({ length: 80 }, (_item, index) => ({ id: `b-${index}`, tokens: 1 }));
+  const loss = { incarnation: 'e/1', startedAt: 0, lostAt: 10, isAnswering: false };
+  quarantine.recordLoss({ service: 's', blocks }, 'r', loss);
+  const records = suspects.drainUnsent();
+  t.true(records.length > 0);
+  const report = { suspects: records.map((record) => encodeSuspect(record, 10)) };
+  t.true(shareSuspectsParams.safeParse(report).success);
+});
--- a/src/node/gateway/endpointLimits.ts
+++ b/src/node/gateway/endpointLimits.ts
@@ -8,7 +8,12 @@
 } from '../decisions';
 import type { Logger } from '../log';
 import { formatIncarnation, type EndpointReport } from '../registry';
-import { LIMIT_MEMORY_MS, type LimitReport, type SharedLimit } from '../routingControl';
+import {
+  LIMIT_MEMORY_MS,
+  MAX_REPORTED_LIMITS,
+  type LimitReport,
+  type SharedLimit,
+} from '../routingControl';
 
 /** A response of an endpoint, as far as it concerns its limit. */
 export interface LimitObservation {
@@ -94,9 +99,10 @@
 
   const hasControl = (now: number): boolean => now - answeredAt <= CONTROL_LOST_MS;
 
-  const computeWanted = ({ endpoint, tokens }: LimitRow, now: number): number => {
+  const computeWanted = (row: LimitRow, now: number): number => {
+    const { endpoint, tokens, requestsPerSecond } = row;
     const service = findService(endpoint);
-    if (service === undefined) return 0;
+    if (requestsPerSecond === undefined || service === undefined) return 0;
     return computeWantedTokens({
       requestsPerSecond: countDemand(service, now) / (DEMAND_WINDOW_MS / 1_000),
       endpoints: countEndpoints(service),
@@ -155,14 +161,19 @@
       const bucket = readOwnBucket(row, now);
       rows.set(key, { ...row, tokens, ownBucket: { ...bucket, tokens: bucket.tokens - 1 } });
     },
-    listReports: (now) =>
-      [...rows.values()].flatMap((row) => {
-        const { endpoint, requestsPerSecond, at, isNews } = row;
-        const wanted = requestsPerSecond === undefined ? 0 : computeWanted(row, now);
-        if (!isNews && wanted === 0) return [];
+    listReports: (now) => {
+      const due = [...rows.values()]
+        .map((row) => ({ row, wanted: computeWanted(row, now) }))
+        .filter(({ row, wanted }) => row.isNews || wanted > 0)
+        .slice(0, MAX_REPORTED_LIMITS);
+      return due.map(({ row, wanted }) => {
+        const { endpoint, requestsPerSecond, at } = row;
+        // Deleting the row first moves it to the end, so that the ones left out come next.
+        rows.delete(endpoint);
         rows.set(endpoint, { ...row, isNews: false });
-        return [{ endpoint, requestsPerSecond, ageMs: now - at, wanted }];
-      }),
+        return { endpoint, requestsPerSecond, ageMs: now - at, wanted };
+      });
+    },
     applyShared: (limits, now) => {
       answeredAt = now;
       limits.forEach(({ endpoint, requestsPerSecond, ageMs, granted }) => {
--- a/src/node/gateway/limitTopic.ts
+++ b/src/node/gateway/limitTopic.ts
@@ -1,7 +1,7 @@
 import type { Logger } from '../log';
 import type { LimitCursor } from '../routingControl';
 import type { EndpointLimits } from './endpointLimits';
-import type { ExchangeTopic } from './peerExchange';
+import { isRefusedReport, type ExchangeTopic } from './peerExchange';
 
 /** Options of the topic of request limits. */
 export interface LimitTopicOptions {
@@ -28,7 +28,9 @@
         cursor = answer.cursor;
         limits.applyShared(answer.limits, readNow());
       },
-      handleFailure: () => limits.resendAll(),
+      handleFailure: (error) => {
+        if (!isRefusedReport(error)) limits.resendAll();
+      },
     }),
   };
 };
--- a/src/node/gateway/loadTopic.ts
+++ b/src/node/gateway/loadTopic.ts
@@ -1,7 +1,7 @@
 import type { PromptCursor } from '../routingControl';
 import type { PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLoads } from './endpointLoads';
-import type { ExchangeTopic } from './peerExchange';
+import { isRefusedReport, type ExchangeTopic } from './peerExchange';
 
 /** Options of the load topic. */
 export interface LoadTopicOptions {
@@ -26,11 +26,11 @@
           cursor = answer.cursor;
           cacheEstimates.applyPeerPrompts(answer.reads);
         },
-        handleFailure: () => {
+        handleFailure: (error) => {
           // After a failed call the earlier reports are out of date, so only this gateway's own
           // load counts.
           loads.updatePeerLoads([]);
-          cacheEstimates.restoreDispatched(reads);
+          if (!isRefusedReport(error)) cacheEstimates.restoreDispatched(reads);
         },
       };
     },
--- a/src/node/gateway/peerExchange.ts
+++ b/src/node/gateway/peerExchange.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { Either } from 'purify-ts';
 import { convertToRouterError, createError, type RouterError } from '../errors';
 import type { Logger } from '../log';
 import type { ExchangeAnswer, ExchangeParams, ExchangeTopicName } from '../routingControl';
@@ -10,7 +11,7 @@
 /** What happened to the report of a topic. */
 export interface ReportHandlers<N extends ExchangeTopicName> {
   readonly applyAnswer: (answer: Answer<N>) => void;
-  /** Called when the report may not have arrived. */
+  /** Called when the report may not have arrived, or was refused. */
   readonly handleFailure: (error: RouterError) => void;
 }
 
@@ -74,19 +75,40 @@
   return Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, rateLimitedMs));
 };
 
-const createMissingAnswerError = (name: ExchangeTopicName, peer: string): RouterError =>
+const createMissingAnswerError = (
+  name: ExchangeTopicName,
+  peer: string,
+  refusal: string | undefined,
+): RouterError =>
   createError({
-    type: 'unavailable',
-    message: `the control host did not answer the report of '${name}'`,
+    type: refusal === undefined ? 'unavailable' : 'invalid_request',
+    message:
+      refusal === undefined
+        ? `the control host did not answer the report of '${name}'`
+        : `the control host refused the report of '${name}': ${refusal}`,
     step: 'gateway.exchange',
     peer,
   });
 
+/** Whether a control host refused a report; it would refuse the same report again. */
+export const isRefusedReport = ({ type }: RouterError): boolean => type === 'invalid_request';
+
 /** Creates an exchange of all topics. It sends nothing before `start`. */
 export const createPeerExchange = (options: PeerExchangeOptions): PeerExchange => {
   const { gateway, rpc, log, topics, countGateways, findControlHost } = options;
   let hasEndedCall = false;
   let isStopped = false;
+  let isReachable = true;
+
+  // Logs changes only: calls are sent several times a second.
+  const logReachable = (host: string, answer: Either<RouterError, unknown>): void => {
+    if (isReachable === answer.isRight()) return;
+    isReachable = answer.isRight();
+    if (isReachable) log.info({ peer: host }, 'exchange with other gateways works again');
+    answer.ifLeft((error) =>
+      log.info({ peer: host, err: error.message }, 'exchange with other gateways failed'),
+    );
+  };
 
   const callHost = async (): Promise<void> => {
     const host = findControlHost();
@@ -105,15 +127,21 @@
     answer.ifRight((value) =>
       pending.forEach(({ name, applyAnswer, handleFailure }) => {
         const topicAnswer = value[name];
-        if (topicAnswer !== undefined) applyAnswer(topicAnswer);
-        else handleFailure(createMissingAnswerError(name, host));
+        try {
+          if (topicAnswer === undefined) {
+            throw createMissingAnswerError(name, host, value.refused?.[name]);
+          }
+          applyAnswer(topicAnswer);
+        } catch (cause) {
+          const error = convertToRouterError(cause, 'gateway.exchange', host);
+          const facts = { peer: host, topic: name, err: error.message };
+          log.warn(facts, 'exchange of one topic with other gateways failed');
+          handleFailure(error);
+        }
       }),
     );
-    answer.ifLeft((error) => {
-      pending.forEach(({ handleFailure }) => handleFailure(error));
-      const names = pending.map(({ name }) => name);
-      log.debug({ peer: host, topics: names, err: error }, 'exchange with other gateways failed');
-    });
+    answer.ifLeft((error) => pending.forEach(({ handleFailure }) => handleFailure(error)));
+    logReachable(host, answer);
   };
 
   const run = async (): Promise<void> => {
--- a/src/node/gateway/promptQuarantine.ts
+++ b/src/node/gateway/promptQuarantine.ts
@@ -3,6 +3,7 @@
   computeHoldMs,
   createSuspectBlock,
   judgeSuspect,
+  MAX_COMPANIONS,
   mergeSuspects,
   type BlockLoss,
   type SuspectBlock,
@@ -149,7 +150,7 @@
         const isOwn = depth === blocks.length - 1;
         const known =
           suspects.find(key) ?? createSuspectBlock({ service, block: id, depth, isOwn });
-        const companions = sharedIds.filter((other) => other !== id);
+        const companions = sharedIds.filter((other) => other !== id).slice(0, MAX_COMPANIONS);
         const news = {
           ...known,
           losses: [{ ...loss, companions }],
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -146,19 +146,19 @@
   deps.chooser.recordFirstToken(snapshot, prefill, deps.readNow() - context.startedAt);
 };
 
-const canRetry = ({ exchange }: AttemptContext): boolean => {
+const hasRetryLeft = ({ exchange }: AttemptContext): boolean => {
   const { route } = exchange.request;
   return isRetryableRoute(route) && exchange.attempts < route.attemptLimit;
 };
 
 // There is no timeout when a retry is not allowed, because giving up early gains nothing.
 const computeResponseTimeoutMs = (context: AttemptContext): number =>
-  canRetry(context)
+  hasRetryLeft(context)
     ? RESPONSE_TIMEOUT_FACTOR * context.exchange.request.route.targetLatencyMs
     : Infinity;
 
 const computeStallTimeoutMs = (context: AttemptContext): number =>
-  canRetry(context)
+  hasRetryLeft(context)
     ? STALL_FACTOR * (context.exchange.request.route.gapTargetMs ?? DEFAULT_GAP_MS)
     : Infinity;
 
@@ -252,7 +252,7 @@
   if (body === undefined || exchange.isFinished) return RETRY;
   const replyHead = createReplyHead(head);
   const isBodiless = BODILESS_STATUSES.has(head.status);
-  if (!isBodiless && canRetry(context) && (await isTruncatedByLoss(context, head))) {
+  if (!isBodiless && hasRetryLeft(context) && (await isTruncatedByLoss(context, head))) {
     if (exchange.isFinished) return RETRY;
     exchange.unverified ??= { head: replyHead, body };
     recordFailure(context, 'the endpoint was lost at the end of a close-delimited response', true);
@@ -262,7 +262,7 @@
   if (head.status >= 500) {
     recordFailure(context, `endpoint responded with status ${head.status}`, true);
     const hasBudget = context.budget.canAcquire(deps.readNow(), context.snapshot.gatewayCount);
-    if (canRetry(context) && hasBudget) return RETRY;
+    if (hasRetryLeft(context) && hasBudget) return RETRY;
   } else {
     recordSuccess(context, deps.readNow() - startedAt);
     recordSurvival(context);
--- a/src/node/gateway/suspectTopic.ts
+++ b/src/node/gateway/suspectTopic.ts
@@ -1,6 +1,6 @@
 import type { Logger } from '../log';
 import { decodeSuspect, encodeSuspect, type SuspectCursor } from '../routingControl';
-import type { ExchangeTopic } from './peerExchange';
+import { isRefusedReport, type ExchangeTopic } from './peerExchange';
 import type { PromptQuarantine } from './promptQuarantine';
 import type { SuspectTable } from './suspectTable';
 
@@ -36,7 +36,9 @@
             answer.suspects.map((report) => decodeSuspect(report, receivedAt)),
           );
         },
-        handleFailure: () => suspects.restoreUnsent(records),
+        handleFailure: (error) => {
+          if (!isRefusedReport(error)) suspects.restoreUnsent(records);
+        },
       };
     },
   };
--- a/src/node/routingControl/__tests__/gatewayExchange.test.ts
+++ b/src/node/routingControl/__tests__/gatewayExchange.test.ts
@@ -1,19 +1,24 @@
 import test from 'ava';
+import pino from 'pino';
 import {
   createExchangeHandler,
   createLimitTable,
   createLoadAggregator,
   createSessionDirectory,
   createSuspectDirectory,
+  exchangeParams,
 } from '..';
 
 const createHandler = () =>
-  createExchangeHandler({
-    loads: createLoadAggregator('loads'),
-    sessions: createSessionDirectory('sessions'),
-    suspects: createSuspectDirectory('suspects'),
-    limits: createLimitTable('limits'),
-  });
+  createExchangeHandler(
+    {
+      loads: createLoadAggregator('loads'),
+      sessions: createSessionDirectory('sessions'),
+      suspects: createSuspectDirectory('suspects'),
+      limits: createLimitTable('limits'),
+    },
+    pino({ level: 'silent' }),
+  );
 
 const LOADS = { loads: [{ endpoint: 'e', running: 1, readMs: 10 }], reads: [] };
 const SESSIONS = {
@@ -43,3 +48,32 @@
     t.deepEqual(Object.keys(createHandler()(params, 0)), [name]);
   });
 }
+
+const LIMIT = { endpoint: 'e', ageMs: 0, wanted: 0 };
+
+const refusals = [
+  {
+    name: 'a negative limit',
+    topic: 'limits',
+    report: { limits: [{ ...LIMIT, requestsPerSecond: -1 }] },
+  },
+  {
+    name: 'too many limits',
+    topic: 'limits',
+    report: { limits: Array.from({ length: 501 }, () => LIMIT) },
+  },
+  { name: 'a report of another form', topic: 'suspects', report: 'none' },
+  { name: 'a topic of a later version', topic: 'weather', report: {}, isIgnored: true },
+] as const;
+
+for (const { name, topic, report, ...rest } of refusals) {
+  test(`gateway exchange: other topics are answered beside ${name}`, (t) => {
+    const params = exchangeParams.safeParse({ gateway: 'a', loads: LOADS, [topic]: report });
+    t.true(params.success, 'the call as a whole is accepted');
+    if (!params.success) return;
+    const answer = createHandler()(params.data, 0);
+    t.truthy(answer.loads);
+    t.false(topic in answer);
+    t.deepEqual(Object.keys(answer.refused ?? {}), 'isIgnored' in rest ? [] : [topic]);
+  });
+}
--- a/src/node/routingControl/gatewayExchange.ts
+++ b/src/node/routingControl/gatewayExchange.ts
@@ -1,4 +1,6 @@
-import { z } from 'zod';
+import { z, type ZodType } from 'zod';
+import { convertToRouterError } from '../errors';
+import type { Logger } from '../log';
 import { exchangeLoadParams, type ExchangeLoadAnswer, type LoadAggregator } from './loadAggregator';
 import {
   bindSessionsParams,
@@ -12,20 +14,27 @@
   type SuspectDirectory,
 } from './suspectDirectory';
 
+const topicSchemas = {
+  loads: exchangeLoadParams.omit({ gateway: true }),
+  sessions: bindSessionsParams.omit({ gateway: true }),
+  suspects: shareSuspectsParams,
+  limits: shareLimitsParams,
+} as const;
+
 /**
- * Schema of the parameters of `gateway.exchange`: a gateway's reports, by topic. A topic without a
+ * Schema of the parameters of `gateway.exchange`: a gateway's reports, by topic. Each report is
+ * checked on its own, so that a fault in one topic does not affect the others. A topic without a
  * report gets no answer.
  */
-export const exchangeParams = z.strictObject({
-  gateway: z.string(),
-  loads: exchangeLoadParams.omit({ gateway: true }).optional(),
-  sessions: bindSessionsParams.omit({ gateway: true }).optional(),
-  suspects: shareSuspectsParams.optional(),
-  limits: shareLimitsParams.optional(),
-});
+export const exchangeParams = z.looseObject({ gateway: z.string() });
+
+/** Parameters of `gateway.exchange` as they arrive: the reports are not checked yet. */
+export type ReceivedExchangeParams = Readonly<z.infer<typeof exchangeParams>>;
 
 /** Parameters of `gateway.exchange`. */
-export type ExchangeParams = Readonly<z.infer<typeof exchangeParams>>;
+export type ExchangeParams = {
+  readonly [N in keyof typeof topicSchemas]?: Readonly<z.infer<(typeof topicSchemas)[N]>>;
+} & { readonly gateway: string };
 
 /** Result of `gateway.exchange`: what the other gateways have reported, by topic. */
 export interface ExchangeAnswer {
@@ -33,10 +42,12 @@
   readonly sessions?: BindSessionsAnswer;
   readonly suspects?: ShareSuspectsAnswer;
   readonly limits?: ShareLimitsAnswer;
+  /** Why the reports of other topics were refused; such a report must not be sent again. */
+  readonly refused?: Readonly<Partial<Record<keyof typeof topicSchemas, string>>>;
 }
 
 /** Name of a topic of the exchange. */
-export type ExchangeTopicName = keyof ExchangeAnswer;
+export type ExchangeTopicName = keyof typeof topicSchemas;
 
 /** The tables of a control host that collect the reports of all gateways. They are soft state. */
 export interface ExchangeTables {
@@ -54,11 +65,18 @@
 
 type TopicHandlers = { readonly [N in ExchangeTopicName]: TopicHandler<N> };
 
+type TopicResult = { readonly answer: unknown } | { readonly refused: string };
+
 /** Answers the reports of gateways; `now` is monotonic time in milliseconds. */
-export type ExchangeHandler = (params: ExchangeParams, now: number) => ExchangeAnswer;
+export type ExchangeHandler = (params: ReceivedExchangeParams, now: number) => ExchangeAnswer;
+
+const formatIssue = ({ issues }: z.ZodError): string => {
+  const [issue] = issues;
+  return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'no match'}`;
+};
 
 /** Creates the handler of `gateway.exchange`. */
-export const createExchangeHandler = (tables: ExchangeTables): ExchangeHandler => {
+export const createExchangeHandler = (tables: ExchangeTables, log: Logger): ExchangeHandler => {
   const { loads, sessions, suspects, limits } = tables;
   const handlers: TopicHandlers = {
     loads: (report, gateway, now) => loads.exchange({ gateway, ...report }, now),
@@ -67,12 +85,36 @@
     limits: (report, _gateway, now) => limits.share(report, now),
   };
   const names = Object.keys(handlers) as readonly ExchangeTopicName[];
-  return (params, now) =>
-    Object.fromEntries(
-      names.flatMap((name) => {
-        const report = params[name];
-        const handle = handlers[name] as TopicHandler<ExchangeTopicName>;
-        return report === undefined ? [] : [[name, handle(report, params.gateway, now)]];
-      }),
+
+  const handleTopic = (
+    name: ExchangeTopicName,
+    { gateway, [name]: received }: ReceivedExchangeParams,
+    now: number,
+  ): TopicResult => {
+    const report = (topicSchemas[name] as ZodType).safeParse(received);
+    if (!report.success) return { refused: formatIssue(report.error) };
+    const handle = handlers[name] as TopicHandler<ExchangeTopicName>;
+    try {
+      return { answer: handle(report.data as never, gateway, now) };
+    } catch (cause) {
+      return { refused: convertToRouterError(cause, 'gateway.exchange', gateway).message };
+    }
+  };
+
+  return (params, now) => {
+    const results = names
+      .filter((name) => params[name] !== undefined)
+      .map((name) => [name, handleTopic(name, params, now)] as const);
+    const refused = results.flatMap(([name, result]) =>
+      'refused' in result ? [[name, result.refused] as const] : [],
+    );
+    refused.forEach(([topic, reason]) =>
+      log.warn({ gateway: params.gateway, topic, reason }, 'report of a gateway refused'),
     );
+    const answers = results.flatMap(([name, result]) =>
+      'answer' in result ? [[name, result.answer] as const] : [],
+    );
+    const answer = Object.fromEntries(answers) as ExchangeAnswer;
+    return refused.length === 0 ? answer : { ...answer, refused: Object.fromEntries(refused) };
+  };
 };
--- a/src/node/routingControl/limitTable.ts
+++ b/src/node/routingControl/limitTable.ts
@@ -22,6 +22,9 @@
 /** What a gateway knows about the request limit of an endpoint's incarnation. */
 export type LimitReport = Readonly<z.infer<typeof limitReportSchema>>;
 
+/** Maximum number of limits in one report of a gateway. */
+export const MAX_REPORTED_LIMITS = 500;
+
 /** Schema of a gateway's position in the changes of a table. */
 export const limitCursorSchema = z.strictObject({ table: z.string(), revision: z.number().int() });
 
@@ -30,7 +33,7 @@
 
 /** Schema of a gateway's report on request limits. */
 export const shareLimitsParams = z.strictObject({
-  limits: z.array(limitReportSchema).max(500).readonly(),
+  limits: z.array(limitReportSchema).max(MAX_REPORTED_LIMITS).readonly(),
   /** Absent in a gateway's first call. */
   cursor: limitCursorSchema.optional(),
 });
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -147,12 +147,13 @@
     const loadAggregator = createLoadAggregator();
     const sessionDirectory = createSessionDirectory();
     const suspectDirectory = createSuspectDirectory();
-    const handleExchange = createExchangeHandler({
+    const tables = {
       loads: loadAggregator,
       sessions: sessionDirectory,
       suspects: suspectDirectory,
       limits: createLimitTable(),
-    });
+    };
+    const handleExchange = createExchangeHandler(tables, log);
     const internalServer = createInternalServer({
       methods: {
         ...find<ReplicationHost>('replication').methods,
