Name the changed settings on SIGHUP and list the gateway's metrics

SIGHUP was logged, but an operator could not tell whether a change of the settings file was in force. A process now reads the file again and logs the names of the settings that differ, which apply from its next start, or why the file cannot be read. Reloading was ruled out: the settings are those of sockets, leases and budgets in use, and gateways learn new control hosts from the answers to their watches.

The generated METRICS.md left out the role gateway; the new test that every metric is on the page failed before with its six metrics. Roles are now a record, so that a new one cannot be forgotten.

--- a/src/node/metrics/__tests__/metrics.test.ts
+++ b/src/node/metrics/__tests__/metrics.test.ts
@@ -46,6 +46,12 @@
   t.regex(await metrics.registry.metrics(), /^oleanderfront_attempts_queued 7$/m);
 });
 
+test('the metrics page lists every metric', (t) => {
+  const page = formatMetricsReference();
+  const missing = Object.values(METRIC_DEFINITIONS).filter(({ name }) => !page.includes(name));
+  t.deepEqual(missing, []);
+});
+
 test('the metrics page is current', async (t) => {
   const options = await resolveConfig(PAGE);
   const page = await format(formatMetricsReference(), { ...options, parser: 'markdown' });
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -185,7 +185,14 @@
 /** Names of the metrics in the code. */
 export type MetricName = keyof typeof METRIC_DEFINITIONS;
 
-const ROLES: readonly MetricRole[] = ['all', 'entry', 'agent', 'control'];
+/** Headings of the roles on the generated page, in its order. */
+const ROLE_HEADINGS: Readonly<Record<MetricRole, string>> = {
+  all: 'every role',
+  entry: 'entry',
+  gateway: 'gateway',
+  agent: 'agent',
+  control: 'control',
+};
 
 const formatRow = (definition: MetricDefinition): string => {
   const { name, type, unit, labels, help } = definition;
@@ -193,10 +200,10 @@
   return `| \`${name}\` | ${type} | ${unit} | ${names} | ${help} |`;
 };
 
-const formatRole = (role: MetricRole): string => {
+const formatRole = ([role, heading]: readonly [string, string]): string => {
   const all: readonly MetricDefinition[] = Object.values(METRIC_DEFINITIONS);
   return [
-    `## ${role === 'all' ? 'every role' : role}`,
+    `## ${heading}`,
     '',
     '| name | type | unit | labels | meaning |',
     '| --- | --- | --- | --- | --- |',
@@ -214,6 +221,6 @@
     'port in the Prometheus text format, together with the usual `process_` and `nodejs_` metrics, and',
     '`GET /livez` and `GET /readyz`.',
     '',
-    ROLES.map(formatRole).join('\n\n'),
+    Object.entries(ROLE_HEADINGS).map(formatRole).join('\n\n'),
     '',
   ].join('\n');
--- a/src/node/process/index.ts
+++ b/src/node/process/index.ts
@@ -1,1 +1,2 @@
 export * from './runServices';
+export * from './listChangedSettings';
--- a/src/node/process/runServices.ts
+++ b/src/node/process/runServices.ts
@@ -1,6 +1,8 @@
+import { convertToRouterError } from '../errors';
 import { createKernel, type Service } from '../kernel';
 import { createPartLogger, createRootLogger, openBoundedOutput, type Logger } from '../log';
 import { createMetrics, type MetricRole } from '../metrics';
+import { listChangedSettings } from './listChangedSettings';
 
 /** Exit codes of a process that is stopped by a signal. */
 export const SIGNAL_EXIT_CODES = { ok: 0, failed: 1, interrupted: 130 } as const;
@@ -36,18 +38,40 @@
   await kernel.start();
 };
 
+/** What a process runs. */
+export interface ProcessOptions {
+  readonly role: MetricRole;
+  readonly node: string;
+  readonly services: readonly Service[];
+  /** Reads the settings anew; throws if they cannot be read. */
+  readonly readSettings: () => unknown;
+}
+
+// Settings apply to sockets, leases and budgets that are in use, so a running process keeps its own.
+const registerSettingsCheck = (
+  log: Logger,
+  { role, readSettings }: ProcessOptions,
+  running: unknown,
+): void => {
+  process.on('SIGHUP', () => {
+    try {
+      const changed = listChangedSettings(running, readSettings());
+      if (changed.length === 0) log.info({ role }, 'received SIGHUP; no setting has changed');
+      else log.warn({ role, changed }, 'received SIGHUP; these settings apply from the next start');
+    } catch (cause) {
+      const err = convertToRouterError(cause, 'process.settings');
+      log.error({ role, err }, 'received SIGHUP; the settings cannot be read');
+    }
+  });
+};
+
 /** Runs services of a deployment until a signal stops them; log lines go to standard output. */
-export const runServices = async (
-  role: MetricRole,
-  node: string,
-  services: readonly Service[],
-): Promise<void> => {
+export const runServices = async (options: ProcessOptions): Promise<void> => {
+  const { role, node, services, readSettings } = options;
   const log = createRootLogger({ level: 'info', node, destination: openBoundedOutput() });
   const processLog = createPartLogger(log, 'kernel');
   processLog.info({ role, pid: process.pid }, 'starting');
-  process.on('SIGHUP', () =>
-    processLog.info({ role }, 'received SIGHUP; settings are not reloaded'),
-  );
+  registerSettingsCheck(processLog, options, readSettings());
   await startServices(role, log, services);
   processLog.info({ role }, 'started');
 };
