Close connections that never carried a request when a server stops

'dev' took 70 s to stop after a caller had left a stream. The agent's client opens a new connection to the engine when it cancels a call, and sends nothing on it. Node counts a connection as idle only after its first request, so the server waited for its keep-alive timeout of 72 s. Shown by listing the open sockets of a stopping 'dev': one without a byte, at the engine. Entries, agents and control hosts use the same server, and any peer that connects in advance held up their planned stop.

Such connections now get 500 ms for a request that may be on the way and are then closed; a connection on which bytes have arrived is not. Ruled out: the cancelled run itself, and idle connections, which were closed.

--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -1,4 +1,6 @@
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { randomUUID } from 'node:crypto';
 import { createError, ERROR_STATUS, formatErrorBody, RouterError, type ErrorType } from '../errors';
@@ -26,6 +28,8 @@
 const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 10_000;
 const CLOSE_IDLE_INTERVAL_MS = 50;
+/** Time that a connection without a request gets after the close has started, in milliseconds. */
+const UNUSED_GRACE_MS = 500;
 const HEADER_LIMIT_BYTES = 16 * 1024;
 
 // By default Node checks for slow clients only every 30 seconds, and it applies the longer of the
@@ -91,10 +95,25 @@
 };
 
 // Without this, a connection that was busy when the close started stays open until its keep-alive
-// timeout.
+// timeout. Node does not count a connection as idle before its first request, but clients open
+// connections in advance; such a connection gets some time, since its request may be on the way.
 const registerIdleClosing = (app: FastifyInstance): void => {
+  const unused = new Set<Socket>();
+  app.server.on('connection', (socket: Socket) => {
+    unused.add(socket);
+    socket.once('close', () => unused.delete(socket));
+  });
+  app.server.on('request', ({ socket }: IncomingMessage) => unused.delete(socket));
   app.addHook('preClose', async () => {
-    const timer = setInterval(() => app.server.closeIdleConnections(), CLOSE_IDLE_INTERVAL_MS);
+    const closesUnusedAt = performance.now() + UNUSED_GRACE_MS;
+    const timer = setInterval(() => {
+      app.server.closeIdleConnections();
+      if (performance.now() < closesUnusedAt) return;
+      // Bytes show that a request is arriving; the server's timeout bounds it.
+      unused.forEach((socket) => {
+        if (socket.bytesRead === 0) socket.destroy();
+      });
+    }, CLOSE_IDLE_INTERVAL_MS);
     app.server.once('close', () => clearInterval(timer));
   });
 };
