Let events of an engine that arrive together share a frame

Beside a load above 20, streams were routed but did not reach the engine within 15 s (concurrency.test.ts, KNOWN-RED). Counters of a red run: the entry had placed all 150 after 2.7 s; the agent used 0.35 to 0.48 of a core, all that it got, and the engine's send buffers to it were full; runs began at about 10 a second. Each event was a frame of its own, encoded, serialised and written by itself, so that the agent spent its turns on running streams. Ruled out: a stall of a socket or of the queue, and the entry, which had time left.

--- a/src/node/agent/engineCall.ts
+++ b/src/node/agent/engineCall.ts
@@ -66,25 +66,30 @@
 
 const encodeData = (text: string): string => Buffer.from(text).toString('base64');
 
-// Parses the event stream to read the usage chunk, and drops it unless the caller wants it.
+// Parses the event stream to read the usage chunk, and drops it unless the caller wants it. Events
+// that arrive together share a frame: an agent that falls behind then has less work for each event,
+// so that new attempts do not wait behind the frames of running ones.
 const relayEvents = async (
   target: EngineTarget,
   attempt: Attempt,
   chunks: AsyncIterable<Buffer>,
   wantsUsage: boolean,
 ): Promise<void> => {
+  let texts: string[] = [];
   const handleEvent = (event: EventSourceMessage): void => {
     const chunk = parseChunk(event.data);
     updateCounts(target, chunk);
     if (chunk.isOnlyUsage && !wantsUsage) return;
     const name = event.event ? `event: ${event.event}\n` : '';
     const lines = event.data.split('\n').map((line) => `data: ${line}\n`);
-    attempt.append({ type: 'data', data: encodeData(`${name}${lines.join('')}\n`) });
+    texts.push(`${name}${lines.join('')}\n`);
   };
   const parser = createParser({ onEvent: handleEvent });
   const decoder = new TextDecoder();
   for await (const chunk of chunks) {
     parser.feed(decoder.decode(chunk, { stream: true }));
+    if (texts.length > 0) attempt.append({ type: 'data', data: encodeData(texts.join('')) });
+    texts = [];
     await attempt.waitForBufferSpace();
   }
 };
