Do not join a stream with one that an endpoint starts again

A stream breaks off and the next endpoint ignores the last event id: its stream begins with event 1 again, and the caller received events twice, of two runs. Such an answer is now a failed attempt, and the next endpoint is asked.

--- a/src/node/gateway/__tests__/streams.test.ts
+++ b/src/node/gateway/__tests__/streams.test.ts
@@ -65,6 +65,17 @@
 );
 const stalledStream = createAnswer(`${SSE}${formatEvents(1, 2)}`);
 
+const createError = (status: string, head = ''): SocketAnswer =>
+  createAnswer(
+    `HTTP/1.1 ${status}\r\n${ECHO}\r\n${head}Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nid: 99`,
+  );
+const errorAsEvents = createAnswer(
+  `HTTP/1.1 500 Failed\r\n${ECHO}\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 99\n\n`,
+  close,
+);
+const plainSuccess = createError('200 OK');
+const restartedStream = completeStream;
+
 const streamCases: readonly StreamCase[] = [
   {
     name: 'complete',
@@ -179,6 +190,31 @@
     isComplete: true,
     resumedAfter: '2',
   },
+  ...[
+    { name: 'an error', answer: createError('500 Failed') },
+    { name: 'an error in the form of events', answer: errorAsEvents },
+    { name: 'a status that is no error', answer: plainSuccess },
+    { name: 'a refusal', answer: createError('503 Busy', 'X-Not-Executed: 1\r\n') },
+    { name: 'a redirect', answer: createError('307 Elsewhere') },
+    { name: 'a stream that starts again', answer: restartedStream },
+  ].flatMap(({ name, answer }): readonly StreamCase[] => [
+    {
+      name: `interrupted in the middle of an event, then ${name}`,
+      route: { ...STREAM, attemptLimit: 2 },
+      answers: [partialEventStream, answer],
+      ids: [1, 2],
+      isComplete: false,
+      resumedAfter: '2',
+    },
+    {
+      name: `interrupted in the middle of an event, then ${name}, then resumed`,
+      route: STREAM,
+      answers: [partialEventStream, answer, resumedStream],
+      ids: [1, 2, 3, 4],
+      isComplete: true,
+      resumedAfter: '2',
+    },
+  ]),
   {
     name: 'interrupted on a route that does not allow resuming',
     route: { ...STREAM, canResume: false },
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -272,6 +272,12 @@
   return { type: 'done', status: head.status };
 };
 
+// Ids increase. Ids that are not numbers can only be compared for equality.
+const isRepeated = (id: string | undefined, lastEventId: string | undefined): boolean => {
+  if (id === undefined || lastEventId === undefined) return false;
+  return id === lastEventId || Number(id) <= Number(lastEventId);
+};
+
 const relayEventStream = async (
   context: AttemptContext,
   head: ResponseHead,
@@ -302,6 +308,15 @@
       if (next.value.done === true) break;
       const events = reader.add(next.value.value);
       if (events.length === 0) continue;
+      // An endpoint that ignores the last event id runs the request anew, as another stream.
+      if (firstAt === undefined && isRepeated(events[0]!.id, exchange.lastEventId)) {
+        recordFailure(
+          context,
+          `endpoint did not resume the stream after event ${exchange.lastEventId}; it sent event ${events[0]!.id}`,
+          true,
+        );
+        return RETRY;
+      }
       if (!reply.isStarted()) {
         recordFirstByte(context);
         reply.start(replyHead);
