Take a refusal as 'not run' only if it belongs to the request

An endpoint that writes an earlier refusal once more answered a request with the refusal of another one. The gateway looked at the refusal before it looked at the id: it told the caller 503, not run, and sent a request that may not be retried to a second endpoint. A response with another request's id now never says anything about this one: 502, or another attempt where the route allows one. A refusal without an id still counts: it is the first response on a connection of its own.

--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -39,6 +39,12 @@
 const mismatched = createAnswer(formatFramed('200 OK', 'other', 'X-Request-Id: id-0'));
 const encoded = createAnswer(formatFramed('200 OK', 'zzz', `${ECHO}\r\nContent-Encoding: gzip`));
 
+const OTHER_ID = 'X-Request-Id: id-0';
+const repeatedRefusal = createAnswer(
+  formatFramed('503 Busy', 'busy', `${OTHER_ID}\r\nX-Not-Executed: 1`),
+);
+const repeatedMisdirected = createAnswer(formatFramed('421 Misdirected', '', OTHER_ID));
+
 const ONCE: RouteFields = { kind: 'once' };
 const SAFE: RouteFields = { kind: 'idempotent' };
 
@@ -124,6 +130,33 @@
     status: 502,
     requestCounts: [1, 0],
   },
+  ...[
+    { name: 'refusal', answer: repeatedRefusal },
+    { name: 'misdirected response', answer: repeatedMisdirected },
+  ].flatMap(({ name, answer }): readonly Case[] => [
+    {
+      name: `${name} of another request does not count as not run`,
+      route: ONCE,
+      answers: [answer, good],
+      status: 502,
+      requestCounts: [1, 0],
+    },
+    {
+      name: `${name} of another request on a retryable route is retried`,
+      route: SAFE,
+      answers: [answer, good],
+      status: 200,
+      body: 'good',
+      requestCounts: [1, 1],
+    },
+    {
+      name: `${name} of another request everywhere on a retryable route gives 502`,
+      route: SAFE,
+      answers: [answer, answer],
+      status: 502,
+      requestCounts: [1, 1],
+    },
+  ]),
   {
     name: 'content encoding that was not requested',
     route: ONCE,
--- a/src/node/gateway/callerReply.ts
+++ b/src/node/gateway/callerReply.ts
@@ -34,6 +34,14 @@
 /** Statuses of responses without a body. */
 export const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** Finds the body length in bytes that headers declare. */
+export const findDeclaredLength = (headers: RawHeaders): number | undefined => {
+  const index = headers.findIndex(
+    (name, at) => at % 2 === 0 && name.toLowerCase() === 'content-length',
+  );
+  return index < 0 ? undefined : Number(headers[index + 1]);
+};
+
 /** Creates the response path on top of Node's response object. */
 export const createCallerReply = (
   response: ServerResponse,
@@ -61,9 +69,7 @@
     send: (head, body) => {
       if (isDisconnected) return;
       const { status, headers, isCloseDelimited } = head;
-      const hasLength = headers.some(
-        (name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
-      );
+      const hasLength = findDeclaredLength(headers) !== undefined;
       const isBodiless = BODILESS_STATUSES.has(status) || response.req.method === 'HEAD';
       const length =
         hasLength || isBodiless || isCloseDelimited ? [] : ['Content-Length', String(body.length)];
--- a/src/node/gateway/eventReader.ts
+++ b/src/node/gateway/eventReader.ts
@@ -34,6 +34,18 @@
   return -1;
 };
 
+/**
+ * Whether an event is not after the last one. Ids increase; ids that are not numbers can only be
+ * compared for equality.
+ */
+export const isRepeatedEvent = (
+  id: string | undefined,
+  lastEventId: string | undefined,
+): boolean => {
+  if (id === undefined || lastEventId === undefined) return false;
+  return id === lastEventId || Number(id) <= Number(lastEventId);
+};
+
 /** Creates a reader with an empty buffer. */
 export const createEventReader = (): EventReader => {
   let pending: Buffer = Buffer.alloc(0);
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,12 +1,12 @@
 import { chooseSecondModel, type WindowBudget } from '../decisions';
 import { formatIncarnation, type EndpointReport } from '../registry';
 import { isRetryableRoute } from '../routing';
-import { BODILESS_STATUSES, type ReplyHead } from './callerReply';
+import { BODILESS_STATUSES, findDeclaredLength, type ReplyHead } from './callerReply';
 import { createModelInput } from './choiceRequest';
 import { waitWithTimeout } from './deadline';
 import { isConnectionLoss } from './endpointAttempt';
 import type { LoadEntry } from './endpointLoads';
-import { createEventReader } from './eventReader';
+import { createEventReader, isRepeatedEvent } from './eventReader';
 import type { Exchange, ExchangeDependencies } from './exchangeTypes';
 import { listLoggedBlocks } from './promptBlocks';
 import type { ServicePrompt } from './promptQuarantine';
@@ -205,13 +205,6 @@
   }
 };
 
-const findDeclaredLength = ({ forwarded }: ResponseHead): number | undefined => {
-  const index = forwarded.findIndex(
-    (name, at) => at % 2 === 0 && name.toLowerCase() === 'content-length',
-  );
-  return index < 0 ? undefined : Number(forwarded[index + 1]);
-};
-
 const createReplyHead = ({ status, forwarded, isCloseDelimited }: ResponseHead): ReplyHead => ({
   status,
   headers: forwarded,
@@ -272,12 +265,6 @@
   return { type: 'done', status: head.status };
 };
 
-// Ids increase. Ids that are not numbers can only be compared for equality.
-const isRepeated = (id: string | undefined, lastEventId: string | undefined): boolean => {
-  if (id === undefined || lastEventId === undefined) return false;
-  return id === lastEventId || Number(id) <= Number(lastEventId);
-};
-
 const relayEventStream = async (
   context: AttemptContext,
   head: ResponseHead,
@@ -309,7 +296,7 @@
       const events = reader.add(next.value.value);
       if (events.length === 0) continue;
       // An endpoint that ignores the last event id runs the request anew, as another stream.
-      if (firstAt === undefined && isRepeated(events[0]!.id, exchange.lastEventId)) {
+      if (firstAt === undefined && isRepeatedEvent(events[0]!.id, exchange.lastEventId)) {
         recordFailure(
           context,
           `endpoint did not resume the stream after event ${exchange.lastEventId}; it sent event ${events[0]!.id}`,
@@ -420,13 +407,15 @@
     { endpoint, request: requestId, requestsPerSecond, startedAt },
     deps.readNow(),
   );
-  if (head.isNotRun) {
+  const isOther = head.requestId !== undefined && head.requestId !== requestId;
+  // A refusal of another request says nothing about this one.
+  if (head.isNotRun && !isOther) {
     recordDeclined(context, head);
     return RETRY;
   }
   exchange.mayHaveRun = true;
   exchange.confidence = head.confidence;
-  if (head.requestId !== undefined && head.requestId !== requestId) {
+  if (isOther) {
     recordFailure(context, `response belongs to another request '${head.requestId}'`, true);
     return RETRY;
   }
@@ -449,7 +438,7 @@
   );
   const isStream = head.isEventStream && head.status === 200;
   if (isStream) return relayEventStream(context, head);
-  const isLarge = (findDeclaredLength(head) ?? 0) > MAX_BUFFERED_BYTES;
+  const isLarge = (findDeclaredLength(head.forwarded) ?? 0) > MAX_BUFFERED_BYTES;
   return isLarge && head.status < 500 && !exchange.reply.isStarted()
     ? relayLargeBody(context, head)
     : relayBuffered(context, head);
