Give each call of an agent to its engine a connection of its own

An engine that sent a second copy of an answer, late, when its connection was in use again, had it taken for the answer to the next call: a caller received the answer to another caller's request. The client cannot tell, since engines need not echo a request id. The new test in engineCall.test.ts failed before. The engine is next to its agent, so a new connection costs little.

--- a/src/node/agent/__tests__/engineCall.test.ts
+++ b/src/node/agent/__tests__/engineCall.test.ts
@@ -1,4 +1,7 @@
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
 import test from 'ava';
+import { Pool } from 'undici';
 import type { AttemptRequest } from '../../shared';
 import { createAttempt } from '../attempt';
 import { callEngine, type EngineTarget } from '../engineCall';
@@ -55,3 +58,41 @@
     t.is(counts.outputTokens, EVENTS.length);
   });
 }
+
+const PLAIN_REQUEST = { ...REQUEST, target: { kind: 'service' } } as unknown as AttemptRequest;
+
+const formatAnswer = (body: string): string =>
+  `HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+test('a second copy of an answer does not become the answer to the next call', async (t) => {
+  let calls = 0;
+  const server = createServer((socket) => {
+    let lastAnswer = '';
+    socket.on('error', () => {});
+    socket.on('data', () => {
+      calls += 1;
+      // The copy is written when the connection is in use again.
+      socket.write(lastAnswer);
+      lastAnswer = formatAnswer(`answer ${calls}`);
+      socket.write(lastAnswer);
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, {
+    connections: 1,
+  });
+  t.teardown(async () => {
+    await pool.destroy();
+    server.close();
+  });
+  for (const expected of ['answer 1', 'answer 2', 'answer 3']) {
+    const attempt = createAttempt(PLAIN_REQUEST);
+    await callEngine({ pool, counts: { inputTokens: 0, outputTokens: 0 } }, attempt);
+    let body = '';
+    for await (const frame of attempt.read(0, new AbortController().signal)) {
+      if (frame.type === 'data') body += Buffer.from(frame.data, 'base64').toString();
+    }
+    t.is(body, expected);
+  }
+});
--- a/src/node/agent/engineCall.ts
+++ b/src/node/agent/engineCall.ts
@@ -184,6 +184,8 @@
     },
     body: engineRequest.body.length > 0 ? engineRequest.body : undefined,
     signal: abort.signal,
+    // A kept connection may carry a late second answer, which would be taken for the next one.
+    reset: true,
     headersTimeout: request.deadlineMs,
     bodyTimeout: request.deadlineMs,
   });
