Check the lease again before a request is sent

A request read the routing state, looked up quarantined blocks and the version of its session at a control host, and was then sent on what it had read. A process that was paused for seconds in between, or whose look-up was late, sent requests on a lease that had run out, for example for a key that had been revoked. The lease is now checked again after the look-ups; without one the request is refused as not run. The new case of gateway.test.ts failed before.

--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -303,3 +303,20 @@
   t.is(gateway.findSessionVersion('one'), 'v1');
   await gateway.stop();
 });
+
+test('a request is not sent on a lease that ran out while its session was looked up', async (t) => {
+  let isLeased = true;
+  const gateway = await startGateway(ONCE, [good], {
+    hasLease: () => isLeased,
+    // The process is paused, or the answer is late.
+    bindUnknown: async () => {
+      await sleep(PAUSE_MS);
+      isLeased = false;
+    },
+  });
+  t.teardown(gateway.stop);
+  const result = await gateway.call({ headers: { Session: 's-1' } });
+  t.is(result.status, 503);
+  t.truthy(result.headers['retry-after']);
+  t.is(gateway.heads[0]!.length, 0);
+});
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -63,6 +63,13 @@
   readonly body?: string;
 }
 
+/** Dependencies of a test's gateway that replace the defaults. */
+export interface GatewayOverrides {
+  /** Called before a request of a session is placed. */
+  readonly bindUnknown?: () => Promise<void>;
+  readonly hasLease?: () => boolean;
+}
+
 /** Fields of a test's route that replace the defaults. */
 export type RouteFields = Partial<Route>;
 
@@ -174,6 +181,7 @@
 export const startGateway = async (
   fields: RouteFields,
   answers: readonly SocketAnswer[],
+  { bindUnknown = async () => {}, hasLease = () => true }: GatewayOverrides = {},
 ): Promise<GatewayHarness> => {
   const heads: string[][] = answers.map(() => []);
   const endpoints = await Promise.all(
@@ -242,14 +250,14 @@
     },
     loads,
     sessions,
-    sessionExchange: { bindUnknown: async () => {} },
+    sessionExchange: { bindUnknown },
     quarantine,
     promptGuard,
     limits,
     tallies: createVersionTallies(),
     metrics,
     log,
-    readSnapshot: () => snapshot,
+    readSnapshot: () => (hasLease() ? snapshot : undefined),
     findBudget: () => budget,
     startAttempt: (target) => startEndpointAttempt(target, headerCodec.decodeResponse),
     canConnect: ({ address }) => canConnect(address, 400),
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -175,13 +175,17 @@
     completion.settleWithoutResponse(exchange, retryAfterMs);
   };
 
+  const settleWithoutLease = (exchange: Exchange): void => {
+    exchange.reason = 'the gateway has no valid lease on the configuration';
+    completion.settleWithoutResponse(exchange, NO_LEASE_RETRY_MS);
+  };
+
   const runAttempt = async (exchange: Exchange): Promise<void> => {
     const { request } = exchange;
     const { route } = request;
-    const snapshot = deps.readSnapshot();
-    if (!snapshot) {
-      exchange.reason = 'the gateway has no valid lease on the configuration';
-      completion.settleWithoutResponse(exchange, NO_LEASE_RETRY_MS);
+    const leased = deps.readSnapshot();
+    if (!leased) {
+      settleWithoutLease(exchange);
       return;
     }
     if (exchange.attempts > 0) {
@@ -198,8 +202,14 @@
     }
     exchange.isProbe = verdict.type === 'probe';
     deps.limits.recordDemand(chooseService(route, request.caller), readNow());
-    await bindSession(deps, request, snapshot);
+    await bindSession(deps, request, leased);
     if (exchange.isFinished) return;
+    // The lease may have run out during these calls, for example while the process was paused.
+    const snapshot = deps.readSnapshot();
+    if (!snapshot) {
+      settleWithoutLease(exchange);
+      return;
+    }
     const model =
       exchange.secondModel ?? chooseFirstModel(createModelInput(deps, exchange, snapshot));
     const choice = chooser.choose(
