--- a/src/node/routingControl/__tests__/rolloutSupervisor.test.ts
+++ b/src/node/routingControl/__tests__/rolloutSupervisor.test.ts
@@ -2,7 +2,12 @@
 import { Right } from 'purify-ts';
 import { pino } from 'pino';
 import { createRegistry } from '../../registry';
-import { createRolloutSupervisor, createRoutingState, type VersionTally } from '..';
+import {
+  createRolloutSupervisor,
+  createRoutingState,
+  type RoutingCommand,
+  type VersionTally,
+} from '..';
 
 const DURATION_MS = 24_000;
 
@@ -75,3 +80,59 @@
     t.is(state.listRollouts()[0]?.stage, stage);
   });
 }
+
+// Around a hand-over, the former leader may not know yet that another host leads. Both judge the
+// same stage; their proposals enter the log in some order, perhaps late.
+const handovers = [
+  { name: 'both at once', between: undefined, stage: 'early' },
+  { name: 'one after the next stage was reached', between: 'ramp', stage: 'ramp' },
+  { name: 'one after the roll-out was rolled back', between: 'rolledBack', stage: 'rolledBack' },
+] as const;
+
+for (const { name, between, stage } of handovers) {
+  test(`two leaders advance a roll-out once: ${name}`, async (t) => {
+    const state = createRoutingState();
+    const target = 'v2';
+    state.apply(1, { type: 'startRollout', service: 's', target, durationMs: DURATION_MS });
+    const proposals: RoutingCommand[] = [];
+    let now = 0;
+    const createLeader = () => {
+      const registry = createRegistry({ reportTimeoutMs: 10_000, retentionMs: 10_000 });
+      registry.applyReport(createReport('1', 'v1'), 0);
+      registry.applyReport(createReport('2', 'v2'), 0);
+      return createRolloutSupervisor({
+        replica: {
+          status: () => ({ role: 'leader' }) as never,
+          propose: async (command) => {
+            proposals.push(command);
+            return Right({ result: { type: 'done' }, index: 2 }) as never;
+          },
+        },
+        state,
+        registry,
+        log: pino({ level: 'silent' }),
+        readNow: () => now,
+      });
+    };
+    const leaders = [createLeader(), createLeader()];
+    for (const leader of leaders) await leader.advance();
+    now = 500;
+    for (const leader of leaders) {
+      leader.recordTallies({
+        gateway: 'g',
+        bootId: 'b',
+        tallies: [createTally('v1', 200), createTally('v2', 30)],
+        rolloutAges: [{ service: 's', target, ageMs: 14_000 }],
+      });
+      await leader.advance();
+    }
+    t.is(proposals.length, 2, 'both act on the same stage');
+    state.apply(2, proposals[0]!);
+    t.is(state.listRollouts()[0]?.stage, 'early');
+    if (between) {
+      state.apply(3, { type: 'advanceRollout', service: 's', target, from: 'early', to: between });
+    }
+    state.apply(4, proposals[1]!);
+    t.is(state.listRollouts()[0]?.stage, stage);
+  });
+}
