Let the test of a stale lock not assume when process 1 started

The test wrote a lock of process 1 with start time 0 and took it for stale. On this machine process 1 did start at 0 (/proc/1/stat), so the lock was valid and the store was right to refuse it. The test now writes a start time that process 1 does not have; what it checks is the same.

--- a/src/node/replication/__tests__/store.test.ts
+++ b/src/node/replication/__tests__/store.test.ts
@@ -217,8 +217,8 @@
   const store = await openPlain(folder);
   await t.throwsAsync(openPlain(folder), { message: /is in use by process/ });
   await store.close();
-  // Process 1 is always running, but its start time is not 0, so this lock is stale.
-  writeFileSync(join(folder, 'lock'), '1 0');
+  // Process 1 is always running, but it has another start time, so this lock is stale.
+  writeFileSync(join(folder, 'lock'), `1 ${Number(readStartTime(1)) + 1}`);
   const again = await openPlain(folder);
   await again.close();
   writeFileSync(join(folder, 'lock'), `1 ${readStartTime(1)}`);
