Log a fingerprint of each request that is placed, dropped or lost

Two requests are the same if method, path, organisation and body are the same. Behaviour is unchanged.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -8,6 +8,7 @@
 import type { ExchangeRunner } from './exchange';
 import type { GatewayMetrics } from './gatewayMetrics';
 import { readBody } from './readBody';
+import { computeFingerprint } from './requestFingerprint';
 import type { RoutingSnapshot } from './routingView';
 import type { CallerHeaders, HeaderCodec } from './types';
 
@@ -115,12 +116,16 @@
       refuse(reply, caller, { status: BODY_FAILURE_STATUS[failure], reason });
       return;
     }
+    const method = message.method ?? 'GET';
+    const content = body.unsafeCoerce();
+    const identity = { method, path, organisation: organisation?.name, body: content };
     await runner.run(
       {
         caller,
-        method: message.method ?? 'GET',
+        method,
         path,
-        body: body.unsafeCoerce(),
+        body: content,
+        fingerprint: computeFingerprint(identity),
         route,
         organisation,
         table: snapshot.table,
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -71,6 +71,7 @@
       request: exchange.request.caller.requestId,
       route: exchange.request.route.name,
       promptTokens: exchange.request.caller.promptTokens,
+      fingerprint: exchange.request.fingerprint,
       blocks: listLoggedBlocks(exchange.request.caller),
       endpoint: endpoint.id,
       version: endpoint.version,
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -22,6 +22,8 @@
   /** Path and query string as the caller sent them. */
   readonly path: string;
   readonly body: Buffer;
+  /** Identifies the same request when it comes again under another id. */
+  readonly fingerprint: string;
   readonly route: Route;
   readonly organisation: RoutedOrganisation | undefined;
   readonly table: RouteTable;
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -83,6 +83,7 @@
   deps.log.info(
     {
       request: exchange.request.caller.requestId,
+      fingerprint: exchange.request.fingerprint,
       blocks: listLoggedBlocks(exchange.request.caller),
       endpoint: endpoint.id,
       endpointStartedAt: endpoint.startedAt,
@@ -371,8 +372,10 @@
   exchange.dropped = model;
   exchange.secondModel = secondModel;
   const { requestId: request } = caller;
+  const { fingerprint } = exchange.request;
+  const incarnation = formatIncarnation(endpoint);
   deps.log.info(
-    { request, model, confidence, secondModel, endpoint: endpoint.id },
+    { request, fingerprint, model, confidence, secondModel, endpoint: endpoint.id, incarnation },
     'response dropped in favour of a larger model',
   );
   deps.metrics.attempts.inc({ service: endpoint.service, result: 'dropped' });
