Name the parts of the quarantine after requests instead of prompts

Prepares the quarantine of whole requests: a suspect has a kind and an id in place of a flag and a block.

--- a/src/node/decisions/__tests__/blockSuspicion.test.ts
+++ b/src/node/decisions/__tests__/suspicion.test.ts
@@ -4,11 +4,11 @@
   chooseCulprits,
   computeHoldMs,
   countIndependentLosses,
-  createSuspectBlock,
+  createSuspect,
   judgeSuspect,
   mergeSuspects,
-  type BlockLoss,
-  type SuspectBlock,
+  type EndpointLoss,
+  type Suspect,
   type SuspicionVerdict,
 } from '..';
 
@@ -18,10 +18,10 @@
   lostAt: number,
   companions: readonly string[] = [],
   isAnswering = true,
-): BlockLoss => ({ incarnation, startedAt, lostAt, isAnswering, companions });
+): EndpointLoss => ({ incarnation, startedAt, lostAt, isAnswering, companions });
 
-const createBlock = (fields: Partial<SuspectBlock>): SuspectBlock => ({
-  ...createSuspectBlock({ service: 's', block: 'b', depth: 1, isOwn: false }),
+const createBlock = (fields: Partial<Suspect>): Suspect => ({
+  ...createSuspect({ service: 's', kind: 'shared_block', id: 'b', depth: 1 }),
   ...fields,
 });
 
@@ -93,7 +93,7 @@
     losses: IN_A_ROW,
     quarantined: [
       createBlock({
-        block: 'c',
+        id: 'c',
         quarantine: QUARANTINE,
         losses: [...IN_A_ROW, createLoss('e3', 2_100, 3_000)],
       }),
@@ -104,21 +104,21 @@
   {
     name: 'losses beside a quarantined block that was lost as often',
     losses: IN_A_ROW,
-    quarantined: [createBlock({ block: 'c', quarantine: QUARANTINE, losses: IN_A_ROW })],
+    quarantined: [createBlock({ id: 'c', quarantine: QUARANTINE, losses: IN_A_ROW })],
     counts: CALM,
     isDeadly: true,
   },
   {
     name: 'losses in the prompts of one quarantined block',
     losses: [createLoss('e1', 0, 1_000, ['c']), createLoss('e2', 1_100, 2_000, ['c'])],
-    quarantined: [createBlock({ block: 'c', quarantine: QUARANTINE })],
+    quarantined: [createBlock({ id: 'c', quarantine: QUARANTINE })],
     counts: CALM,
     isDeadly: false,
   },
   {
     name: 'losses in the prompts of two quarantined blocks, which it has in common',
     losses: [createLoss('e1', 0, 1_000, ['c']), createLoss('e2', 1_100, 2_000, ['d'])],
-    quarantined: ['c', 'd'].map((block) => createBlock({ block, quarantine: QUARANTINE })),
+    quarantined: ['c', 'd'].map((block) => createBlock({ id: block, quarantine: QUARANTINE })),
     counts: CALM,
     isDeadly: true,
   },
@@ -134,7 +134,7 @@
 }
 
 const createVerdict = (
-  fields: Partial<SuspectBlock>,
+  fields: Partial<Suspect>,
   losses: number,
   isAnswering = true,
 ): SuspicionVerdict => ({ suspect: createBlock(fields), losses, needed: 2, isAnswering });
@@ -142,27 +142,24 @@
 const choices = [
   {
     name: 'the block with most losses',
-    verdicts: [createVerdict({ block: 'a' }, 4), createVerdict({ block: 'b', depth: 2 }, 2)],
+    verdicts: [createVerdict({ id: 'a' }, 4), createVerdict({ id: 'b', depth: 2 }, 2)],
     chosen: ['a'],
   },
   {
     name: 'the block whose responses had begun',
-    verdicts: [createVerdict({ block: 'a' }, 2), createVerdict({ block: 'b', depth: 2 }, 4, false)],
+    verdicts: [createVerdict({ id: 'a' }, 2), createVerdict({ id: 'b', depth: 2 }, 4, false)],
     chosen: ['a'],
   },
   {
     name: 'of equal ones the last in the prompt',
-    verdicts: [
-      createVerdict({ block: 'a', depth: 0 }, 2),
-      createVerdict({ block: 'b', depth: 2 }, 2),
-    ],
+    verdicts: [createVerdict({ id: 'a', depth: 0 }, 2), createVerdict({ id: 'b', depth: 2 }, 2)],
     chosen: ['b'],
   },
   {
     name: 'a shared block beside the own block of a request',
     verdicts: [
-      createVerdict({ block: 'a', depth: 0 }, 2),
-      createVerdict({ block: 'own', depth: 3, isOwn: true }, 2),
+      createVerdict({ id: 'a', depth: 0 }, 2),
+      createVerdict({ id: 'own', depth: 3, kind: 'own_block' }, 2),
     ],
     chosen: ['a', 'own'],
   },
@@ -171,7 +168,7 @@
 for (const { name, verdicts, chosen } of choices) {
   test(`choice of the blocks to quarantine: ${name}`, (t) => {
     t.deepEqual(
-      chooseCulprits(verdicts).map(({ suspect }) => suspect.block),
+      chooseCulprits(verdicts).map(({ suspect }) => suspect.id),
       [...chosen],
     );
   });
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -24,5 +24,5 @@
 export * from './admitDuringShutdown';
 export * from './placeEngineRequest';
 export * from './prefillRates';
-export * from './blockSuspicion';
+export * from './suspicion';
 export * from './requestTokens';
--- a/src/node/decisions/blockSuspicion.ts
+++ b/src/node/decisions/suspicion.ts
@@ -4,7 +4,7 @@
 // one by one or many at once.
 
 /** An attempt that ended with its connection before the endpoint had proven to survive it. */
-export interface BlockLoss {
+export interface EndpointLoss {
   /** Incarnation of the endpoint; each one can crash only once. */
   readonly incarnation: string;
   /** Monotonic times in milliseconds at which the attempt started and ended. */
@@ -17,33 +17,38 @@
 }
 
 /** A block that is refused, but for one probe each time that the hold has passed. */
-export interface BlockQuarantine {
+export interface Quarantine {
   /** Number of probes granted so far, plus one. */
   readonly level: number;
   /** Monotonic time in milliseconds of the latest probe, or of the start. */
   readonly since: number;
 }
 
+/**
+ * What may take endpoints down: a prompt block that many requests share, or the last block of a
+ * prompt, which belongs to one request or session.
+ */
+export type SuspectKind = 'shared_block' | 'own_block';
+
 /** What is known about a prompt block whose requests were lost. */
-export interface SuspectBlock {
+export interface Suspect {
   readonly service: string;
-  readonly block: string;
+  readonly kind: SuspectKind;
+  readonly id: string;
   /** Position in the prompt; blocks that come later are in fewer requests. */
   readonly depth: number;
-  /** Whether the block is the last one of its prompt, which belongs to one request or session. */
-  readonly isOwn: boolean;
   /** Losses since the latest answer, the oldest first. */
-  readonly losses: readonly BlockLoss[];
+  readonly losses: readonly EndpointLoss[];
   /** Monotonic time in milliseconds of the latest answer to a request with the block. */
   readonly answeredAt: number | undefined;
-  readonly quarantine: BlockQuarantine | undefined;
+  readonly quarantine: Quarantine | undefined;
 }
 
 /** Input for the decision whether a block is quarantined. */
 export interface SuspicionInput {
-  readonly suspect: SuspectBlock;
+  readonly suspect: Suspect;
   /** The other quarantined blocks of the service. */
-  readonly quarantined: readonly SuspectBlock[];
+  readonly quarantined: readonly Suspect[];
   /** Recent attempts of this gateway without the block. */
   readonly otherAttempts: number;
   /** How many of them were lost, and were lost when their response had begun. */
@@ -78,16 +83,16 @@
 const MAX_HOLD_MS = 300_000;
 
 /** Creates the record of a block without losses. */
-export const createSuspectBlock = (
-  identity: Pick<SuspectBlock, 'service' | 'block' | 'depth' | 'isOwn'>,
-): SuspectBlock => ({
+export const createSuspect = (
+  identity: Pick<Suspect, 'service' | 'kind' | 'id' | 'depth'>,
+): Suspect => ({
   ...identity,
   losses: [],
   answeredAt: undefined,
   quarantine: undefined,
 });
 
-const removeAnswered = (suspect: SuspectBlock): SuspectBlock => {
+const removeAnswered = (suspect: Suspect): Suspect => {
   const { answeredAt, losses, quarantine } = suspect;
   if (answeredAt === undefined) return suspect;
   return {
@@ -97,7 +102,7 @@
   };
 };
 
-const mergeLoss = (a: BlockLoss, b: BlockLoss | undefined): BlockLoss =>
+const mergeLoss = (a: EndpointLoss, b: EndpointLoss | undefined): EndpointLoss =>
   b === undefined
     ? a
     : {
@@ -106,7 +111,10 @@
         companions: [...new Set([...a.companions, ...b.companions])].slice(0, MAX_COMPANIONS),
       };
 
-const mergeLosses = (a: readonly BlockLoss[], b: readonly BlockLoss[]): readonly BlockLoss[] => {
+const mergeLosses = (
+  a: readonly EndpointLoss[],
+  b: readonly EndpointLoss[],
+): readonly EndpointLoss[] => {
   const byIncarnation = new Map(b.map((loss) => [loss.incarnation, loss]));
   a.forEach((loss) =>
     byIncarnation.set(loss.incarnation, mergeLoss(loss, byIncarnation.get(loss.incarnation))),
@@ -120,15 +128,15 @@
   a === undefined || b === undefined ? (a ?? b) : Math.max(a, b);
 
 const chooseQuarantine = (
-  a: BlockQuarantine | undefined,
-  b: BlockQuarantine | undefined,
-): BlockQuarantine | undefined => {
+  a: Quarantine | undefined,
+  b: Quarantine | undefined,
+): Quarantine | undefined => {
   if (!a || !b) return a ?? b;
   return b.level > a.level ? b : a;
 };
 
 /** Merges two records of one block. An answer refutes every earlier loss and quarantine. */
-export const mergeSuspects = (a: SuspectBlock, b: SuspectBlock): SuspectBlock =>
+export const mergeSuspects = (a: Suspect, b: Suspect): Suspect =>
   removeAnswered({
     ...a,
     losses: mergeLosses(a.losses, b.losses),
@@ -139,28 +147,30 @@
 // A quarantined companion explains the losses that a block shares with it. If two companions were
 // quarantined one after the other, what they have in common is the more likely cause.
 const createCompanionTest = (
-  { losses }: SuspectBlock,
-  quarantined: readonly SuspectBlock[],
-): ((loss: BlockLoss) => boolean) => {
-  const names = new Set(quarantined.filter(({ isOwn }) => !isOwn).map(({ block }) => block));
+  { losses }: Suspect,
+  quarantined: readonly Suspect[],
+): ((loss: EndpointLoss) => boolean) => {
+  const names = new Set(
+    quarantined.filter(({ kind }) => kind === 'shared_block').map(({ id }) => id),
+  );
   const companions = new Set(losses.flatMap((loss) => loss.companions));
   const found = [...companions].filter((block) => names.has(block));
   return (loss) => found.length === 1 && loss.companions.includes(found[0]!);
 };
 
-const countAnswering = ({ losses }: SuspectBlock): number =>
+const countAnswering = ({ losses }: Suspect): number =>
   losses.filter(({ isAnswering }) => isAnswering).length;
 
-const hasMoreEvidence = (a: SuspectBlock, b: SuspectBlock): boolean => {
+const hasMoreEvidence = (a: Suspect, b: Suspect): boolean => {
   const difference = countAnswering(a) - countAnswering(b);
   return difference === 0 ? a.losses.length > b.losses.length : difference > 0;
 };
 
 // A block with more evidence against it explains the losses of others at the same endpoints.
 const createBystanderTest = (
-  suspect: SuspectBlock,
-  quarantined: readonly SuspectBlock[],
-): ((loss: BlockLoss) => boolean) => {
+  suspect: Suspect,
+  quarantined: readonly Suspect[],
+): ((loss: EndpointLoss) => boolean) => {
   const explained = new Set(
     quarantined
       .filter((other) => hasMoreEvidence(other, suspect))
@@ -175,8 +185,8 @@
  * popular block are lost when several endpoints fail at once.
  */
 export const countIndependentLosses = (
-  suspect: SuspectBlock,
-  quarantined: readonly SuspectBlock[],
+  suspect: Suspect,
+  quarantined: readonly Suspect[],
 ): number => {
   const isFromCompanion = createCompanionTest(suspect, quarantined);
   const isBystander = createBystanderTest(suspect, quarantined);
@@ -205,7 +215,7 @@
 
 /** A block that takes endpoints down, with the inputs of that decision. */
 export interface SuspicionVerdict {
-  readonly suspect: SuspectBlock;
+  readonly suspect: Suspect;
   /** Independent losses, and the number that was needed. */
   readonly losses: number;
   readonly needed: number;
@@ -255,17 +265,17 @@
 ): readonly SuspicionVerdict[] => {
   const strongest = chooseMost(verdicts, ({ isAnswering }) => Number(isAnswering));
   const equal = chooseMost(strongest, ({ losses }) => losses);
-  const own = equal.filter(({ suspect }) => suspect.isOwn);
-  const shared = equal.filter(({ suspect }) => !suspect.isOwn);
+  const own = equal.filter(({ suspect }) => suspect.kind === 'own_block');
+  const shared = equal.filter(({ suspect }) => suspect.kind === 'shared_block');
   return [...chooseMost(shared, ({ suspect }) => suspect.depth), ...own];
 };
 
 /** Computes the time from a probe to the next one, in milliseconds. */
-export const computeHoldMs = ({ level }: BlockQuarantine): number =>
+export const computeHoldMs = ({ level }: Quarantine): number =>
   Math.min(MAX_HOLD_MS, FIRST_HOLD_MS * HOLD_FACTOR ** (level - 1));
 
 /** Whether nothing has happened to a block for so long that its record is dropped. */
-export const isForgotten = (suspect: SuspectBlock, now: number): boolean => {
+export const isForgotten = (suspect: Suspect, now: number): boolean => {
   const { losses, answeredAt = -Infinity, quarantine } = suspect;
   const lossesEnd = (losses.at(-1)?.lostAt ?? -Infinity) + LOSS_MEMORY_MS;
   // A request that could be the next probe may be late.
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -23,8 +23,8 @@
 import { createEndpointLoads } from '../endpointLoads';
 import { createExchangeRunner } from '../exchange';
 import { createGatewayMetrics } from '../gatewayMetrics';
-import { createPromptGuard } from '../promptGuard';
-import { createPromptQuarantine } from '../promptQuarantine';
+import { createRequestGuard } from '../requestGuard';
+import { createRequestQuarantine } from '../requestQuarantine';
 import type { RoutingSnapshot } from '../routingView';
 import { createSessionVersions } from '../sessionVersions';
 import { createSuspectTable } from '../suspectTable';
@@ -219,12 +219,12 @@
     registry: { listEndpoints: () => known },
   });
   const metrics = createGatewayMetrics(new Registry());
-  const quarantine = createPromptQuarantine({
+  const quarantine = createRequestQuarantine({
     suspects: createSuspectTable(log, metrics),
     log,
     readNow,
   });
-  const promptGuard = createPromptGuard({
+  const requestGuard = createRequestGuard({
     quarantine,
     rpc: {
       call: async () =>
@@ -252,7 +252,7 @@
     sessions,
     sessionExchange: { bindUnknown },
     quarantine,
-    promptGuard,
+    requestGuard,
     limits,
     tallies: createVersionTallies(),
     metrics,
--- a/src/node/gateway/__tests__/quarantineWorld.ts
+++ b/src/node/gateway/__tests__/quarantineWorld.ts
@@ -4,8 +4,8 @@
 import { createSuspectDirectory, type ClaimProbeParams } from '../../routingControl';
 import type { RpcClient } from '../../rpc';
 import { createGatewayMetrics } from '../gatewayMetrics';
-import { createPromptGuard } from '../promptGuard';
-import { createPromptQuarantine, type ServicePrompt } from '../promptQuarantine';
+import { createRequestGuard } from '../requestGuard';
+import { createRequestQuarantine, type ServiceRequest } from '../requestQuarantine';
 import { createSuspectTable } from '../suspectTable';
 import { createSuspectTopic } from '../suspectTopic';
 import { createRandom } from './random';
@@ -48,7 +48,7 @@
 
 interface Running {
   readonly gateway: number;
-  readonly prompt: ServicePrompt;
+  readonly prompt: ServiceRequest;
   readonly startedAt: number;
   readonly attempt: number;
   readonly isBroken: boolean;
@@ -74,9 +74,9 @@
     Right(directory.claimProbe(params, now))) as RpcClient['call'];
   const gateways = Array.from({ length: load.gateways }, () => {
     const suspects = createSuspectTable(log, createGatewayMetrics(new Registry()));
-    const quarantine = createPromptQuarantine({ suspects, log, readNow });
+    const quarantine = createRequestQuarantine({ suspects, log, readNow });
     const findControlHost = (): string => 'control';
-    const guard = createPromptGuard({ quarantine, rpc: { call }, log, readNow, findControlHost });
+    const guard = createRequestGuard({ quarantine, rpc: { call }, log, readNow, findControlHost });
     const topic = createSuspectTopic({ suspects, quarantine, log, readNow });
     return { suspects, quarantine, guard, topic };
   });
@@ -90,9 +90,9 @@
   const sound: { at: number; isRefused: boolean }[] = [];
   let requests = 0;
 
-  const hasDeadly = ({ blocks }: ServicePrompt): boolean => blocks.some(({ id }) => id === DEADLY);
+  const hasDeadly = ({ blocks }: ServiceRequest): boolean => blocks.some(({ id }) => id === DEADLY);
 
-  const send = async (gateway: number, prompt: ServicePrompt, attempt: number): Promise<void> => {
+  const send = async (gateway: number, prompt: ServiceRequest, attempt: number): Promise<void> => {
     const verdict = await gateways[gateway]!.guard.check(prompt, 'request', attempt === 1);
     const isRefused = verdict.type === 'refused';
     if (!hasDeadly(prompt) && attempt === 1) sound.push({ at: now, isRefused });
@@ -144,7 +144,7 @@
     }
   };
 
-  const createPrompt = (isDeadly: boolean): ServicePrompt => {
+  const createPrompt = (isDeadly: boolean): ServiceRequest => {
     requests += 1;
     const section = `section-${Math.floor(random() * load.sections)}`;
     const ids = ['head', ...(isDeadly ? [DEADLY] : [section]), `own-${requests}`];
@@ -175,7 +175,7 @@
     if (isDue(EXCHANGE_MS)) gateways.forEach(runExchange);
   }
   const quarantined = gateways.flatMap(({ suspects }) =>
-    suspects.listQuarantined('s').map(({ block }) => block),
+    suspects.listQuarantined('s').map(({ id }) => id),
   );
   return { crashes, deadlyArrivals, sound, quarantined: [...new Set(quarantined)] };
 };
--- a/src/node/gateway/__tests__/promptGuard.test.ts
+++ b/src/node/gateway/__tests__/requestGuard.test.ts
@@ -4,14 +4,14 @@
 import { createError } from '../../errors';
 import type { ClaimProbeAnswer } from '../../routingControl';
 import type { RpcClient } from '../../rpc';
-import { createPromptGuard } from '../promptGuard';
-import type { QuarantineHold } from '../promptQuarantine';
+import { createRequestGuard } from '../requestGuard';
+import type { QuarantineHold } from '../requestQuarantine';
 
 const PROMPT = { service: 's', blocks: [{ id: 'b', tokens: 100 }] };
 
-const createHold = (waitMs: number, block = 'b'): QuarantineHold => ({
+const createHold = (waitMs: number, id = 'b'): QuarantineHold => ({
   service: 's',
-  block,
+  id,
   level: 1,
   losses: 2,
   waitMs,
@@ -77,7 +77,7 @@
 for (const { name, holds, call, type, ...rest } of cases) {
   test(`check of a prompt: ${name}`, async (t) => {
     const hasHost = !('hasHost' in rest);
-    const guard = createPromptGuard({
+    const guard = createRequestGuard({
       quarantine: { listHolds: () => holds, applyPeerSuspects: () => {} },
       rpc: { call },
       log: pino({ level: 'silent' }),
--- a/src/node/gateway/__tests__/promptQuarantine.test.ts
+++ b/src/node/gateway/__tests__/requestQuarantine.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import pino from 'pino';
 import { encodeSuspect, shareSuspectsParams } from '../../routingControl';
-import { createPromptQuarantine } from '../promptQuarantine';
+import { createRequestQuarantine } from '../requestQuarantine';
 import { createSuspectTable } from '../suspectTable';
 import { runQuarantineLoad, type QuarantineLoad } from './quarantineWorld';
 
@@ -104,7 +104,7 @@
 test('suspect blocks: the report of a long lost prompt fits the schema', (t) => {
   const log = pino({ level: 'silent' });
   const suspects = createSuspectTable(log, { quarantined: { set: () => {} } as never });
-  const quarantine = createPromptQuarantine({ suspects, log, readNow: () => 10 });
+  const quarantine = createRequestQuarantine({ suspects, log, readNow: () => 10 });
   const blocks = Array.from({ length: 80 }, (_item, index) => ({ id: `b-${index}`, tokens: 1 }));
   const loss = { incarnation: 'e/1', startedAt: 0, lostAt: 10, isAnswering: false };
   quarantine.recordLoss({ service: 's', blocks }, 'r', loss);
--- a/src/node/gateway/answeredBlocks.ts
+++ b/src/node/gateway/answeredKeys.ts
@@ -1,7 +1,7 @@
 import { ANSWER_MEMORY_MS } from '../decisions';
 
 /** Remembers when requests with each prompt block were last answered at this gateway. */
-export interface AnsweredBlocks {
+export interface AnsweredKeys {
   readonly record: (key: string, now: number) => void;
   /** Returns the monotonic time of the latest answer in milliseconds. */
   readonly find: (key: string) => number | undefined;
@@ -12,7 +12,7 @@
 const MAX_ANSWERED = 10_000;
 
 /** Creates an empty table. */
-export const createAnsweredBlocks = (): AnsweredBlocks => {
+export const createAnsweredKeys = (): AnsweredKeys => {
   /** In the order of the times. */
   const times = new Map<string, number>();
   return {
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -10,7 +10,7 @@
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
 import { relayResponse, type AttemptContext } from './relayResponse';
 import { listLoggedBlocks } from './promptBlocks';
-import type { PromptVerdict } from './promptGuard';
+import type { GuardVerdict } from './requestGuard';
 import type { RoutingSnapshot } from './routingView';
 
 /** Runs admitted requests until they are answered or refused. */
@@ -152,14 +152,14 @@
 };
 
 // An answer that has begun shows that the prompt is harmless.
-const checkPrompt = async (
-  { promptGuard }: ExchangeDependencies,
+const checkRequest = async (
+  { requestGuard }: ExchangeDependencies,
   exchange: Exchange,
-): Promise<PromptVerdict> => {
+): Promise<GuardVerdict> => {
   const { route, caller } = exchange.request;
   if (caller.promptBlocks.length === 0 || exchange.events > 0) return { type: 'free' };
   const prompt = { service: chooseService(route, caller), blocks: caller.promptBlocks };
-  return promptGuard.check(prompt, caller.requestId, !exchange.mayHaveRun);
+  return requestGuard.check(prompt, caller.requestId, !exchange.mayHaveRun);
 };
 
 /** Creates a runner for admitted requests. */
@@ -195,7 +195,7 @@
         return;
       }
     }
-    const verdict = await checkPrompt(deps, exchange);
+    const verdict = await checkRequest(deps, exchange);
     if (exchange.isFinished) return;
     if (verdict.type === 'refused') {
       settleRefused(exchange, verdict);
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -19,8 +19,8 @@
 import { createLimitTopic } from './limitTopic';
 import { createLoadTopic } from './loadTopic';
 import { createPeerExchange, type PeerExchange } from './peerExchange';
-import { createPromptGuard, type PromptGuard } from './promptGuard';
-import { createPromptQuarantine, type PromptQuarantine } from './promptQuarantine';
+import { createRequestGuard, type RequestGuard } from './requestGuard';
+import { createRequestQuarantine, type RequestQuarantine } from './requestQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
@@ -157,7 +157,7 @@
     name: 'quarantine',
     dependencies: ['log', 'suspects'],
     start: (find) => {
-      const value = createPromptQuarantine({
+      const value = createRequestQuarantine({
         suspects: find<SuspectTable>('suspects'),
         log: createPartLogger(find<Logger>('log'), 'gateway'),
         readNow,
@@ -167,11 +167,11 @@
     },
   },
   {
-    name: 'prompt-guard',
+    name: 'request-guard',
     dependencies: ['rpc', 'log', 'quarantine', 'routing-view'],
     start: (find) => ({
-      value: createPromptGuard({
-        quarantine: find<PromptQuarantine>('quarantine'),
+      value: createRequestGuard({
+        quarantine: find<RequestQuarantine>('quarantine'),
         rpc: find<RpcClient>('rpc'),
         log: createPartLogger(find<Logger>('log'), 'gateway'),
         readNow,
@@ -226,7 +226,7 @@
         find<SessionExchange>('session-exchange').topic,
         createSuspectTopic({
           suspects: find<SuspectTable>('suspects'),
-          quarantine: find<PromptQuarantine>('quarantine'),
+          quarantine: find<RequestQuarantine>('quarantine'),
           log: createPartLogger(find<Logger>('log'), 'gateway'),
           readNow,
         }),
@@ -269,7 +269,7 @@
     'sessions',
     'session-exchange',
     'quarantine',
-    'prompt-guard',
+    'request-guard',
     'limits',
     'tallies',
     'gateway-metrics',
@@ -294,8 +294,8 @@
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
       }),
-      quarantine: find<PromptQuarantine>('quarantine'),
-      promptGuard: find<PromptGuard>('prompt-guard'),
+      quarantine: find<RequestQuarantine>('quarantine'),
+      requestGuard: find<RequestGuard>('request-guard'),
       limits: find<EndpointLimits>('limits'),
       tallies: find<VersionTallies>('tallies'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -9,7 +9,7 @@
 import { createEventReader, isRepeatedEvent } from './eventReader';
 import type { Exchange, ExchangeDependencies } from './exchangeTypes';
 import { listLoggedBlocks } from './promptBlocks';
-import type { ServicePrompt } from './promptQuarantine';
+import type { ServiceRequest } from './requestQuarantine';
 import type { RoutingSnapshot } from './routingView';
 import type { ResponseHead, EndpointAttempt } from './types';
 
@@ -98,7 +98,7 @@
   );
 };
 
-const createPrompt = ({ exchange, endpoint }: AttemptContext): ServicePrompt => ({
+const createPrompt = ({ exchange, endpoint }: AttemptContext): ServiceRequest => ({
   service: endpoint.service,
   blocks: exchange.request.caller.promptBlocks,
 });
--- a/src/node/gateway/promptGuard.ts
+++ b/src/node/gateway/requestGuard.ts
@@ -1,27 +1,27 @@
 import type { Logger } from '../log';
 import { decodeSuspect, type ClaimProbeAnswer } from '../routingControl';
 import type { RpcClient } from '../rpc';
-import type { PromptQuarantine, QuarantineHold, ServicePrompt } from './promptQuarantine';
+import type { RequestQuarantine, QuarantineHold, ServiceRequest } from './requestQuarantine';
 
 /** Whether a request may be sent because of its prompt, and why not. */
-export type PromptVerdict =
+export type GuardVerdict =
   | { readonly type: 'free' }
   | { readonly type: 'probe' }
   | { readonly type: 'refused'; readonly reason: string; readonly retryAfterMs: number };
 
 /** Refuses requests with quarantined prompt blocks, but for one probe at a time. */
-export interface PromptGuard {
+export interface RequestGuard {
   /** Checks a request before it is sent; `canProbe` is false if it may have run already. */
   readonly check: (
-    prompt: ServicePrompt,
+    prompt: ServiceRequest,
     request: string,
     canProbe: boolean,
-  ) => Promise<PromptVerdict>;
+  ) => Promise<GuardVerdict>;
 }
 
 /** Options of a prompt guard. */
-export interface PromptGuardOptions {
-  readonly quarantine: Pick<PromptQuarantine, 'listHolds' | 'applyPeerSuspects'>;
+export interface RequestGuardOptions {
+  readonly quarantine: Pick<RequestQuarantine, 'listHolds' | 'applyPeerSuspects'>;
   readonly rpc: Pick<RpcClient, 'call'>;
   readonly log: Logger;
   /** Returns the monotonic time in milliseconds. */
@@ -35,20 +35,20 @@
 /** Shortest retry delay of a refused request, in milliseconds. */
 const MIN_RETRY_MS = 1_000;
 
-const createRefusal = ({ block, level, losses, waitMs }: QuarantineHold): PromptVerdict => ({
+const createRefusal = ({ id: block, level, losses, waitMs }: QuarantineHold): GuardVerdict => ({
   type: 'refused',
   reason: `prompt block '${block}' is quarantined (level ${level}) after the loss of ${losses} endpoints; next probe in ${Math.round(waitMs)} ms`,
   retryAfterMs: Math.max(MIN_RETRY_MS, waitMs),
 });
 
 /** Creates a prompt guard. */
-export const createPromptGuard = (options: PromptGuardOptions): PromptGuard => {
+export const createRequestGuard = (options: RequestGuardOptions): RequestGuard => {
   const { quarantine, rpc, log, readNow, findControlHost } = options;
 
   const claimProbe = async (hold: QuarantineHold, request: string): Promise<boolean> => {
     const host = findControlHost();
     if (host === undefined) return false;
-    const { service, block, level } = hold;
+    const { service, id: block, level } = hold;
     const params = { service, block, level };
     const answer = await rpc.call<ClaimProbeAnswer>(host, 'suspect.probe', params, {
       timeoutMs: CLAIM_TIMEOUT_MS,
--- a/src/node/gateway/promptQuarantine.ts
+++ b/src/node/gateway/requestQuarantine.ts
@@ -1,23 +1,23 @@
 import {
   chooseCulprits,
   computeHoldMs,
-  createSuspectBlock,
+  createSuspect,
   judgeSuspect,
   MAX_COMPANIONS,
   mergeSuspects,
-  type BlockLoss,
-  type SuspectBlock,
+  type EndpointLoss,
+  type Suspect,
   type SuspicionVerdict,
 } from '../decisions';
 import type { Logger } from '../log';
 import { formatSuspectKey } from '../routingControl';
-import { createAnsweredBlocks } from './answeredBlocks';
+import { createAnsweredKeys } from './answeredKeys';
 import { createAttemptHistory } from './attemptHistory';
 import type { SuspectTable } from './suspectTable';
 import type { PromptBlock } from './types';
 
 /** The prompt of a request to a service. */
-export interface ServicePrompt {
+export interface ServiceRequest {
   readonly service: string;
   readonly blocks: readonly PromptBlock[];
 }
@@ -25,7 +25,7 @@
 /** A quarantined block of a prompt. */
 export interface QuarantineHold {
   readonly service: string;
-  readonly block: string;
+  readonly id: string;
   readonly level: number;
   /** Endpoint incarnations that were lost with the block, as far as known here. */
   readonly losses: number;
@@ -34,40 +34,39 @@
 }
 
 /** The lost attempt of a request. */
-export type AttemptLoss = Omit<BlockLoss, 'companions'>;
+export type AttemptLoss = Omit<EndpointLoss, 'companions'>;
 
 /** Decides which prompt blocks take endpoints down, from what all gateways have seen. */
-export interface PromptQuarantine {
+export interface RequestQuarantine {
   /** Records that an endpoint has survived the start of an answer. */
-  readonly recordAnswer: (prompt: ServicePrompt) => void;
+  readonly recordAnswer: (request: ServiceRequest) => void;
   /** Records that an attempt ended with its connection before that. */
-  readonly recordLoss: (prompt: ServicePrompt, request: string, loss: AttemptLoss) => void;
+  readonly recordLoss: (prompt: ServiceRequest, request: string, loss: AttemptLoss) => void;
   /** Merges records of other gateways. */
-  readonly applyPeerSuspects: (suspects: readonly SuspectBlock[]) => void;
+  readonly applyPeerSuspects: (suspects: readonly Suspect[]) => void;
   /** Lists the quarantined blocks of a prompt. */
-  readonly listHolds: (prompt: ServicePrompt) => readonly QuarantineHold[];
+  readonly listHolds: (request: ServiceRequest) => readonly QuarantineHold[];
   /** Removes old records. */
   readonly expire: () => void;
 }
 
 /** Options of a prompt quarantine. */
-export interface PromptQuarantineOptions {
+export interface RequestQuarantineOptions {
   readonly suspects: SuspectTable;
   readonly log: Logger;
   /** Returns the monotonic time in milliseconds. */
   readonly readNow: () => number;
 }
 
-const listKeys = ({ service, blocks }: ServicePrompt): readonly string[] =>
-  blocks.map(({ id }) => formatSuspectKey({ service, block: id }));
+const listKeys = ({ service, blocks }: ServiceRequest): readonly string[] =>
+  blocks.map(({ id }) => formatSuspectKey({ service, id }));
 
-const isCleared = ({ losses, quarantine }: SuspectBlock): boolean =>
-  losses.length === 0 && !quarantine;
+const isCleared = ({ losses, quarantine }: Suspect): boolean => losses.length === 0 && !quarantine;
 
 /** Creates a quarantine. */
-export const createPromptQuarantine = (options: PromptQuarantineOptions): PromptQuarantine => {
+export const createRequestQuarantine = (options: RequestQuarantineOptions): RequestQuarantine => {
   const { suspects, log, readNow } = options;
-  const answered = createAnsweredBlocks();
+  const answered = createAnsweredKeys();
   const history = createAttemptHistory();
 
   const listVerdicts = (keys: readonly string[]): readonly SuspicionVerdict[] =>
@@ -81,7 +80,7 @@
     });
 
   const startQuarantine = ({ suspect, losses, needed, isAnswering }: SuspicionVerdict): void => {
-    const { service, block, answeredAt } = suspect;
+    const { service, id: block, answeredAt } = suspect;
     const key = formatSuspectKey(suspect);
     const counts = history.countOthers(service, key, readNow());
     const answeredAgeMs = answeredAt === undefined ? undefined : Math.round(readNow() - answeredAt);
@@ -101,12 +100,12 @@
     }
   };
 
-  const applyPeerSuspect = (received: SuspectBlock): string => {
+  const applyPeerSuspect = (received: Suspect): string => {
     const key = formatSuspectKey(received);
-    const before = suspects.find(key) ?? createSuspectBlock(received);
+    const before = suspects.find(key) ?? createSuspect(received);
     const answeredAt = answered.find(key);
     const merged = mergeSuspects(mergeSuspects(before, received), { ...before, answeredAt });
-    const { service, block, quarantine } = merged;
+    const { service, id: block, quarantine } = merged;
     if (quarantine && quarantine.level !== before.quarantine?.level) {
       const ageMs = Math.round(readNow() - quarantine.since);
       log.warn(
@@ -147,9 +146,8 @@
       const sharedIds = blocks.slice(0, -1).map(({ id }) => id);
       blocks.forEach(({ id }, depth) => {
         const key = keys[depth]!;
-        const isOwn = depth === blocks.length - 1;
-        const known =
-          suspects.find(key) ?? createSuspectBlock({ service, block: id, depth, isOwn });
+        const kind = depth === blocks.length - 1 ? 'own_block' : 'shared_block';
+        const known = suspects.find(key) ?? createSuspect({ service, kind, id, depth });
         const companions = sharedIds.filter((other) => other !== id).slice(0, MAX_COMPANIONS);
         const news = {
           ...known,
@@ -178,9 +176,9 @@
       return listKeys(prompt).flatMap((key) => {
         const suspect = suspects.find(key);
         if (!suspect?.quarantine) return [];
-        const { service, block, quarantine, losses } = suspect;
+        const { service, id, quarantine, losses } = suspect;
         const waitMs = Math.max(0, quarantine.since + computeHoldMs(quarantine) - readNow());
-        return [{ service, block, level: quarantine.level, losses: losses.length, waitMs }];
+        return [{ service, id, level: quarantine.level, losses: losses.length, waitMs }];
       });
     },
     expire: () => {
--- a/src/node/gateway/suspectTable.ts
+++ b/src/node/gateway/suspectTable.ts
@@ -1,19 +1,19 @@
-import { countIndependentLosses, isForgotten, type SuspectBlock } from '../decisions';
+import { countIndependentLosses, isForgotten, type Suspect } from '../decisions';
 import type { Logger } from '../log';
 import { formatSuspectKey } from '../routingControl';
 import type { GatewayMetrics } from './gatewayMetrics';
 
 /** The suspect blocks that a gateway knows, by key, and which of them the others must hear of. */
 export interface SuspectTable {
-  readonly find: (key: string) => SuspectBlock | undefined;
+  readonly find: (key: string) => Suspect | undefined;
   readonly count: () => number;
   /** Replaces a record; `isNews` says whether the other gateways may not know it. */
-  readonly update: (key: string, next: SuspectBlock, isNews: boolean) => void;
-  readonly listQuarantined: (service: string) => readonly SuspectBlock[];
+  readonly update: (key: string, next: Suspect, isNews: boolean) => void;
+  readonly listQuarantined: (service: string) => readonly Suspect[];
   /** Takes the records that are to be sent next. */
-  readonly drainUnsent: () => readonly SuspectBlock[];
+  readonly drainUnsent: () => readonly Suspect[];
   /** Puts drained records back that could not be sent. */
-  readonly restoreUnsent: (records: readonly SuspectBlock[]) => void;
+  readonly restoreUnsent: (records: readonly Suspect[]) => void;
   /** Marks everything that is shared as unsent, for a directory that has been told nothing. */
   readonly resendAll: () => void;
   /** Removes records without news. `now` is monotonic time in milliseconds. */
@@ -29,9 +29,9 @@
 
 // The other gateways hear of a block that was answered before only if it may be quarantined, since
 // many popular blocks are lost when endpoints fail.
-const canShare = (suspect: SuspectBlock): boolean => {
-  const { isOwn, answeredAt, quarantine } = suspect;
-  if (isOwn) return false;
+const canShare = (suspect: Suspect): boolean => {
+  const { kind, answeredAt, quarantine } = suspect;
+  if (kind === 'own_block') return false;
   if (answeredAt === undefined || quarantine) return true;
   return countIndependentLosses(suspect, []) >= MIN_SHARED_LOSSES;
 };
@@ -41,7 +41,7 @@
   log: Logger,
   metrics: Pick<GatewayMetrics, 'quarantined'>,
 ): SuspectTable => {
-  const suspects = new Map<string, SuspectBlock>();
+  const suspects = new Map<string, Suspect>();
   const quarantinedKeys = new Set<string>();
   const unsentKeys = new Set<string>();
 
@@ -57,7 +57,7 @@
     remove(keys.find(isRemovable) ?? keys[0]!);
   };
 
-  const logLifted = ({ service, block, quarantine }: SuspectBlock): void =>
+  const logLifted = ({ service, id: block, quarantine }: Suspect): void =>
     log.info({ service, block, level: quarantine?.level }, 'quarantine of a prompt block lifted');
 
   const update: SuspectTable['update'] = (key, next, isNews) => {
--- a/src/node/gateway/suspectTopic.ts
+++ b/src/node/gateway/suspectTopic.ts
@@ -1,13 +1,13 @@
 import type { Logger } from '../log';
 import { decodeSuspect, encodeSuspect, type SuspectCursor } from '../routingControl';
 import { isRefusedReport, type ExchangeTopic } from './peerExchange';
-import type { PromptQuarantine } from './promptQuarantine';
+import type { RequestQuarantine } from './requestQuarantine';
 import type { SuspectTable } from './suspectTable';
 
 /** Options of the topic of suspect blocks. */
 export interface SuspectTopicOptions {
   readonly suspects: SuspectTable;
-  readonly quarantine: Pick<PromptQuarantine, 'applyPeerSuspects'>;
+  readonly quarantine: Pick<RequestQuarantine, 'applyPeerSuspects'>;
   readonly log: Logger;
   /** Returns the monotonic time in milliseconds. */
   readonly readNow: () => number;
--- a/src/node/routingControl/suspectDirectory.ts
+++ b/src/node/routingControl/suspectDirectory.ts
@@ -2,10 +2,10 @@
 import { z } from 'zod';
 import {
   computeHoldMs,
-  createSuspectBlock,
+  createSuspect,
   isForgotten,
   mergeSuspects,
-  type SuspectBlock,
+  type Suspect,
 } from '../decisions';
 
 /** Schema of what a gateway or the directory knows about a block; times are ages in milliseconds. */
@@ -92,19 +92,17 @@
 const MAX_ANSWER = 10;
 
 interface Row {
-  readonly suspect: SuspectBlock;
+  readonly suspect: Suspect;
   readonly revision: number;
 }
 
-/** Formats the key of a block. */
-export const formatSuspectKey = ({
-  service,
-  block,
-}: Pick<SuspectReport, 'service' | 'block'>): string => `${service}|${block}`;
+/** Formats the key of a suspect. */
+export const formatSuspectKey = ({ service, id }: Pick<Suspect, 'service' | 'id'>): string =>
+  `${service}|${id}`;
 
 /** Converts a record's times to ages. */
-export const encodeSuspect = (suspect: SuspectBlock, now: number): SuspectReport => {
-  const { service, block, depth, losses, answeredAt, quarantine } = suspect;
+export const encodeSuspect = (suspect: Suspect, now: number): SuspectReport => {
+  const { service, id: block, depth, losses, answeredAt, quarantine } = suspect;
   return {
     service,
     block,
@@ -122,14 +120,14 @@
 };
 
 /** Converts a report's ages to times of this process. */
-export const decodeSuspect = (report: SuspectReport, now: number): SuspectBlock => {
+export const decodeSuspect = (report: SuspectReport, now: number): Suspect => {
   const { service, block, depth, losses, answeredAgeMs, quarantine } = report;
   return {
     service,
-    block,
+    // Last blocks of prompts are not shared.
+    kind: 'shared_block',
+    id: block,
     depth,
-    // Blocks of single requests are not shared.
-    isOwn: false,
     losses: losses.map(({ incarnation, startedAgeMs, lostAgeMs, isAnswering, companions }) => ({
       incarnation,
       isAnswering,
@@ -142,7 +140,7 @@
   };
 };
 
-const formatState = ({ losses, answeredAt, quarantine }: SuspectBlock): string =>
+const formatState = ({ losses, answeredAt, quarantine }: Suspect): string =>
   JSON.stringify([losses.map(({ incarnation }) => incarnation), answeredAt, quarantine?.level]);
 
 /** Creates an empty directory. */
@@ -152,7 +150,7 @@
   let revision = 0;
 
   // Deleting the row first moves it to the end.
-  const updateRow = (suspect: SuspectBlock): void => {
+  const updateRow = (suspect: Suspect): void => {
     revision += 1;
     const key = formatSuspectKey(suspect);
     rows.delete(key);
@@ -167,9 +165,9 @@
   };
 
   const mergeReport = (report: SuspectReport, now: number): void => {
-    const known = rows.get(formatSuspectKey(report))?.suspect;
     const received = decodeSuspect(report, now);
-    const before = known ?? createSuspectBlock(received);
+    const known = rows.get(formatSuspectKey(received))?.suspect;
+    const before = known ?? createSuspect(received);
     const merged = mergeSuspects(before, received);
     // Unchanged records must not be sent to all gateways again.
     if (!known || formatState(before) !== formatState(merged)) updateRow(merged);
@@ -197,13 +195,14 @@
       };
     },
     claimProbe: ({ service, block, level }, now) => {
-      const known = rows.get(formatSuspectKey({ service, block }))?.suspect;
+      const key = formatSuspectKey({ service, id: block });
+      const known = rows.get(key)?.suspect;
       if (!known) return { isGranted: false };
       const { quarantine } = known;
       const isDue = quarantine !== undefined && now - quarantine.since >= computeHoldMs(quarantine);
       const isGranted = isDue && quarantine.level === level;
       if (isGranted) updateRow({ ...known, quarantine: { level: level + 1, since: now } });
-      const { suspect } = rows.get(formatSuspectKey({ service, block }))!;
+      const { suspect } = rows.get(key)!;
       return { isGranted, suspect: encodeSuspect(suspect, now) };
     },
   };
