--- a/src/node/gateway/__tests__/relayResponse.test.ts
+++ b/src/node/gateway/__tests__/relayResponse.test.ts
@@ -6,7 +6,8 @@
 import { createWindowBudget } from '../../decisions';
 import { createEndpointLoads } from '../endpointLoads';
 import { createGatewayMetrics } from '../gatewayMetrics';
-import { relayResponse, type AttemptContext } from '../relayResponse';
+import type { AttemptContext } from '../attemptRecords';
+import { relayResponse } from '../relayResponse';
 import { createVersionTallies } from '../versionTallies';
 import { createRoute } from './harness';
 
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -8,7 +8,8 @@
 import { createChoiceRequest, createModelInput } from './choiceRequest';
 import { createExchangeCompletion, FAILED_RETRY_MS } from './exchangeCompletion';
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
-import { relayResponse, type AttemptContext } from './relayResponse';
+import type { AttemptContext } from './attemptRecords';
+import { relayResponse } from './relayResponse';
 import { listLoggedBlocks } from './promptBlocks';
 import type { GuardVerdict } from './requestGuard';
 import type { RoutingSnapshot } from './routingView';
