--- a/src/node/decisions/__tests__/suspicion.test.ts
+++ b/src/node/decisions/__tests__/suspicion.test.ts
@@ -18,7 +18,8 @@
   lostAt: number,
   companions: readonly string[] = [],
   isAnswering = true,
-): EndpointLoss => ({ incarnation, startedAt, lostAt, isAnswering, companions });
+  requests: readonly string[] = [],
+): EndpointLoss => ({ incarnation, startedAt, lostAt, isAnswering, companions, requests });
 
 const createBlock = (fields: Partial<Suspect>): Suspect => ({
   ...createSuspect({ service: 's', kind: 'shared_block', id: 'b', depth: 1 }),
@@ -38,6 +39,9 @@
 const WAITING = [1, 2, 3, 4, 5].map((index) =>
   createLoss(`e${index}`, index * 1_000 - 900, index * 1_000, [], false),
 );
+const SAME_REQUEST = [1, 2, 3].map((index) =>
+  createLoss(`e${index}`, index * 1_000 - 900, index * 1_000, [], true, ['f']),
+);
 const CALM = { otherAttempts: 100, otherLosses: 0, otherAnsweringLosses: 0 };
 const OUTAGE = { otherAttempts: 100, otherLosses: 60, otherAnsweringLosses: 50 };
 const CRASHES = { otherAttempts: 100, otherLosses: 30, otherAnsweringLosses: 0 };
@@ -122,13 +126,47 @@
     counts: CALM,
     isDeadly: true,
   },
+  {
+    name: 'three losses of a block with the same request',
+    losses: SAME_REQUEST,
+    counts: CALM,
+    isDeadly: false,
+  },
+  {
+    name: 'losses of a block with two requests, one of them lost again',
+    losses: [...SAME_REQUEST, createLoss('e4', 3_100, 4_000, [], true, ['g'])],
+    counts: CALM,
+    isDeadly: true,
+  },
+  {
+    name: 'three losses of one request',
+    losses: SAME_REQUEST,
+    kind: 'request',
+    counts: CALM,
+    isDeadly: true,
+  },
+  {
+    name: 'two losses of one request while many answers are lost',
+    losses: SAME_REQUEST.slice(1),
+    kind: 'request',
+    counts: OUTAGE,
+    isDeadly: false,
+  },
+  {
+    name: 'three losses of one request while many answers are lost',
+    losses: SAME_REQUEST,
+    kind: 'request',
+    counts: OUTAGE,
+    isDeadly: true,
+  },
 ] as const;
 
 for (const { name, losses, counts, isDeadly, ...rest } of judgements) {
-  test(`suspicion of a prompt block: ${name}`, (t) => {
+  test(`suspicion: ${name}`, (t) => {
+    const kind = 'kind' in rest ? rest.kind : 'shared_block';
     const answeredAt = 'answeredAt' in rest ? rest.answeredAt : undefined;
     const quarantined = 'quarantined' in rest ? rest.quarantined : [];
-    const suspect = createBlock({ losses, answeredAt });
+    const suspect = createBlock({ kind, losses, answeredAt });
     t.is(judgeSuspect({ suspect, quarantined, ...counts }) !== undefined, isDeadly);
   });
 }
@@ -163,6 +201,14 @@
     ],
     chosen: ['a', 'own'],
   },
+  {
+    name: 'a request that was lost more often than its blocks without it',
+    verdicts: [
+      createVerdict({ id: 'a', depth: 0 }, 2),
+      createVerdict({ id: 'f', depth: 0, kind: 'request' }, 3),
+    ],
+    chosen: ['f'],
+  },
 ] as const;
 
 for (const { name, verdicts, chosen } of choices) {
--- a/src/node/decisions/suspicion.ts
+++ b/src/node/decisions/suspicion.ts
@@ -1,7 +1,7 @@
-// Load pattern: requests with one prompt block, a few a second and at any gateway, crash each
-// endpoint that begins to answer them. Each crash also cuts the sound requests at that endpoint,
-// which share the API key and other blocks. Besides, endpoints and connections fail by themselves,
-// one by one or many at once.
+// Load pattern: one request that comes again and again, or requests with one prompt block, a few a
+// second and at any gateway, crash each endpoint that begins to answer them. Each crash also cuts the
+// sound requests at that endpoint, which share the API key and other blocks. Besides, endpoints and
+// connections fail by themselves, one by one or many at once.
 
 /** An attempt that ended with its connection before the endpoint had proven to survive it. */
 export interface EndpointLoss {
@@ -14,9 +14,11 @@
   readonly isAnswering: boolean;
   /** Other shared blocks of the prompts that were lost with the incarnation. */
   readonly companions: readonly string[];
+  /** The requests that were lost with the suspect and the incarnation. */
+  readonly requests: readonly string[];
 }
 
-/** A block that is refused, but for one probe each time that the hold has passed. */
+/** A suspect that is refused, but for one probe each time that the hold has passed. */
 export interface Quarantine {
   /** Number of probes granted so far, plus one. */
   readonly level: number;
@@ -25,17 +27,17 @@
 }
 
 /**
- * What may take endpoints down: a prompt block that many requests share, or the last block of a
- * prompt, which belongs to one request or session.
+ * What may take endpoints down: a prompt block that many requests share, the last block of a
+ * prompt, which belongs to one request or session, or a whole request, by its fingerprint.
  */
-export type SuspectKind = 'shared_block' | 'own_block';
+export type SuspectKind = 'shared_block' | 'own_block' | 'request';
 
-/** What is known about a prompt block whose requests were lost. */
+/** What is known about a prompt block or a request that was lost. */
 export interface Suspect {
   readonly service: string;
   readonly kind: SuspectKind;
   readonly id: string;
-  /** Position in the prompt; blocks that come later are in fewer requests. */
+  /** Position in the prompt; blocks that come later are in fewer requests. 0 for a request. */
   readonly depth: number;
   /** Losses since the latest answer, the oldest first. */
   readonly losses: readonly EndpointLoss[];
@@ -64,10 +66,17 @@
 const MIN_LOSSES = 3;
 const MIN_ANSWERING_LOSSES = 2;
 const MAX_LOSSES = 12;
-/** Further losses needed against a block that was answered before. */
+/**
+ * Losses after which a whole request is stopped even while many others are lost: if it is sound,
+ * only its own caller has to wait for a probe.
+ */
+const MAX_REQUEST_LOSSES = 3;
+/** Further losses needed against a suspect that was answered before. */
 const ANSWERED_EXTRA_LOSSES = 1;
 /** Blocks of the same prompt that are kept with each loss of a block. */
 export const MAX_COMPANIONS = 16;
+/** Requests that are kept with each loss of a suspect. */
+const MAX_LOST_REQUESTS = 8;
 /** Lower bound of the share of attempts that are lost for other reasons. */
 const MIN_LOSS_SHARE = 0.02;
 /** Weight of the prior estimate of that share, in attempts. */
@@ -82,7 +91,7 @@
 /** A probe of a deadly block costs an endpoint, so later ones are rare. */
 const MAX_HOLD_MS = 300_000;
 
-/** Creates the record of a block without losses. */
+/** Creates the record of a suspect without losses. */
 export const createSuspect = (
   identity: Pick<Suspect, 'service' | 'kind' | 'id' | 'depth'>,
 ): Suspect => ({
@@ -109,6 +118,7 @@
         ...a,
         isAnswering: a.isAnswering || b.isAnswering,
         companions: [...new Set([...a.companions, ...b.companions])].slice(0, MAX_COMPANIONS),
+        requests: [...new Set([...a.requests, ...b.requests])].slice(0, MAX_LOST_REQUESTS),
       };
 
 const mergeLosses = (
@@ -135,7 +145,7 @@
   return b.level > a.level ? b : a;
 };
 
-/** Merges two records of one block. An answer refutes every earlier loss and quarantine. */
+/** Merges two records of one suspect. An answer refutes every earlier loss and quarantine. */
 export const mergeSuspects = (a: Suspect, b: Suspect): Suspect =>
   removeAnswered({
     ...a,
@@ -166,7 +176,7 @@
   return difference === 0 ? a.losses.length > b.losses.length : difference > 0;
 };
 
-// A block with more evidence against it explains the losses of others at the same endpoints.
+// A suspect with more evidence against it explains the losses of others at the same endpoints.
 const createBystanderTest = (
   suspect: Suspect,
   quarantined: readonly Suspect[],
@@ -179,10 +189,16 @@
   return ({ incarnation }) => explained.has(incarnation);
 };
 
+// Whether one request was lost in all of these losses, so that it alone may have caused them.
+const hasSingleRequest = ([first, ...others]: readonly EndpointLoss[]): boolean =>
+  first?.requests.some((request) => others.every(({ requests }) => requests.includes(request))) ===
+  true;
+
 /**
- * Counts the losses that speak against a block. Those of one moment count once. If the block was
- * answered before, each must have started after the one before it ended, since many requests with a
- * popular block are lost when several endpoints fail at once.
+ * Counts the losses that speak against a suspect. Those of one moment count once, and so do those of
+ * a block that one request explains. If the suspect was answered before, each must have started after
+ * the one before it ended, since many requests with a popular block are lost when several endpoints
+ * fail at once.
  */
 export const countIndependentLosses = (
   suspect: Suspect,
@@ -190,17 +206,17 @@
 ): number => {
   const isFromCompanion = createCompanionTest(suspect, quarantined);
   const isBystander = createBystanderTest(suspect, quarantined);
-  let count = 0;
+  const counted: EndpointLoss[] = [];
   let lastAt = -Infinity;
   for (const loss of suspect.losses) {
     const { startedAt, lostAt } = loss;
     const isLater =
       suspect.answeredAt === undefined ? lostAt - lastAt > COINCIDENCE_MS : startedAt > lastAt;
     if (!isLater || isFromCompanion(loss) || isBystander(loss)) continue;
-    count += 1;
+    counted.push(loss);
     lastAt = lostAt;
   }
-  return count;
+  return suspect.kind !== 'request' && hasSingleRequest(counted) ? 1 : counted.length;
 };
 
 /**
@@ -213,7 +229,7 @@
   return share < 1 ? Math.ceil(Math.log(MAX_CHANCE) / Math.log(share)) : MAX_LOSSES;
 };
 
-/** A block that takes endpoints down, with the inputs of that decision. */
+/** A suspect that takes endpoints down, with the inputs of that decision. */
 export interface SuspicionVerdict {
   readonly suspect: Suspect;
   /** Independent losses, and the number that was needed. */
@@ -224,7 +240,7 @@
 }
 
 /**
- * Decides whether a block takes endpoints down; returns undefined if chance explains its losses. An
+ * Decides whether a suspect takes endpoints down; returns undefined if chance explains its losses. An
  * endpoint that fails takes many requests with it that it has not begun to answer, so losses of
  * answers that had begun are compared with such losses alone.
  */
@@ -232,6 +248,7 @@
   const { suspect, quarantined, otherAttempts, otherLosses, otherAnsweringLosses } = input;
   if (suspect.quarantine) return undefined;
   const extra = suspect.answeredAt === undefined ? 0 : ANSWERED_EXTRA_LOSSES;
+  const max = suspect.kind === 'request' ? MAX_REQUEST_LOSSES : MAX_LOSSES;
   const begun = { ...suspect, losses: suspect.losses.filter(({ isAnswering }) => isAnswering) };
   const tests = [
     { counted: begun, min: MIN_ANSWERING_LOSSES, others: otherAnsweringLosses, isAnswering: true },
@@ -244,7 +261,7 @@
       losses: countIndependentLosses(counted, quarantined),
       needed: Math.min(
         MAX_LOSSES,
-        Math.max(min, computeNeededLosses(otherAttempts, others)) + extra,
+        Math.min(max, Math.max(min, computeNeededLosses(otherAttempts, others))) + extra,
       ),
     }))
     .find(({ losses, needed }) => losses >= needed);
@@ -256,16 +273,16 @@
 };
 
 /**
- * Chooses the blocks to quarantine of those that could explain the losses: those with the strongest
- * evidence, and of equal ones the last in the prompts, which is in the fewest requests. A request's
- * own block concerns nothing else, so it never stands in for a shared one.
+ * Chooses the suspects to quarantine of those that could explain the losses: those with the strongest
+ * evidence, and of equal blocks the last in the prompts, which is in the fewest requests. A request
+ * or its own block concerns nothing else, so it never stands in for a shared block.
  */
 export const chooseCulprits = (
   verdicts: readonly SuspicionVerdict[],
 ): readonly SuspicionVerdict[] => {
   const strongest = chooseMost(verdicts, ({ isAnswering }) => Number(isAnswering));
   const equal = chooseMost(strongest, ({ losses }) => losses);
-  const own = equal.filter(({ suspect }) => suspect.kind === 'own_block');
+  const own = equal.filter(({ suspect }) => suspect.kind !== 'shared_block');
   const shared = equal.filter(({ suspect }) => suspect.kind === 'shared_block');
   return [...chooseMost(shared, ({ suspect }) => suspect.depth), ...own];
 };
@@ -274,7 +291,7 @@
 export const computeHoldMs = ({ level }: Quarantine): number =>
   Math.min(MAX_HOLD_MS, FIRST_HOLD_MS * HOLD_FACTOR ** (level - 1));
 
-/** Whether nothing has happened to a block for so long that its record is dropped. */
+/** Whether nothing has happened to a suspect for so long that its record is dropped. */
 export const isForgotten = (suspect: Suspect, now: number): boolean => {
   const { losses, answeredAt = -Infinity, quarantine } = suspect;
   const lossesEnd = (losses.at(-1)?.lostAt ?? -Infinity) + LOSS_MEMORY_MS;
--- a/src/node/gateway/__tests__/quarantineWorld.ts
+++ b/src/node/gateway/__tests__/quarantineWorld.ts
@@ -15,9 +15,11 @@
   readonly gateways: number;
   readonly endpoints: number;
   readonly lengthMs: number;
-  /** Pause between two sound requests, and between two with the deadly block, if there are any. */
+  /** Pause between two sound requests, and between two deadly ones, if there are any. */
   readonly soundPauseMs: number;
   readonly deadlyPauseMs: number | undefined;
+  /** What crashes endpoints: a block of different requests, or one request that comes again. */
+  readonly deadly: 'block' | 'request' | 'plain request';
   readonly sections: number;
   /** Whether the head of a response arrives before the endpoint crashes. */
   readonly sendsHead: boolean;
@@ -32,10 +34,10 @@
 /** What callers and endpoints saw. */
 export interface QuarantineOutcome {
   readonly crashes: readonly number[];
-  /** Times at which requests with the deadly block reached endpoints. */
+  /** Times at which deadly requests reached endpoints. */
   readonly deadlyArrivals: readonly number[];
   readonly sound: readonly { readonly at: number; readonly isRefused: boolean }[];
-  /** Blocks that are quarantined at the end, at any gateway. */
+  /** Ids of blocks and requests that are quarantined at the end, at any gateway. */
   readonly quarantined: readonly string[];
 }
 
@@ -48,7 +50,7 @@
 
 interface Running {
   readonly gateway: number;
-  readonly prompt: ServiceRequest;
+  readonly request: ServiceRequest;
   readonly startedAt: number;
   readonly attempt: number;
   readonly isBroken: boolean;
@@ -66,7 +68,7 @@
   seed: number,
 ): Promise<QuarantineOutcome> => {
   const random = createRandom(seed);
-  const log = pino({ level: 'silent' });
+  const log = pino({ level: process.env.TEST_LOG_LEVEL ?? 'silent' });
   let now = 0;
   const readNow = (): number => now;
   let directory = createSuspectDirectory(`${seed}-0`);
@@ -90,18 +92,19 @@
   const sound: { at: number; isRefused: boolean }[] = [];
   let requests = 0;
 
-  const hasDeadly = ({ blocks }: ServiceRequest): boolean => blocks.some(({ id }) => id === DEADLY);
+  const hasDeadly = ({ fingerprint, blocks }: ServiceRequest): boolean =>
+    fingerprint === DEADLY || blocks.some(({ id }) => id === DEADLY);
 
-  const send = async (gateway: number, prompt: ServiceRequest, attempt: number): Promise<void> => {
-    const verdict = await gateways[gateway]!.guard.check(prompt, 'request', attempt === 1);
+  const send = async (gateway: number, request: ServiceRequest, attempt: number): Promise<void> => {
+    const verdict = await gateways[gateway]!.guard.check(request, 'request', attempt === 1);
     const isRefused = verdict.type === 'refused';
-    if (!hasDeadly(prompt) && attempt === 1) sound.push({ at: now, isRefused });
+    if (!hasDeadly(request) && attempt === 1) sound.push({ at: now, isRefused });
     const ready = endpoints.filter(({ downUntil }) => downUntil <= now);
     if (isRefused || ready.length === 0 || attempt > ATTEMPT_LIMIT) return;
-    if (hasDeadly(prompt)) deadlyArrivals.push(now);
+    if (hasDeadly(request)) deadlyArrivals.push(now);
     ready[Math.floor(random() * ready.length)]!.running.push({
       gateway,
-      prompt,
+      request,
       startedAt: now,
       attempt: verdict.type === 'probe' ? ATTEMPT_LIMIT : attempt,
       isBroken: random() < load.brokenShare,
@@ -114,10 +117,10 @@
     isAnswering: boolean,
   ): Promise<void> => {
     const incarnation = `${endpoints.indexOf(endpoint)}|${endpoint.incarnation}`;
-    const { gateway, prompt, startedAt, attempt } = running;
+    const { gateway, request, startedAt, attempt } = running;
     const loss = { incarnation, startedAt, lostAt: now, isAnswering };
-    gateways[gateway]!.quarantine.recordLoss(prompt, 'request', loss);
-    await send(gateway, prompt, attempt + 1);
+    gateways[gateway]!.quarantine.recordLoss(request, 'request', loss);
+    await send(gateway, request, attempt + 1);
   };
 
   const runCrash = async (endpoint: Endpoint, cause?: Running): Promise<void> => {
@@ -133,22 +136,39 @@
     const due = endpoint.running.filter(({ startedAt }) => now - startedAt >= PREFILL_MS);
     for (const running of due) {
       if (!endpoint.running.includes(running)) continue;
-      if (hasDeadly(running.prompt)) {
+      if (hasDeadly(running.request)) {
         crashes.push(now);
         await runCrash(endpoint, running);
         continue;
       }
       Object.assign(endpoint, { running: endpoint.running.filter((other) => other !== running) });
       if (running.isBroken) await recordLoss(endpoint, running, load.sendsHead);
-      else gateways[running.gateway]!.quarantine.recordAnswer(running.prompt);
+      else gateways[running.gateway]!.quarantine.recordAnswer(running.request);
     }
   };
 
-  const createPrompt = (isDeadly: boolean): ServiceRequest => {
+  const createRequest = (fingerprint: string, ids: readonly string[]): ServiceRequest => ({
+    service: 's',
+    fingerprint,
+    blocks: ids.map((id) => ({ id, tokens: 100 })),
+  });
+
+  const chooseSection = (): string => `section-${Math.floor(random() * load.sections)}`;
+
+  const createSound = (): ServiceRequest => {
     requests += 1;
-    const section = `section-${Math.floor(random() * load.sections)}`;
-    const ids = ['head', ...(isDeadly ? [DEADLY] : [section]), `own-${requests}`];
-    return { service: 's', blocks: ids.map((id) => ({ id, tokens: 100 })) };
+    const blocks =
+      load.deadly === 'plain request' ? [] : ['head', chooseSection(), `own-${requests}`];
+    return createRequest(`sound-${requests}`, blocks);
+  };
+
+  const deadlyRequests: Readonly<Record<QuarantineLoad['deadly'], () => ServiceRequest>> = {
+    block: () => {
+      requests += 1;
+      return createRequest(`deadly-${requests}`, ['head', DEADLY, `own-${requests}`]);
+    },
+    request: () => createRequest(DEADLY, ['head', 'section-0', 'own-deadly']),
+    'plain request': () => createRequest(DEADLY, []),
   };
 
   const isDue = (pauseMs: number | undefined): boolean =>
@@ -170,8 +190,8 @@
     }
     for (const endpoint of endpoints) await runEndpoint(endpoint);
     const chooseGateway = (): number => Math.floor(random() * gateways.length);
-    if (isDue(load.soundPauseMs)) await send(chooseGateway(), createPrompt(false), 1);
-    if (isDue(load.deadlyPauseMs)) await send(chooseGateway(), createPrompt(true), 1);
+    if (isDue(load.soundPauseMs)) await send(chooseGateway(), createSound(), 1);
+    if (isDue(load.deadlyPauseMs)) await send(chooseGateway(), deadlyRequests[load.deadly](), 1);
     if (isDue(EXCHANGE_MS)) gateways.forEach(runExchange);
   }
   const quarantined = gateways.flatMap(({ suspects }) =>
--- a/src/node/gateway/__tests__/requestGuard.test.ts
+++ b/src/node/gateway/__tests__/requestGuard.test.ts
@@ -7,10 +7,15 @@
 import { createRequestGuard } from '../requestGuard';
 import type { QuarantineHold } from '../requestQuarantine';
 
-const PROMPT = { service: 's', blocks: [{ id: 'b', tokens: 100 }] };
+const REQUEST = { service: 's', fingerprint: 'f', blocks: [{ id: 'b', tokens: 100 }] };
 
-const createHold = (waitMs: number, id = 'b'): QuarantineHold => ({
+const createHold = (
+  waitMs: number,
+  id = 'b',
+  kind: QuarantineHold['kind'] = 'shared_block',
+): QuarantineHold => ({
   service: 's',
+  kind,
   id,
   level: 1,
   losses: 2,
@@ -72,6 +77,19 @@
     type: 'refused',
     retryAfterMs: 9_000,
   },
+  {
+    name: 'a request that is due for a probe',
+    holds: [createHold(0, 'f', 'request'), createHold(0, 'own', 'own_block')],
+    call: granted,
+    type: 'probe',
+  },
+  {
+    name: 'a request that is due, of which a shared block is due as well',
+    holds: [createHold(0), createHold(0, 'f', 'request')],
+    call: granted,
+    type: 'refused',
+    retryAfterMs: 1_000,
+  },
 ] as const;
 
 for (const { name, holds, call, type, ...rest } of cases) {
@@ -84,7 +102,7 @@
       readNow: () => 0,
       findControlHost: () => (hasHost ? '127.0.0.1:1' : undefined),
     });
-    const verdict = await guard.check(PROMPT, 'request', !('canProbe' in rest));
+    const verdict = await guard.check(REQUEST, 'request', !('canProbe' in rest));
     t.is(verdict.type, type);
     if (verdict.type === 'refused' && 'retryAfterMs' in rest) {
       t.is(verdict.retryAfterMs, rest.retryAfterMs);
--- a/src/node/gateway/__tests__/requestQuarantine.test.ts
+++ b/src/node/gateway/__tests__/requestQuarantine.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import pino from 'pino';
+import { Registry } from 'prom-client';
 import { encodeSuspect, shareSuspectsParams } from '../../routingControl';
+import { createGatewayMetrics } from '../gatewayMetrics';
 import { createRequestQuarantine } from '../requestQuarantine';
 import { createSuspectTable } from '../suspectTable';
 import { runQuarantineLoad, type QuarantineLoad } from './quarantineWorld';
@@ -17,6 +19,7 @@
   lengthMs: 30_000,
   soundPauseMs: 30,
   deadlyPauseMs: undefined,
+  deadly: 'block',
   sections: 40,
   sendsHead: true,
   brokenShare: 0,
@@ -64,6 +67,46 @@
   });
 }
 
+/** Crashes of one request after which the reaction time begins. */
+const REQUEST_CRASHES = 3;
+
+const requestCases: readonly { readonly name: string; readonly load: Partial<QuarantineLoad> }[] = [
+  { name: 'now and then', load: { deadlyPauseMs: 2_000 } },
+  { name: 'one in twenty requests', load: { deadlyPauseMs: 600 } },
+  { name: 'one in three requests', load: { deadlyPauseMs: 90 } },
+  { name: 'before the head of the response', load: { deadlyPauseMs: 600, sendsHead: false } },
+  { name: 'a plain service', load: { deadlyPauseMs: 600, deadly: 'plain request' } },
+  {
+    name: 'a plain service with three endpoints',
+    load: { deadlyPauseMs: 300, deadly: 'plain request', endpoints: 3, sendsHead: false },
+  },
+  { name: 'many gateways', load: { deadlyPauseMs: 300, gateways: 29, endpoints: 36 } },
+  { name: 'beside broken connections', load: { deadlyPauseMs: 600, brokenShare: 0.05 } },
+  {
+    name: 'beside an outage of all endpoints',
+    load: { deadlyPauseMs: 600, outages: [{ at: 5_000, share: 1 }] },
+  },
+  {
+    name: 'beside lost leaders',
+    load: { deadlyPauseMs: 600, leaderChanges: [2_000, 4_000, 9_000, 12_000] },
+  },
+];
+
+for (const { name, load } of requestCases) {
+  test(`one deadly request stops reaching endpoints: ${name}`, async (t) => {
+    for (const seed of SEEDS) {
+      const outcome = await runQuarantineLoad({ ...BASE, deadly: 'request', ...load }, seed);
+      const { crashes, deadlyArrivals, sound } = outcome;
+      const boundFrom = (crashes[REQUEST_CRASHES - 1] ?? Infinity) + REACTION_MS;
+      const late = deadlyArrivals.filter((at) => at > boundFrom);
+      t.true(late.length <= ALLOWED, `Seed ${seed}: ${late.length} late arrivals`);
+      // The request shares its blocks with sound ones, which must not be refused for it.
+      const refused = sound.filter(({ isRefused }) => isRefused).length;
+      t.true(refused <= sound.length / 50, `Seed ${seed}: ${refused} of ${sound.length} refused`);
+    }
+  });
+}
+
 const soundCases: readonly { readonly name: string; readonly load: Partial<QuarantineLoad> }[] = [
   { name: 'connections that break', load: { brokenShare: 0.06 } },
   {
@@ -93,7 +136,7 @@
       const refused = sound.filter(({ isRefused }) => isRefused).length;
       t.true(refused < sound.length / 20, `Seed ${seed}: ${refused} of ${sound.length} refused`);
       t.deepEqual(
-        quarantined.filter((block) => !block.startsWith('own-')),
+        quarantined.filter((id) => !id.startsWith('own-') && !id.startsWith('sound-')),
         [],
         `Seed ${seed}`,
       );
@@ -103,11 +146,11 @@
 
 test('suspect blocks: the report of a long lost prompt fits the schema', (t) => {
   const log = pino({ level: 'silent' });
-  const suspects = createSuspectTable(log, { quarantined: { set: () => {} } as never });
+  const suspects = createSuspectTable(log, createGatewayMetrics(new Registry()));
   const quarantine = createRequestQuarantine({ suspects, log, readNow: () => 10 });
   const blocks = Array.from({ length: 80 }, (_item, index) => ({ id: `b-${index}`, tokens: 1 }));
   const loss = { incarnation: 'e/1', startedAt: 0, lostAt: 10, isAnswering: false };
-  quarantine.recordLoss({ service: 's', blocks }, 'r', loss);
+  quarantine.recordLoss({ service: 's', fingerprint: 'f', blocks }, 'r', loss);
   const records = suspects.drainUnsent();
   t.true(records.length > 0);
   const report = { suspects: records.map((record) => encodeSuspect(record, 10)) };
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -73,14 +73,15 @@
   );
 };
 
-const createPrompt = ({ exchange, endpoint }: AttemptContext): ServiceRequest => ({
+const createServiceRequest = ({ exchange, endpoint }: AttemptContext): ServiceRequest => ({
   service: endpoint.service,
+  fingerprint: exchange.request.fingerprint,
   blocks: exchange.request.caller.promptBlocks,
 });
 
 /** Records that the endpoint went on after it had begun to answer. */
 export const recordSurvival = (context: AttemptContext): void => {
-  context.deps.quarantine.recordAnswer(createPrompt(context));
+  context.deps.quarantine.recordAnswer(createServiceRequest(context));
 };
 
 /** Records that an attempt ended with its connection before the endpoint had survived it. */
@@ -88,7 +89,11 @@
   const { deps, exchange, endpoint, startedAt } = context;
   const incarnation = formatIncarnation(endpoint);
   const loss = { incarnation, startedAt, lostAt: deps.readNow(), isAnswering };
-  deps.quarantine.recordLoss(createPrompt(context), exchange.request.caller.requestId, loss);
+  deps.quarantine.recordLoss(
+    createServiceRequest(context),
+    exchange.request.caller.requestId,
+    loss,
+  );
 };
 
 /** Records a complete response; `timeMs` is what its version is judged by. */
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -152,15 +152,16 @@
   return { ...common, ...before, budget, loadEntry, endSession, queueMs, uncachedTokens };
 };
 
-// An answer that has begun shows that the prompt is harmless.
+// An answer that has begun shows that the request is harmless.
 const checkRequest = async (
   { requestGuard }: ExchangeDependencies,
   exchange: Exchange,
 ): Promise<GuardVerdict> => {
-  const { route, caller } = exchange.request;
-  if (caller.promptBlocks.length === 0 || exchange.events > 0) return { type: 'free' };
-  const prompt = { service: chooseService(route, caller), blocks: caller.promptBlocks };
-  return requestGuard.check(prompt, caller.requestId, !exchange.mayHaveRun);
+  const { route, caller, fingerprint } = exchange.request;
+  if (exchange.events > 0) return { type: 'free' };
+  const service = chooseService(route, caller);
+  const request = { service, fingerprint, blocks: caller.promptBlocks };
+  return requestGuard.check(request, caller.requestId, !exchange.mayHaveRun);
 };
 
 /** Creates a runner for admitted requests. */
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -8,7 +8,8 @@
   readonly firstByte: Histogram<'route'>;
   readonly duration: Histogram<'route'>;
   readonly active: Gauge;
-  readonly quarantined: Gauge;
+  readonly blocksQuarantined: Gauge;
+  readonly requestsQuarantined: Gauge;
 }
 
 const SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 3, 5, 10, 20];
@@ -29,6 +30,7 @@
     firstByte: new Histogram({ ...resolveOptions('gatewayFirstByte'), buckets }),
     duration: new Histogram({ ...resolveOptions('gatewayDuration'), buckets }),
     active: new Gauge(resolveOptions('gatewayActive')),
-    quarantined: new Gauge(resolveOptions('gatewayQuarantined')),
+    blocksQuarantined: new Gauge(resolveOptions('gatewayBlocksQuarantined')),
+    requestsQuarantined: new Gauge(resolveOptions('gatewayRequestsQuarantined')),
   };
 };
--- a/src/node/gateway/requestGuard.ts
+++ b/src/node/gateway/requestGuard.ts
@@ -1,20 +1,26 @@
 import type { Logger } from '../log';
-import { decodeSuspect, type ClaimProbeAnswer } from '../routingControl';
+import type { SuspectKind } from '../decisions';
+import {
+  decodeSuspect,
+  encodeSuspectName,
+  type ClaimProbeAnswer,
+  type ClaimProbeParams,
+} from '../routingControl';
 import type { RpcClient } from '../rpc';
 import type { RequestQuarantine, QuarantineHold, ServiceRequest } from './requestQuarantine';
 
-/** Whether a request may be sent because of its prompt, and why not. */
+/** Whether a request may be sent to an endpoint, and why not. */
 export type GuardVerdict =
   | { readonly type: 'free' }
   | { readonly type: 'probe' }
   | { readonly type: 'refused'; readonly reason: string; readonly retryAfterMs: number };
 
-/** Refuses requests with quarantined prompt blocks, but for one probe at a time. */
+/** Refuses quarantined requests and prompt blocks, but for one probe at a time. */
 export interface RequestGuard {
   /** Checks a request before it is sent; `canProbe` is false if it may have run already. */
   readonly check: (
-    prompt: ServiceRequest,
-    request: string,
+    request: ServiceRequest,
+    requestId: string,
     canProbe: boolean,
   ) => Promise<GuardVerdict>;
 }
@@ -35,9 +41,15 @@
 /** Shortest retry delay of a refused request, in milliseconds. */
 const MIN_RETRY_MS = 1_000;
 
-const createRefusal = ({ id: block, level, losses, waitMs }: QuarantineHold): GuardVerdict => ({
+const SUSPECT_NAMES: Readonly<Record<SuspectKind, string>> = {
+  shared_block: 'prompt block',
+  own_block: 'prompt block',
+  request: 'request with fingerprint',
+};
+
+const createRefusal = ({ kind, id, level, losses, waitMs }: QuarantineHold): GuardVerdict => ({
   type: 'refused',
-  reason: `prompt block '${block}' is quarantined (level ${level}) after the loss of ${losses} endpoints; next probe in ${Math.round(waitMs)} ms`,
+  reason: `${SUSPECT_NAMES[kind]} '${id}' is quarantined (level ${level}) after the loss of ${losses} endpoints; next probe in ${Math.round(waitMs)} ms`,
   retryAfterMs: Math.max(MIN_RETRY_MS, waitMs),
 });
 
@@ -48,34 +60,40 @@
   const claimProbe = async (hold: QuarantineHold, request: string): Promise<boolean> => {
     const host = findControlHost();
     if (host === undefined) return false;
-    const { service, id: block, level } = hold;
-    const params = { service, block, level };
+    const { service, kind, id, level } = hold;
+    const params: ClaimProbeParams = { ...encodeSuspectName(hold), level };
+    const facts = { request, service, kind, id, level };
     const answer = await rpc.call<ClaimProbeAnswer>(host, 'suspect.probe', params, {
       timeoutMs: CLAIM_TIMEOUT_MS,
     });
     answer.ifLeft((error) =>
       log.warn(
-        { request, ...params, peer: host, err: error.message },
-        'probe of a quarantined prompt block could not be claimed',
+        { ...facts, peer: host, err: error.message },
+        'probe of a quarantined request could not be claimed',
       ),
     );
     const { isGranted, suspect } = answer.orDefault({ isGranted: false });
     if (suspect) quarantine.applyPeerSuspects([decodeSuspect(suspect, readNow())]);
-    log.info({ request, ...params, isGranted }, 'probe of a quarantined prompt block claimed');
+    log.info({ ...facts, isGranted }, 'probe of a quarantined request claimed');
     return isGranted;
   };
 
   return {
-    check: async (prompt, request, canProbe) => {
-      const holds = quarantine.listHolds(prompt);
+    check: async (request, requestId, canProbe) => {
+      const holds = quarantine.listHolds(request);
       const longest = holds.reduce<QuarantineHold | undefined>(
         (known, hold) => (known && known.waitMs >= hold.waitMs ? known : hold),
         undefined,
       );
       if (!longest) return { type: 'free' };
       if (longest.waitMs > 0 || !canProbe) return createRefusal(longest);
+      // A quarantined request would say nothing about a block that it shares with sound ones.
+      const isRequestHeld = holds.some(({ kind }) => kind === 'request');
+      if (isRequestHeld && holds.some(({ kind }) => kind === 'shared_block')) {
+        return createRefusal(longest);
+      }
       for (const hold of holds) {
-        if (!(await claimProbe(hold, request))) return createRefusal(hold);
+        if (!(await claimProbe(hold, requestId))) return createRefusal(hold);
       }
       return { type: 'probe' };
     },
--- a/src/node/gateway/requestQuarantine.ts
+++ b/src/node/gateway/requestQuarantine.ts
@@ -16,41 +16,42 @@
 import type { SuspectTable } from './suspectTable';
 import type { PromptBlock } from './types';
 
-/** The prompt of a request to a service. */
+/** What a request to a service is recognised by. */
 export interface ServiceRequest {
   readonly service: string;
+  /** The same for each return of the request, whatever its id. */
+  readonly fingerprint: string;
+  /** Blocks of its prompt; empty for a request to a plain service. */
   readonly blocks: readonly PromptBlock[];
 }
 
-/** A quarantined block of a prompt. */
-export interface QuarantineHold {
-  readonly service: string;
-  readonly id: string;
+/** The quarantine of a request, or of a block of its prompt. */
+export interface QuarantineHold extends Pick<Suspect, 'service' | 'kind' | 'id'> {
   readonly level: number;
-  /** Endpoint incarnations that were lost with the block, as far as known here. */
+  /** Endpoint incarnations that were lost with the suspect, as far as known here. */
   readonly losses: number;
   /** Milliseconds until the next probe may be sent; 0 if it is due. */
   readonly waitMs: number;
 }
 
 /** The lost attempt of a request. */
-export type AttemptLoss = Omit<EndpointLoss, 'companions'>;
+export type AttemptLoss = Omit<EndpointLoss, 'companions' | 'requests'>;
 
-/** Decides which prompt blocks take endpoints down, from what all gateways have seen. */
+/** Decides which requests and prompt blocks take endpoints down, from what all gateways have seen. */
 export interface RequestQuarantine {
   /** Records that an endpoint has survived the start of an answer. */
   readonly recordAnswer: (request: ServiceRequest) => void;
   /** Records that an attempt ended with its connection before that. */
-  readonly recordLoss: (prompt: ServiceRequest, request: string, loss: AttemptLoss) => void;
+  readonly recordLoss: (request: ServiceRequest, requestId: string, loss: AttemptLoss) => void;
   /** Merges records of other gateways. */
   readonly applyPeerSuspects: (suspects: readonly Suspect[]) => void;
-  /** Lists the quarantined blocks of a prompt. */
+  /** Lists the quarantines that apply to a request. */
   readonly listHolds: (request: ServiceRequest) => readonly QuarantineHold[];
   /** Removes old records. */
   readonly expire: () => void;
 }
 
-/** Options of a prompt quarantine. */
+/** Options of a quarantine. */
 export interface RequestQuarantineOptions {
   readonly suspects: SuspectTable;
   readonly log: Logger;
@@ -58,8 +59,25 @@
   readonly readNow: () => number;
 }
 
-const listKeys = ({ service, blocks }: ServiceRequest): readonly string[] =>
-  blocks.map(({ id }) => formatSuspectKey({ service, id }));
+type SuspectIdentity = Pick<Suspect, 'service' | 'kind' | 'id' | 'depth'>;
+
+const listIdentities = (request: ServiceRequest): readonly SuspectIdentity[] => {
+  const { service, fingerprint, blocks } = request;
+  return [
+    ...blocks.map(({ id }, depth) => {
+      const kind = depth === blocks.length - 1 ? 'own_block' : 'shared_block';
+      return { service, kind, id, depth } as const;
+    }),
+    { service, kind: 'request', id: fingerprint, depth: 0 },
+  ];
+};
+
+// Prompts may be told apart by their blocks alone, if the body does not have them.
+const formatLostRequest = ({ fingerprint, blocks }: ServiceRequest): string =>
+  `${fingerprint}|${blocks.at(-1)?.id ?? ''}`;
+
+const listKeys = (request: ServiceRequest): readonly string[] =>
+  listIdentities(request).map(formatSuspectKey);
 
 const isCleared = ({ losses, quarantine }: Suspect): boolean => losses.length === 0 && !quarantine;
 
@@ -80,18 +98,18 @@
     });
 
   const startQuarantine = ({ suspect, losses, needed, isAnswering }: SuspicionVerdict): void => {
-    const { service, id: block, answeredAt } = suspect;
+    const { service, kind, id, answeredAt } = suspect;
     const key = formatSuspectKey(suspect);
     const counts = history.countOthers(service, key, readNow());
     const answeredAgeMs = answeredAt === undefined ? undefined : Math.round(readNow() - answeredAt);
     log.warn(
-      { service, block, losses, needed, isAnswering, ...counts, answeredAgeMs },
-      'prompt block quarantined: its requests take endpoints down',
+      { service, kind, id, losses, needed, isAnswering, ...counts, answeredAgeMs },
+      'quarantine started: such requests take endpoints down',
     );
     suspects.update(key, { ...suspect, quarantine: { level: 1, since: readNow() } }, true);
   };
 
-  // A quarantined block explains losses of others, so these are judged again after each round.
+  // A quarantined suspect explains losses of others, so these are judged again after each round.
   const judge = (keys: readonly string[]): void => {
     let verdicts = listVerdicts(keys);
     while (verdicts.length > 0) {
@@ -105,26 +123,26 @@
     const before = suspects.find(key) ?? createSuspect(received);
     const answeredAt = answered.find(key);
     const merged = mergeSuspects(mergeSuspects(before, received), { ...before, answeredAt });
-    const { service, id: block, quarantine } = merged;
+    const { service, kind, id, quarantine } = merged;
     if (quarantine && quarantine.level !== before.quarantine?.level) {
       const ageMs = Math.round(readNow() - quarantine.since);
       log.warn(
-        { service, block, level: quarantine.level, ageMs, losses: merged.losses.length },
-        'prompt block quarantined by another gateway',
+        { service, kind, id, level: quarantine.level, ageMs, losses: merged.losses.length },
+        'quarantine started by another gateway',
       );
     }
-    // The other gateways do not know yet that the block was answered here.
+    // The other gateways do not know yet that the suspect was answered here.
     const isNews = answeredAt !== undefined && received.answeredAt === undefined;
     suspects.update(key, merged, isNews || isCleared(merged) !== isCleared(received));
     return key;
   };
 
   return {
-    recordAnswer: (prompt) => {
+    recordAnswer: (request) => {
       const now = readNow();
-      const keys = listKeys(prompt);
+      const keys = listKeys(request);
       history.record({
-        service: prompt.service,
+        service: request.service,
         keys,
         isLost: false,
         isAnswering: true,
@@ -138,47 +156,51 @@
         suspects.update(key, mergeSuspects(suspect, { ...suspect, answeredAt: now }), isNews);
       });
     },
-    recordLoss: (prompt, request, loss) => {
-      const { service, blocks } = prompt;
-      const keys = listKeys(prompt);
+    recordLoss: (request, requestId, loss) => {
+      const { service, fingerprint, blocks } = request;
+      const identities = listIdentities(request);
+      const keys = identities.map(formatSuspectKey);
       const { isAnswering, lostAt } = loss;
       history.record({ service, keys, isLost: true, isAnswering, at: lostAt });
       const sharedIds = blocks.slice(0, -1).map(({ id }) => id);
-      blocks.forEach(({ id }, depth) => {
-        const key = keys[depth]!;
-        const kind = depth === blocks.length - 1 ? 'own_block' : 'shared_block';
-        const known = suspects.find(key) ?? createSuspect({ service, kind, id, depth });
-        const companions = sharedIds.filter((other) => other !== id).slice(0, MAX_COMPANIONS);
+      identities.forEach((identity) => {
+        const key = formatSuspectKey(identity);
+        const known = suspects.find(key) ?? createSuspect(identity);
+        const companions = sharedIds
+          .filter((other) => identity.kind === 'request' || other !== identity.id)
+          .slice(0, MAX_COMPANIONS);
         const news = {
           ...known,
-          losses: [{ ...loss, companions }],
+          losses: [{ ...loss, companions, requests: [formatLostRequest(request)] }],
           answeredAt: answered.find(key),
         };
         suspects.update(key, mergeSuspects(known, news), true);
       });
       log.info(
         {
-          request,
+          request: requestId,
           service,
+          fingerprint,
           blocks: blocks.map(({ id }) => id),
+          // The blocks' numbers in their order, then the request's own.
           losses: keys.map((key) => suspects.find(key)?.losses.length),
           incarnation: loss.incarnation,
           isAnswering,
           attemptMs: Math.round(lostAt - loss.startedAt),
         },
-        'prompt blocks suspected: the endpoint was lost before it had answered',
+        'request suspected: the endpoint was lost before it had answered',
       );
       judge(keys);
     },
     applyPeerSuspects: (records) => judge(records.map(applyPeerSuspect)),
-    listHolds: (prompt) => {
+    listHolds: (request) => {
       if (suspects.count() === 0) return [];
-      return listKeys(prompt).flatMap((key) => {
+      return listKeys(request).flatMap((key) => {
         const suspect = suspects.find(key);
         if (!suspect?.quarantine) return [];
-        const { service, id, quarantine, losses } = suspect;
+        const { service, kind, id, quarantine, losses } = suspect;
         const waitMs = Math.max(0, quarantine.since + computeHoldMs(quarantine) - readNow());
-        return [{ service, id, level: quarantine.level, losses: losses.length, waitMs }];
+        return [{ service, kind, id, level: quarantine.level, losses: losses.length, waitMs }];
       });
     },
     expire: () => {
--- a/src/node/gateway/suspectTable.ts
+++ b/src/node/gateway/suspectTable.ts
@@ -3,7 +3,7 @@
 import { formatSuspectKey } from '../routingControl';
 import type { GatewayMetrics } from './gatewayMetrics';
 
-/** The suspect blocks that a gateway knows, by key, and which of them the others must hear of. */
+/** The suspects that a gateway knows, by key, and which of them the others must hear of. */
 export interface SuspectTable {
   readonly find: (key: string) => Suspect | undefined;
   readonly count: () => number;
@@ -24,10 +24,10 @@
 const MAX_SUSPECTS = 2_000;
 /** Maximum number of records in one report; the rest follows with the next call. */
 const MAX_REPORT = 100;
-/** Losses of a block that was answered before, from which on the other gateways hear of it. */
+/** Losses of a suspect that was answered before, from which on the other gateways hear of it. */
 const MIN_SHARED_LOSSES = 2;
 
-// The other gateways hear of a block that was answered before only if it may be quarantined, since
+// The other gateways hear of a suspect that was answered before only if it may be quarantined, since
 // many popular blocks are lost when endpoints fail.
 const canShare = (suspect: Suspect): boolean => {
   const { kind, answeredAt, quarantine } = suspect;
@@ -39,16 +39,23 @@
 /** Creates an empty table. */
 export const createSuspectTable = (
   log: Logger,
-  metrics: Pick<GatewayMetrics, 'quarantined'>,
+  metrics: Pick<GatewayMetrics, 'blocksQuarantined' | 'requestsQuarantined'>,
 ): SuspectTable => {
   const suspects = new Map<string, Suspect>();
   const quarantinedKeys = new Set<string>();
   const unsentKeys = new Set<string>();
 
+  const recordCounts = (): void => {
+    const kinds = [...quarantinedKeys].map((key) => suspects.get(key)!.kind);
+    const requests = kinds.filter((kind) => kind === 'request').length;
+    metrics.requestsQuarantined.set(requests);
+    metrics.blocksQuarantined.set(kinds.length - requests);
+  };
+
   const remove = (key: string): void => {
     suspects.delete(key);
     [quarantinedKeys, unsentKeys].forEach((keys) => keys.delete(key));
-    metrics.quarantined.set(quarantinedKeys.size);
+    recordCounts();
   };
 
   const removeOldest = (): void => {
@@ -57,8 +64,8 @@
     remove(keys.find(isRemovable) ?? keys[0]!);
   };
 
-  const logLifted = ({ service, id: block, quarantine }: Suspect): void =>
-    log.info({ service, block, level: quarantine?.level }, 'quarantine of a prompt block lifted');
+  const logLifted = ({ service, kind, id, quarantine }: Suspect): void =>
+    log.info({ service, kind, id, level: quarantine?.level }, 'quarantine lifted');
 
   const update: SuspectTable['update'] = (key, next, isNews) => {
     const before = suspects.get(key);
@@ -67,7 +74,7 @@
     suspects.set(key, next);
     if (next.quarantine) quarantinedKeys.add(key);
     else if (quarantinedKeys.delete(key) && before) logLifted(before);
-    metrics.quarantined.set(quarantinedKeys.size);
+    recordCounts();
     const wasShared = before !== undefined && canShare(before);
     if (isNews && (wasShared || canShare(next))) unsentKeys.add(key);
     if (suspects.size > MAX_SUSPECTS) removeOldest();
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -101,13 +101,20 @@
     'requests',
     'Requests of routes in progress.',
   ),
-  gatewayQuarantined: createDefinition(
+  gatewayBlocksQuarantined: createDefinition(
     'gateway',
     'gauge',
     'gateway_prompt_blocks_quarantined',
     'blocks',
     'Prompt blocks whose requests are refused because they take endpoints down.',
   ),
+  gatewayRequestsQuarantined: createDefinition(
+    'gateway',
+    'gauge',
+    'gateway_requests_quarantined',
+    'requests',
+    'Requests, by fingerprint, that are refused because they take endpoints down.',
+  ),
   queue: createDefinition(
     'agent',
     'gauge',
--- a/src/node/routingControl/__tests__/suspectDirectory.test.ts
+++ b/src/node/routingControl/__tests__/suspectDirectory.test.ts
@@ -95,3 +95,74 @@
   t.true(answer.suspects.length <= 20);
   t.true(answer.suspects.some(({ block }) => block === 'a'));
 });
+
+const createRequestReport = (
+  incarnations: readonly string[],
+  fields: Partial<SuspectReport> = {},
+): SuspectReport => ({
+  ...createReport('f'),
+  kind: 'request',
+  losses: incarnations.map((incarnation, index) => ({
+    incarnation,
+    startedAgeMs: 3_000 - 1_000 * index,
+    lostAgeMs: 2_500 - 1_000 * index,
+    isAnswering: true,
+    companions: [],
+    requests: ['f'],
+  })),
+  ...fields,
+});
+
+const requestReports = [
+  { name: 'lost once', reports: [createRequestReport(['e1'])], isSent: false },
+  {
+    name: 'lost once at each of two gateways',
+    reports: [createRequestReport(['e1']), createRequestReport(['e2'])],
+    isSent: true,
+  },
+  {
+    name: 'lost twice, then answered',
+    reports: [createRequestReport(['e1', 'e2']), createRequestReport([], { answeredAgeMs: 0 })],
+    isSent: true,
+  },
+  {
+    name: 'lost once, then answered',
+    reports: [createRequestReport(['e1']), createRequestReport([], { answeredAgeMs: 0 })],
+    isSent: false,
+  },
+  { name: 'quarantined', reports: [createRequestReport(['e1'], QUARANTINED)], isSent: true },
+] as const;
+
+for (const { name, reports, isSent } of requestReports) {
+  test(`suspect directory: a request that was ${name} is ${isSent ? '' : 'not '}sent to all`, (t) => {
+    const directory = createSuspectDirectory();
+    reports.forEach((report) => directory.share({ suspects: [report] }, 1_000));
+    const { suspects } = directory.share({ suspects: [] }, 1_000);
+    t.deepEqual(
+      suspects.map(({ kind, block }) => [kind, block]),
+      isSent ? [['request', 'f']] : [],
+    );
+  });
+}
+
+test('suspect directory: a request and a block with the same id are not mixed up', (t) => {
+  const directory = createSuspectDirectory();
+  directory.share({ suspects: [createReport('f', QUARANTINED)] }, 0);
+  const level = 1;
+  const claim = { service: 's', block: 'f', level } as const;
+  t.false(directory.claimProbe({ ...claim, kind: 'request' }, 3_000).isGranted);
+  t.true(directory.claimProbe(claim, 3_000).isGranted);
+});
+
+test('suspect directory: many lost requests do not push out a quarantined suspect', (t) => {
+  const directory = createSuspectDirectory();
+  directory.share({ suspects: [createRequestReport(['e1'], QUARANTINED)] }, 0);
+  for (let index = 0; index < 2_500; index += 1) {
+    directory.share({ suspects: [{ ...createRequestReport(['e1']), block: `f${index}` }] }, 0);
+  }
+  const { suspects } = directory.share({ suspects: [] }, 0);
+  t.deepEqual(
+    suspects.map(({ block }) => block),
+    ['f'],
+  );
+});
--- a/src/node/routingControl/suspectDirectory.ts
+++ b/src/node/routingControl/suspectDirectory.ts
@@ -8,11 +8,16 @@
   type Suspect,
 } from '../decisions';
 
-/** Schema of what a gateway or the directory knows about a block; times are ages in milliseconds. */
+/** Schema of the kind of a suspect on the wire; a shared prompt block has none. */
+const wireKindSchema = z.literal('request').optional();
+
+/** Schema of what a gateway or the directory knows about a suspect; times are ages in milliseconds. */
 export const suspectReportSchema = z.strictObject({
   service: z.string(),
+  kind: wireKindSchema,
+  /** Id of the prompt block, or fingerprint of the request. */
   block: z.string(),
-  /** Position in the prompt. */
+  /** Position in the prompt; 0 for a request. */
   depth: z.number().int(),
   losses: z
     .array(
@@ -22,6 +27,8 @@
         lostAgeMs: z.number(),
         isAnswering: z.boolean(),
         companions: z.array(z.string()).max(50).readonly(),
+        /** Absent in reports of earlier versions. */
+        requests: z.array(z.string()).max(50).readonly().optional(),
       }),
     )
     .max(50)
@@ -30,7 +37,7 @@
   quarantine: z.strictObject({ level: z.number().int(), ageMs: z.number() }).optional(),
 });
 
-/** What a gateway or the directory knows about a block. */
+/** What a gateway or the directory knows about a suspect. */
 export type SuspectReport = Readonly<z.infer<typeof suspectReportSchema>>;
 
 /** Schema of a gateway's position in the changes of a directory. */
@@ -61,6 +68,7 @@
 /** Schema of the parameters of `suspect.probe`: a gateway asks to send one quarantined request. */
 export const claimProbeParams = z.strictObject({
   service: z.string(),
+  kind: wireKindSchema,
   block: z.string(),
   /** Level of the quarantine that the gateway knows. */
   level: z.number().int(),
@@ -72,45 +80,76 @@
 /** Result of `suspect.probe`. */
 export interface ClaimProbeAnswer {
   readonly isGranted: boolean;
-  /** The block's record after the call; absent if the directory has none. */
+  /** The suspect's record after the call; absent if the directory has none. */
   readonly suspect?: SuspectReport;
 }
 
-/** Knows the blocks that any gateway suspects, and grants their probes to one gateway at a time. */
+/** Knows what any gateway suspects, and grants their probes to one gateway at a time. */
 export interface SuspectDirectory {
   /** Merges a gateway's report. `now` is monotonic time in milliseconds. */
   readonly share: (params: ShareSuspectsParams, now: number) => ShareSuspectsAnswer;
   readonly claimProbe: (params: ClaimProbeParams, now: number) => ClaimProbeAnswer;
 }
 
-/** With more suspect blocks than this, the ones that changed least recently are dropped. */
+/** With more suspects than this, the ones that changed least recently are dropped. */
 const MAX_SUSPECTS = 2_000;
 /**
- * Maximum number of records of each kind in one answer, about 4 KB; the rest follows with the next
- * calls. In an outage with many suspect blocks, the quarantined ones must not wait for the others.
+ * Maximum number of records on each page of an answer, about 4 KB; the rest follows with the next
+ * calls.
  */
 const MAX_ANSWER = 10;
 
+/**
+ * Losses of a request from which on all gateways hear of it. An endpoint that fails takes many
+ * requests with it, and nearly all of them are answered on their next attempt.
+ */
+const MIN_PUBLIC_LOSSES = 2;
+
 interface Row {
   readonly suspect: Suspect;
   readonly revision: number;
+  /** Whether the gateways are told; once they are, they also hear how it ends. */
+  readonly isPublic: boolean;
 }
 
-/** Formats the key of a suspect. */
-export const formatSuspectKey = ({ service, id }: Pick<Suspect, 'service' | 'id'>): string =>
-  `${service}|${id}`;
+/** Formats the key of a suspect. A block has the same one at any position of a prompt. */
+export const formatSuspectKey = ({
+  service,
+  kind,
+  id,
+}: Pick<Suspect, 'service' | 'kind' | 'id'>): string =>
+  `${service}|${kind === 'request' ? 'request' : 'block'}|${id}`;
+
+/** Names a suspect in a message between processes. */
+export const encodeSuspectName = ({
+  service,
+  kind,
+  id,
+}: Pick<Suspect, 'service' | 'kind' | 'id'>): Pick<SuspectReport, 'service' | 'kind' | 'block'> =>
+  kind === 'request' ? { service, kind, block: id } : { service, block: id };
+
+const decodeSuspectName = ({
+  service,
+  kind = undefined,
+  block,
+}: Pick<SuspectReport, 'service' | 'kind' | 'block'>): Pick<
+  Suspect,
+  'service' | 'kind' | 'id'
+> => ({
+  service,
+  // Last blocks of prompts are not shared.
+  kind: kind ?? 'shared_block',
+  id: block,
+});
 
 /** Converts a record's times to ages. */
 export const encodeSuspect = (suspect: Suspect, now: number): SuspectReport => {
-  const { service, id: block, depth, losses, answeredAt, quarantine } = suspect;
+  const { depth, losses, answeredAt, quarantine } = suspect;
   return {
-    service,
-    block,
+    ...encodeSuspectName(suspect),
     depth,
-    losses: losses.map(({ incarnation, startedAt, lostAt, isAnswering, companions }) => ({
-      incarnation,
-      isAnswering,
-      companions,
+    losses: losses.map(({ startedAt, lostAt, ...facts }) => ({
+      ...facts,
       startedAgeMs: now - startedAt,
       lostAgeMs: now - lostAt,
     })),
@@ -121,17 +160,13 @@
 
 /** Converts a report's ages to times of this process. */
 export const decodeSuspect = (report: SuspectReport, now: number): Suspect => {
-  const { service, block, depth, losses, answeredAgeMs, quarantine } = report;
+  const { depth, losses, answeredAgeMs, quarantine } = report;
   return {
-    service,
-    // Last blocks of prompts are not shared.
-    kind: 'shared_block',
-    id: block,
+    ...decodeSuspectName(report),
     depth,
-    losses: losses.map(({ incarnation, startedAgeMs, lostAgeMs, isAnswering, companions }) => ({
-      incarnation,
-      isAnswering,
-      companions,
+    losses: losses.map(({ startedAgeMs, lostAgeMs, requests = [], ...facts }) => ({
+      ...facts,
+      requests,
       startedAt: now - startedAgeMs,
       lostAt: now - lostAgeMs,
     })),
@@ -140,6 +175,18 @@
   };
 };
 
+const isPublicSuspect = ({ kind, losses, quarantine }: Suspect): boolean =>
+  kind !== 'request' || quarantine !== undefined || losses.length >= MIN_PUBLIC_LOSSES;
+
+// In an outage, many blocks and requests are suspected. What is quarantined must not wait for the
+// others, and blocks not for requests.
+const PAGE_FILTERS: readonly ((suspect: Suspect) => boolean)[] = [
+  ({ kind, quarantine }) => kind !== 'request' && quarantine !== undefined,
+  ({ kind, quarantine }) => kind === 'request' && quarantine !== undefined,
+  ({ kind, quarantine }) => kind !== 'request' && quarantine === undefined,
+  ({ kind, quarantine }) => kind === 'request' && quarantine === undefined,
+];
+
 const formatState = ({ losses, answeredAt, quarantine }: Suspect): string =>
   JSON.stringify([losses.map(({ incarnation }) => incarnation), answeredAt, quarantine?.level]);
 
@@ -149,13 +196,21 @@
   const rows = new Map<string, Row>();
   let revision = 0;
 
+  // A quarantined suspect stays as long as there are others.
+  const removeOldest = (): void => {
+    const entries = [...rows];
+    const [key] = entries.find(([, { suspect }]) => !suspect.quarantine) ?? entries[0]!;
+    rows.delete(key);
+  };
+
   // Deleting the row first moves it to the end.
   const updateRow = (suspect: Suspect): void => {
     revision += 1;
     const key = formatSuspectKey(suspect);
+    const isPublic = rows.get(key)?.isPublic === true || isPublicSuspect(suspect);
     rows.delete(key);
-    rows.set(key, { suspect, revision });
-    if (rows.size > MAX_SUSPECTS) rows.delete(rows.keys().next().value!);
+    rows.set(key, { suspect, revision, isPublic });
+    if (rows.size > MAX_SUSPECTS) removeOldest();
   };
 
   const expire = (now: number): void => {
@@ -178,12 +233,10 @@
       expire(now);
       suspects.forEach((report) => mergeReport(report, now));
       const since = cursor?.directory === directoryId ? cursor.revision : 0;
-      const changed = [...rows.values()].filter((row) => row.revision > since);
-      const isQuarantined = ({ suspect }: Row): boolean => suspect.quarantine !== undefined;
-      const pages = [
-        changed.filter(isQuarantined).slice(0, MAX_ANSWER),
-        changed.filter((row) => !isQuarantined(row)).slice(0, MAX_ANSWER),
-      ];
+      const changed = [...rows.values()].filter((row) => row.isPublic && row.revision > since);
+      const pages = PAGE_FILTERS.map((isOnPage) =>
+        changed.filter(({ suspect }) => isOnPage(suspect)).slice(0, MAX_ANSWER),
+      );
       const sent = pages.flat();
       // The rest of a full page comes after its last record.
       const ends = pages
@@ -194,8 +247,8 @@
         cursor: { directory: directoryId, revision: Math.min(revision, ...ends) },
       };
     },
-    claimProbe: ({ service, block, level }, now) => {
-      const key = formatSuspectKey({ service, id: block });
+    claimProbe: ({ level, ...name }, now) => {
+      const key = formatSuspectKey(decodeSuspectName(name));
       const known = rows.get(key)?.suspect;
       if (!known) return { isGranted: false };
       const { quarantine } = known;
