Record the loss of an endpoint whose response was just dropped

Cause: a response that is dropped for a larger model was cancelled at once. The new test fails without the change in both cases with a crash.

Ruled out: charging the loss of an endpoint that other requests show; with many gateways few of them have another request there.

--- /dev/null
+++ b/src/node/gateway/__tests__/droppedResponse.test.ts
@@ -0,0 +1,46 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import test from 'ava';
+import { startGateway, type RouteFields, type SocketAnswer } from './harness';
+import { createAnswer, ECHO } from './socketAnswers';
+
+const SMALL_HEAD = `HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Type: text/event-stream\r\nX-Confidence: 5\r\nTransfer-Encoding: chunked\r\n\r\n`;
+const LARGE_ANSWER = `HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Type: text/event-stream\r\nX-Confidence: 90\r\nContent-Length: 30\r\n\r\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n`;
+const CASCADE: RouteFields = { kind: 'stream', canResume: true, models: ['small', 'large'] };
+
+const createCrash =
+  (delayMs: number): SocketAnswer =>
+  (socket) => {
+    socket.write(SMALL_HEAD);
+    setTimeout(() => socket.resetAndDestroy(), delayMs);
+  };
+
+const sendOneEvent: SocketAnswer = (socket) => {
+  socket.write(SMALL_HEAD);
+  socket.write('e\r\nid: 1\ndata: x\n\n\r\n');
+};
+
+const cases = [
+  { name: 'with the head of its response', first: createCrash(0), isSeen: true },
+  { name: 'soon after the head of its response', first: createCrash(10), isSeen: true },
+  { name: 'not at all', first: sendOneEvent, isSeen: false },
+] as const;
+
+for (const { name, first, isSeen } of cases) {
+  test(`the crash of an endpoint goes unseen if its response is dropped: it crashes ${name}`, async (t) => {
+    const replyByModel: SocketAnswer = (socket, head, stopListening) => {
+      const reply = head.includes('X-Model: small') ? first : createAnswer(LARGE_ANSWER);
+      reply(socket, head, stopListening);
+    };
+    const gateway = await startGateway(CASCADE, [replyByModel]);
+    t.teardown(gateway.stop);
+    const { status } = await gateway.call({
+      headers: { 'X-Model': '*', 'X-Prompt-Prefix': 'a:10,b:10' },
+    });
+    t.is(status, 200);
+    await sleep(200);
+    const suspected = gateway.logs.filter((line) => line.includes('request suspected'));
+    t.is(gateway.logs.filter((line) => line.includes('response dropped')).length, 1);
+    t.is(suspected.length, isSeen ? 1 : 0);
+    if (isSeen) t.true(suspected[0]!.includes('"incarnation":"e-0|1"'));
+  });
+}
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -14,6 +14,7 @@
 import { createModelInput } from './choiceRequest';
 import { waitWithTimeout } from './deadline';
 import { isConnectionLoss } from './endpointAttempt';
+import { startDropWatch } from './dropWatch';
 import { createEventReader, isRepeatedEvent } from './eventReader';
 import type { ResponseHead } from './types';
 
@@ -320,7 +321,11 @@
     recordFailure(context, 'response has a content encoding that was not requested', true);
     return RETRY;
   }
-  if (applyModelCascade(context, head)) return RETRY;
+  if (applyModelCascade(context, head)) {
+    exchange.currentAttempt = undefined;
+    startDropWatch(context);
+    return RETRY;
+  }
   if (exchange.reply.isStarted() && !(head.status === 200 && head.isEventStream)) {
     recordFailure(
       context,
