--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -12,6 +12,7 @@
   retryAfterMs: undefined,
   confidence: undefined,
   requestsPerSecond: undefined,
+  isLeaving: false,
   isEventStream: false,
   isCloseDelimited: false,
   isEncoded: false,
--- a/src/node/gateway/__tests__/relayResponse.test.ts
+++ b/src/node/gateway/__tests__/relayResponse.test.ts
@@ -42,6 +42,7 @@
     retryAfterMs: undefined,
     confidence: undefined,
     requestsPerSecond: undefined,
+    isLeaving: false,
     isEventStream: true,
     isCloseDelimited: false,
     isEncoded: false,
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -56,6 +56,8 @@
   readonly confidence: number | undefined;
   /** Requests per second that the endpoint takes from all gateways together; undefined if unlimited. */
   readonly requestsPerSecond: number | undefined;
+  /** Whether the endpoint says that it is about to end. */
+  readonly isLeaving: boolean;
   readonly isEventStream: boolean;
   /** Whether the body is delimited only by the close of the connection. */
   readonly isCloseDelimited: boolean;
