--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -7,9 +7,10 @@
 import { createInternalServer, createMetricsService, type Metrics } from '../metrics';
 import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { createCallerServer, updateTimeouts } from './callerServer';
+import { createRestraintServices } from './restraintServices';
 import { createEndpointChooser } from './endpointChoice';
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
-import { createEndpointLimits, type EndpointLimits } from './endpointLimits';
+import type { EndpointLimits } from './endpointLimits';
 import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
 import { startEndpointAttempt } from './endpointAttempt';
 import { canConnect } from './endpointConnection';
@@ -19,12 +20,12 @@
 import { createLimitTopic } from './limitTopic';
 import { createLoadTopic } from './loadTopic';
 import { createPeerExchange, type PeerExchange } from './peerExchange';
-import { createRequestGuard, type RequestGuard } from './requestGuard';
-import { createRequestQuarantine, type RequestQuarantine } from './requestQuarantine';
+import type { RequestGuard } from './requestGuard';
+import type { RequestQuarantine } from './requestQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
-import { createSuspectTable, type SuspectTable } from './suspectTable';
+import type { SuspectTable } from './suspectTable';
 import { createSuspectTopic } from './suspectTopic';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
@@ -142,62 +143,6 @@
   },
 ];
 
-const createQuarantineServices = (): readonly Service[] => [
-  {
-    name: 'suspects',
-    dependencies: ['log', 'gateway-metrics'],
-    start: (find) => ({
-      value: createSuspectTable(
-        createPartLogger(find<Logger>('log'), 'gateway'),
-        find<GatewayMetrics>('gateway-metrics'),
-      ),
-    }),
-  },
-  {
-    name: 'quarantine',
-    dependencies: ['log', 'suspects'],
-    start: (find) => {
-      const value = createRequestQuarantine({
-        suspects: find<SuspectTable>('suspects'),
-        log: createPartLogger(find<Logger>('log'), 'gateway'),
-        readNow,
-      });
-      const timer = setInterval(value.expire, EXPIRE_INTERVAL_MS);
-      return { value, stop: () => clearInterval(timer) };
-    },
-  },
-  {
-    name: 'request-guard',
-    dependencies: ['rpc', 'log', 'quarantine', 'routing-view'],
-    start: (find) => ({
-      value: createRequestGuard({
-        quarantine: find<RequestQuarantine>('quarantine'),
-        rpc: find<RpcClient>('rpc'),
-        log: createPartLogger(find<Logger>('log'), 'gateway'),
-        readNow,
-        findControlHost: find<RoutingView>('routing-view').findLeader,
-      }),
-    }),
-  },
-];
-
-const createLimitsService = (): Service => ({
-  name: 'limits',
-  dependencies: ['log', 'routing-view', 'registry-view'],
-  start: (find) => {
-    const registry = find<RegistryView>('registry-view');
-    const view = find<RoutingView>('routing-view');
-    const value = createEndpointLimits({
-      log: createPartLogger(find<Logger>('log'), 'gateway'),
-      findService: (incarnation) => registry.findIncarnation(incarnation)?.service,
-      countEndpoints: (service) => registry.listEndpoints(service).length,
-      countGateways: () => view.read()?.gatewayCount ?? 1,
-    });
-    const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
-    return { value, stop: () => clearInterval(timer) };
-  },
-});
-
 const createExchangeService = ({ node }: GatewaySettings): Service => ({
   name: 'peer-exchange',
   dependencies: [
@@ -412,8 +357,7 @@
   },
   ...createViewServices(settings),
   ...createSessionServices(settings),
-  ...createQuarantineServices(),
-  createLimitsService(),
+  ...createRestraintServices(),
   createExchangeService(settings),
   createRunnerService(settings, codec),
   createServersService(settings, codec),
