Send nothing more to an endpoint that says that it leaves

Cause: the registry view, which decides who gets requests, listened to the control hosts only; the header was not read. The view now records such an incarnation as draining, and keeps that for as long as any control host calls it ready.

--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -254,6 +254,7 @@
     quarantine,
     requestGuard,
     limits,
+    recordLeaving: () => {},
     tallies: createVersionTallies(),
     metrics,
     log,
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -9,6 +9,7 @@
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { RequestGuard } from './requestGuard';
 import type { RequestQuarantine } from './requestQuarantine';
+import type { RegistryView } from './registryView';
 import type { RoutingSnapshot } from './routingView';
 import type { SessionExchange } from './sessionExchange';
 import type { SessionVersions } from './sessionVersions';
@@ -50,6 +51,7 @@
   readonly quarantine: Pick<RequestQuarantine, 'recordAnswer' | 'recordLoss'>;
   readonly requestGuard: RequestGuard;
   readonly limits: EndpointLimits;
+  readonly recordLeaving: RegistryView['recordLeaving'];
   readonly tallies: VersionTallies;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -242,6 +242,7 @@
       quarantine: find<RequestQuarantine>('quarantine'),
       requestGuard: find<RequestGuard>('request-guard'),
       limits: find<EndpointLimits>('limits'),
+      recordLeaving: find<RegistryView>('registry-view').recordLeaving,
       tallies: find<VersionTallies>('tallies'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
       log: createPartLogger(find<Logger>('log'), 'gateway'),
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -19,6 +19,8 @@
   readonly findEndpoint: (id: string) => EndpointReport | undefined;
   /** Finds an endpoint by its incarnation, as `formatIncarnation` formats it. */
   readonly findIncarnation: (incarnation: string) => EndpointReport | undefined;
+  /** Records that an incarnation has said itself that it is about to end. */
+  readonly recordLeaving: (endpoint: EndpointReport, request: string) => void;
   /** Whether any control host has answered. */
   readonly hasAnswer: () => boolean;
   readonly start: () => void;
@@ -79,8 +81,8 @@
   const { rpc, log, listControlHosts } = options;
   const hosts = new Map<string, HostState>();
   /**
-   * Incarnations that were seen draining or removed. A restarted control host may not know about
-   * them.
+   * Incarnations that were seen draining or removed, or said that they leave. A control host may not
+   * know about them, because it was restarted or their reports are late.
    */
   const endedIncarnations = new Map<string, EndedRecord>();
   let byService: ReadonlyMap<string, readonly KnownEndpoint[]> = new Map();
@@ -119,6 +121,10 @@
     byIncarnation = new Map(next.map(({ report }) => [formatIncarnation(report), report]));
   };
 
+  const recordEnded = (record: EndpointRecord): void => {
+    endedIncarnations.set(formatIncarnation(record.report), { record, seenAt: performance.now() });
+  };
+
   const applyAnswer = (state: HostState, answer: RegistryAnswer): void => {
     hasAnswer = true;
     state.bootId = answer.bootId;
@@ -126,12 +132,7 @@
     if (answer.isWhole) state.records.clear();
     for (const record of answer.records) {
       state.records.set(record.report.id, record);
-      if (record.state === 'gone' || record.state === 'draining') {
-        endedIncarnations.set(formatIncarnation(record.report), {
-          record,
-          seenAt: performance.now(),
-        });
-      }
+      if (record.state === 'gone' || record.state === 'draining') recordEnded(record);
     }
     if (answer.isWhole || answer.records.length > 0) mergeAll();
   };
@@ -158,10 +159,17 @@
     while (!isStopped && hosts.get(host) === state) await fetchRecords(host, state);
   };
 
+  // Whether a control host still says that an incarnation accepts requests.
+  const isReportedReady = ({ report }: EndpointRecord): boolean =>
+    [...hosts.values()].some(({ records }) => {
+      const known = records.get(report.id);
+      return known?.state === 'ready' && known.report.startedAt === report.startedAt;
+    });
+
   const expireEnded = (): void => {
     const oldest = performance.now() - ENDED_RETENTION_MS;
-    for (const [name, { seenAt }] of endedIncarnations) {
-      if (seenAt < oldest) endedIncarnations.delete(name);
+    for (const [name, { record, seenAt }] of endedIncarnations) {
+      if (seenAt < oldest && !isReportedReady(record)) endedIncarnations.delete(name);
     }
   };
 
@@ -187,6 +195,13 @@
     listEndpoints: (service) => byService.get(service) ?? [],
     findEndpoint: (id) => byId.get(id)?.report,
     findIncarnation: (incarnation) => byIncarnation.get(incarnation),
+    recordLeaving: (report, request) => {
+      const incarnation = formatIncarnation(report);
+      if (endedIncarnations.has(incarnation)) return;
+      log.info({ request, incarnation }, 'endpoint says that it leaves');
+      recordEnded({ report, state: 'draining', heardAt: performance.now() });
+      mergeAll();
+    },
     hasAnswer: () => hasAnswer,
     start: () => {
       updateHosts();
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -295,12 +295,6 @@
   );
 };
 
-const recordLeaving = ({ deps, exchange, endpoint }: AttemptContext): void => {
-  const { requestId: request } = exchange.request.caller;
-  const incarnation = formatIncarnation(endpoint);
-  deps.log.info({ request, incarnation }, 'endpoint says that it leaves');
-};
-
 const handleHead = async (context: AttemptContext, head: ResponseHead): Promise<AttemptResult> => {
   const { exchange, deps, endpoint } = context;
   const { requestId } = exchange.request.caller;
@@ -311,7 +305,7 @@
     { endpoint, request: requestId, requestsPerSecond, startedAt },
     deps.readNow(),
   );
-  if (head.isLeaving) recordLeaving(context);
+  if (head.isLeaving) deps.recordLeaving(endpoint, requestId);
   const isOther = head.requestId !== undefined && head.requestId !== requestId;
   // A refusal of another request says nothing about this one.
   if (head.isNotRun && !isOther) {
