Send nothing to an endpoint for the time that it wants none

Requests were sent again and again to endpoints that answered each of them with 503 and a Retry-After: 86 from one gateway to one endpoint in 11 s.

Cause: the time was decoded and logged, but not kept.

A gateway now leaves an endpoint's incarnation out until its time has ended. As with request limits, this counts only among the endpoints of the chosen version, so that no session moves. If all rest, the request is refused at once and may come again when the first rest ends.

Ruled out: ejection by the health tracker, which keeps at most half of the endpoints out and lets probes through, where the endpoint wants none.

--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -21,6 +21,7 @@
 import { createEndpointChooser } from '../endpointChoice';
 import { createEndpointLimits } from '../endpointLimits';
 import { createEndpointLoads } from '../endpointLoads';
+import { createEndpointRests } from '../endpointRests';
 import { createExchangeRunner } from '../exchange';
 import { createGatewayMetrics } from '../gatewayMetrics';
 import { createRequestGuard } from '../requestGuard';
@@ -208,11 +209,13 @@
     countEndpoints: () => reports.length,
     countGateways: () => 1,
   });
+  const rests = createEndpointRests(log);
   const chooser = createEndpointChooser({
     zone: 'a',
     sessionMs: 5_000,
     exposureShare: 0.1,
     limits,
+    rests,
     loads,
     sessions,
     cacheEstimates: createPrefixCacheEstimates(() => undefined),
@@ -255,6 +258,7 @@
     requestGuard,
     limits,
     recordLeaving: () => {},
+    rests,
     tallies: createVersionTallies(),
     metrics,
     log,
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -1,6 +1,7 @@
 import {
   chooseServiceVersion,
   chooseWeightedService,
+  computeRestRetryMs,
   createPrefillRates,
   placeEngineRequest,
   placeRequest,
@@ -14,6 +15,7 @@
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
+import type { EndpointRests } from './endpointRests';
 import type { RegistryView } from './registryView';
 import { formatRolloutKey, type RoutingSnapshot } from './routingView';
 import type { SessionVersions } from './sessionVersions';
@@ -77,6 +79,7 @@
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
   readonly limits: Pick<EndpointLimits, 'canSend'>;
+  readonly rests: Pick<EndpointRests, 'findEnd'>;
   readonly cacheEstimates: PrefixCacheEstimates;
 }
 
@@ -174,6 +177,18 @@
   retryAfterMs: LIMIT_RETRY_MS,
 };
 
+const createRestRefusal = (
+  restEnds: readonly (number | undefined)[],
+  now: number,
+): RefusedPlacement => ({
+  type: 'refused',
+  reason: 'all endpoints want no requests for some time: they rest',
+  retryAfterMs: computeRestRetryMs(
+    restEnds.filter((end) => end !== undefined),
+    now,
+  ),
+});
+
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
   const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
@@ -267,9 +282,12 @@
       const { route, caller } = request;
       const service = chooseService(route, caller);
       const { reports: allowed, versionBasis } = listByVersion(snapshot, request, service, now);
-      // A limit must not move a session to another version, so it counts only among these.
-      const reports = allowed.filter((report) => options.limits.canSend(report, now));
-      if (allowed.length > 0 && reports.length === 0) return LIMITS_REACHED;
+      // Limits and rests must not move a session to another version, so they count only among these.
+      const restEnds = allowed.map((report) => options.rests.findEnd(report, now));
+      const rested = allowed.filter((_report, index) => restEnds[index] === undefined);
+      const reports = rested.filter((report) => options.limits.canSend(report, now));
+      if (allowed.length > 0 && rested.length === 0) return createRestRefusal(restEnds, now);
+      if (rested.length > 0 && reports.length === 0) return LIMITS_REACHED;
       const ids = reports.map(({ id }) => id);
       const ejected = loads.listEjected(ids, now);
       const isEngine =
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -12,6 +12,7 @@
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
 import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
+import type { EndpointRests } from './endpointRests';
 import { startEndpointAttempt } from './endpointAttempt';
 import { canConnect } from './endpointConnection';
 import { CONNECT_TIMEOUT_MS, createExchangeRunner, type ExchangeRunner } from './exchange';
@@ -216,6 +217,7 @@
     'quarantine',
     'request-guard',
     'limits',
+    'rests',
     'tallies',
     'gateway-metrics',
     'log',
@@ -234,6 +236,7 @@
         loads,
         sessions,
         limits: find<EndpointLimits>('limits'),
+        rests: find<EndpointRests>('rests'),
         cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
@@ -243,6 +246,7 @@
       requestGuard: find<RequestGuard>('request-guard'),
       limits: find<EndpointLimits>('limits'),
       recordLeaving: find<RegistryView>('registry-view').recordLeaving,
+      rests: find<EndpointRests>('rests'),
       tallies: find<VersionTallies>('tallies'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
       log: createPartLogger(find<Logger>('log'), 'gateway'),
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -40,6 +40,9 @@
 /** Limit of a response body that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
+/** Status of an endpoint that turns a request away. */
+const UNAVAILABLE = 503;
+
 const RETRY: AttemptResult = { type: 'again' };
 
 const hasRetryLeft = ({ exchange }: AttemptContext): boolean => {
@@ -295,6 +298,15 @@
   );
 };
 
+const recordRest = (
+  { deps, exchange, endpoint }: AttemptContext,
+  { status, retryAfterMs: restMs }: ResponseHead,
+): void => {
+  if (status !== UNAVAILABLE || restMs === undefined) return;
+  const { requestId: request } = exchange.request.caller;
+  deps.rests.record({ endpoint, request, restMs }, deps.readNow());
+};
+
 const handleHead = async (context: AttemptContext, head: ResponseHead): Promise<AttemptResult> => {
   const { exchange, deps, endpoint } = context;
   const { requestId } = exchange.request.caller;
@@ -307,6 +319,7 @@
   );
   if (head.isLeaving) deps.recordLeaving(endpoint, requestId);
   const isOther = head.requestId !== undefined && head.requestId !== requestId;
+  if (!isOther) recordRest(context, head);
   // A refusal of another request says nothing about this one.
   if (head.isNotRun && !isOther) {
     recordDeclined(context, head);
--- a/src/node/gateway/restraintServices.ts
+++ b/src/node/gateway/restraintServices.ts
@@ -3,6 +3,7 @@
 import { createPartLogger, type Logger } from '../log';
 import type { RpcClient } from '../rpc';
 import { createEndpointLimits } from './endpointLimits';
+import { createEndpointRests } from './endpointRests';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { RegistryView } from './registryView';
 import { createRequestGuard } from './requestGuard';
@@ -71,8 +72,19 @@
   },
 });
 
+const createRestsService = (): Service => ({
+  name: 'rests',
+  dependencies: ['log'],
+  start: (find) => {
+    const value = createEndpointRests(createPartLogger(find<Logger>('log'), 'gateway'));
+    const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
+    return { value, stop: () => clearInterval(timer) };
+  },
+});
+
 /** Creates the services that say what must not be sent to endpoints, and why. */
 export const createRestraintServices = (): readonly Service[] => [
   ...createQuarantineServices(),
   createLimitsService(),
+  createRestsService(),
 ];
