--- a/src/node/routingControl/registryHandler.ts
+++ b/src/node/routingControl/registryHandler.ts
@@ -14,8 +14,13 @@
   readonly listPeers: () => readonly string[];
   /** Returns milliseconds on a monotonic clock. */
   readonly readNow: () => number;
+  /** Returns the Unix time in milliseconds. */
+  readonly readWallClock: () => number;
 }
 
+/** What became of a report; `implausible` if it cannot be an endpoint's. */
+export type HandledReport = ReportOutcome | 'implausible';
+
 /**
  * Handles endpoint reports: updates the registry, forwards changes to other control hosts, notifies
  * gateways.
@@ -24,7 +29,7 @@
   /**
    * Applies a report. Resolves once another control host has received the change, or after 300 ms.
    */
-  readonly handleReport: (report: EndpointReport) => Promise<ReportOutcome>;
+  readonly handleReport: (report: EndpointReport) => Promise<HandledReport>;
   /** Marks an endpoint as left. Returns false if the endpoint is unknown. */
   readonly handleLeave: (id: string, startedAt: number | undefined) => Promise<boolean>;
   /** Applies a change received from another control host. */
@@ -37,10 +42,15 @@
 /** A report is acknowledged after this time even if no other control host has answered. */
 const PEER_TIMEOUT_MS = 300;
 const EXPIRE_INTERVAL_MS = 500;
+/**
+ * Largest difference between the clocks of hosts, in milliseconds. An incarnation that starts later
+ * than that would replace every other one at its address, for good.
+ */
+const MAX_CLOCK_SKEW_MS = 24 * 3_600_000;
 
 /** Creates the registry handler of one control host. */
 export const createRegistryHandler = (options: RegistryHandlerOptions): RegistryHandler => {
-  const { registry, rpc, log, listPeers, readNow } = options;
+  const { registry, rpc, log, listPeers, readNow, readWallClock } = options;
   const bootId = randomUUID();
   const notifier = createChangeNotifier();
   let timer: NodeJS.Timeout | undefined;
@@ -81,6 +91,7 @@
 
   return {
     handleReport: async (report) => {
+      if (report.startedAt > readWallClock() + MAX_CLOCK_SKEW_MS) return 'implausible';
       const outcome = registry.applyReport(report, readNow());
       if (outcome === 'added' || outcome === 'changed') {
         handleChange(report, outcome);
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -105,6 +105,7 @@
       registry,
       log,
       readNow,
+      readWallClock: () => Date.now(),
       rpc: find<RpcClient>('rpc'),
       listPeers: () => listControlHosts().filter((host) => host !== settings.node),
     });
