--- a/src/node/gateway/__tests__/droppedResponse.test.ts
+++ b/src/node/gateway/__tests__/droppedResponse.test.ts
@@ -16,7 +16,7 @@
 
 const sendOneEvent: SocketAnswer = (socket) => {
   socket.write(SMALL_HEAD);
-  socket.write('e\r\nid: 1\ndata: x\n\n\r\n');
+  socket.write('f\r\nid: 1\ndata: x\n\n\r\n');
 };
 
 const cases = [
