Keep the cost of the suspect directory at that of blocks alone

Cause: losses were copied by rest and spread for each of some 14,000 records a second, the changed rows were filtered four times for each answer, and the whole table was copied for each row beyond its limit. Answers are the same; the bench has two scenarios for requests.

--- a/bench/exchange.ts
+++ b/bench/exchange.ts
@@ -27,8 +27,11 @@
   readonly hasSuspects: boolean;
   /** Changed suspect blocks that each gateway reports with a call. */
   readonly changesPerCall: number;
-  /** Different suspect blocks of all gateways. */
+  /** Different suspect blocks, or requests, of all gateways. */
   readonly blocks: number;
+  /** Whether whole requests are suspected, and how many losses each of them has. */
+  readonly hasRequests: boolean;
+  readonly losses: number;
   /** Limited endpoints that a gateway asks for with each call, and those of all gateways. */
   readonly limitsPerCall: number;
   readonly limits: number;
@@ -65,13 +68,14 @@
 /** Endpoints that one gateway has requests at, and its requests between two calls. */
 const ENDPOINTS_IN_USE = 16;
 const PROMPTS_PER_CALL = 5;
-const LOSSES = 3;
 
 const EMPTY = {
   hasLoads: false,
   hasSuspects: false,
   changesPerCall: 0,
   blocks: 0,
+  hasRequests: false,
+  losses: 3,
   limitsPerCall: 0,
   limits: 0,
 };
@@ -81,6 +85,23 @@
   { ...EMPTY, name: 'suspects, calm', hasSuspects: true },
   { ...EMPTY, name: 'suspects, crashes', hasSuspects: true, changesPerCall: 0.1, blocks: 50 },
   { ...EMPTY, name: 'suspects, outage', hasSuspects: true, changesPerCall: 2, blocks: 2_000 },
+  {
+    ...EMPTY,
+    name: 'requests, lost once',
+    hasSuspects: true,
+    changesPerCall: 2,
+    blocks: 1e9,
+    hasRequests: true,
+    losses: 1,
+  },
+  {
+    ...EMPTY,
+    name: 'requests, lost again',
+    hasSuspects: true,
+    changesPerCall: 0.1,
+    blocks: 50,
+    hasRequests: true,
+  },
   { ...EMPTY, name: 'request limits', limitsPerCall: 5, limits: 500 },
   { ...EMPTY, name: 'loads', hasLoads: true },
 ];
@@ -100,16 +121,22 @@
   })),
 });
 
-const createSuspect = (block: number, loss: number): SuspectReport => ({
+const createSuspect = (
+  { hasRequests, losses }: Scenario,
+  block: number,
+  loss: number,
+): SuspectReport => ({
   service: 'service-1',
+  kind: hasRequests ? 'request' : undefined,
   block: `block-${block}`,
   depth: 1,
-  losses: Array.from({ length: LOSSES }, (_item, index) => ({
+  losses: Array.from({ length: losses }, (_item, index) => ({
     incarnation: `i-${loss + index}|1765000000000`,
     startedAgeMs: 900,
     lostAgeMs: 100 * index,
     isAnswering: true,
     companions: ['head', 'section'],
+    requests: [`fingerprint-${block}|own`],
   })),
 });
 
@@ -139,7 +166,11 @@
     const count = Math.floor(changes);
     changes -= count;
     const suspects = Array.from({ length: count }, () =>
-      createSuspect(Math.floor(Math.random() * scenario.blocks), Math.floor(Math.random() * 1e6)),
+      createSuspect(
+        scenario,
+        Math.floor(Math.random() * scenario.blocks),
+        Math.floor(Math.random() * 1e6),
+      ),
     );
     const params: ExchangeParams = {
       gateway: `gateway-${gateway}`,
--- a/src/node/routingControl/suspectDirectory.ts
+++ b/src/node/routingControl/suspectDirectory.ts
@@ -148,10 +148,13 @@
   return {
     ...encodeSuspectName(suspect),
     depth,
-    losses: losses.map(({ startedAt, lostAt, ...facts }) => ({
-      ...facts,
-      startedAgeMs: now - startedAt,
-      lostAgeMs: now - lostAt,
+    losses: losses.map((loss) => ({
+      incarnation: loss.incarnation,
+      isAnswering: loss.isAnswering,
+      companions: loss.companions,
+      requests: loss.requests,
+      startedAgeMs: now - loss.startedAt,
+      lostAgeMs: now - loss.lostAt,
     })),
     answeredAgeMs: answeredAt === undefined ? undefined : now - answeredAt,
     quarantine: quarantine && { level: quarantine.level, ageMs: now - quarantine.since },
@@ -164,11 +167,13 @@
   return {
     ...decodeSuspectName(report),
     depth,
-    losses: losses.map(({ startedAgeMs, lostAgeMs, requests = [], ...facts }) => ({
-      ...facts,
-      requests,
-      startedAt: now - startedAgeMs,
-      lostAt: now - lostAgeMs,
+    losses: losses.map((loss) => ({
+      incarnation: loss.incarnation,
+      isAnswering: loss.isAnswering,
+      companions: loss.companions,
+      requests: loss.requests ?? [],
+      startedAt: now - loss.startedAgeMs,
+      lostAt: now - loss.lostAgeMs,
     })),
     answeredAt: answeredAgeMs === undefined ? undefined : now - answeredAgeMs,
     quarantine: quarantine && { level: quarantine.level, since: now - quarantine.ageMs },
@@ -180,12 +185,8 @@
 
 // In an outage, many blocks and requests are suspected. What is quarantined must not wait for the
 // others, and blocks not for requests.
-const PAGE_FILTERS: readonly ((suspect: Suspect) => boolean)[] = [
-  ({ kind, quarantine }) => kind !== 'request' && quarantine !== undefined,
-  ({ kind, quarantine }) => kind === 'request' && quarantine !== undefined,
-  ({ kind, quarantine }) => kind !== 'request' && quarantine === undefined,
-  ({ kind, quarantine }) => kind === 'request' && quarantine === undefined,
-];
+const choosePage = ({ kind, quarantine }: Suspect): number =>
+  (quarantine === undefined ? 2 : 0) + (kind === 'request' ? 1 : 0);
 
 const formatState = ({ losses, answeredAt, quarantine }: Suspect): string =>
   JSON.stringify([losses.map(({ incarnation }) => incarnation), answeredAt, quarantine?.level]);
@@ -196,11 +197,9 @@
   const rows = new Map<string, Row>();
   let revision = 0;
 
-  // A quarantined suspect stays as long as there are others.
-  const removeOldest = (): void => {
-    const entries = [...rows];
-    const [key] = entries.find(([, { suspect }]) => !suspect.quarantine) ?? entries[0]!;
-    rows.delete(key);
+  const findOldest = (): string => {
+    for (const [key, { suspect }] of rows) if (!suspect.quarantine) return key;
+    return rows.keys().next().value!;
   };
 
   // Deleting the row first moves it to the end.
@@ -210,7 +209,8 @@
     const isPublic = rows.get(key)?.isPublic === true || isPublicSuspect(suspect);
     rows.delete(key);
     rows.set(key, { suspect, revision, isPublic });
-    if (rows.size > MAX_SUSPECTS) removeOldest();
+    // A quarantined suspect stays as long as there are others.
+    if (rows.size > MAX_SUSPECTS) rows.delete(findOldest());
   };
 
   const expire = (now: number): void => {
@@ -219,6 +219,16 @@
     }
   };
 
+  const listPages = (since: number): readonly (readonly Row[])[] => {
+    const pages: readonly Row[][] = [[], [], [], []];
+    for (const row of rows.values()) {
+      if (!row.isPublic || row.revision <= since) continue;
+      const page = pages[choosePage(row.suspect)]!;
+      if (page.length < MAX_ANSWER) page.push(row);
+    }
+    return pages;
+  };
+
   const mergeReport = (report: SuspectReport, now: number): void => {
     const received = decodeSuspect(report, now);
     const known = rows.get(formatSuspectKey(received))?.suspect;
@@ -233,10 +243,7 @@
       expire(now);
       suspects.forEach((report) => mergeReport(report, now));
       const since = cursor?.directory === directoryId ? cursor.revision : 0;
-      const changed = [...rows.values()].filter((row) => row.isPublic && row.revision > since);
-      const pages = PAGE_FILTERS.map((isOnPage) =>
-        changed.filter(({ suspect }) => isOnPage(suspect)).slice(0, MAX_ANSWER),
-      );
+      const pages = listPages(since);
       const sent = pages.flat();
       // The rest of a full page comes after its last record.
       const ends = pages
