Call the time of an endpoint's Retry-After a back-off

Names, texts of log lines and one reason: 'rest' was not the usual term. The tests of the renamed file assert the same. Behaviour is unchanged.

--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -104,7 +104,7 @@
     sessionMs: 5_000,
     exposureShare: 0.1,
     limits: { canSend: () => true },
-    rests: { findEnd: () => undefined },
+    backoffs: { findEnd: () => undefined },
     loads,
     cacheEstimates,
     sessions: createSessionVersions(5_000),
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -25,5 +25,5 @@
 export * from './placeEngineRequest';
 export * from './prefillRates';
 export * from './suspicion';
-export * from './endpointRest';
+export * from './endpointBackoff';
 export * from './requestTokens';
--- a/src/node/decisions/suspicion.ts
+++ b/src/node/decisions/suspicion.ts
@@ -41,17 +41,17 @@
   readonly depth: number;
   /** Losses since the latest answer, the oldest first. */
   readonly losses: readonly EndpointLoss[];
-  /** Monotonic time in milliseconds of the latest answer to a request with the block. */
+  /** Monotonic time in milliseconds of the latest answer to such a request. */
   readonly answeredAt: number | undefined;
   readonly quarantine: Quarantine | undefined;
 }
 
-/** Input for the decision whether a block is quarantined. */
+/** Input for the decision whether a suspect is quarantined. */
 export interface SuspicionInput {
   readonly suspect: Suspect;
-  /** The other quarantined blocks of the service. */
+  /** The other quarantined suspects of the service. */
   readonly quarantined: readonly Suspect[];
-  /** Recent attempts of this gateway without the block. */
+  /** Recent attempts of this gateway without the suspect. */
   readonly otherAttempts: number;
   /** How many of them were lost, and were lost when their response had begun. */
   readonly otherLosses: number;
@@ -81,14 +81,14 @@
 const MIN_LOSS_SHARE = 0.02;
 /** Weight of the prior estimate of that share, in attempts. */
 const PRIOR_ATTEMPTS = 20;
-/** An answer is remembered this long, in milliseconds: what a block does may change with a version. */
+/** An answer is remembered this long, in milliseconds: what a request does may change with a version. */
 export const ANSWER_MEMORY_MS = 60_000;
 /** Losses and quarantines without news are forgotten after this time, in milliseconds. */
 const LOSS_MEMORY_MS = 60_000;
-/** A block that is not deadly is free again after this time, if a request with it comes. */
+/** A sound suspect is free again after this time, if such a request comes. */
 const FIRST_HOLD_MS = 3_000;
 const HOLD_FACTOR = 10;
-/** A probe of a deadly block costs an endpoint, so later ones are rare. */
+/** A probe that confirms the suspicion costs an endpoint, so later ones are rare. */
 const MAX_HOLD_MS = 300_000;
 
 /** Creates the record of a suspect without losses. */
--- a/src/node/gateway/__tests__/endpointRests.test.ts
+++ b/src/node/gateway/__tests__/endpointBackoffs.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import pino from 'pino';
 import type { EndpointReport } from '../../registry';
-import { createEndpointRests } from '../endpointRests';
+import { createEndpointBackoffs } from '../endpointBackoffs';
 
 const REPORT: EndpointReport = {
   id: 'e-1',
@@ -18,13 +18,13 @@
 };
 
 const cases = [
-  { name: 'within its time', refusals: [{ at: 0, restMs: 3_000 }], now: 2_999, end: 3_000 },
-  { name: 'after its time', refusals: [{ at: 0, restMs: 3_000 }], now: 3_000, end: undefined },
+  { name: 'within its time', refusals: [{ at: 0, backoffMs: 3_000 }], now: 2_999, end: 3_000 },
+  { name: 'after its time', refusals: [{ at: 0, backoffMs: 3_000 }], now: 3_000, end: undefined },
   {
     name: 'after a second refusal with a shorter time',
     refusals: [
-      { at: 0, restMs: 3_000 },
-      { at: 100, restMs: 500 },
+      { at: 0, backoffMs: 3_000 },
+      { at: 100, backoffMs: 500 },
     ],
     now: 1_000,
     end: 3_000,
@@ -32,21 +32,21 @@
   {
     name: 'after a second refusal with a longer time',
     refusals: [
-      { at: 0, restMs: 500 },
-      { at: 100, restMs: 3_000 },
+      { at: 0, backoffMs: 500 },
+      { at: 100, backoffMs: 3_000 },
     ],
     now: 1_000,
     end: 3_100,
   },
   {
     name: 'that would last for years',
-    refusals: [{ at: 0, restMs: 1e12 }],
+    refusals: [{ at: 0, backoffMs: 1e12 }],
     now: 1_000,
     end: 3_600_000,
   },
   {
     name: 'of an endpoint that has started again',
-    refusals: [{ at: 0, restMs: 3_000 }],
+    refusals: [{ at: 0, backoffMs: 3_000 }],
     now: 1_000,
     startedAt: 2,
     end: undefined,
@@ -54,13 +54,13 @@
 ] as const;
 
 for (const { name, refusals, now, end, ...rest } of cases) {
-  test(`rest of an endpoint ${name}`, (t) => {
-    const rests = createEndpointRests(pino({ level: 'silent' }));
-    refusals.forEach(({ at, restMs }) =>
-      rests.record({ endpoint: REPORT, request: 'r', restMs }, at),
+  test(`back-off of an endpoint ${name}`, (t) => {
+    const backoffs = createEndpointBackoffs(pino({ level: 'silent' }));
+    refusals.forEach(({ at, backoffMs }) =>
+      backoffs.record({ endpoint: REPORT, request: 'r', backoffMs }, at),
     );
-    rests.expire(now);
+    backoffs.expire(now);
     const startedAt = 'startedAt' in rest ? rest.startedAt : REPORT.startedAt;
-    t.is(rests.findEnd({ ...REPORT, startedAt }, now), end);
+    t.is(backoffs.findEnd({ ...REPORT, startedAt }, now), end);
   });
 }
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -72,7 +72,7 @@
   const known: readonly KnownEndpoint[] = reports.map((report) => ({ report, isReady: true }));
   const chooser = createEndpointChooser({
     limits: { canSend: () => true },
-    rests: { findEnd: () => undefined },
+    backoffs: { findEnd: () => undefined },
     zone: 'a',
     sessionMs: SESSION_MS,
     exposureShare: 0.15,
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -21,7 +21,7 @@
 import { createEndpointChooser } from '../endpointChoice';
 import { createEndpointLimits } from '../endpointLimits';
 import { createEndpointLoads } from '../endpointLoads';
-import { createEndpointRests } from '../endpointRests';
+import { createEndpointBackoffs } from '../endpointBackoffs';
 import { createExchangeRunner } from '../exchange';
 import { createGatewayMetrics } from '../gatewayMetrics';
 import { createRequestGuard } from '../requestGuard';
@@ -209,13 +209,13 @@
     countEndpoints: () => reports.length,
     countGateways: () => 1,
   });
-  const rests = createEndpointRests(log);
+  const backoffs = createEndpointBackoffs(log);
   const chooser = createEndpointChooser({
     zone: 'a',
     sessionMs: 5_000,
     exposureShare: 0.1,
     limits,
-    rests,
+    backoffs,
     loads,
     sessions,
     cacheEstimates: createPrefixCacheEstimates(() => undefined),
@@ -258,7 +258,7 @@
     requestGuard,
     limits,
     recordLeaving: () => {},
-    rests,
+    backoffs,
     tallies: createVersionTallies(),
     metrics,
     log,
--- a/src/node/gateway/endpointRests.ts
+++ b/src/node/gateway/endpointBackoffs.ts
@@ -1,32 +1,32 @@
-import { computeRestEnd } from '../decisions';
+import { computeBackoffEnd } from '../decisions';
 import type { Logger } from '../log';
 import { formatIncarnation, type EndpointReport } from '../registry';
 
-/** A refusal that says for how long an endpoint wants no requests. */
-export interface RestObservation {
+/** A refusal that asks for a back-off. */
+export interface BackoffObservation {
   readonly endpoint: EndpointReport;
   readonly request: string;
-  readonly restMs: number;
+  readonly backoffMs: number;
 }
 
-/** The times for which endpoints want no requests from this gateway. */
-export interface EndpointRests {
+/** The times for which endpoints have asked this gateway for no requests (`Retry-After`). */
+export interface EndpointBackoffs {
   /** Records the head of a refusal. `now` is monotonic time in milliseconds. */
-  readonly record: (observation: RestObservation, now: number) => void;
-  /** Returns when an endpoint's rest ends, in milliseconds; undefined if it wants none now. */
+  readonly record: (observation: BackoffObservation, now: number) => void;
+  /** Returns when an endpoint's back-off ends, in milliseconds; undefined if there is none now. */
   readonly findEnd: (endpoint: EndpointReport, now: number) => number | undefined;
-  /** Removes the rests that have ended. */
+  /** Removes the back-offs that have ended. */
   readonly expire: (now: number) => void;
 }
 
 /** Creates an empty table. */
-export const createEndpointRests = (log: Logger): EndpointRests => {
+export const createEndpointBackoffs = (log: Logger): EndpointBackoffs => {
   const ends = new Map<string, number>();
   return {
-    record: ({ endpoint, request, restMs }, now) => {
+    record: ({ endpoint, request, backoffMs }, now) => {
       const incarnation = formatIncarnation(endpoint);
-      ends.set(incarnation, computeRestEnd(ends.get(incarnation), { at: now, restMs }));
-      log.info({ request, incarnation, restMs }, 'endpoint wants no requests for some time');
+      ends.set(incarnation, computeBackoffEnd(ends.get(incarnation), { at: now, backoffMs }));
+      log.info({ request, incarnation, backoffMs }, 'endpoint asked for a back-off');
     },
     findEnd: (endpoint, now) => {
       // Asked for every endpoint of every choice.
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -1,7 +1,7 @@
 import {
   chooseServiceVersion,
   chooseWeightedService,
-  computeRestRetryMs,
+  computeBackoffRetryMs,
   createPrefillRates,
   placeEngineRequest,
   placeRequest,
@@ -15,7 +15,7 @@
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
-import type { EndpointRests } from './endpointRests';
+import type { EndpointBackoffs } from './endpointBackoffs';
 import type { RegistryView } from './registryView';
 import { formatRolloutKey, type RoutingSnapshot } from './routingView';
 import type { SessionVersions } from './sessionVersions';
@@ -79,7 +79,7 @@
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
   readonly limits: Pick<EndpointLimits, 'canSend'>;
-  readonly rests: Pick<EndpointRests, 'findEnd'>;
+  readonly backoffs: Pick<EndpointBackoffs, 'findEnd'>;
   readonly cacheEstimates: PrefixCacheEstimates;
 }
 
@@ -177,14 +177,14 @@
   retryAfterMs: LIMIT_RETRY_MS,
 };
 
-const createRestRefusal = (
-  restEnds: readonly (number | undefined)[],
+const createBackoffRefusal = (
+  ends: readonly (number | undefined)[],
   now: number,
 ): RefusedPlacement => ({
   type: 'refused',
-  reason: 'all endpoints want no requests for some time: they rest',
-  retryAfterMs: computeRestRetryMs(
-    restEnds.filter((end) => end !== undefined),
+  reason: 'all endpoints have asked for a back-off',
+  retryAfterMs: computeBackoffRetryMs(
+    ends.filter((end) => end !== undefined),
     now,
   ),
 });
@@ -282,12 +282,13 @@
       const { route, caller } = request;
       const service = chooseService(route, caller);
       const { reports: allowed, versionBasis } = listByVersion(snapshot, request, service, now);
-      // Limits and rests must not move a session to another version, so they count only among these.
-      const restEnds = allowed.map((report) => options.rests.findEnd(report, now));
-      const rested = allowed.filter((_report, index) => restEnds[index] === undefined);
-      const reports = rested.filter((report) => options.limits.canSend(report, now));
-      if (allowed.length > 0 && rested.length === 0) return createRestRefusal(restEnds, now);
-      if (rested.length > 0 && reports.length === 0) return LIMITS_REACHED;
+      // Limits and back-offs must not move a session to another version, so they count only among these.
+      const backoffEnds = allowed.map((report) => options.backoffs.findEnd(report, now));
+      const available = allowed.filter((_report, index) => backoffEnds[index] === undefined);
+      const reports = available.filter((report) => options.limits.canSend(report, now));
+      if (allowed.length > 0 && available.length === 0)
+        return createBackoffRefusal(backoffEnds, now);
+      if (available.length > 0 && reports.length === 0) return LIMITS_REACHED;
       const ids = reports.map(({ id }) => id);
       const ejected = loads.listEjected(ids, now);
       const isEngine =
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -6,7 +6,7 @@
 import type { EndpointChooser } from './endpointChoice';
 import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
-import type { EndpointRests } from './endpointRests';
+import type { EndpointBackoffs } from './endpointBackoffs';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { RequestGuard } from './requestGuard';
 import type { RequestQuarantine } from './requestQuarantine';
@@ -53,7 +53,7 @@
   readonly requestGuard: RequestGuard;
   readonly limits: EndpointLimits;
   readonly recordLeaving: RegistryView['recordLeaving'];
-  readonly rests: Pick<EndpointRests, 'record'>;
+  readonly backoffs: Pick<EndpointBackoffs, 'record'>;
   readonly tallies: VersionTallies;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -12,7 +12,7 @@
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
 import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
-import type { EndpointRests } from './endpointRests';
+import type { EndpointBackoffs } from './endpointBackoffs';
 import { startEndpointAttempt } from './endpointAttempt';
 import { canConnect } from './endpointConnection';
 import { CONNECT_TIMEOUT_MS, createExchangeRunner, type ExchangeRunner } from './exchange';
@@ -217,7 +217,7 @@
     'quarantine',
     'request-guard',
     'limits',
-    'rests',
+    'backoffs',
     'tallies',
     'gateway-metrics',
     'log',
@@ -236,7 +236,7 @@
         loads,
         sessions,
         limits: find<EndpointLimits>('limits'),
-        rests: find<EndpointRests>('rests'),
+        backoffs: find<EndpointBackoffs>('backoffs'),
         cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
@@ -246,7 +246,7 @@
       requestGuard: find<RequestGuard>('request-guard'),
       limits: find<EndpointLimits>('limits'),
       recordLeaving: find<RegistryView>('registry-view').recordLeaving,
-      rests: find<EndpointRests>('rests'),
+      backoffs: find<EndpointBackoffs>('backoffs'),
       tallies: find<VersionTallies>('tallies'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
       log: createPartLogger(find<Logger>('log'), 'gateway'),
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -298,13 +298,13 @@
   );
 };
 
-const recordRest = (
+const recordBackoff = (
   { deps, exchange, endpoint }: AttemptContext,
-  { status, retryAfterMs: restMs }: ResponseHead,
+  { status, retryAfterMs: backoffMs }: ResponseHead,
 ): void => {
-  if (status !== UNAVAILABLE || restMs === undefined) return;
+  if (status !== UNAVAILABLE || backoffMs === undefined) return;
   const { requestId: request } = exchange.request.caller;
-  deps.rests.record({ endpoint, request, restMs }, deps.readNow());
+  deps.backoffs.record({ endpoint, request, backoffMs }, deps.readNow());
 };
 
 const handleHead = async (context: AttemptContext, head: ResponseHead): Promise<AttemptResult> => {
@@ -319,7 +319,7 @@
   );
   if (head.isLeaving) deps.recordLeaving(endpoint, requestId);
   const isOther = head.requestId !== undefined && head.requestId !== requestId;
-  if (!isOther) recordRest(context, head);
+  if (!isOther) recordBackoff(context, head);
   // A refusal of another request says nothing about this one.
   if (head.isNotRun && !isOther) {
     recordDeclined(context, head);
--- a/src/node/gateway/restraintServices.ts
+++ b/src/node/gateway/restraintServices.ts
@@ -3,7 +3,7 @@
 import { createPartLogger, type Logger } from '../log';
 import type { RpcClient } from '../rpc';
 import { createEndpointLimits } from './endpointLimits';
-import { createEndpointRests } from './endpointRests';
+import { createEndpointBackoffs } from './endpointBackoffs';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { RegistryView } from './registryView';
 import { createRequestGuard } from './requestGuard';
@@ -72,11 +72,11 @@
   },
 });
 
-const createRestsService = (): Service => ({
-  name: 'rests',
+const createBackoffsService = (): Service => ({
+  name: 'backoffs',
   dependencies: ['log'],
   start: (find) => {
-    const value = createEndpointRests(createPartLogger(find<Logger>('log'), 'gateway'));
+    const value = createEndpointBackoffs(createPartLogger(find<Logger>('log'), 'gateway'));
     const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
     return { value, stop: () => clearInterval(timer) };
   },
@@ -86,5 +86,5 @@
 export const createRestraintServices = (): readonly Service[] => [
   ...createQuarantineServices(),
   createLimitsService(),
-  createRestsService(),
+  createBackoffsService(),
 ];
