Let a quarantined request end the quarantine of its blocks

If a request and a shared block of it were both quarantined, neither the request nor any other with the same fingerprint could be a probe, so that the quarantine never ended for them. Requests whose prompts stand in headers only, with the same path and body, all had one fingerprint.

Cause: the guard refused every request with both holds, and the fingerprint left the prompt out.

Now such a request is a probe of itself: its answer lifts both, its loss does not count as a probe of the block. The last prompt block is part of the fingerprint.

--- a/src/node/decisions/suspicion.ts
+++ b/src/node/decisions/suspicion.ts
@@ -14,7 +14,7 @@
   readonly isAnswering: boolean;
   /** Other shared blocks of the prompts that were lost with the incarnation. */
   readonly companions: readonly string[];
-  /** The requests that were lost with the suspect and the incarnation. */
+  /** Fingerprints of the requests that were lost with the suspect and the incarnation. */
   readonly requests: readonly string[];
 }
 
--- a/src/node/gateway/__tests__/requestFingerprint.test.ts
+++ b/src/node/gateway/__tests__/requestFingerprint.test.ts
@@ -5,6 +5,7 @@
   method: 'POST',
   path: '/a/b?c=d',
   organisation: 'o-1',
+  lastBlock: 'b-1',
   body: Buffer.from('body'),
 };
 
@@ -13,6 +14,8 @@
   { name: 'another path', change: { path: '/a/b' } },
   { name: 'another organisation', change: { organisation: 'o-2' } },
   { name: 'no organisation', change: { organisation: undefined } },
+  { name: 'another last prompt block', change: { lastBlock: 'b-2' } },
+  { name: 'no prompt block', change: { lastBlock: undefined } },
   { name: 'another body', change: { body: Buffer.from('Body') } },
   { name: 'no body', change: { body: Buffer.alloc(0) } },
   {
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -118,7 +118,13 @@
     }
     const method = message.method ?? 'GET';
     const content = body.unsafeCoerce();
-    const identity = { method, path, organisation: organisation?.name, body: content };
+    const identity = {
+      method,
+      path,
+      organisation: organisation?.name,
+      lastBlock: caller.promptBlocks.at(-1)?.id,
+      body: content,
+    };
     await runner.run(
       {
         caller,
--- a/src/node/gateway/requestFingerprint.ts
+++ b/src/node/gateway/requestFingerprint.ts
@@ -7,6 +7,8 @@
   readonly path: string;
   /** Name of the caller's organisation; undefined on a public route without a key. */
   readonly organisation: string | undefined;
+  /** Id of the prompt's last block, if the prompt is described by headers. */
+  readonly lastBlock: string | undefined;
   readonly body: Buffer;
 }
 
@@ -15,8 +17,8 @@
 
 /** Computes the fingerprint by which a request is recognised when it comes again. */
 export const computeFingerprint = (identity: RequestIdentity): string => {
-  const { method, path, organisation, body } = identity;
-  const head = JSON.stringify([method, path, organisation ?? null]);
+  const { method, path, organisation, lastBlock, body } = identity;
+  const head = JSON.stringify([method, path, organisation ?? null, lastBlock ?? null]);
   return createHash('sha256')
     .update(head)
     .update(body)
--- a/src/node/gateway/requestGuard.ts
+++ b/src/node/gateway/requestGuard.ts
@@ -87,12 +87,11 @@
       );
       if (!longest) return { type: 'free' };
       if (longest.waitMs > 0 || !canProbe) return createRefusal(longest);
-      // A quarantined request would say nothing about a block that it shares with sound ones.
+      // The loss of a quarantined request would say nothing about a block that it shares with sound
+      // ones, so it is no probe of that block; its answer lifts both.
       const isRequestHeld = holds.some(({ kind }) => kind === 'request');
-      if (isRequestHeld && holds.some(({ kind }) => kind === 'shared_block')) {
-        return createRefusal(longest);
-      }
-      for (const hold of holds) {
+      const tested = holds.filter(({ kind }) => !isRequestHeld || kind !== 'shared_block');
+      for (const hold of tested) {
         if (!(await claimProbe(hold, requestId))) return createRefusal(hold);
       }
       return { type: 'probe' };
--- a/src/node/gateway/requestQuarantine.ts
+++ b/src/node/gateway/requestQuarantine.ts
@@ -72,10 +72,6 @@
   ];
 };
 
-// Prompts may be told apart by their blocks alone, if the body does not have them.
-const formatLostRequest = ({ fingerprint, blocks }: ServiceRequest): string =>
-  `${fingerprint}|${blocks.at(-1)?.id ?? ''}`;
-
 const listKeys = (request: ServiceRequest): readonly string[] =>
   listIdentities(request).map(formatSuspectKey);
 
@@ -171,7 +167,7 @@
           .slice(0, MAX_COMPANIONS);
         const news = {
           ...known,
-          losses: [{ ...loss, companions, requests: [formatLostRequest(request)] }],
+          losses: [{ ...loss, companions, requests: [fingerprint] }],
           answeredAt: answered.find(key),
         };
         suspects.update(key, mergeSuspects(known, news), true);
