--- a/src/node/gateway/requestGuard.ts
+++ b/src/node/gateway/requestGuard.ts
@@ -25,7 +25,7 @@
   ) => Promise<GuardVerdict>;
 }
 
-/** Options of a prompt guard. */
+/** Options of a request guard. */
 export interface RequestGuardOptions {
   readonly quarantine: Pick<RequestQuarantine, 'listHolds' | 'applyPeerSuspects'>;
   readonly rpc: Pick<RpcClient, 'call'>;
@@ -53,7 +53,7 @@
   retryAfterMs: Math.max(MIN_RETRY_MS, waitMs),
 });
 
-/** Creates a prompt guard. */
+/** Creates a request guard. */
 export const createRequestGuard = (options: RequestGuardOptions): RequestGuard => {
   const { quarantine, rpc, log, readNow, findControlHost } = options;
 
