Use one name for a back-off and format each suspect key once

From the last read of the change: a parameter still had the name before the rename, and recordLoss formatted every key twice.

--- a/src/node/decisions/endpointBackoff.ts
+++ b/src/node/decisions/endpointBackoff.ts
@@ -20,8 +20,8 @@
  */
 export const computeBackoffEnd = (
   knownEnd: number | undefined,
-  { at, backoffMs: restMs }: BackoffRequest,
-): number => Math.max(knownEnd ?? -Infinity, at + Math.min(MAX_BACKOFF_MS, restMs));
+  { at, backoffMs }: BackoffRequest,
+): number => Math.max(knownEnd ?? -Infinity, at + Math.min(MAX_BACKOFF_MS, backoffMs));
 
 /** Computes when a request may come again that no endpoint takes before its back-off ends. */
 export const computeBackoffRetryMs = (ends: readonly number[], now: number): number =>
--- a/src/node/gateway/requestQuarantine.ts
+++ b/src/node/gateway/requestQuarantine.ts
@@ -159,8 +159,8 @@
       const { isAnswering, lostAt } = loss;
       history.record({ service, keys, isLost: true, isAnswering, at: lostAt });
       const sharedIds = blocks.slice(0, -1).map(({ id }) => id);
-      identities.forEach((identity) => {
-        const key = formatSuspectKey(identity);
+      identities.forEach((identity, index) => {
+        const key = keys[index]!;
         const known = suspects.find(key) ?? createSuspect(identity);
         const companions = sharedIds
           .filter((other) => identity.kind === 'request' || other !== identity.id)
