Show that broken-off answers without a length or chunks look complete

What callers saw: a stream or body whose endpoint was lost ended like a complete one. The table covers each form of a head, body and end of a connection, what the endpoint does next, and each path of an answer.

--- /dev/null
+++ b/src/node/gateway/__tests__/brokenOffAnswers.test.ts
@@ -0,0 +1,350 @@
+import type { Socket } from 'node:net';
+import test from 'ava';
+import {
+  startGateway,
+  type CallerResult,
+  type EndpointProcess,
+  type RouteFields,
+  type SocketAnswer,
+} from './harness';
+import { closeByReset, createAnswer, ECHO, LONG_DEADLINE, PAUSE_MS } from './socketAnswers';
+
+/** How an answer's bytes are delimited. */
+interface Framing {
+  readonly name: string;
+  readonly version?: string;
+  readonly createHead: (length: number) => string;
+  /** Text that is sent for a body, with its end if the endpoint sends the whole body. */
+  readonly formatBody: (text: string, isWhole: boolean) => string;
+  /** Whether the framing shows where the body ends. */
+  readonly isFramed: boolean;
+  /** Whether callers could not read the body, because it has a coding that nobody asked for. */
+  readonly isCoded?: boolean;
+}
+
+const formatChunks = (text: string, isWhole: boolean): string =>
+  `${text && `${text.length.toString(16)}\r\n${text}\r\n`}${isWhole ? '0\r\n\r\n' : ''}`;
+const formatPlain = (text: string): string => text;
+
+const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+const CLOSING = 'Connection: close\r\n';
+
+const framings: readonly Framing[] = [
+  {
+    name: 'a length',
+    createHead: (length) => `Content-Length: ${length}\r\n`,
+    formatBody: formatPlain,
+    isFramed: true,
+  },
+  {
+    name: 'a length, closing',
+    createHead: (length) => `Content-Length: ${length}\r\n${CLOSING}`,
+    formatBody: formatPlain,
+    isFramed: true,
+  },
+  { name: 'chunks', createHead: () => CHUNKED, formatBody: formatChunks, isFramed: true },
+  {
+    name: 'chunks, closing',
+    createHead: () => `${CHUNKED}${CLOSING}`,
+    formatBody: formatChunks,
+    isFramed: true,
+  },
+  { name: 'neither', createHead: () => '', formatBody: formatPlain, isFramed: false },
+  {
+    name: 'neither, closing',
+    createHead: () => CLOSING,
+    formatBody: formatPlain,
+    isFramed: false,
+  },
+  {
+    name: 'neither, over HTTP/1.0',
+    version: 'HTTP/1.0',
+    createHead: () => '',
+    formatBody: formatPlain,
+    isFramed: false,
+  },
+  {
+    name: 'the identity transfer coding',
+    createHead: () => 'Transfer-Encoding: identity\r\n',
+    formatBody: formatPlain,
+    isFramed: false,
+  },
+  {
+    name: 'a compressing transfer coding',
+    createHead: () => 'Transfer-Encoding: gzip\r\n',
+    formatBody: formatPlain,
+    isFramed: false,
+    isCoded: true,
+  },
+  {
+    name: 'a compressing transfer coding in chunks',
+    createHead: () => 'Transfer-Encoding: gzip, chunked\r\n',
+    formatBody: formatChunks,
+    isFramed: true,
+    isCoded: true,
+  },
+];
+
+const formatEvents = (from: number, to: number): string =>
+  Array.from({ length: to - from + 1 }, (_item, index) => `id: ${from + index}\ndata: x\n\n`).join(
+    '',
+  );
+
+/** How much of its body an endpoint sends. */
+interface SentBody {
+  readonly name: string;
+  readonly text: string;
+  /** Whether a reader of the content sees that it breaks off. */
+  readonly isTorn?: boolean;
+}
+
+const WHOLE_TEXT = 'an answer';
+const textBodies: readonly SentBody[] = [
+  { name: 'none', text: '' },
+  { name: 'some', text: 'an an' },
+  { name: 'whole', text: WHOLE_TEXT },
+];
+
+const createStreamBodies = (from: number): readonly SentBody[] => [
+  { name: 'none', text: '', isTorn: from === 1 },
+  { name: 'inside an event', text: `${formatEvents(from, 3)}id: 4\nda`, isTorn: true },
+  {
+    name: 'before the empty line of an event',
+    text: `${formatEvents(from, 3)}id: 4\ndata: x\n`,
+    isTorn: true,
+  },
+  { name: 'between events', text: formatEvents(from, 3) },
+  { name: 'whole', text: formatEvents(from, 4) },
+];
+
+type ProcessChange = Parameters<SocketAnswer>[3] | undefined;
+
+/** What happens to the endpoint when its answer ends. */
+interface Next {
+  readonly name: string;
+  readonly apply: (stopListening: () => void, replace: NonNullable<ProcessChange>) => void;
+  /** Whether the process that answered is shown to be still running. */
+  readonly isRunning: boolean;
+}
+
+const replaceWith =
+  (process: Partial<EndpointProcess>): Next['apply'] =>
+  (_stopListening, replace) =>
+    replace(process);
+
+const goesOn: Next = { name: 'goes on', apply: () => {}, isRunning: true };
+const nexts: readonly Next[] = [
+  goesOn,
+  { name: 'refuses connections', apply: (stopListening) => stopListening(), isRunning: false },
+  {
+    name: 'is replaced by another process at its address',
+    apply: replaceWith({ id: 'e-other', startedAt: 2 }),
+    isRunning: false,
+  },
+  {
+    name: 'starts again under its id',
+    apply: replaceWith({ startedAt: 2 }),
+    isRunning: false,
+  },
+];
+
+/** How the connection of an answer ends. */
+interface End {
+  readonly name: string;
+  readonly run: (socket: Socket) => void;
+  /** Whether the end shows by itself that the body broke off, if it has no framing. */
+  readonly isBroken: boolean;
+  readonly nexts: readonly Next[];
+}
+
+const ends: readonly End[] = [
+  {
+    name: 'closes',
+    run: (socket) => {
+      socket.end();
+      socket.once('end', () => socket.destroy());
+    },
+    isBroken: false,
+    nexts,
+  },
+  { name: 'half-closes', run: (socket) => socket.end(), isBroken: false, nexts },
+  { name: 'resets', run: closeByReset, isBroken: true, nexts: [goesOn] },
+  {
+    name: 'resets later',
+    run: (socket) => {
+      setTimeout(() => closeByReset(socket), 5 * PAUSE_MS);
+    },
+    isBroken: true,
+    nexts: [goesOn],
+  },
+];
+
+/** A path that an answer takes through a gateway. */
+interface RelayPath {
+  readonly name: string;
+  readonly route: RouteFields;
+  readonly isStream: boolean;
+  readonly bodies: readonly SentBody[];
+  /** Answers of the endpoints before and after the one that is tested. */
+  readonly before?: SocketAnswer;
+  readonly after?: SocketAnswer;
+  /** Text that the caller has from the answers before. */
+  readonly prefix?: string;
+  /** Text of a whole answer. */
+  readonly whole: string;
+}
+
+const STREAM_TYPE = 'Content-Type: text/event-stream\r\n';
+const OK = `HTTP/1.1 200 OK\r\n${ECHO}\r\n`;
+const STREAM: RouteFields = { kind: 'stream', canResume: true };
+const SLOW: RouteFields = { timeoutMs: 20_000, targetLatencyMs: 10_000, gapTargetMs: 10_000 };
+
+const goodText = createAnswer(`${OK}Content-Length: ${WHOLE_TEXT.length}\r\n\r\n${WHOLE_TEXT}`);
+/** Sends the events after the one that the request names. */
+const sendGoodStream: SocketAnswer = (socket, head) => {
+  const from = 1 + Number(/^Last-Event-Id: (.*)\r$/m.exec(head)?.[1] ?? 0);
+  socket.write(`${OK}${STREAM_TYPE}${CHUNKED}\r\n${formatChunks(formatEvents(from, 4), true)}`);
+};
+const interruptedStream = createAnswer(
+  `${OK}${STREAM_TYPE}${CHUNKED}\r\n${formatChunks(formatEvents(1, 2), false)}`,
+  closeByReset,
+);
+
+const text = { isStream: false, bodies: textBodies, whole: WHOLE_TEXT };
+const stream = { isStream: true, bodies: createStreamBodies(1), whole: formatEvents(1, 4) };
+const resumed = {
+  ...stream,
+  bodies: createStreamBodies(3),
+  before: interruptedStream,
+  prefix: formatEvents(1, 2),
+};
+
+const paths: readonly RelayPath[] = [
+  { ...text, name: 'a body that runs once', route: { kind: 'once' }, after: goodText },
+  { ...text, name: 'a body with a retry left', route: {}, after: goodText },
+  { ...text, name: 'a body without a retry left', route: { attemptLimit: 1 }, after: goodText },
+  { ...text, name: 'a body without another endpoint', route: {} },
+  {
+    ...stream,
+    name: 'a stream without a content type',
+    route: STREAM,
+    isStream: false,
+    bodies: stream.bodies.map(({ isTorn: _isTorn, ...body }) => body),
+    after: sendGoodStream,
+  },
+  { ...stream, name: 'a stream with a retry left', route: STREAM, after: sendGoodStream },
+  {
+    ...stream,
+    name: 'a stream without a retry left',
+    route: { ...STREAM, attemptLimit: 1 },
+    after: sendGoodStream,
+  },
+  {
+    ...stream,
+    name: 'a stream that cannot resume',
+    route: { kind: 'stream' },
+    after: sendGoodStream,
+  },
+  { ...resumed, name: 'a resumed stream with a retry left', route: STREAM, after: sendGoodStream },
+  {
+    ...resumed,
+    name: 'a resumed stream without a retry left',
+    route: { ...STREAM, attemptLimit: 2 },
+    after: sendGoodStream,
+  },
+];
+
+interface Combination {
+  readonly body: SentBody;
+  readonly end: End;
+  readonly next: Next;
+}
+
+const listCombinations = (bodies: readonly SentBody[]): readonly Combination[] =>
+  bodies.flatMap((body) => ends.flatMap((end) => end.nexts.map((next) => ({ body, end, next }))));
+
+// A body's length and its last chunk show its end whatever happens to the connection after them.
+const isWholeAnswer = (
+  framing: Framing,
+  path: RelayPath,
+  { body, end, next }: Combination,
+): boolean => {
+  const isTorn = path.isStream && body.isTorn === true;
+  if (framing.isCoded) return false;
+  if (framing.isFramed) return body.name === 'whole';
+  return !isTorn && !end.isBroken && next.isRunning;
+};
+
+const createTestedAnswer =
+  (framing: Framing, path: RelayPath, { body, end, next }: Combination): SocketAnswer =>
+  (socket, _head, stopListening, replaceProcess) => {
+    const type = path.isStream ? STREAM_TYPE : '';
+    const whole = path.bodies.at(-1)!.text;
+    const head = `${framing.version ?? 'HTTP/1.1'} 200 OK\r\n${ECHO}\r\n${type}${framing.createHead(whole.length)}\r\n`;
+    socket.write(head + framing.formatBody(body.text, body.name === 'whole'));
+    setTimeout(() => {
+      next.apply(stopListening, replaceProcess);
+      end.run(socket);
+    }, PAUSE_MS);
+  };
+
+const canRetry = ({ after, route, before }: RelayPath): boolean =>
+  after !== undefined &&
+  (route.kind === undefined || route.canResume === true) &&
+  (route.attemptLimit ?? Infinity) > (before ? 2 : 1);
+
+const isFramedReply = ({ headers }: CallerResult): boolean =>
+  headers['content-length'] !== undefined || headers['transfer-encoding'] === 'chunked';
+
+const findFault = (
+  framing: Framing,
+  path: RelayPath,
+  combination: Combination,
+  result: CallerResult,
+): string | undefined => {
+  const { status, isComplete, body } = result;
+  const isSuccess = status === 200 && isComplete;
+  if (isSuccess && !isFramedReply(result)) return 'a success without a length or chunks';
+  const sent = `${path.prefix ?? ''}${combination.body.text}`;
+  const expected = isWholeAnswer(framing, path, combination) ? sent : path.whole;
+  if (isWholeAnswer(framing, path, combination) || canRetry(path)) {
+    return isSuccess && body === expected ? undefined : 'no complete answer';
+  }
+  return isSuccess ? 'a broken-off answer looks complete' : undefined;
+};
+
+const runCombination = async (
+  framing: Framing,
+  path: RelayPath,
+  combination: Combination,
+): Promise<readonly string[]> => {
+  const tested = createTestedAnswer(framing, path, combination);
+  const answers = [path.before, tested, path.after].filter((answer) => answer !== undefined);
+  const gateway = await startGateway({ ...SLOW, ...path.route }, answers);
+  try {
+    const result = await gateway.call({ method: 'POST', body: '{}', ...LONG_DEADLINE });
+    const fault = findFault(framing, path, combination, result);
+    if (fault === undefined) return [];
+    const { body, end, next } = combination;
+    const { status, isComplete } = result;
+    return [
+      `${path.name}, body ${body.name}, ${end.name}, endpoint ${next.name}: ${fault} (${status}, ${isComplete ? 'complete' : 'incomplete'}, ${JSON.stringify(result.body)})`,
+    ];
+  } finally {
+    await gateway.stop();
+  }
+};
+
+for (const framing of framings) {
+  // Runs alone: each of its combinations starts a gateway, and the combinations of a path run at once.
+  test.serial(`an answer that broke off does not look complete: ${framing.name}`, async (t) => {
+    const faults: string[] = [];
+    for (const path of paths) {
+      const found = await Promise.all(
+        listCombinations(path.bodies).map((item) => runCombination(framing, path, item)),
+      );
+      faults.push(...found.flat());
+    }
+    t.deepEqual(faults, []);
+  });
+}
--- a/src/node/gateway/__tests__/droppedResponse.test.ts
+++ b/src/node/gateway/__tests__/droppedResponse.test.ts
@@ -27,9 +27,10 @@
 
 for (const { name, first, isSeen } of cases) {
   test(`the crash of an endpoint goes unseen if its response is dropped: it crashes ${name}`, async (t) => {
-    const replyByModel: SocketAnswer = (socket, head, stopListening) => {
+    const replyByModel: SocketAnswer = (...connection) => {
+      const [, head] = connection;
       const reply = head.includes('X-Model: small') ? first : createAnswer(LARGE_ANSWER);
-      reply(socket, head, stopListening);
+      reply(...connection);
     };
     const gateway = await startGateway(CASCADE, [replyByModel]);
     t.teardown(gateway.stop);
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -31,10 +31,23 @@
 import { createSuspectTable } from '../suspectTable';
 import { createVersionTallies } from '../versionTallies';
 
+/** The process of a test endpoint, as it describes itself when it is asked. */
+export interface EndpointProcess {
+  readonly id: string;
+  /** Unix time of the start in milliseconds. */
+  readonly startedAt: number;
+}
+
 /**
  * Responds to the request of one connection by writing directly to the socket of a test endpoint.
+ * `replaceProcess` lets another process take over the endpoint's address.
  */
-export type SocketAnswer = (socket: Socket, head: string, stopListening: () => void) => void;
+export type SocketAnswer = (
+  socket: Socket,
+  head: string,
+  stopListening: () => void,
+  replaceProcess: (process: Partial<EndpointProcess>) => void,
+) => void;
 
 /** The response that a test caller received. */
 export interface CallerResult {
@@ -127,9 +140,13 @@
     server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
   });
 
+const STARTED_AT = 1;
+
+const formatId = (index: number): string => `e-${index}`;
+
 const createReport = (index: number, port: number): EndpointReport => ({
-  id: `e-${index}`,
-  startedAt: 1,
+  id: formatId(index),
+  startedAt: STARTED_AT,
   sequence: 1,
   service: 's',
   address: `127.0.0.1:${port}`,
@@ -141,15 +158,37 @@
   models: [],
 });
 
-const startEndpoint = async (answer: SocketAnswer, heads: string[]) => {
+/** Requests about the endpoint itself; endpoints answer them without running anything. */
+const SELF_REQUEST = /^GET \/(?:report|health) /;
+
+const sendProcess = (socket: Socket, { id, startedAt }: EndpointProcess): void => {
+  const body = JSON.stringify({ born: startedAt });
+  socket.end(
+    `HTTP/1.1 200 OK\r\nX-Instance-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+  );
+};
+
+const startEndpoint = async (answer: SocketAnswer, heads: string[], id: string) => {
   const sockets = new Set<Socket>();
-  const server = createNetServer((socket) => {
+  let process: EndpointProcess = { id, startedAt: STARTED_AT };
+  const server = createNetServer({ allowHalfOpen: true }, (socket) => {
     sockets.add(socket);
     socket.on('error', () => {});
     socket.once('data', (data) => {
       const head = data.toString('latin1');
+      if (SELF_REQUEST.test(head)) {
+        sendProcess(socket, process);
+        return;
+      }
       heads.push(head);
-      answer(socket, head, () => server.close());
+      answer(
+        socket,
+        head,
+        () => server.close(),
+        (next) => {
+          process = { ...process, ...next };
+        },
+      );
     });
   });
   const port = await startListening(server);
@@ -186,7 +225,7 @@
 ): Promise<GatewayHarness> => {
   const heads: string[][] = answers.map(() => []);
   const endpoints = await Promise.all(
-    answers.map((answer, index) => startEndpoint(answer, heads[index]!)),
+    answers.map((answer, index) => startEndpoint(answer, heads[index]!, formatId(index))),
   );
   const reports = endpoints.map(({ port }, index) => createReport(index, port));
   const known: readonly KnownEndpoint[] = reports.map((report) => ({ report, isReady: true }));
--- a/src/node/gateway/__tests__/socketAnswers.ts
+++ b/src/node/gateway/__tests__/socketAnswers.ts
@@ -17,9 +17,9 @@
 /** Creates an answer of an endpoint that accepts no connections after it. */
 export const createLastAnswer =
   (answer: SocketAnswer): SocketAnswer =>
-  (socket, head, stopListening) => {
+  (socket, head, stopListening, replaceProcess) => {
     stopListening();
-    answer(socket, head, stopListening);
+    answer(socket, head, stopListening, replaceProcess);
   };
 
 /** Ends a connection as a process does that has sent everything or exits. */
