Confirm the end of answers without a length or chunks

What callers saw: a stream that its endpoint broke off ended with its last chunk, as if it were complete; a stream without an event, too.

Cause: a closed connection was taken for the end of the answer if the endpoint's address accepted a new connection. Another process may have the address at once, and an endpoint that goes on may have closed the connection at any byte. The gateway then added chunks, and so a claim that the endpoint had not made.

Now the process at the address is asked which one it is, and what is not shown is not claimed: a stream is resumed after its last event, and ends when another attempt ends there too; a stream that cannot resume and a body stay without a length or chunks; a lost endpoint's body is not sent at all, and its stream is reset.

Ruled out: the HTTP client (the rows with a length or chunks passed before).

Tests replaced: a complete stream without a length now needs an answer that confirms it; a body of a lost endpoint is not sent as a last resort (it was, with status 200).

--- /dev/null
+++ b/src/node/decisions/__tests__/closeDelimitedEnd.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+import {
+  judgeCloseDelimitedEnd,
+  type CloseDelimitedEnd,
+  type EndVerdict,
+} from '../closeDelimitedEnd';
+
+const END: CloseDelimitedEnd = {
+  process: 'same',
+  hasContent: true,
+  isRepeated: false,
+  isPassedOn: false,
+};
+
+const cases: readonly {
+  readonly name: string;
+  readonly end: Partial<CloseDelimitedEnd>;
+  readonly verdict: EndVerdict;
+}[] = [
+  { name: 'after events, of an endpoint that goes on', end: {}, verdict: 'unconfirmed' },
+  {
+    name: 'after events, of an endpoint that does not say who it is',
+    end: { process: 'unknown' },
+    verdict: 'unconfirmed',
+  },
+  { name: 'after events, passed on as it is', end: { isPassedOn: true }, verdict: 'complete' },
+  {
+    name: 'of an endpoint whose address has another process',
+    end: { process: 'replaced', isPassedOn: true },
+    verdict: 'lost',
+  },
+  {
+    name: 'of an endpoint whose address has no process',
+    end: { process: 'gone', hasContent: false, isRepeated: true },
+    verdict: 'lost',
+  },
+  { name: 'before the first event', end: { hasContent: false }, verdict: 'empty' },
+  {
+    name: 'before the first event, passed on as it is',
+    end: { hasContent: false, isPassedOn: true },
+    verdict: 'empty',
+  },
+  {
+    name: 'before another event, where an earlier attempt ended',
+    end: { hasContent: false, isRepeated: true },
+    verdict: 'complete',
+  },
+  {
+    name: 'after more events, where an earlier attempt ended before them',
+    end: { isRepeated: true },
+    verdict: 'unconfirmed',
+  },
+];
+
+for (const { name, end, verdict } of cases) {
+  test(`the end of a close-delimited response ${name}`, (t) => {
+    t.is(judgeCloseDelimitedEnd({ ...END, ...end }), verdict);
+  });
+}
--- /dev/null
+++ b/src/node/decisions/closeDelimitedEnd.ts
@@ -0,0 +1,40 @@
+/**
+ * The process at an endpoint's address after its connection has closed, compared with the one that
+ * a request was sent to: `gone` if nothing accepts connections there, `unknown` if it does not say
+ * which process it is.
+ */
+export type ProcessState = 'same' | 'replaced' | 'gone' | 'unknown';
+
+/** The end of a response that has neither a length nor chunks and whose connection has closed. */
+export interface CloseDelimitedEnd {
+  readonly process: ProcessState;
+  /** Whether the endpoint sent an event, or any part of a body that is not a stream. */
+  readonly hasContent: boolean;
+  /** Whether an earlier attempt ended in the same way after the same event. */
+  readonly isRepeated: boolean;
+  /** Whether the caller's response ends with its connection too, and so states no more. */
+  readonly isPassedOn: boolean;
+}
+
+/**
+ * What such an end shows: that the response is `complete` as far as the caller is told, that its
+ * endpoint was `lost`, that it broke off before it began (`empty`), or nothing (`unconfirmed`).
+ */
+export type EndVerdict = 'complete' | 'lost' | 'empty' | 'unconfirmed';
+
+const LOST_STATES: ReadonlySet<ProcessState> = new Set(['replaced', 'gone']);
+
+/**
+ * Judges the end of a close-delimited response. A faulty endpoint may close a connection at any
+ * byte, so a process that goes on shows only that the response was not cut off by its loss.
+ */
+export const judgeCloseDelimitedEnd = ({
+  process,
+  hasContent,
+  isRepeated,
+  isPassedOn,
+}: CloseDelimitedEnd): EndVerdict => {
+  if (LOST_STATES.has(process)) return 'lost';
+  if (!hasContent) return isRepeated && process === 'same' ? 'complete' : 'empty';
+  return isPassedOn ? 'complete' : 'unconfirmed';
+};
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -2,6 +2,7 @@
 export * from './allowedVersions';
 export * from './changeDetector';
 export * from './chooseChain';
+export * from './closeDelimitedEnd';
 export * from './chooseEndpoint';
 export * from './chooseTarget';
 export * from './chooseVersion';
--- a/src/node/gateway/__tests__/brokenOffAnswers.test.ts
+++ b/src/node/gateway/__tests__/brokenOffAnswers.test.ts
@@ -254,6 +254,13 @@
   },
 ];
 
+const isFramedReply = ({ headers }: CallerResult): boolean =>
+  headers['content-length'] !== undefined || headers['transfer-encoding'] === 'chunked';
+
+/** Whether the caller gets chunks where the endpoint sends neither a length nor chunks. */
+const isChunkedReply = ({ isFramed }: Framing, { isStream, route }: RelayPath): boolean =>
+  !isFramed && isStream && route.canResume === true;
+
 interface Combination {
   readonly body: SentBody;
   readonly end: End;
@@ -264,6 +271,8 @@
   bodies.flatMap((body) => ends.flatMap((end) => end.nexts.map((next) => ({ body, end, next }))));
 
 // A body's length and its last chunk show its end whatever happens to the connection after them.
+// Without them, an endpoint that goes on may have closed the connection at any byte: such a stream is
+// resumed to confirm its end, or passed on as it came if it cannot be.
 const isWholeAnswer = (
   framing: Framing,
   path: RelayPath,
@@ -272,12 +281,22 @@
   const isTorn = path.isStream && body.isTorn === true;
   if (framing.isCoded) return false;
   if (framing.isFramed) return body.name === 'whole';
-  return !isTorn && !end.isBroken && next.isRunning;
+  return !isTorn && !end.isBroken && next.isRunning && !isChunkedReply(framing, path);
 };
 
-const createTestedAnswer =
-  (framing: Framing, path: RelayPath, { body, end, next }: Combination): SocketAnswer =>
-  (socket, _head, stopListening, replaceProcess) => {
+const createTestedAnswer = (
+  framing: Framing,
+  path: RelayPath,
+  { body, end, next }: Combination,
+): SocketAnswer => {
+  let isResumed = false;
+  return (...connection) => {
+    if (isResumed) {
+      sendGoodStream(...connection);
+      return;
+    }
+    isResumed = path.isStream;
+    const [socket, , stopListening, replaceProcess] = connection;
     const type = path.isStream ? STREAM_TYPE : '';
     const whole = path.bodies.at(-1)!.text;
     const head = `${framing.version ?? 'HTTP/1.1'} 200 OK\r\n${ECHO}\r\n${type}${framing.createHead(whole.length)}\r\n`;
@@ -287,15 +306,13 @@
       end.run(socket);
     }, PAUSE_MS);
   };
+};
 
 const canRetry = ({ after, route, before }: RelayPath): boolean =>
   after !== undefined &&
   (route.kind === undefined || route.canResume === true) &&
   (route.attemptLimit ?? Infinity) > (before ? 2 : 1);
 
-const isFramedReply = ({ headers }: CallerResult): boolean =>
-  headers['content-length'] !== undefined || headers['transfer-encoding'] === 'chunked';
-
 const findFault = (
   framing: Framing,
   path: RelayPath,
@@ -304,7 +321,10 @@
 ): string | undefined => {
   const { status, isComplete, body } = result;
   const isSuccess = status === 200 && isComplete;
-  if (isSuccess && !isFramedReply(result)) return 'a success without a length or chunks';
+  if (isSuccess && isWholeAnswer(framing, path, combination)) {
+    if (isFramedReply(result) !== (framing.isFramed || isChunkedReply(framing, path)))
+      return 'a body that is delimited in another way than the endpoint said';
+  }
   const sent = `${path.prefix ?? ''}${combination.body.text}`;
   const expected = isWholeAnswer(framing, path, combination) ? sent : path.whole;
   if (isWholeAnswer(framing, path, combination) || canRetry(path)) {
--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -180,6 +180,13 @@
     requestCounts: [1, 0],
     hasLength: false,
   },
+  {
+    name: 'close-delimited response of a lost endpoint on a non-retryable route gives 502',
+    route: ONCE,
+    answers: [closeDelimitedLost, good],
+    status: 502,
+    requestCounts: [1, 0],
+  },
   {
     name: 'close-delimited response on a retryable route is complete if the endpoint goes on',
     route: SAFE,
@@ -206,13 +213,11 @@
     requestCounts: [1, 1],
   },
   {
-    name: 'possibly truncated response is sent if there is no other',
+    name: 'possibly truncated response is not sent even if there is no other',
     route: SAFE,
     answers: [closeDelimitedLost],
-    status: 200,
-    body: 'half',
+    status: 502,
     requestCounts: [1],
-    hasLength: false,
   },
   {
     name: 'endpoint that does not respond, on a retryable route',
@@ -259,6 +264,7 @@
 for (const { name, route, answers, call, status, body, requestCounts, hasLength } of cases) {
   test(`response of the gateway: ${name}`, async (t) => {
     const gateway = await startGateway(route, answers);
+    t.teardown(gateway.stop);
     const result = await gateway.call(call);
     t.is(result.status, status);
     if (body !== undefined) t.is(result.body, body);
@@ -270,7 +276,6 @@
     if (hasLength === false) t.false(isFramed || result.headers['transfer-encoding'] === 'chunked');
     if (status >= 502) t.is(result.headers['x-response-signature'], undefined);
     if (status === 503) t.truthy(result.headers['retry-after']);
-    await gateway.stop();
   });
 }
 
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -10,6 +10,7 @@
 import { Registry } from 'prom-client';
 import { Left } from 'purify-ts';
 import { headerCodec } from '../../../../platform/headers';
+import { identityCodec } from '../../../../platform/identity';
 import { createWindowBudget } from '../../decisions';
 import { createError } from '../../errors';
 import type { EndpointReport, KnownEndpoint } from '../../registry';
@@ -17,7 +18,7 @@
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
 import { createCallerServer } from '../callerServer';
 import { startEndpointAttempt } from '../endpointAttempt';
-import { canConnect } from '../endpointConnection';
+import { fetchProcessState } from '../endpointProcess';
 import { createEndpointChooser } from '../endpointChoice';
 import { createEndpointLimits } from '../endpointLimits';
 import { createEndpointLoads } from '../endpointLoads';
@@ -61,6 +62,8 @@
 /** A gateway whose endpoints are plain TCP servers. */
 export interface GatewayHarness {
   readonly call: (options?: CallOptions) => Promise<CallerResult>;
+  /** Port of the server for callers. */
+  readonly port: number;
   /** Heads of the requests that each endpoint received. */
   readonly heads: readonly string[][];
   readonly logs: readonly string[];
@@ -88,6 +91,8 @@
 export type RouteFields = Partial<Route>;
 
 const HOST = 'shop.example';
+/** Long enough for a busy machine. */
+const PROCESS_TIMEOUT_MS = 10_000;
 const KEY = 'key-1';
 
 /** Creates a test's route. */
@@ -304,7 +309,13 @@
     readSnapshot: () => (hasLease() ? snapshot : undefined),
     findBudget: () => budget,
     startAttempt: (target) => startEndpointAttempt(target, headerCodec.decodeResponse),
-    canConnect: ({ address }) => canConnect(address, 400),
+    fetchProcessState: (endpoint) =>
+      fetchProcessState(
+        identityCodec,
+        endpoint,
+        snapshot.table.findService(endpoint.service),
+        PROCESS_TIMEOUT_MS,
+      ),
     readNow,
   });
   const server = createCallerServer({
@@ -340,7 +351,15 @@
           },
         },
         (message) => {
-          readAnswer(message).then(resolve, reject);
+          // Node's client ends a close-delimited body that was reset, after an error of the request.
+          let isReset = false;
+          sent.off('error', reject).on('error', () => {
+            isReset = true;
+          });
+          readAnswer(message).then(
+            (result) => resolve({ ...result, isComplete: result.isComplete && !isReset }),
+            reject,
+          );
         },
       );
       sent.on('error', reject);
@@ -349,6 +368,7 @@
 
   return {
     call,
+    port,
     heads,
     logs,
     findSessionVersion: (session) => sessions.find('s', session, readNow())?.version,
--- a/src/node/gateway/__tests__/streams.test.ts
+++ b/src/node/gateway/__tests__/streams.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import test from 'ava';
 import { startGateway, type RouteFields, type SocketAnswer } from './harness';
 import {
@@ -30,8 +32,19 @@
   readonly isComplete: boolean;
   /** Id of the last event sent to the second endpoint, which resumes the stream after it. */
   readonly resumedAfter?: string;
+  /** Whether the caller gets neither a length nor chunks, like the gateway. */
+  readonly isPassedOn?: boolean;
 }
 
+/** Creates the answers of an endpoint that answers its requests in turn. */
+const createAnswers = (...answers: readonly SocketAnswer[]): SocketAnswer => {
+  let count = 0;
+  return (...connection) => {
+    answers[count]!(...connection);
+    count += 1;
+  };
+};
+
 const completeStream = createAnswer(`${SSE}${formatEvents(1, 4)}${END}`);
 const resumedStream = createAnswer(`${SSE}${formatEvents(3, 4)}${END}`);
 const interruptedStream = createAnswer(`${SSE}${formatEvents(1, 2)}`, closeByReset);
@@ -48,6 +61,7 @@
 
 const closedStream = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 4)}`, close);
 const closedResumedStream = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(3, 4)}`, close);
+const closedBetweenEvents = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 2)}`, close);
 const closedInsideEvent = createAnswer(
   `${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 2)}id: 3\nda`,
   close,
@@ -101,10 +115,51 @@
     resumedAfter: '2',
   },
   {
-    name: 'without a length or chunks, complete',
+    name: 'without a length or chunks, complete and confirmed in chunks',
+    route: STREAM,
+    answers: [createAnswers(closedStream, createAnswer(`${SSE}${END}`))],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '4',
+  },
+  {
+    name: 'without a length or chunks, complete and ended a second time at the same event',
+    route: STREAM,
+    answers: [createAnswers(closedStream, createAnswer(SSE_UNTIL_CLOSE, close))],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '4',
+  },
+  {
+    name: 'without a length or chunks, closed between two events by an endpoint that goes on',
+    route: STREAM,
+    answers: [createAnswers(closedBetweenEvents, resumedStream)],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'without a length or chunks, closed between two events again and again',
     route: STREAM,
+    answers: [
+      createAnswers(closedBetweenEvents, closedResumedStream, createAnswer(`${SSE}${END}`)),
+    ],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '2',
+  },
+  {
+    name: 'without a length or chunks, with no attempt left to confirm its end',
+    route: { ...STREAM, attemptLimit: 1 },
     answers: [closedStream],
     ids: [1, 2, 3, 4],
+    isComplete: false,
+  },
+  {
+    name: 'without a length or chunks or events, and sent again',
+    route: STREAM,
+    answers: [createAnswer(SSE_UNTIL_CLOSE, close), completeStream],
+    ids: [1, 2, 3, 4],
     isComplete: true,
   },
   {
@@ -113,6 +168,15 @@
     answers: [closedStream],
     ids: [1, 2, 3, 4],
     isComplete: true,
+    isPassedOn: true,
+  },
+  {
+    name: 'without a length or chunks, lost, on a route that does not allow resuming',
+    route: { ...STREAM, canResume: false },
+    answers: [lostUnframedStream],
+    ids: [1, 2],
+    isComplete: false,
+    isPassedOn: true,
   },
   {
     name: 'closed in the middle of an event and resumed',
@@ -125,7 +189,7 @@
   {
     name: 'closed in the middle of an event and resumed by one without a length or chunks',
     route: STREAM,
-    answers: [closedInsideEvent, closedResumedStream],
+    answers: [closedInsideEvent, createAnswers(closedResumedStream, createAnswer(`${SSE}${END}`))],
     ids: [1, 2, 3, 4],
     isComplete: true,
     resumedAfter: '2',
@@ -150,6 +214,7 @@
     answers: [closedInsideEvent, resumedStream],
     ids: [1, 2],
     isComplete: false,
+    isPassedOn: true,
   },
   {
     name: 'ended by its last chunk in the middle of an event and resumed',
@@ -224,7 +289,8 @@
   },
 ];
 
-for (const { name, route, answers, ids, isComplete, resumedAfter } of streamCases) {
+for (const { name, route, answers, ids, isComplete, ...expected } of streamCases) {
+  const { resumedAfter, isPassedOn = false } = expected;
   test(`stream through a gateway: ${name}`, async (t) => {
     const gateway = await startGateway(route, answers);
     const result = await gateway.call({ method: 'POST', body: '{}', ...LONG_DEADLINE });
@@ -235,9 +301,25 @@
     );
     t.is(result.isComplete, isComplete);
     // Without chunks, the end of a stream that was broken off would look complete.
-    t.is(result.headers['transfer-encoding'], 'chunked');
-    const second = gateway.heads[1]?.[0];
+    t.is(result.headers['transfer-encoding'], isPassedOn ? undefined : 'chunked');
+    const second = gateway.heads.flat()[1];
     t.is(/^Last-Event-Id: (.*)\r$/m.exec(second ?? '')?.[1], resumedAfter);
     await gateway.stop();
   });
 }
+
+test('a stream that broke off is reset for a caller that cannot read chunks', async (t) => {
+  const gateway = await startGateway({ ...STREAM, attemptLimit: 1 }, [interruptedStream]);
+  t.teardown(gateway.stop);
+  const socket = connect(gateway.port, '127.0.0.1');
+  const head = 'Host: shop.example\r\nX-Request-Id: id-1\r\nX-Api-Key: key-1\r\n';
+  const limit = 'X-Deadline-Milliseconds: 20000\r\n';
+  socket.write(`GET /a/b HTTP/1.0\r\n${head}${limit}\r\n`);
+  let text = '';
+  socket.on('data', (chunk: Buffer) => {
+    text += chunk.toString();
+  });
+  const [cause] = (await once(socket, 'error')) as [NodeJS.ErrnoException];
+  t.is(cause.code, 'ECONNRESET');
+  t.true(text.endsWith(formatPlainEvents(1, 2)));
+});
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -73,6 +73,24 @@
   );
 };
 
+/**
+ * Records that a stream ended without a sign that it is complete. Nothing speaks against its
+ * endpoint, which may be asked whether more events follow.
+ */
+export const recordUnconfirmedEnd = ({ deps, exchange, endpoint }: AttemptContext): void => {
+  exchange.unconfirmedEndId = exchange.lastEventId;
+  exchange.reason = 'nothing shows that the close-delimited stream is complete';
+  deps.metrics.attempts.inc({ service: endpoint.service, result: 'unconfirmed' });
+  deps.log.info(
+    {
+      request: exchange.request.caller.requestId,
+      endpoint: endpoint.id,
+      lastEventId: exchange.lastEventId,
+    },
+    'close-delimited stream is resumed to confirm its end',
+  );
+};
+
 const createServiceRequest = ({ exchange, endpoint }: AttemptContext): ServiceRequest => ({
   service: endpoint.service,
   fingerprint: exchange.request.fingerprint,
--- a/src/node/gateway/callerReply.ts
+++ b/src/node/gateway/callerReply.ts
@@ -6,9 +6,8 @@
   readonly status: number;
   readonly headers: RawHeaders;
   /**
-   * Whether the body is close-delimited. Only for a whole body whose endpoint may have been lost: a
-   * length would state that it is complete. A body in chunks must not be, because it would look
-   * complete after an abort.
+   * Whether the body ends with the connection, like the endpoint's: a length or chunks would state
+   * that it is complete, which is not known.
    */
   readonly isCloseDelimited?: boolean;
 }
@@ -48,6 +47,7 @@
   isClosing: () => boolean,
 ): CallerReply => {
   let isDisconnected = false;
+  let isLengthSent = false;
   const listeners: (() => void)[] = [];
   response.once('close', () => {
     if (response.writableFinished) return;
@@ -62,6 +62,7 @@
     const connectionHeaders = isClosing() || isCloseDelimited ? ['Connection', 'close'] : [];
     response.sendDate = false;
     if (isCloseDelimited) response.useChunkedEncodingByDefault = false;
+    isLengthSent = findDeclaredLength(headers) !== undefined;
     response.writeHead(status, [...headers, ...connectionHeaders]);
   };
 
@@ -97,7 +98,9 @@
       if (!isDisconnected) response.end();
     },
     abort: () => {
-      response.destroy();
+      // A reset is all that tells the caller that a body without a length or chunks is incomplete.
+      if (response.chunkedEncoding || isLengthSent) response.destroy();
+      else response.socket?.resetAndDestroy();
     },
     isStarted: () => response.headersSent,
     isDisconnected: () => isDisconnected,
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -38,7 +38,8 @@
 const createResetError = (): Error =>
   Object.assign(new Error('the endpoint reset the connection'), { code: 'ECONNRESET' });
 
-const convertHeaders = (headers: unknown): RawHeaders =>
+/** Converts raw headers of the HTTP client to text. */
+export const convertHeaders = (headers: unknown): RawHeaders =>
   (headers as readonly (string | Buffer)[]).map((item) => item.toString('latin1'));
 
 /**
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -40,7 +40,7 @@
   dropped: undefined,
   secondModel: undefined,
   confidence: undefined,
-  unverified: undefined,
+  unconfirmedEndId: undefined,
   lastEventId: request.caller.lastEventId,
   firstByteAt: undefined,
   events: 0,
--- a/src/node/gateway/exchangeCompletion.ts
+++ b/src/node/gateway/exchangeCompletion.ts
@@ -83,11 +83,6 @@
 
   // A request may be reported as refused only if it has certainly not run.
   const settleWithoutResponse = (exchange: Exchange, retryAfterMs: number): void => {
-    const { unverified } = exchange;
-    if (unverified && settle(exchange, 'answered', unverified.head.status)) {
-      exchange.reply.send(unverified.head, unverified.body);
-      return;
-    }
     if (exchange.mayHaveRun) refuse(exchange, 502);
     else refuse(exchange, 503, retryAfterMs);
   };
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -2,11 +2,12 @@
 import type { EndpointReport } from '../registry';
 import type { RouteTable, RoutedOrganisation, Route } from '../routing';
 import type { WindowBudget } from '../decisions';
-import type { CallerReply, ReplyHead } from './callerReply';
+import type { CallerReply } from './callerReply';
 import type { EndpointChooser } from './endpointChoice';
 import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
 import type { EndpointBackoffs } from './endpointBackoffs';
+import type { ProcessAnswer } from './endpointProcess';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { RequestGuard } from './requestGuard';
 import type { RequestQuarantine } from './requestQuarantine';
@@ -61,18 +62,12 @@
   readonly readSnapshot: () => RoutingSnapshot | undefined;
   readonly findBudget: (service: string) => WindowBudget;
   readonly startAttempt: (target: AttemptTarget) => EndpointAttempt;
-  /** Checks whether an endpoint accepts connections. */
-  readonly canConnect: (endpoint: EndpointReport) => Promise<boolean>;
+  /** Asks which process is at an endpoint's address. */
+  readonly fetchProcessState: (endpoint: EndpointReport) => Promise<ProcessAnswer>;
   /** Returns the monotonic time in milliseconds. */
   readonly readNow: () => number;
 }
 
-/** A close-delimited response, which may be truncated. */
-export interface UnverifiedResponse {
-  readonly head: ReplyHead;
-  readonly body: Buffer;
-}
-
 /** The state of one request across its attempts. */
 export interface Exchange {
   readonly request: AdmittedRequest;
@@ -88,8 +83,8 @@
   secondModel: string | undefined;
   /** Confidence that the model gave for the latest answer, if any. */
   confidence: number | undefined;
-  /** A possibly truncated response, sent to the caller if no later attempt succeeds. */
-  unverified: UnverifiedResponse | undefined;
+  /** Id of the last event of an attempt that ended without a sign that the stream is complete. */
+  unconfirmedEndId: string | undefined;
   /** Id of the last event that the caller has received. */
   lastEventId: string | undefined;
   /**
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -14,8 +14,8 @@
 import { createEndpointLoads, type EndpointLoads } from './endpointLoads';
 import type { EndpointBackoffs } from './endpointBackoffs';
 import { startEndpointAttempt } from './endpointAttempt';
-import { canConnect } from './endpointConnection';
-import { CONNECT_TIMEOUT_MS, createExchangeRunner, type ExchangeRunner } from './exchange';
+import { fetchProcessState } from './endpointProcess';
+import { createExchangeRunner, type ExchangeRunner } from './exchange';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { createLeaseClock } from './leaseClock';
 import { createLimitTopic } from './limitTopic';
@@ -30,7 +30,7 @@
 import { createSuspectTopic } from './suspectTopic';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
-import type { HeaderCodec } from './types';
+import type { HeaderCodec, IdentityCodec } from './types';
 import { createVersionTallies, type VersionTallies } from './versionTallies';
 
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -47,6 +47,15 @@
 const EXIT_RESERVE_MS = 600;
 const STOP_POLL_MS = 20;
 
+/** Limit for the answer of a process that is asked which endpoint it is, in milliseconds. */
+const PROCESS_TIMEOUT_MS = 1_000;
+
+/** Conversions between the gateway's types and the words of a deployment. */
+export interface GatewayCodecs {
+  readonly codec: HeaderCodec;
+  readonly identityCodec: IdentityCodec;
+}
+
 /** Shutdown state that the servers share. */
 interface GatewayState {
   stoppedAt: number | undefined;
@@ -205,7 +214,10 @@
   };
 };
 
-const createRunnerService = (settings: GatewaySettings, codec: HeaderCodec): Service => ({
+const createRunnerService = (
+  settings: GatewaySettings,
+  { codec, identityCodec }: GatewayCodecs,
+): Service => ({
   name: 'runner',
   dependencies: [
     'routing-view',
@@ -224,6 +236,7 @@
   ],
   start: (find) => {
     const { zone, bounds } = settings;
+    const view = find<RoutingView>('routing-view');
     const loads = find<EndpointLoads>('loads');
     const sessions = find<SessionVersions>('sessions');
     const value = createExchangeRunner({
@@ -250,10 +263,16 @@
       tallies: find<VersionTallies>('tallies'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
       log: createPartLogger(find<Logger>('log'), 'gateway'),
-      readSnapshot: find<RoutingView>('routing-view').read,
+      readSnapshot: view.read,
       findBudget: createBudgetFinder(settings),
       startAttempt: (target) => startEndpointAttempt(target, codec.decodeResponse),
-      canConnect: ({ address }) => canConnect(address, CONNECT_TIMEOUT_MS),
+      fetchProcessState: (endpoint) =>
+        fetchProcessState(
+          identityCodec,
+          endpoint,
+          view.read()?.table.findService(endpoint.service),
+          PROCESS_TIMEOUT_MS,
+        ),
       readNow,
     });
     return { value };
@@ -351,7 +370,7 @@
 /** Creates the services of a gateway. */
 export const createGatewayServices = (
   settings: GatewaySettings,
-  codec: HeaderCodec,
+  codecs: GatewayCodecs,
 ): readonly Service[] => [
   createRpcService({ secret: settings.secret }),
   createMetricsService(settings.metricsListen),
@@ -364,6 +383,6 @@
   ...createSessionServices(settings),
   ...createRestraintServices(),
   createExchangeService(settings),
-  createRunnerService(settings, codec),
-  createServersService(settings, codec),
+  createRunnerService(settings, codecs),
+  createServersService(settings, codecs.codec),
 ];
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,4 +1,9 @@
-import { chooseSecondModel } from '../decisions';
+import {
+  chooseSecondModel,
+  judgeCloseDelimitedEnd,
+  type EndVerdict,
+  type ProcessState,
+} from '../decisions';
 import { formatIncarnation } from '../registry';
 import { isRetryableRoute } from '../routing';
 import {
@@ -8,6 +13,7 @@
   recordFirstEvent,
   recordSuccess,
   recordSurvival,
+  recordUnconfirmedEnd,
   type AttemptContext,
 } from './attemptRecords';
 import { BODILESS_STATUSES, findDeclaredLength, type ReplyHead } from './callerReply';
@@ -68,19 +74,30 @@
 const waitFor = <T>(promise: Promise<T>, timeoutMs: number) =>
   waitWithTimeout(promise, Math.min(MAX_TIMER_MS, timeoutMs));
 
-// A close-delimited body that ended without a reset is complete, unless the endpoint was lost.
-const isTruncatedByLoss = async (
-  context: AttemptContext,
-  { isCloseDelimited }: ResponseHead,
-): Promise<boolean> => {
-  if (!isCloseDelimited) return false;
+// The end of a connection looks the same whether the endpoint has finished or was lost, and its
+// address may have another process at once.
+const fetchProcessAfterEnd = async (context: AttemptContext): Promise<ProcessState> => {
   const { deps, exchange, endpoint } = context;
-  const isAccepting = await deps.canConnect(endpoint);
+  const askedAt = deps.readNow();
+  const { state, reason } = await deps.fetchProcessState(endpoint);
   deps.log.info(
-    { request: exchange.request.caller.requestId, endpoint: endpoint.id, isAccepting },
+    {
+      request: exchange.request.caller.requestId,
+      endpoint: endpoint.id,
+      endpointStartedAt: endpoint.startedAt,
+      process: state,
+      reason,
+      askedMs: Math.round(deps.readNow() - askedAt),
+      lastEventId: exchange.lastEventId,
+    },
     'close-delimited response ended',
   );
-  return !isAccepting;
+  return state;
+};
+
+const END_FAILURES: Readonly<Record<Exclude<EndVerdict, 'complete' | 'unconfirmed'>, string>> = {
+  lost: 'the endpoint was lost at the end of a close-delimited response',
+  empty: 'close-delimited stream ended before its first event',
 };
 
 const readFullBody = async (context: AttemptContext): Promise<Buffer | undefined> => {
@@ -143,14 +160,16 @@
   const body = await readFullBody(context);
   if (body === undefined || exchange.isFinished) return RETRY;
   const replyHead = createReplyHead(head);
-  const isBodiless = BODILESS_STATUSES.has(head.status);
-  if (!isBodiless && hasRetryLeft(context) && (await isTruncatedByLoss(context, head))) {
+  if (replyHead.isCloseDelimited && exchange.request.method !== 'HEAD') {
+    const process = await fetchProcessAfterEnd(context);
     if (exchange.isFinished) return RETRY;
-    exchange.unverified ??= { head: replyHead, body };
-    recordFailure(context, 'the endpoint was lost at the end of a close-delimited response', true);
-    return RETRY;
+    const end = { process, hasContent: true, isRepeated: false, isPassedOn: true };
+    if (judgeCloseDelimitedEnd(end) === 'lost') {
+      recordFailure(context, END_FAILURES.lost, true);
+      recordConnectionLoss(context, true);
+      return RETRY;
+    }
   }
-  if (exchange.isFinished) return RETRY;
   if (head.status >= 500) {
     recordFailure(context, `endpoint responded with status ${head.status}`, true);
     const hasBudget = context.budget.canAcquire(deps.readNow(), context.snapshot.gatewayCount);
@@ -172,8 +191,9 @@
   const { reply } = exchange;
   const reader = createEventReader();
   const chunks = attempt.readBody()[Symbol.asyncIterator]();
-  // The end of a close-delimited stream would look complete if this gateway failed before it.
-  const replyHead = { ...createReplyHead(head), isCloseDelimited: false };
+  // A stream that can be resumed is sent in chunks, because its end can be confirmed.
+  const isPassedOn = head.isCloseDelimited && !isRetryableRoute(exchange.request.route);
+  const replyHead = { ...createReplyHead(head), isCloseDelimited: isPassedOn };
   let firstAt: number | undefined;
   let hasSurvived = false;
   let waitStartedAt = startedAt;
@@ -234,13 +254,23 @@
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
   }
-  if (await isTruncatedByLoss(context, head)) {
+  if (head.isCloseDelimited) {
+    const process = await fetchProcessAfterEnd(context);
     if (exchange.isFinished) return RETRY;
-    recordFailure(context, 'the endpoint was lost at the end of a close-delimited stream', true);
-    if (!hasSurvived) recordConnectionLoss(context, true);
-    return RETRY;
+    const isRepeated =
+      exchange.lastEventId !== undefined && exchange.unconfirmedEndId === exchange.lastEventId;
+    const hasContent = firstAt !== undefined;
+    const verdict = judgeCloseDelimitedEnd({ process, hasContent, isRepeated, isPassedOn });
+    if (verdict === 'unconfirmed') {
+      recordUnconfirmedEnd(context);
+      return RETRY;
+    }
+    if (verdict !== 'complete') {
+      recordFailure(context, END_FAILURES[verdict], true);
+      if (verdict === 'lost' && !hasSurvived) recordConnectionLoss(context, true);
+      return RETRY;
+    }
   }
-  if (exchange.isFinished) return RETRY;
   recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
   if (!hasSurvived) recordSurvival(context);
   if (!reply.isStarted()) reply.start(replyHead);
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -1,5 +1,6 @@
 import type { Either } from 'purify-ts';
 import type { EndpointReport } from '../registry';
+import type { RoutedService } from '../routing';
 
 /** Alternating header names and values, as received on the wire. */
 export type RawHeaders = readonly string[];
@@ -61,7 +62,7 @@
   readonly isEventStream: boolean;
   /** Whether the body is delimited only by the close of the connection. */
   readonly isCloseDelimited: boolean;
-  /** Whether the body has a content encoding, although the request asked for none. */
+  /** Whether the body has a content or transfer encoding, although the request asked for none. */
   readonly isEncoded: boolean;
   /** End-to-end headers that are returned to the caller unchanged. */
   readonly forwarded: RawHeaders;
@@ -76,6 +77,23 @@
   readonly encodeRefusal: (requestId: string, retryAfterMs: number | undefined) => RawHeaders;
 }
 
+/** What a process says about itself; undefined where it does not say it. */
+export interface ProcessIdentity {
+  readonly id: string | undefined;
+  /** Unix time of the start in milliseconds. */
+  readonly startedAt: number | undefined;
+}
+
+/** Asks processes which endpoint they are, in the words of a deployment. */
+export interface IdentityCodec {
+  /** Encodes a GET request that every process of the service answers. */
+  readonly encodeQuestion: (
+    endpointId: string,
+    service: RoutedService | undefined,
+  ) => { readonly path: string; readonly headers: RawHeaders };
+  readonly decodeIdentity: (status: number, raw: RawHeaders, body: string) => ProcessIdentity;
+}
+
 /** Status and decoded headers of an endpoint's response. */
 export interface ResponseHead extends ResponseHeaders {
   readonly status: number;
--- a/src/node/routing/types.ts
+++ b/src/node/routing/types.ts
@@ -61,6 +61,8 @@
   readonly name: string;
   /** Connections that an endpoint accepts from all callers together. */
   readonly connectionLimit: number;
+  /** Path of the health check; absent in configurations stored by earlier releases. */
+  readonly healthPath?: string | undefined;
   /** Engine profile; absent for a plain service. */
   readonly engine: EngineProfile | undefined;
 }
