Fail engine answers that break off in the agent

What callers of the product's own interface would see: an engine's stream that broke off ended as complete, and so did a body without a length that was reset or cut.

Cause: the same as at the gateway, one process further: the end of the connection was the end of the answer. A stream now needs its last event (docs/ENGINES.md asks for 'data: [DONE]'), a model's body without a length must be a whole JSON text, and a reset always fails the answer: the HTTP client ends a close-delimited body at ECONNRESET.

The rows on frames got the last event that the contract asks for; they count frames and words as before.

--- a/src/node/agent/__tests__/engineCall.test.ts
+++ b/src/node/agent/__tests__/engineCall.test.ts
@@ -1,10 +1,10 @@
 import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
 import test from 'ava';
-import { Pool } from 'undici';
 import type { AttemptRequest } from '../../shared';
 import { createAttempt } from '../attempt';
 import { callEngine, type EngineTarget } from '../engineCall';
+import { createEnginePool } from '../enginePool';
 
 const REQUEST = {
   requestId: 'r',
@@ -20,7 +20,9 @@
 const formatEvent = (word: string): string =>
   `data: ${JSON.stringify({ choices: [{ delta: { content: word } }] })}\n\n`;
 
-const EVENTS = ['a', 'b', 'c', 'd'].map(formatEvent);
+const DONE = 'data: [DONE]\n\n';
+const WORDS = ['a', 'b', 'c'];
+const EVENTS = [...WORDS.map(formatEvent), DONE];
 const ALL = EVENTS.join('');
 
 const cases = [
@@ -55,7 +57,7 @@
     }
     t.is(parts.length, frames);
     t.is(parts.join(''), ALL);
-    t.is(counts.outputTokens, EVENTS.length);
+    t.is(counts.outputTokens, WORDS.length);
   });
 }
 
@@ -79,9 +81,7 @@
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
-  const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, {
-    connections: 1,
-  });
+  const pool = createEnginePool(`127.0.0.1:${(server.address() as AddressInfo).port}`);
   t.teardown(async () => {
     await pool.destroy();
     server.close();
@@ -96,3 +96,130 @@
     t.is(body, expected);
   }
 });
+
+const closeNormally = (socket: Socket): void => {
+  socket.end();
+};
+const closeByReset = (socket: Socket): void => {
+  setTimeout(() => socket.resetAndDestroy(), 20);
+};
+
+const STREAM_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n';
+const JSON_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n';
+const TEXT_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n';
+const WORD = formatEvent('a');
+const JSON_BODY = '{"choices":[]}';
+const formatChunks = (text: string): string =>
+  `transfer-encoding: chunked\r\n\r\n${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`;
+const BODY_REQUEST = {
+  ...REQUEST,
+  body: Buffer.from('{}').toString('base64'),
+} as unknown as AttemptRequest;
+
+const brokenCases = [
+  {
+    name: 'a stream in chunks with its last event',
+    request: REQUEST,
+    answer: STREAM_HEAD + formatChunks(WORD + DONE),
+    end: closeNormally,
+    isWhole: true,
+  },
+  {
+    name: 'a stream in chunks without its last event',
+    request: REQUEST,
+    answer: STREAM_HEAD + formatChunks(WORD),
+    end: closeNormally,
+    isWhole: false,
+  },
+  {
+    name: 'a close-delimited stream with its last event',
+    request: REQUEST,
+    answer: `${STREAM_HEAD}\r\n${WORD}${DONE}`,
+    end: closeNormally,
+    isWhole: true,
+  },
+  {
+    name: 'a close-delimited stream that ends between events',
+    request: REQUEST,
+    answer: `${STREAM_HEAD}\r\n${WORD}`,
+    end: closeNormally,
+    isWhole: false,
+  },
+  {
+    name: 'a close-delimited stream that ends inside an event',
+    request: REQUEST,
+    answer: `${STREAM_HEAD}\r\n${WORD}${DONE.slice(0, -4)}`,
+    end: closeNormally,
+    isWhole: false,
+  },
+  {
+    name: 'a close-delimited stream without events',
+    request: REQUEST,
+    answer: `${STREAM_HEAD}\r\n`,
+    end: closeNormally,
+    isWhole: false,
+  },
+  {
+    name: 'a close-delimited stream that is reset',
+    request: REQUEST,
+    answer: `${STREAM_HEAD}\r\n${WORD}`,
+    end: closeByReset,
+    isWhole: false,
+  },
+  {
+    name: 'a close-delimited JSON body',
+    request: BODY_REQUEST,
+    answer: `${JSON_HEAD}\r\n${JSON_BODY}`,
+    end: closeNormally,
+    isWhole: true,
+  },
+  {
+    name: 'a close-delimited JSON body that is cut',
+    request: BODY_REQUEST,
+    answer: `${JSON_HEAD}\r\n${JSON_BODY.slice(0, -1)}`,
+    end: closeNormally,
+    isWhole: false,
+  },
+  {
+    name: "a service's body with a length that is cut",
+    request: PLAIN_REQUEST,
+    answer: `${TEXT_HEAD}content-length: 4\r\n\r\nbod`,
+    end: closeNormally,
+    isWhole: false,
+  },
+  {
+    name: "a service's close-delimited body that is reset",
+    request: PLAIN_REQUEST,
+    answer: `${TEXT_HEAD}\r\nbod`,
+    end: closeByReset,
+    isWhole: false,
+  },
+] as const;
+
+for (const { name, request, answer, end, isWhole } of brokenCases) {
+  test(`an engine's answer that broke off does not look complete: ${name}`, async (t) => {
+    const server = createServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => {
+        socket.write(answer);
+        end(socket);
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const pool = createEnginePool(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    t.teardown(async () => {
+      await pool.destroy();
+      server.close();
+    });
+    const call = callEngine(
+      { pool, counts: { inputTokens: 0, outputTokens: 0 } },
+      createAttempt(request),
+    );
+    const isComplete = await call.then(
+      () => true,
+      () => false,
+    );
+    t.is(isComplete, isWhole);
+  });
+}
--- a/src/node/agent/attemptStore.ts
+++ b/src/node/agent/attemptStore.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Pool } from 'undici';
+import type { Pool } from 'undici';
 import { convertToRouterError, type Outcome, type RouterError } from '../errors';
 import type { Logger } from '../log';
 import type { LeaseClient } from '../lease';
@@ -20,6 +20,7 @@
   type AdmissionState,
 } from './attemptTable';
 import { callEngine, type EngineCall } from './engineCall';
+import { createEnginePool } from './enginePool';
 import type { AnnouncementStore } from './announcements';
 import type { UsageReporter } from './usageReporter';
 
@@ -54,7 +55,6 @@
 const EXPIRE_INTERVAL_MS = 30_000;
 const QUEUE_EXPIRE_INTERVAL_MS = 100;
 const CANCEL_TIMEOUT_MS = 1_000;
-const MAX_ENGINE_CONNECTIONS = 256;
 const UNKNOWN_END: AttemptEnd = { type: 'ended', state: 'unknown' };
 const NEVER_END: AttemptEnd = { type: 'ended', state: 'never' };
 
@@ -71,7 +71,7 @@
 const acquirePool = (pools: Map<string, Pool>, address: string): Pool => {
   const known = pools.get(address);
   if (known) return known;
-  const pool = new Pool(`http://${address}`, { connections: MAX_ENGINE_CONNECTIONS });
+  const pool = createEnginePool(address);
   pools.set(address, pool);
   return pool;
 };
--- a/src/node/agent/engineCall.ts
+++ b/src/node/agent/engineCall.ts
@@ -64,6 +64,9 @@
   else if (chunk.hasContent) counts.outputTokens += 1;
 };
 
+/** Data of the last event of a stream. */
+const END_OF_STREAM = '[DONE]';
+
 const encodeData = (text: string): string => Buffer.from(text).toString('base64');
 
 // Parses the event stream to read the usage chunk, and drops it unless the caller wants it. Events
@@ -76,7 +79,9 @@
   wantsUsage: boolean,
 ): Promise<void> => {
   let texts: string[] = [];
+  let hasEnded = false;
   const handleEvent = (event: EventSourceMessage): void => {
+    if (event.data === END_OF_STREAM) hasEnded = true;
     const chunk = parseChunk(event.data);
     updateCounts(target, chunk);
     if (chunk.isOnlyUsage && !wantsUsage) return;
@@ -92,6 +97,7 @@
     texts = [];
     await attempt.waitForBufferSpace();
   }
+  if (!hasEnded) throw new Error(`the engine's stream ended without 'data: ${END_OF_STREAM}'`);
 };
 
 const MAX_USAGE_SCAN_BYTES = 8_388_608;
@@ -100,6 +106,7 @@
   target: EngineTarget,
   attempt: Attempt,
   chunks: AsyncIterable<Buffer>,
+  isCloseDelimited: boolean,
 ): Promise<void> => {
   const isModel = attempt.request.target.kind === 'model';
   const parts: Buffer[] = [];
@@ -110,7 +117,13 @@
     attempt.append({ type: 'data', data: chunk.toString('base64') });
     await attempt.waitForBufferSpace();
   }
-  if (isModel) updateCounts(target, parseChunk(Buffer.concat(parts).toString('utf8')));
+  if (!isModel) return;
+  const text = Buffer.concat(parts).toString('utf8');
+  // Only the text itself shows whether a body without a length or chunks is whole.
+  if (isCloseDelimited && bytes <= MAX_USAGE_SCAN_BYTES && parseJson(text) === undefined) {
+    throw new Error(`the engine's close-delimited body of ${bytes} bytes is not a whole JSON text`);
+  }
+  updateCounts(target, parseChunk(text));
 };
 
 const UNFORWARDED_HEADERS: ReadonlySet<string> = new Set([
@@ -148,6 +161,9 @@
   return { body: bytes, isStream: false, wantsUsage: false, inputTokens: 0 };
 };
 
+const isCloseDelimitedBody = ({ headers }: Dispatcher.ResponseData): boolean =>
+  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
 const convertHeaders = (headers: ForwardedHeaders): Record<string, string | string[]> =>
   Object.fromEntries(
     Object.entries(headers).map(([name, value]) => [
@@ -193,7 +209,7 @@
   const contentType = appendHead(attempt, response);
   const isEvents = engineRequest.isStream && contentType.startsWith('text/event-stream');
   if (isEvents) await relayEvents(target, attempt, response.body, engineRequest.wantsUsage);
-  else await relayBody(target, attempt, response.body);
+  else await relayBody(target, attempt, response.body, isCloseDelimitedBody(response));
   if (abort.signal.aborted) throw new Error('the attempt was cancelled');
   attempt.append({ type: 'end', ...counts });
 };
