Resume no stream whose events have no ids

What callers would see: events twice after a break, because another endpoint runs the request from its start. Without the id of an event there is nothing to resume after, so the stream breaks off.

--- a/src/node/gateway/__tests__/streams.test.ts
+++ b/src/node/gateway/__tests__/streams.test.ts
@@ -247,6 +247,16 @@
     ids: [1, 2],
     isComplete: false,
   },
+  {
+    name: 'interrupted, with events that have no ids',
+    route: STREAM,
+    answers: [
+      createAnswer(`${SSE}${formatChunk('data: x\n\n')}`, closeByReset),
+      createAnswer(`${SSE}${formatChunk('data: x\n\ndata: y\n\n')}${END}`),
+    ],
+    ids: [],
+    isComplete: false,
+  },
   {
     name: 'stalled and resumed',
     route: { ...STREAM, ...LONG_ROUTE_TIMEOUT, gapTargetMs: 500 },
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -49,9 +49,12 @@
   isFinished: false,
 });
 
-// Once the response to the caller has started, another attempt can only resume a stream.
-const canRetry = ({ request: { route }, reply, mayHaveRun }: Exchange): boolean =>
-  (!reply.isStarted() || route.kind === 'stream') && (!mayHaveRun || isRetryableRoute(route));
+// Once the response to the caller has started, another attempt can only resume a stream, which takes
+// the id of an event.
+const canRetry = ({ request: { route }, reply, mayHaveRun, lastEventId }: Exchange): boolean => {
+  const canResume = route.kind === 'stream' && lastEventId !== undefined;
+  return (!reply.isStarted() || canResume) && (!mayHaveRun || isRetryableRoute(route));
+};
 
 const convertToWholeMs = (value: number | undefined): number | undefined =>
   value === undefined ? undefined : Math.round(value);
