--- a/src/node/replication/disk/folderLock.ts
+++ b/src/node/replication/disk/folderLock.ts
@@ -83,15 +83,16 @@
   if (heldFolders.has(folder)) throw createLockError(folder, self);
   const path = join(folder, LOCK_FILE);
   const own = `${path}.${randomUUID()}`;
-  writeFileSync(own, self);
   try {
+    writeFileSync(own, self);
     while (!claimByLinking(own, path)) {
       const holder = readFileSync(path, 'utf8');
       if (holder !== self && isRunning(holder)) throw createLockError(folder, holder);
       removeStale(path, holder);
     }
   } finally {
-    rmSync(own);
+    // On a full disk, the file exists although it could not be written.
+    rmSync(own, { force: true });
   }
   heldFolders.add(folder);
   return {
