List the test of a request with two bills and let it print them

The rows that 'explain' shows are the runs of the one bill (a cascade, a hedge or a retry adds one), so the next red run has to name them: the assertion prints the decisions and the rows. It checks as before.

--- a/src/node/cli/__tests__/operators.test.ts
+++ b/src/node/cli/__tests__/operators.test.ts
@@ -177,7 +177,7 @@
   t.is(chosen.entry, 'entry-1');
   t.is(chosen.decisions[0]?.decision, 'routed');
   t.is(chosen.decisions[0]?.fields.endpoint, 'engine-1');
-  t.is(chosen.bills.length, 1);
+  t.is(chosen.bills.length, 1, JSON.stringify(chosen));
   const refused = await sendChat(dev, 'dev-key-2', 'large');
   t.regex((await run('explain', refused.id)).out, /refused\n[^]*not allowed/);
   t.is((await run('explain', 'req_1_none')).code, 1);
