Blame the later block that was lost each time with one in all requests

Cause: no attempt without a block in all requests shows how many are lost by chance, so fewer losses are needed against it than against the deadly one. A shared block that was answered before now gives way to a later one that never was and that was lost with each of its endpoints.

--- a/src/node/decisions/__tests__/suspicion.test.ts
+++ b/src/node/decisions/__tests__/suspicion.test.ts
@@ -5,6 +5,7 @@
   computeHoldMs,
   countIndependentLosses,
   createSuspect,
+  findDeeperCulprit,
   judgeSuspect,
   mergeSuspects,
   type EndpointLoss,
@@ -220,6 +221,62 @@
   });
 }
 
+const TWICE = [...IN_A_ROW, createLoss('e3', 3_000, 4_000)];
+const deeperCases: readonly {
+  readonly name: string;
+  readonly head: Partial<Suspect>;
+  readonly others: readonly Partial<Suspect>[];
+  readonly blamed: string | undefined;
+}[] = [
+  {
+    name: 'a deeper block that was lost with it each time',
+    head: { answeredAt: 500 },
+    others: [{ id: 'dead', losses: TWICE }],
+    blamed: 'dead',
+  },
+  {
+    name: 'a deeper block that was lost with it once',
+    head: { answeredAt: 500 },
+    others: [{ id: 'x', losses: IN_A_ROW.slice(1) }],
+    blamed: undefined,
+  },
+  {
+    name: 'a deeper block that was answered',
+    head: { answeredAt: 500 },
+    others: [{ id: 'x', losses: TWICE, answeredAt: 600 }],
+    blamed: undefined,
+  },
+  {
+    name: 'a block that was never answered itself',
+    head: {},
+    others: [{ id: 'x', losses: TWICE }],
+    blamed: undefined,
+  },
+  {
+    name: 'a block at the same position',
+    head: { answeredAt: 500 },
+    others: [{ id: 'x', losses: TWICE, depth: 0 }],
+    blamed: undefined,
+  },
+  {
+    name: 'two deeper blocks, one of which was lost more often',
+    head: { answeredAt: 500 },
+    others: [
+      { id: 'x', losses: IN_A_ROW, depth: 2 },
+      { id: 'dead', losses: TWICE },
+    ],
+    blamed: 'dead',
+  },
+];
+
+for (const { name, head, others, blamed } of deeperCases) {
+  test(`the block that is blamed for the losses of one in all requests: ${name}`, (t) => {
+    const suspect = createBlock({ id: 'head', depth: 0, losses: IN_A_ROW, ...head });
+    const verdict = { suspect, losses: 2, needed: 2, isAnswering: true };
+    t.is(findDeeperCulprit(verdict, others.map(createBlock))?.id, blamed);
+  });
+}
+
 test('an answer refutes the losses and the quarantine before it', (t) => {
   const suspect = createBlock({ losses: IN_A_ROW, quarantine: { level: 2, since: 2_500 } });
   const after = mergeSuspects(suspect, { ...suspect, answeredAt: 3_000 });
--- a/src/node/decisions/suspicion.ts
+++ b/src/node/decisions/suspicion.ts
@@ -287,6 +287,35 @@
   return [...chooseMost(shared, ({ suspect }) => suspect.depth), ...own];
 };
 
+const listIncarnations = ({ losses }: Suspect): ReadonlySet<string> =>
+  new Set(losses.map(({ incarnation }) => incarnation));
+
+/**
+ * Finds the block that is blamed in place of a shared block that was answered before: one that comes
+ * later in the prompts, was never answered, and was lost with all the endpoints that were lost with
+ * the shared block. A block that all requests have is lost with every endpoint that crashes, and no
+ * request without it shows how many are lost by chance.
+ */
+export const findDeeperCulprit = (
+  { suspect }: SuspicionVerdict,
+  companions: readonly Suspect[],
+): Suspect | undefined => {
+  if (suspect.kind !== 'shared_block' || suspect.answeredAt === undefined) return undefined;
+  const lost = [...listIncarnations(suspect)];
+  const deeper = companions.filter(
+    (other) =>
+      other.kind === 'shared_block' &&
+      other.depth > suspect.depth &&
+      other.answeredAt === undefined &&
+      other.quarantine === undefined &&
+      lost.every((incarnation) => listIncarnations(other).has(incarnation)),
+  );
+  return chooseMost(
+    chooseMost(deeper, ({ losses }) => losses.length),
+    ({ depth }) => depth,
+  )[0];
+};
+
 /** Computes the time from a probe to the next one, in milliseconds. */
 export const computeHoldMs = ({ level }: Quarantine): number =>
   Math.min(MAX_HOLD_MS, FIRST_HOLD_MS * HOLD_FACTOR ** (level - 1));
--- a/src/node/gateway/requestQuarantine.ts
+++ b/src/node/gateway/requestQuarantine.ts
@@ -1,18 +1,16 @@
 import {
-  chooseCulprits,
   computeHoldMs,
   createSuspect,
-  judgeSuspect,
   MAX_COMPANIONS,
   mergeSuspects,
   type EndpointLoss,
   type Suspect,
-  type SuspicionVerdict,
 } from '../decisions';
 import type { Logger } from '../log';
 import { formatSuspectKey } from '../routingControl';
 import { createAnsweredKeys } from './answeredKeys';
 import { createAttemptHistory } from './attemptHistory';
+import { createSuspectJudge } from './suspectJudge';
 import type { SuspectTable } from './suspectTable';
 import type { PromptBlock } from './types';
 
@@ -45,7 +43,7 @@
   readonly recordLoss: (request: ServiceRequest, requestId: string, loss: AttemptLoss) => void;
   /** Merges records of other gateways. */
   readonly applyPeerSuspects: (suspects: readonly Suspect[]) => void;
-  /** Lists the quarantines that apply to a request. */
+  /** Lists the quarantines that apply to a request, those of its blocks in their order. */
   readonly listHolds: (request: ServiceRequest) => readonly QuarantineHold[];
   /** Removes old records. */
   readonly expire: () => void;
@@ -83,36 +81,7 @@
   const answered = createAnsweredKeys();
   const history = createAttemptHistory();
 
-  const listVerdicts = (keys: readonly string[]): readonly SuspicionVerdict[] =>
-    keys.flatMap((key) => {
-      const suspect = suspects.find(key);
-      if (!suspect) return [];
-      const quarantined = suspects.listQuarantined(suspect.service);
-      const counts = history.countOthers(suspect.service, key, readNow());
-      const verdict = judgeSuspect({ suspect, quarantined, ...counts });
-      return verdict ? [verdict] : [];
-    });
-
-  const startQuarantine = ({ suspect, losses, needed, isAnswering }: SuspicionVerdict): void => {
-    const { service, kind, id, answeredAt } = suspect;
-    const key = formatSuspectKey(suspect);
-    const counts = history.countOthers(service, key, readNow());
-    const answeredAgeMs = answeredAt === undefined ? undefined : Math.round(readNow() - answeredAt);
-    log.warn(
-      { service, kind, id, losses, needed, isAnswering, ...counts, answeredAgeMs },
-      'quarantine started: such requests take endpoints down',
-    );
-    suspects.update(key, { ...suspect, quarantine: { level: 1, since: readNow() } }, true);
-  };
-
-  // A quarantined suspect explains losses of others, so these are judged again after each round.
-  const judge = (keys: readonly string[]): void => {
-    let verdicts = listVerdicts(keys);
-    while (verdicts.length > 0) {
-      chooseCulprits(verdicts).forEach(startQuarantine);
-      verdicts = listVerdicts(keys);
-    }
-  };
+  const judge = createSuspectJudge({ ...options, history });
 
   const applyPeerSuspect = (received: Suspect): string => {
     const key = formatSuspectKey(received);
