Check the ends of close-delimited responses in one module

Bodies and streams asked the same questions in two places. A stream whose end is not confirmed now also counts as survived if its process goes on; before, a short one neither cleared nor accused its prompt blocks. Behaviour is otherwise as before; the tables pass unchanged.

--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -73,33 +73,19 @@
   );
 };
 
-/**
- * Records that a stream ended without a sign that it is complete. Nothing speaks against its
- * endpoint, which may be asked whether more events follow.
- */
-export const recordUnconfirmedEnd = ({ deps, exchange, endpoint }: AttemptContext): void => {
-  exchange.unconfirmedEndId = exchange.lastEventId;
-  exchange.reason = 'nothing shows that the close-delimited stream is complete';
-  deps.metrics.attempts.inc({ service: endpoint.service, result: 'unconfirmed' });
-  deps.log.info(
-    {
-      request: exchange.request.caller.requestId,
-      endpoint: endpoint.id,
-      lastEventId: exchange.lastEventId,
-    },
-    'close-delimited stream is resumed to confirm its end',
-  );
-};
-
-const createServiceRequest = ({ exchange, endpoint }: AttemptContext): ServiceRequest => ({
-  service: endpoint.service,
-  fingerprint: exchange.request.fingerprint,
-  blocks: exchange.request.caller.promptBlocks,
+/** Creates what a request is recognised by among the requests to a service. */
+export const createServiceRequest = (
+  { request }: Pick<Exchange, 'request'>,
+  service: string,
+): ServiceRequest => ({
+  service,
+  fingerprint: request.fingerprint,
+  blocks: request.caller.promptBlocks,
 });
 
 /** Records that the endpoint went on after it had begun to answer. */
-export const recordSurvival = (context: AttemptContext): void => {
-  context.deps.quarantine.recordAnswer(createServiceRequest(context));
+export const recordSurvival = ({ deps, exchange, endpoint }: AttemptContext): void => {
+  deps.quarantine.recordAnswer(createServiceRequest(exchange, endpoint.service));
 };
 
 /** Records that an attempt ended with its connection before the endpoint had survived it. */
@@ -108,7 +94,7 @@
   const incarnation = formatIncarnation(endpoint);
   const loss = { incarnation, startedAt, lostAt: deps.readNow(), isAnswering };
   deps.quarantine.recordLoss(
-    createServiceRequest(context),
+    createServiceRequest(exchange, endpoint.service),
     exchange.request.caller.requestId,
     loss,
   );
--- /dev/null
+++ b/src/node/gateway/closeDelimitedEnd.ts
@@ -0,0 +1,88 @@
+import { judgeCloseDelimitedEnd, type EndVerdict, type ProcessState } from '../decisions';
+import {
+  recordConnectionLoss,
+  recordFailure,
+  recordSurvival,
+  type AttemptContext,
+} from './attemptRecords';
+
+/** The end of a close-delimited response, as its attempt has seen it. */
+export interface ObservedEnd {
+  /** Whether the endpoint sent an event, or a body that is not a stream. */
+  readonly hasContent: boolean;
+  /** Whether it was recorded already that the endpoint survived the start of its answer. */
+  readonly hasSurvived: boolean;
+  /** Whether the caller's response is close-delimited, too. */
+  readonly isPassedOn: boolean;
+}
+
+type EndHandler = (context: AttemptContext, end: ObservedEnd, process: ProcessState) => void;
+
+// The end of a connection looks the same whether the endpoint has finished or was lost, and its
+// address may have another process at once.
+const fetchProcessAfterEnd = async (context: AttemptContext): Promise<ProcessState> => {
+  const { deps, exchange, endpoint } = context;
+  const askedAt = deps.readNow();
+  const { state, reason } = await deps.fetchProcessState(endpoint);
+  deps.log.info(
+    {
+      request: exchange.request.caller.requestId,
+      endpoint: endpoint.id,
+      endpointStartedAt: endpoint.startedAt,
+      process: state,
+      reason,
+      askedMs: Math.round(deps.readNow() - askedAt),
+      lastEventId: exchange.lastEventId,
+    },
+    'close-delimited response ended',
+  );
+  return state;
+};
+
+// Nothing speaks against the endpoint, which may be asked itself whether more events follow.
+const recordUnconfirmedEnd: EndHandler = (context, { hasSurvived }, process) => {
+  const { deps, exchange, endpoint } = context;
+  if (!hasSurvived && process === 'same') recordSurvival(context);
+  exchange.unconfirmedEndId = exchange.lastEventId;
+  exchange.reason = 'nothing shows that the close-delimited stream is complete';
+  deps.metrics.attempts.inc({ service: endpoint.service, result: 'unconfirmed' });
+  deps.log.info(
+    {
+      request: exchange.request.caller.requestId,
+      endpoint: endpoint.id,
+      lastEventId: exchange.lastEventId,
+    },
+    'close-delimited stream is resumed to confirm its end',
+  );
+};
+
+const handlers: Readonly<Record<EndVerdict, EndHandler>> = {
+  complete: () => {},
+  unconfirmed: recordUnconfirmedEnd,
+  empty: (context) =>
+    recordFailure(context, 'close-delimited stream ended before its first event', true),
+  lost: (context, { hasSurvived }) => {
+    const reason = 'the endpoint was lost at the end of a close-delimited response';
+    recordFailure(context, reason, true);
+    if (!hasSurvived) recordConnectionLoss(context, true);
+  },
+};
+
+/**
+ * Checks whether a close-delimited response may end where its connection was closed, and records
+ * why if it may not.
+ */
+export const checkCloseDelimitedEnd = async (
+  context: AttemptContext,
+  end: ObservedEnd,
+): Promise<boolean> => {
+  const { exchange } = context;
+  const process = await fetchProcessAfterEnd(context);
+  if (exchange.isFinished) return false;
+  const isRepeated =
+    exchange.lastEventId !== undefined && exchange.unconfirmedEndId === exchange.lastEventId;
+  const { hasContent, isPassedOn } = end;
+  const verdict = judgeCloseDelimitedEnd({ process, hasContent, isRepeated, isPassedOn });
+  handlers[verdict](context, end, process);
+  return verdict === 'complete';
+};
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -8,7 +8,7 @@
 import { createChoiceRequest, createModelInput } from './choiceRequest';
 import { createExchangeCompletion, FAILED_RETRY_MS } from './exchangeCompletion';
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
-import type { AttemptContext } from './attemptRecords';
+import { createServiceRequest, type AttemptContext } from './attemptRecords';
 import { relayResponse } from './relayResponse';
 import { listLoggedBlocks } from './promptBlocks';
 import type { GuardVerdict } from './requestGuard';
@@ -160,10 +160,9 @@
   { requestGuard }: ExchangeDependencies,
   exchange: Exchange,
 ): Promise<GuardVerdict> => {
-  const { route, caller, fingerprint } = exchange.request;
+  const { route, caller } = exchange.request;
   if (exchange.events > 0) return { type: 'free' };
-  const service = chooseService(route, caller);
-  const request = { service, fingerprint, blocks: caller.promptBlocks };
+  const request = createServiceRequest(exchange, chooseService(route, caller));
   return requestGuard.check(request, caller.requestId, !exchange.mayHaveRun);
 };
 
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,9 +1,4 @@
-import {
-  chooseSecondModel,
-  judgeCloseDelimitedEnd,
-  type EndVerdict,
-  type ProcessState,
-} from '../decisions';
+import { chooseSecondModel } from '../decisions';
 import { formatIncarnation } from '../registry';
 import { isRetryableRoute } from '../routing';
 import {
@@ -13,11 +8,11 @@
   recordFirstEvent,
   recordSuccess,
   recordSurvival,
-  recordUnconfirmedEnd,
   type AttemptContext,
 } from './attemptRecords';
 import { BODILESS_STATUSES, findDeclaredLength, type ReplyHead } from './callerReply';
 import { createModelInput } from './choiceRequest';
+import { checkCloseDelimitedEnd } from './closeDelimitedEnd';
 import { waitWithTimeout } from './deadline';
 import { isConnectionLoss } from './endpointAttempt';
 import { startDropWatch } from './dropWatch';
@@ -74,32 +69,6 @@
 const waitFor = <T>(promise: Promise<T>, timeoutMs: number) =>
   waitWithTimeout(promise, Math.min(MAX_TIMER_MS, timeoutMs));
 
-// The end of a connection looks the same whether the endpoint has finished or was lost, and its
-// address may have another process at once.
-const fetchProcessAfterEnd = async (context: AttemptContext): Promise<ProcessState> => {
-  const { deps, exchange, endpoint } = context;
-  const askedAt = deps.readNow();
-  const { state, reason } = await deps.fetchProcessState(endpoint);
-  deps.log.info(
-    {
-      request: exchange.request.caller.requestId,
-      endpoint: endpoint.id,
-      endpointStartedAt: endpoint.startedAt,
-      process: state,
-      reason,
-      askedMs: Math.round(deps.readNow() - askedAt),
-      lastEventId: exchange.lastEventId,
-    },
-    'close-delimited response ended',
-  );
-  return state;
-};
-
-const END_FAILURES: Readonly<Record<Exclude<EndVerdict, 'complete' | 'unconfirmed'>, string>> = {
-  lost: 'the endpoint was lost at the end of a close-delimited response',
-  empty: 'close-delimited stream ended before its first event',
-};
-
 const readFullBody = async (context: AttemptContext): Promise<Buffer | undefined> => {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -160,16 +129,9 @@
   const body = await readFullBody(context);
   if (body === undefined || exchange.isFinished) return RETRY;
   const replyHead = createReplyHead(head);
-  if (replyHead.isCloseDelimited && exchange.request.method !== 'HEAD') {
-    const process = await fetchProcessAfterEnd(context);
-    if (exchange.isFinished) return RETRY;
-    const end = { process, hasContent: true, isRepeated: false, isPassedOn: true };
-    if (judgeCloseDelimitedEnd(end) === 'lost') {
-      recordFailure(context, END_FAILURES.lost, true);
-      recordConnectionLoss(context, true);
-      return RETRY;
-    }
-  }
+  const hasEnd = !replyHead.isCloseDelimited || exchange.request.method === 'HEAD';
+  const end = { hasContent: true, hasSurvived: false, isPassedOn: true };
+  if (!hasEnd && !(await checkCloseDelimitedEnd(context, end))) return RETRY;
   if (head.status >= 500) {
     recordFailure(context, `endpoint responded with status ${head.status}`, true);
     const hasBudget = context.budget.canAcquire(deps.readNow(), context.snapshot.gatewayCount);
@@ -254,23 +216,8 @@
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
   }
-  if (head.isCloseDelimited) {
-    const process = await fetchProcessAfterEnd(context);
-    if (exchange.isFinished) return RETRY;
-    const isRepeated =
-      exchange.lastEventId !== undefined && exchange.unconfirmedEndId === exchange.lastEventId;
-    const hasContent = firstAt !== undefined;
-    const verdict = judgeCloseDelimitedEnd({ process, hasContent, isRepeated, isPassedOn });
-    if (verdict === 'unconfirmed') {
-      recordUnconfirmedEnd(context);
-      return RETRY;
-    }
-    if (verdict !== 'complete') {
-      recordFailure(context, END_FAILURES[verdict], true);
-      if (verdict === 'lost' && !hasSurvived) recordConnectionLoss(context, true);
-      return RETRY;
-    }
-  }
+  const end = { hasContent: firstAt !== undefined, hasSurvived, isPassedOn };
+  if (head.isCloseDelimited && !(await checkCloseDelimitedEnd(context, end))) return RETRY;
   recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
   if (!hasSurvived) recordSurvival(context);
   if (!reply.isStarted()) reply.start(replyHead);
