Read transfer codings by value in the agent, too

An engine's JSON body with 'Transfer-Encoding: identity' that was cut ended as complete: the same fault as at the gateway, found while the change was read again. The row of the table failed before.

--- a/src/node/agent/__tests__/engineCall.test.ts
+++ b/src/node/agent/__tests__/engineCall.test.ts
@@ -180,6 +180,13 @@
     end: closeNormally,
     isWhole: false,
   },
+  {
+    name: 'a JSON body with the identity transfer coding that is cut',
+    request: BODY_REQUEST,
+    answer: `${JSON_HEAD}transfer-encoding: identity\r\n\r\n${JSON_BODY.slice(0, -1)}`,
+    end: closeNormally,
+    isWhole: false,
+  },
   {
     name: "a service's body with a length that is cut",
     request: PLAIN_REQUEST,
--- a/src/node/agent/engineCall.ts
+++ b/src/node/agent/engineCall.ts
@@ -162,7 +162,8 @@
 };
 
 const isCloseDelimitedBody = ({ headers }: Dispatcher.ResponseData): boolean =>
-  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+  headers['content-length'] === undefined &&
+  !/chunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''));
 
 const convertHeaders = (headers: ForwardedHeaders): Record<string, string | string[]> =>
   Object.fromEntries(
--- a/src/node/gateway/endpointProcess.ts
+++ b/src/node/gateway/endpointProcess.ts
@@ -60,18 +60,14 @@
   });
   try {
     const { path, headers } = codec.encodeQuestion(endpoint.id, service);
-    const {
-      statusCode,
-      headers: raw,
-      body,
-    } = await client.request({
+    const { headers: raw, body } = await client.request({
       method: 'GET',
       path,
       headers: [...headers],
       responseHeaders: 'raw',
     });
     const text = await readDescription(body);
-    const found = codec.decodeIdentity(statusCode, convertHeaders(raw), text);
+    const found = codec.decodeIdentity(convertHeaders(raw), text);
     return { state: compareProcess(endpoint, found), reason: undefined };
   } catch (cause) {
     const state = readCode(cause) === 'ECONNREFUSED' ? 'gone' : 'unknown';
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -91,7 +91,7 @@
     endpointId: string,
     service: RoutedService | undefined,
   ) => { readonly path: string; readonly headers: RawHeaders };
-  readonly decodeIdentity: (status: number, raw: RawHeaders, body: string) => ProcessIdentity;
+  readonly decodeIdentity: (raw: RawHeaders, body: string) => ProcessIdentity;
 }
 
 /** Status and decoded headers of an endpoint's response. */
