--- a/src/node/agent/__tests__/engineCall.test.ts
+++ b/src/node/agent/__tests__/engineCall.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
-import test from 'ava';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import type { Pool } from 'undici';
 import type { AttemptRequest } from '../../shared';
 import { createAttempt } from '../attempt';
 import { callEngine, type EngineTarget } from '../engineCall';
@@ -61,6 +62,18 @@
   });
 }
 
+/** Lets an engine listen, and creates an agent's connections to it. */
+const startPool = async (t: ExecutionContext, server: Server): Promise<Pool> => {
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const pool = createEnginePool(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  t.teardown(async () => {
+    await pool.destroy();
+    server.close();
+  });
+  return pool;
+};
+
 const PLAIN_REQUEST = { ...REQUEST, target: { kind: 'service' } } as unknown as AttemptRequest;
 
 const formatAnswer = (body: string): string =>
@@ -79,13 +92,7 @@
       socket.write(lastAnswer);
     });
   });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const pool = createEnginePool(`127.0.0.1:${(server.address() as AddressInfo).port}`);
-  t.teardown(async () => {
-    await pool.destroy();
-    server.close();
-  });
+  const pool = await startPool(t, server);
   for (const expected of ['answer 1', 'answer 2', 'answer 3']) {
     const attempt = createAttempt(PLAIN_REQUEST);
     await callEngine({ pool, counts: { inputTokens: 0, outputTokens: 0 } }, attempt);
@@ -212,13 +219,7 @@
         end(socket);
       });
     });
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    const pool = createEnginePool(`127.0.0.1:${(server.address() as AddressInfo).port}`);
-    t.teardown(async () => {
-      await pool.destroy();
-      server.close();
-    });
+    const pool = await startPool(t, server);
     const call = callEngine(
       { pool, counts: { inputTokens: 0, outputTokens: 0 } },
       createAttempt(request),
