--- a/src/node/replication/__tests__/fullDisks.test.ts
+++ b/src/node/replication/__tests__/fullDisks.test.ts
@@ -68,6 +68,14 @@
       );
       accepted.push(answer);
     };
+    t.teardown(async () => {
+      if (t.passed) return;
+      const exits = supervisors.map(({ countExits }) => countExits());
+      const inventories = await Promise.all(NODES.map(hosts.readInventory));
+      const states = await Promise.all(NODES.map(hosts.readStatus));
+      const facts = { accepted: accepted.length, exits, inventories, states };
+      t.log(JSON.stringify(facts));
+    });
     await commitChange(30_000, NODES);
     const others = NODES.filter((node) => node !== leader);
     const order = isLeaderFirst ? [leader, ...others] : [...others, leader];
