Give control hosts of tests ports that no outgoing connection takes

Suspected, not shown: hosts that are down for seconds lose a port of the ephemeral range to another process (the cluster tests avoid that range), or nine hosts that restart all the time starve other tests. No bound changed.

--- a/src/node/replication/__tests__/controlHosts.ts
+++ b/src/node/replication/__tests__/controlHosts.ts
@@ -1,11 +1,10 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { promisify } from 'node:util';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
+import { acquirePort } from '../../__tests__/cluster/ports';
 import { createRpcClient } from '../../rpc';
 import type { AdminStatus } from '../../shared';
 import type { GroupReplacement } from '../replicationHost';
@@ -31,21 +30,6 @@
   throw new Error(`timed out after ${limitMs} ms waiting for ${title}`);
 };
 
-const findPorts = async (count: number): Promise<readonly number[]> => {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer().listen(0, HOST, () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => (server.address() as { port: number }).port);
-  await Promise.all(servers.map((server) => promisify(server.close.bind(server))()));
-  return ports;
-};
-
 const createInventory = (revision: number) => ({
   zones: [{ name: `zone-${revision}`, region: 'region' }],
   hosts: [],
@@ -74,10 +58,8 @@
   program: readonly string[] = ['--import=tsx', 'src/node/main.ts'],
 ) => {
   const root = mkdtempSync(join(tmpdir(), 'oleanderfront-control-'));
-  const ports = await findPorts(nodes.length + spare.length);
-  const addresses = new Map(
-    [...nodes, ...spare].map((node, index) => [node, `${HOST}:${ports[index]}`]),
-  );
+  const addresses = new Map<string, string>();
+  for (const node of [...nodes, ...spare]) addresses.set(node, `${HOST}:${await acquirePort()}`);
   const running = new Map<string, ChildProcess>();
   const rpc = createRpcClient({ secret: OPERATOR_SECRET });
   const internal = createRpcClient({ secret: INTERNAL_SECRET });
