Give the test of a second answer its single connection back

My set-up for the rows of broken-off answers had replaced a pool of one connection by one of 256, and so let the next call take another one: the check could pass without the rule. The pool takes its size as a parameter, and the test asks for one again. CONNECT_TIMEOUT_MS has no other user and is no longer exported.

--- a/src/node/agent/__tests__/engineCall.test.ts
+++ b/src/node/agent/__tests__/engineCall.test.ts
@@ -62,11 +62,11 @@
   });
 }
 
-/** Lets an engine listen, and creates an agent's connections to it. */
+/** Lets an engine listen, and creates an agent's one connection to it. */
 const startPool = async (t: ExecutionContext, server: Server): Promise<Pool> => {
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
-  const pool = createEnginePool(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  const pool = createEnginePool(`127.0.0.1:${(server.address() as AddressInfo).port}`, 1);
   t.teardown(async () => {
     await pool.destroy();
     server.close();
--- a/src/node/agent/enginePool.ts
+++ b/src/node/agent/enginePool.ts
@@ -6,10 +6,10 @@
 const RESET_CODE = 'ERR_ENGINE_RESET';
 
 /** Creates the connections of an agent to one engine or plain service. */
-export const createEnginePool = (address: string): Pool => {
+export const createEnginePool = (address: string, connections = MAX_ENGINE_CONNECTIONS): Pool => {
   const connect = buildConnector({});
   return new Pool(`http://${address}`, {
-    connections: MAX_ENGINE_CONNECTIONS,
+    connections,
     connect: (options, callback) =>
       connect(options, (...[failure, socket]) => {
         // The client ends a close-delimited body at ECONNRESET as if the body were complete.
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -26,7 +26,7 @@
  * Connect timeout before another endpoint is tried, in milliseconds; much longer than the network
  * latency.
  */
-export const CONNECT_TIMEOUT_MS = 400;
+const CONNECT_TIMEOUT_MS = 400;
 /** Retry delay without a lease, in milliseconds; the lease is probably renewed by then. */
 const NO_LEASE_RETRY_MS = 300;
 
