Show what callers get of answers whose endpoint does not say who it is

What callers may see: a body without a length or chunks that was cut off looks complete when the process at its endpoint's address does not say who it is, even where another endpoint could be asked.

Six more paths follow the record of the incident: a resumable stream whose first attempt ended before its first event, with and without a retry left. Where a retry is left, a second attempt without an event is also the second loss of an endpoint, and the request may be refused as one that endpoints do not survive.

No row, bound or expectation of the table was relaxed; 'isRunning' became a state of three values, with the same meaning for its two old values.

--- a/src/node/gateway/__tests__/brokenOffAnswers.test.ts
+++ b/src/node/gateway/__tests__/brokenOffAnswers.test.ts
@@ -7,7 +7,7 @@
   type RouteFields,
   type SocketAnswer,
 } from './harness';
-import { closeByReset, createAnswer, ECHO, LONG_DEADLINE, PAUSE_MS } from './socketAnswers';
+import { close, closeByReset, createAnswer, ECHO, LONG_DEADLINE, PAUSE_MS } from './socketAnswers';
 
 /** How an answer's bytes are delimited. */
 interface Framing {
@@ -123,8 +123,8 @@
 interface Next {
   readonly name: string;
   readonly apply: (stopListening: () => void, replace: NonNullable<ProcessChange>) => void;
-  /** Whether the process that answered is shown to be still running. */
-  readonly isRunning: boolean;
+  /** What can be found out about the process that answered. */
+  readonly state: 'running' | 'lost' | 'unknown';
 }
 
 const replaceWith =
@@ -132,20 +132,49 @@
   (_stopListening, replace) =>
     replace(process);
 
-const goesOn: Next = { name: 'goes on', apply: () => {}, isRunning: true };
+const sendText =
+  (text: string) =>
+  (socket: Socket): void => {
+    socket.end(text);
+  };
+
+/** What a process does that is asked who it is and does not say it. */
+const silentDescriptions: readonly {
+  readonly name: string;
+  readonly send: (socket: Socket) => void;
+}[] = [
+  { name: 'resets the question', send: closeByReset },
+  { name: 'closes the question', send: sendText('') },
+  { name: 'does not answer the question', send: () => {} },
+  {
+    name: 'is too busy for the question',
+    send: sendText('HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n'),
+  },
+  {
+    name: 'answers the question without saying who it is',
+    send: sendText('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'),
+  },
+];
+
+const goesOn: Next = { name: 'goes on', apply: () => {}, state: 'running' };
 const nexts: readonly Next[] = [
   goesOn,
-  { name: 'refuses connections', apply: (stopListening) => stopListening(), isRunning: false },
+  { name: 'refuses connections', apply: (stopListening) => stopListening(), state: 'lost' },
   {
     name: 'is replaced by another process at its address',
     apply: replaceWith({ id: 'e-other', startedAt: 2 }),
-    isRunning: false,
+    state: 'lost',
   },
   {
     name: 'starts again under its id',
     apply: replaceWith({ startedAt: 2 }),
-    isRunning: false,
+    state: 'lost',
   },
+  ...silentDescriptions.map(({ name, send }) => ({
+    name,
+    apply: replaceWith({ sendDescription: send }),
+    state: 'unknown' as const,
+  })),
 ];
 
 /** How the connection of an answer ends. */
@@ -190,10 +219,18 @@
   readonly after?: SocketAnswer;
   /** Text that the caller has from the answers before. */
   readonly prefix?: string;
+  /**
+   * Whether the attempt before counts as the loss of its endpoint. After another one, the request is
+   * refused as one that endpoints do not survive.
+   */
+  readonly isSuspect?: boolean;
   /** Text of a whole answer. */
   readonly whole: string;
 }
 
+/** Limit for the answer of a process that does not say who it is, in milliseconds. */
+const UNANSWERED_MS = 300;
+
 const STREAM_TYPE = 'Content-Type: text/event-stream\r\n';
 const OK = `HTTP/1.1 200 OK\r\n${ECHO}\r\n`;
 const STREAM: RouteFields = { kind: 'stream', canResume: true };
@@ -210,6 +247,25 @@
   closeByReset,
 );
 
+/** First attempts that end before their first complete event. */
+const eventlessAttempts: readonly { readonly name: string; readonly send: SocketAnswer }[] = [
+  {
+    name: 'a torn event in chunks',
+    send: createAnswer(
+      `${OK}${STREAM_TYPE}${CHUNKED}\r\n${formatChunks('id: 1\nda', false)}`,
+      closeByReset,
+    ),
+  },
+  {
+    name: 'a torn event without a length or chunks',
+    send: createAnswer(`${OK}${STREAM_TYPE}\r\nid: 1\nda`, close),
+  },
+  {
+    name: 'a head',
+    send: createAnswer(`${OK}${STREAM_TYPE}${CHUNKED}\r\n`, closeByReset),
+  },
+];
+
 const text = { isStream: false, bodies: textBodies, whole: WHOLE_TEXT };
 const stream = { isStream: true, bodies: createStreamBodies(1), whole: formatEvents(1, 4) };
 const resumed = {
@@ -252,6 +308,23 @@
     route: { ...STREAM, attemptLimit: 2 },
     after: sendGoodStream,
   },
+  ...eventlessAttempts.flatMap(({ name, send }): readonly RelayPath[] => [
+    {
+      ...stream,
+      name: `a stream with a retry left after ${name}`,
+      route: STREAM,
+      before: send,
+      isSuspect: true,
+      after: sendGoodStream,
+    },
+    {
+      ...stream,
+      name: `a stream without a retry left after ${name}`,
+      route: { ...STREAM, attemptLimit: 2 },
+      before: send,
+      after: sendGoodStream,
+    },
+  ]),
 ];
 
 const isFramedReply = ({ headers }: CallerResult): boolean =>
@@ -270,9 +343,15 @@
 const listCombinations = (bodies: readonly SentBody[]): readonly Combination[] =>
   bodies.flatMap((body) => ends.flatMap((end) => end.nexts.map((next) => ({ body, end, next }))));
 
+const canRetry = ({ after, route, before }: RelayPath): boolean =>
+  after !== undefined &&
+  (route.kind === undefined || route.canResume === true) &&
+  (route.attemptLimit ?? Infinity) > (before ? 2 : 1);
+
 // A body's length and its last chunk show its end whatever happens to the connection after them.
 // Without them, an endpoint that goes on may have closed the connection at any byte: such a stream is
-// resumed to confirm its end, or passed on as it came if it cannot be.
+// resumed to confirm its end, or passed on as it came if it cannot be. What an unknown process sent
+// is passed on only if no other endpoint can be asked.
 const isWholeAnswer = (
   framing: Framing,
   path: RelayPath,
@@ -281,7 +360,8 @@
   const isTorn = path.isStream && body.isTorn === true;
   if (framing.isCoded) return false;
   if (framing.isFramed) return body.name === 'whole';
-  return !isTorn && !end.isBroken && next.isRunning && !isChunkedReply(framing, path);
+  const isPassedOn = next.state === 'running' || (next.state === 'unknown' && !canRetry(path));
+  return !isTorn && !end.isBroken && isPassedOn && !isChunkedReply(framing, path);
 };
 
 const createTestedAnswer = (
@@ -308,11 +388,6 @@
   };
 };
 
-const canRetry = ({ after, route, before }: RelayPath): boolean =>
-  after !== undefined &&
-  (route.kind === undefined || route.canResume === true) &&
-  (route.attemptLimit ?? Infinity) > (before ? 2 : 1);
-
 const findFault = (
   framing: Framing,
   path: RelayPath,
@@ -327,6 +402,7 @@
   }
   const sent = `${path.prefix ?? ''}${combination.body.text}`;
   const expected = isWholeAnswer(framing, path, combination) ? sent : path.whole;
+  if (canRetry(path) && path.isSuspect && !isSuccess) return undefined;
   if (isWholeAnswer(framing, path, combination) || canRetry(path)) {
     return isSuccess && body === expected ? undefined : 'no complete answer';
   }
@@ -340,7 +416,9 @@
 ): Promise<readonly string[]> => {
   const tested = createTestedAnswer(framing, path, combination);
   const answers = [path.before, tested, path.after].filter((answer) => answer !== undefined);
-  const gateway = await startGateway({ ...SLOW, ...path.route }, answers);
+  const gateway = await startGateway({ ...SLOW, ...path.route }, answers, {
+    processTimeoutMs: combination.next.state === 'unknown' ? UNANSWERED_MS : undefined,
+  });
   try {
     const result = await gateway.call({ method: 'POST', body: '{}', ...LONG_DEADLINE });
     const fault = findFault(framing, path, combination, result);
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -37,6 +37,8 @@
   readonly id: string;
   /** Unix time of the start in milliseconds. */
   readonly startedAt: number;
+  /** Responds to the question which process it is. */
+  readonly sendDescription: (socket: Socket, process: EndpointProcess) => void;
 }
 
 /**
@@ -85,6 +87,8 @@
   /** Called before a request of a session is placed. */
   readonly bindUnknown?: () => Promise<void>;
   readonly hasLease?: () => boolean;
+  /** Limit for the answer of a process that is asked who it is, in milliseconds. */
+  readonly processTimeoutMs?: number;
 }
 
 /** Fields of a test's route that replace the defaults. */
@@ -166,7 +170,7 @@
 /** Requests about the endpoint itself; endpoints answer them without running anything. */
 const SELF_REQUEST = /^GET \/(?:report|health) /;
 
-const sendProcess = (socket: Socket, { id, startedAt }: EndpointProcess): void => {
+const sendDescription: EndpointProcess['sendDescription'] = (socket, { id, startedAt }) => {
   const body = JSON.stringify({ born: startedAt });
   socket.end(
     `HTTP/1.1 200 OK\r\nX-Instance-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
@@ -175,14 +179,14 @@
 
 const startEndpoint = async (answer: SocketAnswer, heads: string[], id: string) => {
   const sockets = new Set<Socket>();
-  let process: EndpointProcess = { id, startedAt: STARTED_AT };
+  let process: EndpointProcess = { id, startedAt: STARTED_AT, sendDescription };
   const server = createNetServer({ allowHalfOpen: true }, (socket) => {
     sockets.add(socket);
     socket.on('error', () => {});
     socket.once('data', (data) => {
       const head = data.toString('latin1');
       if (SELF_REQUEST.test(head)) {
-        sendProcess(socket, process);
+        process.sendDescription(socket, process);
         return;
       }
       heads.push(head);
@@ -226,7 +230,11 @@
 export const startGateway = async (
   fields: RouteFields,
   answers: readonly SocketAnswer[],
-  { bindUnknown = async () => {}, hasLease = () => true }: GatewayOverrides = {},
+  {
+    bindUnknown = async () => {},
+    hasLease = () => true,
+    processTimeoutMs = PROCESS_TIMEOUT_MS,
+  }: GatewayOverrides = {},
 ): Promise<GatewayHarness> => {
   const heads: string[][] = answers.map(() => []);
   const endpoints = await Promise.all(
@@ -314,7 +322,7 @@
         identityCodec,
         endpoint,
         snapshot.table.findService(endpoint.service),
-        PROCESS_TIMEOUT_MS,
+        processTimeoutMs,
       ),
     readNow,
   });
