Ask another endpoint for an answer whose endpoint does not say who it is

What callers saw: a body without a length or chunks that was cut off, as if it were whole, although another endpoint could have been asked.

Cause: a process that does not say who it is counted as one that goes on. One that has just crashed does exactly that (a backlog that still accepts, then a reset); so does one that is full.

Now such a body is requested again where the route allows it and the retry budget has room. If no other endpoint can be asked (all full, declined, no budget), the first answer is sent as it came, without a length or chunks: a full endpoint is the likelier reason, and withholding sound answers under load would hurt callers most. If another endpoint runs the request and fails, nothing is sent but 502. A request that may run only once is passed on as it came: its caller could not repeat it.

Weighed: a reset in all cases loses sound answers of full endpoints; a length or chunks would claim more than the endpoint did.

--- a/src/node/decisions/__tests__/closeDelimitedEnd.test.ts
+++ b/src/node/decisions/__tests__/closeDelimitedEnd.test.ts
@@ -10,6 +10,7 @@
   hasContent: true,
   isRepeated: false,
   isPassedOn: false,
+  canRetry: false,
 };
 
 const cases: readonly {
@@ -24,6 +25,21 @@
     verdict: 'unconfirmed',
   },
   { name: 'after events, passed on as it is', end: { isPassedOn: true }, verdict: 'complete' },
+  {
+    name: 'of a body whose endpoint does not say who it is, with another endpoint to ask',
+    end: { process: 'unknown', isPassedOn: true, canRetry: true },
+    verdict: 'doubtful',
+  },
+  {
+    name: 'of a body whose endpoint does not say who it is, without another endpoint to ask',
+    end: { process: 'unknown', isPassedOn: true },
+    verdict: 'complete',
+  },
+  {
+    name: 'of a body whose endpoint goes on, with another endpoint to ask',
+    end: { isPassedOn: true, canRetry: true },
+    verdict: 'complete',
+  },
   {
     name: 'of an endpoint whose address has another process',
     end: { process: 'replaced', isPassedOn: true },
--- a/src/node/decisions/closeDelimitedEnd.ts
+++ b/src/node/decisions/closeDelimitedEnd.ts
@@ -14,13 +14,16 @@
   readonly isRepeated: boolean;
   /** Whether the caller's response ends with its connection too, and so states no more. */
   readonly isPassedOn: boolean;
+  /** Whether another endpoint may be sent the whole request. */
+  readonly canRetry: boolean;
 }
 
 /**
  * What such an end shows: that the response is `complete` as far as the caller is told, that its
- * endpoint was `lost`, that it broke off before it began (`empty`), or nothing (`unconfirmed`).
+ * endpoint was `lost`, that it broke off before it began (`empty`), or nothing: then a stream is
+ * resumed (`unconfirmed`), and a body is replaced with another endpoint's (`doubtful`).
  */
-export type EndVerdict = 'complete' | 'lost' | 'empty' | 'unconfirmed';
+export type EndVerdict = 'complete' | 'lost' | 'empty' | 'unconfirmed' | 'doubtful';
 
 const LOST_STATES: ReadonlySet<ProcessState> = new Set(['replaced', 'gone']);
 
@@ -33,8 +36,10 @@
   hasContent,
   isRepeated,
   isPassedOn,
+  canRetry,
 }: CloseDelimitedEnd): EndVerdict => {
   if (LOST_STATES.has(process)) return 'lost';
   if (!hasContent) return isRepeated && process === 'same' ? 'complete' : 'empty';
-  return isPassedOn ? 'complete' : 'unconfirmed';
+  if (!isPassedOn) return 'unconfirmed';
+  return process === 'unknown' && canRetry ? 'doubtful' : 'complete';
 };
--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -36,6 +36,10 @@
   closeByReset,
 );
 const closeDelimitedLost = createLastAnswer(closeDelimited);
+const closeDelimitedUnknown: SocketAnswer = (socket, head, stopListening, replaceProcess) => {
+  replaceProcess({ sendDescription: closeByReset });
+  closeDelimited(socket, head, stopListening, replaceProcess);
+};
 const mismatched = createAnswer(formatFramed('200 OK', 'other', 'X-Request-Id: id-0'));
 const encoded = createAnswer(formatFramed('200 OK', 'zzz', `${ECHO}\r\nContent-Encoding: gzip`));
 
@@ -219,6 +223,30 @@
     status: 502,
     requestCounts: [1],
   },
+  {
+    name: 'response of an endpoint that does not say who it is is requested from another one',
+    route: SAFE,
+    answers: [closeDelimitedUnknown, good],
+    status: 200,
+    body: 'good',
+    requestCounts: [1, 1],
+  },
+  {
+    name: 'response of an endpoint that does not say who it is stays as it came if others decline',
+    route: SAFE,
+    answers: [closeDelimitedUnknown, declining],
+    status: 200,
+    body: 'half',
+    requestCounts: [1, 1],
+    hasLength: false,
+  },
+  {
+    name: 'response of an endpoint that does not say who it is is not sent if another one fails',
+    route: SAFE,
+    answers: [closeDelimitedUnknown, truncated],
+    status: 502,
+    requestCounts: [1, 1],
+  },
   {
     name: 'endpoint that does not respond, on a retryable route',
     route: { ...SAFE, ...LONG_ROUTE_TIMEOUT, targetLatencyMs: 300 },
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -51,7 +51,10 @@
   const now = deps.readNow();
   exchange.tried.add(endpoint.id);
   exchange.reason = reason;
-  if (mayHaveRun) exchange.mayHaveRun = true;
+  if (mayHaveRun) {
+    exchange.mayHaveRun = true;
+    exchange.doubtfulAnswer = undefined;
+  }
   deps.metrics.attempts.inc({ service: endpoint.service, result: 'failed' });
   deps.loads.recordOutcome(endpoint.id, 'failed', now);
   if (mayHaveRun) deps.tallies.record(createTallyKey(context), { type: 'failed' });
--- a/src/node/gateway/closeDelimitedEnd.ts
+++ b/src/node/gateway/closeDelimitedEnd.ts
@@ -14,6 +14,8 @@
   readonly hasSurvived: boolean;
   /** Whether the caller's response is close-delimited, too. */
   readonly isPassedOn: boolean;
+  /** Whether another endpoint may be sent the whole request. */
+  readonly canRetry: boolean;
 }
 
 type EndHandler = (context: AttemptContext, end: ObservedEnd, process: ProcessState) => void;
@@ -56,9 +58,21 @@
   );
 };
 
+// An endpoint that was just lost and one that is full are alike in that neither says who it is.
+const recordDoubtfulEnd: EndHandler = ({ deps, exchange, endpoint }) => {
+  exchange.tried.add(endpoint.id);
+  exchange.reason = 'the endpoint of a close-delimited response did not say who it is';
+  deps.metrics.attempts.inc({ service: endpoint.service, result: 'doubtful' });
+  deps.log.info(
+    { request: exchange.request.caller.requestId, endpoint: endpoint.id },
+    'close-delimited response is requested from another endpoint',
+  );
+};
+
 const handlers: Readonly<Record<EndVerdict, EndHandler>> = {
   complete: () => {},
   unconfirmed: recordUnconfirmedEnd,
+  doubtful: recordDoubtfulEnd,
   empty: (context) =>
     recordFailure(context, 'close-delimited stream ended before its first event', true),
   lost: (context, { hasSurvived }) => {
@@ -70,19 +84,18 @@
 
 /**
  * Checks whether a close-delimited response may end where its connection was closed, and records
- * why if it may not.
+ * why if it may not. Undefined if the request ended meanwhile.
  */
 export const checkCloseDelimitedEnd = async (
   context: AttemptContext,
   end: ObservedEnd,
-): Promise<boolean> => {
+): Promise<EndVerdict | undefined> => {
   const { exchange } = context;
   const process = await fetchProcessAfterEnd(context);
-  if (exchange.isFinished) return false;
+  if (exchange.isFinished) return undefined;
   const isRepeated =
     exchange.lastEventId !== undefined && exchange.unconfirmedEndId === exchange.lastEventId;
-  const { hasContent, isPassedOn } = end;
-  const verdict = judgeCloseDelimitedEnd({ process, hasContent, isRepeated, isPassedOn });
+  const verdict = judgeCloseDelimitedEnd({ ...end, process, isRepeated });
   handlers[verdict](context, end, process);
-  return verdict === 'complete';
+  return verdict;
 };
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -40,6 +40,7 @@
   dropped: undefined,
   secondModel: undefined,
   confidence: undefined,
+  doubtfulAnswer: undefined,
   unconfirmedEndId: undefined,
   lastEventId: request.caller.lastEventId,
   firstByteAt: undefined,
--- a/src/node/gateway/exchangeCompletion.ts
+++ b/src/node/gateway/exchangeCompletion.ts
@@ -83,6 +83,12 @@
 
   // A request may be reported as refused only if it has certainly not run.
   const settleWithoutResponse = (exchange: Exchange, retryAfterMs: number): void => {
+    const { doubtfulAnswer } = exchange;
+    if (doubtfulAnswer) {
+      const { head, body } = doubtfulAnswer;
+      if (settle(exchange, 'answered', head.status)) exchange.reply.send(head, body);
+      return;
+    }
     if (exchange.mayHaveRun) refuse(exchange, 502);
     else refuse(exchange, 503, retryAfterMs);
   };
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -2,7 +2,7 @@
 import type { EndpointReport } from '../registry';
 import type { RouteTable, RoutedOrganisation, Route } from '../routing';
 import type { WindowBudget } from '../decisions';
-import type { CallerReply } from './callerReply';
+import type { CallerReply, ReplyHead } from './callerReply';
 import type { EndpointChooser } from './endpointChoice';
 import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
@@ -68,6 +68,12 @@
   readonly readNow: () => number;
 }
 
+/** A close-delimited answer of an endpoint that did not say who it is. */
+export interface DoubtfulAnswer {
+  readonly head: ReplyHead;
+  readonly body: Buffer;
+}
+
 /** The state of one request across its attempts. */
 export interface Exchange {
   readonly request: AdmittedRequest;
@@ -83,6 +89,8 @@
   secondModel: string | undefined;
   /** Confidence that the model gave for the latest answer, if any. */
   confidence: number | undefined;
+  /** Sent to the caller as it came if no other endpoint can be asked. */
+  doubtfulAnswer: DoubtfulAnswer | undefined;
   /** Id of the last event of an attempt that ended without a sign that the stream is complete. */
   unconfirmedEndId: string | undefined;
   /** Id of the last event that the caller has received. */
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -52,6 +52,10 @@
 };
 
 // There is no timeout when a retry is not allowed, because giving up early gains nothing.
+const canRepeat = (context: AttemptContext): boolean =>
+  hasRetryLeft(context) &&
+  context.budget.canAcquire(context.deps.readNow(), context.snapshot.gatewayCount);
+
 const computeResponseTimeoutMs = (context: AttemptContext): number =>
   hasRetryLeft(context)
     ? RESPONSE_TIMEOUT_FACTOR * context.exchange.request.route.targetLatencyMs
@@ -130,12 +134,16 @@
   if (body === undefined || exchange.isFinished) return RETRY;
   const replyHead = createReplyHead(head);
   const hasEnd = !replyHead.isCloseDelimited || exchange.request.method === 'HEAD';
-  const end = { hasContent: true, hasSurvived: false, isPassedOn: true };
-  if (!hasEnd && !(await checkCloseDelimitedEnd(context, end))) return RETRY;
+  if (!hasEnd) {
+    const canRetry = canRepeat(context);
+    const end = { hasContent: true, hasSurvived: false, isPassedOn: true, canRetry };
+    const verdict = await checkCloseDelimitedEnd(context, end);
+    if (verdict === 'doubtful') exchange.doubtfulAnswer = { head: replyHead, body };
+    if (verdict !== 'complete') return RETRY;
+  }
   if (head.status >= 500) {
     recordFailure(context, `endpoint responded with status ${head.status}`, true);
-    const hasBudget = context.budget.canAcquire(deps.readNow(), context.snapshot.gatewayCount);
-    if (hasRetryLeft(context) && hasBudget) return RETRY;
+    if (canRepeat(context)) return RETRY;
   } else {
     recordSuccess(context, deps.readNow() - startedAt);
     recordSurvival(context);
@@ -216,8 +224,11 @@
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
   }
-  const end = { hasContent: firstAt !== undefined, hasSurvived, isPassedOn };
-  if (head.isCloseDelimited && !(await checkCloseDelimitedEnd(context, end))) return RETRY;
+  if (head.isCloseDelimited) {
+    const hasContent = firstAt !== undefined;
+    const end = { hasContent, hasSurvived, isPassedOn, canRetry: false };
+    if ((await checkCloseDelimitedEnd(context, end)) !== 'complete') return RETRY;
+  }
   recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
   if (!hasSurvived) recordSurvival(context);
   if (!reply.isStarted()) reply.start(replyHead);
