Ask a process again that turned away the question who it is

Cause: one question decided. A process that has just ended may still accept a connection and reset it; one that is full resets it or answers 503. Both say something else 50 ms later. An answer 421 to the question, which names the expected process, was not read at all.

Evidence: five of eight rows of endpointProcess.test.ts red before, none now.

--- a/src/node/gateway/__tests__/endpointProcess.test.ts
+++ b/src/node/gateway/__tests__/endpointProcess.test.ts
@@ -1,10 +1,13 @@
+import { createServer, type AddressInfo, type Socket } from 'node:net';
 import test from 'ava';
 import { identityCodec } from '../../../../platform/identity';
-import { compareProcess } from '../endpointProcess';
+import { compareProcess, fetchProcessState } from '../endpointProcess';
+import { createReport } from './harness';
+import { closeByReset } from './socketAnswers';
 
 const ENDPOINT = { id: 'e-1', startedAt: 5 };
 
-const cases = [
+const descriptions = [
   {
     name: 'the same id and start',
     raw: ['X-Instance-Id', 'e-1'],
@@ -30,8 +33,86 @@
   { name: 'a start that is no number', raw: [], body: '{"born":"5"}', state: 'unknown' },
 ] as const;
 
-for (const { name, raw, body, state } of cases) {
+for (const { name, raw, body, state } of descriptions) {
   test(`the process at an address describes itself with ${name}`, (t) => {
-    t.is(compareProcess(ENDPOINT, identityCodec.decodeIdentity([...raw], body)), state);
+    t.is(compareProcess(ENDPOINT, identityCodec.decodeIdentity(200, [...raw], body)), state);
+  });
+}
+
+type Answer = (socket: Socket) => void;
+
+const sendText =
+  (text: string): Answer =>
+  (socket) => {
+    socket.end(text);
+  };
+const formatAnswer = (status: string, headers: string, body = ''): string =>
+  `HTTP/1.1 ${status}\r\n${headers}Content-Length: ${body.length}\r\n\r\n${body}`;
+const identify = sendText(formatAnswer('200 OK', 'X-Instance-Id: e-1\r\n', '{"born":5}'));
+const sendNothing: Answer = () => {};
+const turnAway = sendText(formatAnswer('503 Service Unavailable', ''));
+
+const TIMEOUT_MS = 1_000;
+
+/** Answers to the questions in turn; nothing accepts connections after the last one. */
+const questions: readonly {
+  readonly name: string;
+  readonly answers: readonly Answer[];
+  readonly state: string;
+  readonly asked: number;
+}[] = [
+  { name: 'says who it is', answers: [identify], state: 'same', asked: 1 },
+  { name: 'has just ended', answers: [closeByReset], state: 'gone', asked: 1 },
+  {
+    name: 'is at its connection limit for a moment',
+    answers: [closeByReset, identify],
+    state: 'same',
+    asked: 2,
+  },
+  { name: 'is full for a moment', answers: [turnAway, identify], state: 'same', asked: 2 },
+  {
+    name: 'stays full',
+    answers: [turnAway, turnAway, turnAway, turnAway],
+    state: 'unknown',
+    asked: 3,
+  },
+  { name: 'does not answer', answers: [sendNothing, identify], state: 'unknown', asked: 1 },
+  {
+    name: 'answers without saying who it is',
+    answers: [sendText(formatAnswer('200 OK', '', '{}')), identify],
+    state: 'unknown',
+    asked: 1,
+  },
+  {
+    name: 'says that it is another one',
+    answers: [sendText(formatAnswer('421 Misdirected Request', '')), identify],
+    state: 'replaced',
+    asked: 1,
+  },
+];
+
+for (const { name, answers, state, asked } of questions) {
+  test(`a process that ${name} is found to be ${state}`, async (t) => {
+    const sockets = new Set<Socket>();
+    let count = 0;
+    const server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on('error', () => {});
+      const answer = answers[count]!;
+      count += 1;
+      if (count === answers.length) server.close();
+      socket.once('data', () => answer(socket));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => {
+      sockets.forEach((socket) => socket.destroy());
+      server.close();
+    });
+    const { port } = server.address() as AddressInfo;
+    const endpoint = { ...createReport(0, port), ...ENDPOINT };
+    const found = await fetchProcessState(identityCodec, endpoint, undefined, TIMEOUT_MS);
+    t.deepEqual({ state: found.state, asked: count }, { state, asked });
   });
 }
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -153,7 +153,8 @@
 
 const formatId = (index: number): string => `e-${index}`;
 
-const createReport = (index: number, port: number): EndpointReport => ({
+/** Creates the report of a test endpoint. */
+export const createReport = (index: number, port: number): EndpointReport => ({
   id: formatId(index),
   startedAt: STARTED_AT,
   sequence: 1,
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -82,6 +82,8 @@
   readonly id: string | undefined;
   /** Unix time of the start in milliseconds. */
   readonly startedAt: number | undefined;
+  /** Whether the process says that it is not the endpoint that was asked. */
+  readonly isOther: boolean;
 }
 
 /** Asks processes which endpoint they are, in the words of a deployment. */
@@ -91,7 +93,7 @@
     endpointId: string,
     service: RoutedService | undefined,
   ) => { readonly path: string; readonly headers: RawHeaders };
-  readonly decodeIdentity: (raw: RawHeaders, body: string) => ProcessIdentity;
+  readonly decodeIdentity: (status: number, raw: RawHeaders, body: string) => ProcessIdentity;
 }
 
 /** Status and decoded headers of an endpoint's response. */
