--- a/src/node/gateway/__tests__/brokenOffAnswers.test.ts
+++ b/src/node/gateway/__tests__/brokenOffAnswers.test.ts
@@ -7,84 +7,10 @@
   type RouteFields,
   type SocketAnswer,
 } from './harness';
+import { CHUNKED, formatChunks, framings, type Framing } from './framings';
+import { silentDescriptions } from './silentDescriptions';
 import { close, closeByReset, createAnswer, ECHO, LONG_DEADLINE, PAUSE_MS } from './socketAnswers';
 
-/** How an answer's bytes are delimited. */
-interface Framing {
-  readonly name: string;
-  readonly version?: string;
-  readonly createHead: (length: number) => string;
-  /** Text that is sent for a body, with its end if the endpoint sends the whole body. */
-  readonly formatBody: (text: string, isWhole: boolean) => string;
-  /** Whether the framing shows where the body ends. */
-  readonly isFramed: boolean;
-  /** Whether callers could not read the body, because it has a coding that nobody asked for. */
-  readonly isCoded?: boolean;
-}
-
-const formatChunks = (text: string, isWhole: boolean): string =>
-  `${text && `${text.length.toString(16)}\r\n${text}\r\n`}${isWhole ? '0\r\n\r\n' : ''}`;
-const formatPlain = (text: string): string => text;
-
-const CHUNKED = 'Transfer-Encoding: chunked\r\n';
-const CLOSING = 'Connection: close\r\n';
-
-const framings: readonly Framing[] = [
-  {
-    name: 'a length',
-    createHead: (length) => `Content-Length: ${length}\r\n`,
-    formatBody: formatPlain,
-    isFramed: true,
-  },
-  {
-    name: 'a length, closing',
-    createHead: (length) => `Content-Length: ${length}\r\n${CLOSING}`,
-    formatBody: formatPlain,
-    isFramed: true,
-  },
-  { name: 'chunks', createHead: () => CHUNKED, formatBody: formatChunks, isFramed: true },
-  {
-    name: 'chunks, closing',
-    createHead: () => `${CHUNKED}${CLOSING}`,
-    formatBody: formatChunks,
-    isFramed: true,
-  },
-  { name: 'neither', createHead: () => '', formatBody: formatPlain, isFramed: false },
-  {
-    name: 'neither, closing',
-    createHead: () => CLOSING,
-    formatBody: formatPlain,
-    isFramed: false,
-  },
-  {
-    name: 'neither, over HTTP/1.0',
-    version: 'HTTP/1.0',
-    createHead: () => '',
-    formatBody: formatPlain,
-    isFramed: false,
-  },
-  {
-    name: 'the identity transfer coding',
-    createHead: () => 'Transfer-Encoding: identity\r\n',
-    formatBody: formatPlain,
-    isFramed: false,
-  },
-  {
-    name: 'a compressing transfer coding',
-    createHead: () => 'Transfer-Encoding: gzip\r\n',
-    formatBody: formatPlain,
-    isFramed: false,
-    isCoded: true,
-  },
-  {
-    name: 'a compressing transfer coding in chunks',
-    createHead: () => 'Transfer-Encoding: gzip, chunked\r\n',
-    formatBody: formatChunks,
-    isFramed: true,
-    isCoded: true,
-  },
-];
-
 const formatEvents = (from: number, to: number): string =>
   Array.from({ length: to - from + 1 }, (_item, index) => `id: ${from + index}\ndata: x\n\n`).join(
     '',
@@ -132,30 +58,6 @@
   (_stopListening, replace) =>
     replace(process);
 
-const sendText =
-  (text: string) =>
-  (socket: Socket): void => {
-    socket.end(text);
-  };
-
-/** What a process does that is asked who it is and does not say it. */
-const silentDescriptions: readonly {
-  readonly name: string;
-  readonly send: (socket: Socket) => void;
-}[] = [
-  { name: 'resets the question', send: closeByReset },
-  { name: 'closes the question', send: sendText('') },
-  { name: 'does not answer the question', send: () => {} },
-  {
-    name: 'is too busy for the question',
-    send: sendText('HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n'),
-  },
-  {
-    name: 'answers the question without saying who it is',
-    send: sendText('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'),
-  },
-];
-
 const goesOn: Next = { name: 'goes on', apply: () => {}, state: 'running' };
 const nexts: readonly Next[] = [
   goesOn,
