End an answer whose caller had gone before it was ready

What callers saw: nothing.

Cause: sendAnswer and createCallerSignal listened for the 'close' event of the reply, which had fired already if the caller closed its connection while the request waited, for example for its intent to be recorded after the endpoint had answered. Then nothing ended the answer, and only its end settles the request.

Ruled out: a lost entry or agent (none was killed), the retries of a settlement (they log a warning), the ledger's maintenance (the owner lives).

--- a/src/node/entry/__tests__/requestRunner.test.ts
+++ b/src/node/entry/__tests__/requestRunner.test.ts
@@ -274,3 +274,32 @@
   t.is(await readText((await running).chunks), 'a');
   t.deepEqual(log, ['intent', 'settle']);
 });
+
+test('an answer whose caller leaves while its intent is recorded is billed when it is closed', async (t) => {
+  let releaseIntent = (): void => {};
+  const waitForIntent = new Promise<void>((resolve) => {
+    releaseIntent = resolve;
+  });
+  const controller = new AbortController();
+  const { run, ledger } = createSetup({
+    behaviours: ['answers'],
+    request: { isBuffered: false, signal: controller.signal },
+    waitForIntent,
+  });
+  const running = run();
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  controller.abort();
+  releaseIntent();
+  const { chunks } = await running;
+  t.deepEqual(
+    ledger.listBills().filter(({ final }) => final),
+    [],
+  );
+  await chunks.return(undefined);
+  t.deepEqual(
+    ledger.listBills().map(({ requestId, final }) => ({ requestId, final })),
+    [{ requestId: 'r', final: true }],
+  );
+});
--- a/src/node/entry/replies.ts
+++ b/src/node/entry/replies.ts
@@ -51,6 +51,12 @@
   });
 };
 
+// The caller may have disconnected earlier, when nothing listened yet.
+const handleClose = ({ raw }: FastifyReply, listener: () => void): void => {
+  if (raw.destroyed) listener();
+  else raw.once('close', listener);
+};
+
 /**
  * Creates a signal that aborts when the answer takes too long. It also aborts when the caller
  * disconnects, unless the answer is to be stored.
@@ -63,7 +69,7 @@
   const timeout = AbortSignal.timeout(context.answerTimeoutMs);
   if (keepsAnswer) return timeout;
   const controller = new AbortController();
-  reply.raw.once('close', () => {
+  handleClose(reply, () => {
     if (!reply.raw.writableFinished) controller.abort();
   });
   return AbortSignal.any([controller.signal, timeout]);
@@ -88,7 +94,7 @@
   answer: RunAnswer,
 ): FastifyReply => {
   // A disconnect ends the run, even before the first chunk is read.
-  reply.raw.once('close', () => {
+  handleClose(reply, () => {
     answer.chunks.return(undefined).catch(() => {});
   });
   Object.entries(answer.headers).forEach(([name, value]) => reply.header(name, value));
