Send the answer of an unknown process when no other one comes in time

What callers would see: a body whose endpoint did not say who it is was requested again, and if the second endpoint was late, the caller got 504 in place of the first body, which is sound if its endpoint was only full.

canRepeat stood between a comment and its function.

--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -248,6 +248,15 @@
     status: 502,
     requestCounts: [1, 1],
   },
+  {
+    name: 'response of an endpoint that does not say who it is stays as it came if others are late',
+    route: { ...SAFE, timeoutMs: 3_000, targetLatencyMs: 20_000 },
+    answers: [closeDelimitedUnknown, sendNothing],
+    status: 200,
+    body: 'half',
+    requestCounts: [1, 1],
+    hasLength: false,
+  },
   {
     name: 'endpoint that does not respond, on a retryable route',
     route: { ...SAFE, ...LONG_ROUTE_TIMEOUT, targetLatencyMs: 300 },
--- a/src/node/gateway/exchangeCompletion.ts
+++ b/src/node/gateway/exchangeCompletion.ts
@@ -81,19 +81,23 @@
     reply.send({ status, headers }, body);
   };
 
+  // Returns false if there is no such answer.
+  const sendDoubtfulAnswer = (exchange: Exchange): boolean => {
+    if (!exchange.doubtfulAnswer) return false;
+    const { head, body } = exchange.doubtfulAnswer;
+    if (settle(exchange, 'answered', head.status)) exchange.reply.send(head, body);
+    return true;
+  };
+
   // A request may be reported as refused only if it has certainly not run.
   const settleWithoutResponse = (exchange: Exchange, retryAfterMs: number): void => {
-    const { doubtfulAnswer } = exchange;
-    if (doubtfulAnswer) {
-      const { head, body } = doubtfulAnswer;
-      if (settle(exchange, 'answered', head.status)) exchange.reply.send(head, body);
-      return;
-    }
+    if (sendDoubtfulAnswer(exchange)) return;
     if (exchange.mayHaveRun) refuse(exchange, 502);
     else refuse(exchange, 503, retryAfterMs);
   };
 
   const handleTimeout = (exchange: Exchange): void => {
+    if (sendDoubtfulAnswer(exchange)) return;
     exchange.reason = `no response before the deadline${exchange.reason && `; last failure: ${exchange.reason}`}`;
     refuse(exchange, exchange.mayHaveRun || exchange.currentAttempt ? 504 : 503, FAILED_RETRY_MS);
   };
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -89,7 +89,7 @@
   secondModel: string | undefined;
   /** Confidence that the model gave for the latest answer, if any. */
   confidence: number | undefined;
-  /** Sent to the caller as it came if no other endpoint can be asked. */
+  /** Sent to the caller as it came if no other endpoint answers, unless one runs it and fails. */
   doubtfulAnswer: DoubtfulAnswer | undefined;
   /** Id of the last event of an attempt that ended without a sign that the stream is complete. */
   unconfirmedEndId: string | undefined;
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -51,11 +51,11 @@
   return isRetryableRoute(route) && exchange.attempts < route.attemptLimit;
 };
 
-// There is no timeout when a retry is not allowed, because giving up early gains nothing.
 const canRepeat = (context: AttemptContext): boolean =>
   hasRetryLeft(context) &&
   context.budget.canAcquire(context.deps.readNow(), context.snapshot.gatewayCount);
 
+// There is no timeout when a retry is not allowed, because giving up early gains nothing.
 const computeResponseTimeoutMs = (context: AttemptContext): number =>
   hasRetryLeft(context)
     ? RESPONSE_TIMEOUT_FACTOR * context.exchange.request.route.targetLatencyMs
