Tell a reset that arrives with the last bytes from a close

What callers saw: a body without a length or chunks whose connection was reset, as if it were whole; on a route that may repeat it, too.

Cause: if the bytes and the reset are received together, the event loop's short circuit for a partial read with a hang-up reports the end of the connection, and the reset is never read. Nothing but the reset tells that such a body broke off.

Ruled out: a clean close by the test's endpoint (the reset is sent without a FIN), and the order of the error listeners (the error is never raised).

Now the gateway's connections stay half-open at the end, and an empty write fails on one that was reset; on others nothing is sent.

--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -36,6 +36,11 @@
   `HTTP/1.1 200 OK\r\n${ECHO}\r\nConnection: close\r\n\r\nhalf`,
   closeByReset,
 );
+// The reset is received together with the last bytes, as on a busy machine.
+const closeDelimitedResetAtOnce: SocketAnswer = (socket) => {
+  socket.write(`HTTP/1.1 200 OK\r\n${ECHO}\r\nConnection: close\r\n\r\nhalf`);
+  closeByReset(socket);
+};
 const closeDelimitedLost = createLastAnswer(closeDelimited);
 const closeDelimitedUnknown: SocketAnswer = (socket, head, stopListening, replaceProcess) => {
   replaceProcess({ sendDescription: closeByReset });
@@ -217,6 +222,21 @@
     body: 'good',
     requestCounts: [1, 1],
   },
+  {
+    name: 'close-delimited response with a reset right after its last bytes',
+    route: ONCE,
+    answers: [closeDelimitedResetAtOnce, good],
+    status: 502,
+    requestCounts: [1, 0],
+  },
+  {
+    name: 'close-delimited response with a reset right after its last bytes is retried',
+    route: SAFE,
+    answers: [closeDelimitedResetAtOnce, good],
+    status: 200,
+    body: 'good',
+    requestCounts: [1, 1],
+  },
   {
     name: 'possibly truncated response is not sent even if there is no other',
     route: SAFE,
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { Left, Right } from 'purify-ts';
 import { buildConnector, Client } from 'undici';
 import type { ResponseHeaders, AttemptTarget, EndpointAttempt, RawHeaders } from './types';
@@ -24,6 +25,13 @@
 const isSystemError = (cause: Error): boolean =>
   (cause as NodeJS.ErrnoException).syscall !== undefined;
 
+// A reset that arrives together with the last bytes is read like a close. An empty write sends
+// nothing, and fails if the connection was reset.
+const hasBeenReset = (socket: Socket): Promise<boolean> =>
+  new Promise((resolve) => {
+    socket.write('', (cause) => resolve(cause instanceof Error && isSystemError(cause)));
+  });
+
 /** Error codes of a connection that the endpoint closed or reset. */
 const CONNECTION_LOSS_CODES: ReadonlySet<unknown> = new Set([
   'UND_ERR_SOCKET',
@@ -53,10 +61,12 @@
 ): EndpointAttempt => {
   let isConnected = false;
   let isReset = false;
+  let isResetAtEnd: Promise<boolean> = Promise.resolve(false);
   let isCancelled = false;
   let bodyBytes = 0;
   let limitFailure: Error | undefined;
-  const connect = buildConnector({ timeout: target.connectTimeoutMs });
+  // Half-open connections can be written to after the endpoint has closed its side.
+  const connect = buildConnector({ timeout: target.connectTimeoutMs, allowHalfOpen: true });
   const client = new Client(`http://${target.endpoint.address}`, {
     pipelining: 1,
     connect: (options, callback) =>
@@ -66,6 +76,9 @@
         socket?.on('error', (cause) => {
           if (isSystemError(cause)) isReset = true;
         });
+        socket?.on('end', () => {
+          isResetAtEnd = hasBeenReset(socket);
+        });
         // Without a head or body bytes, the client would read and discard such bytes for ever.
         socket?.on('readable', () => {
           const overhead = socket.bytesRead - bodyBytes;
@@ -123,7 +136,7 @@
         bodyBytes += (chunk as Buffer).length;
         yield chunk as Buffer;
       }
-      if (isReset) throw createResetError();
+      if (isReset || (await isResetAtEnd)) throw createResetError();
     } catch (cause) {
       throw limitFailure ?? cause;
     } finally {
