--- a/src/node/replication/__tests__/controlHosts.ts
+++ b/src/node/replication/__tests__/controlHosts.ts
@@ -1,5 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readdirSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -30,8 +30,14 @@
   throw new Error(`timed out after ${limitMs} ms waiting for ${title}`);
 };
 
-const createInventory = (revision: number) => ({
-  zones: [{ name: `zone-${revision}`, region: 'region' }],
+const createInventory = (revision: number, furtherZones: number) => ({
+  zones: [
+    { name: `zone-${revision}`, region: 'region' },
+    ...Array.from({ length: furtherZones }, (_, index) => ({
+      name: `further-zone-${index}`.padEnd(60, 'x'),
+      region: 'region'.padEnd(60, 'x'),
+    })),
+  ],
   hosts: [],
   models: [],
   services: [],
@@ -127,7 +133,7 @@
       StoredInventory | undefined
     >;
 
-  const requestChange = (node: string, base: number) =>
+  const requestChange = (node: string, base: number, furtherZones = 0) =>
     request(node, {
       path: '/admin/inventory',
       method: 'PUT',
@@ -135,7 +141,7 @@
       body: JSON.stringify({
         base,
         changeId: `change-${base}`,
-        inventory: createInventory(base + 1),
+        inventory: createInventory(base + 1, furtherZones),
       }),
     });
 
@@ -161,6 +167,13 @@
     kill: stopHost,
     signal: (node: string, signal: NodeJS.Signals) => running.get(node)!.kill(signal),
     pid: (node: string) => running.get(node)!.pid!,
+    /** Returns the size of a group's folder on a host in bytes. */
+    computeGroupBytes: (node: string, group: string): number => {
+      const folder = join(root, node, group);
+      return readdirSync(folder)
+        .map((name) => statSync(join(folder, name)).size)
+        .reduce((sum, size) => sum + size, 0);
+    },
     removeData: (node: string) => rmSync(join(root, node), { recursive: true }),
     call: internal.call,
     readStatus,
--- a/src/node/replication/__tests__/controlProcesses.test.ts
+++ b/src/node/replication/__tests__/controlProcesses.test.ts
@@ -12,11 +12,16 @@
   return hosts;
 };
 
-const commitChange = (hosts: Hosts, base: number, among: readonly string[] = NODES) => {
+const commitChange = (
+  hosts: Hosts,
+  base: number,
+  among: readonly string[] = NODES,
+  furtherZones?: number,
+) => {
   let turn = 0;
   return waitFor(`change ${base}`, async () => {
     turn += 1;
-    return hosts.requestChange(among[turn % among.length]!, base);
+    return hosts.requestChange(among[turn % among.length]!, base, furtherZones);
   });
 };
 
@@ -87,6 +92,34 @@
   t.is((await waitForRevision(hosts, lost!, 2)).inventory?.zones[0]?.name, 'zone-2');
 });
 
+/** Enlarges an inventory to about 140 KB. */
+const FURTHER_ZONES = 1_000;
+const LARGE_CHANGES = 300;
+/** What a blank host can be sent within the catch-up time of a deployment, in bytes. */
+const MAX_CATCH_UP_BYTES = 12_000_000;
+
+// Blank hosts were sent the whole log, 140 KB for each change. The next host was lost before they had
+// a vote, and no quorum was left.
+test('a blank host is sent the current state and not hundreds of changes, and then another host may be lost', async (t) => {
+  const hosts = await startAll();
+  t.teardown(hosts.stop);
+  const leader = await hosts.waitForLeader();
+  for (let base = 0; base < LARGE_CHANGES; base += 1) {
+    await commitChange(hosts, base, [leader], FURTHER_ZONES);
+  }
+  const [lost, second] = NODES.filter((node) => node !== leader);
+  await hosts.kill(lost!);
+  hosts.removeData(lost!);
+  hosts.start(lost!);
+  await waitForVote(hosts, lost!);
+  const bytes = hosts.computeGroupBytes(lost!, 'config');
+  t.true(bytes < MAX_CATCH_UP_BYTES, `${bytes} bytes on the disk of the host that was blank`);
+  await hosts.kill(second!);
+  await commitChange(hosts, LARGE_CHANGES, [leader, lost!]);
+  const { inventory } = await waitForRevision(hosts, lost!, LARGE_CHANGES + 1);
+  t.is(inventory?.zones[0]?.name, `zone-${LARGE_CHANGES + 1}`);
+});
+
 test('a permanently lost host is replaced by another node', async (t) => {
   const hosts = await createControlHosts(NODES, ['control-4']);
   NODES.forEach((node) => hosts.start(node));
--- a/src/node/replication/__tests__/replica.test.ts
+++ b/src/node/replication/__tests__/replica.test.ts
@@ -1,5 +1,5 @@
 import test, { type ExecutionContext } from 'ava';
-import { mkdtempSync, rmSync } from 'node:fs';
+import { mkdtempSync, readdirSync, rmSync, statSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createRootLogger } from '../../log';
@@ -58,6 +58,50 @@
   t.true((await again.confirmRead()).unsafeCoerce().index > 25_000);
 });
 
+const createTextHolder = () => {
+  let text = '';
+  return {
+    apply: (_: number, value: string) => {
+      text = value;
+      return text.length;
+    },
+    snapshot: () => text,
+    restore: (state: unknown) => {
+      text = state as string;
+    },
+  };
+};
+
+const computeFolderBytes = (folder: string): number =>
+  readdirSync(folder)
+    .map((name) => statSync(join(folder, name)).size)
+    .reduce((sum, size) => sum + size, 0);
+
+const LARGE_CHANGE_BYTES = 250_000;
+/** An eighth of the disk of a control host of 128 MB. */
+const MAX_GROUP_BYTES = 16_000_000;
+
+// The log was compacted only after 10,000 entries of any size: hundreds of changes of a large
+// configuration filled the disk and the memory of all control hosts.
+test('hundreds of large changes do not fill the disk of a control host', async (t) => {
+  const data = createData(t);
+  const handleFailure = (cause: unknown) => t.fail(String(cause));
+  const first = createHost(data, diskFiles, handleFailure);
+  const replica = await first.openGroup('config', createTextHolder());
+  for (let change = 0; change < 300; change += 1) {
+    (await replica.propose(String(change).padEnd(LARGE_CHANGE_BYTES, 'x'))).unsafeCoerce();
+  }
+  await first.stop();
+  const bytes = computeFolderBytes(join(data, 'config'));
+  t.true(bytes < MAX_GROUP_BYTES, `${bytes} bytes on the disk`);
+  const second = createHost(data, diskFiles, handleFailure);
+  t.teardown(second.stop);
+  const machine = createTextHolder();
+  const again = await second.openGroup('config', machine);
+  (await again.confirmRead()).unsafeCoerce();
+  t.is(machine.snapshot(), '299'.padEnd(LARGE_CHANGE_BYTES, 'x'));
+});
+
 test('a failed sync calls the failure handler, and its command fails with outcome unknown', async (t) => {
   const failures: unknown[] = [];
   let isFaulty = false;
--- a/src/node/replication/compaction.ts
+++ b/src/node/replication/compaction.ts
@@ -14,14 +14,40 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Minimum number of entries between snapshots. */
-export const MIN_SNAPSHOT_ENTRIES = 10_000;
+/** Minimum number of entries between snapshots of a log of small entries. */
+const MIN_SNAPSHOT_ENTRIES = 10_000;
 /** Number of entries after which a snapshot is due regardless of the size of the log. */
 const MAX_SNAPSHOT_ENTRIES = 40_000;
 /** A snapshot is due once the log since the last snapshot reaches this fraction of its size. */
 const SNAPSHOT_GROWTH_RATIO = 0.25;
-/** Entries kept below a snapshot for members that lag behind. */
+/**
+ * Size of the log, in characters, from which a snapshot is due regardless of the number of entries.
+ * A state that is larger than this is written only once the log has grown by the same size.
+ */
+const MAX_LOG_SIZE = 4 * 1024 * 1024;
+/** The log grows to at most this multiple of its limit while a snapshot is sent to a member. */
+const MAX_SENDING_FACTOR = 2;
+/** Limits of the entries kept below a snapshot for members that lag behind. */
 const RETAINED_ENTRIES = 2_000;
+const RETAINED_SIZE = 1024 * 1024;
+
+/** The growth of a log since its last snapshot. Sizes are in characters. */
+export interface LogGrowth {
+  readonly entries: number;
+  readonly size: number;
+  readonly snapshotSize: number;
+  /** Whether the last snapshot is being sent to a member, which a newer one would restart. */
+  readonly isSending: boolean;
+}
+
+/** Returns whether the log has grown so far that a snapshot is due. */
+export const isSnapshotDue = ({ entries, size, snapshotSize, isSending }: LogGrowth): boolean => {
+  if (entries >= MAX_SNAPSHOT_ENTRIES) return true;
+  const limit = Math.max(MAX_LOG_SIZE, snapshotSize);
+  if (size >= limit) return !isSending || size >= limit * MAX_SENDING_FACTOR;
+  const hasGrown = size >= snapshotSize * SNAPSHOT_GROWTH_RATIO;
+  return entries >= MIN_SNAPSHOT_ENTRIES && hasGrown && !isSending;
+};
 
 /** Creates the compaction of one replica. */
 export const createCompaction = (
@@ -36,14 +62,16 @@
   let sizeSinceSnapshot = 0;
 
   const isDue = (): boolean => {
-    const count = applier.applied() - snapshotIndex;
-    if (writing || count < MIN_SNAPSHOT_ENTRIES) return false;
+    const entries = applier.applied() - snapshotIndex;
+    if (writing || entries === 0) return false;
     // A snapshot from the leader has replaced the log but is not installed yet.
     if (core.findTerm(applier.applied()) === undefined) return false;
-    if (count >= MAX_SNAPSHOT_ENTRIES) return true;
-    return (
-      sizeSinceSnapshot >= snapshotSize * SNAPSHOT_GROWTH_RATIO && !core.status().isSendingSnapshot
-    );
+    return isSnapshotDue({
+      entries,
+      size: sizeSinceSnapshot,
+      snapshotSize,
+      isSending: core.status().isSendingSnapshot,
+    });
   };
 
   const runSnapshot = async (): Promise<void> => {
@@ -55,7 +83,8 @@
     const size = await store.writeSnapshot({ index, term, members, state: applier.snapshot() });
     if (snapshotIndex !== index) return;
     snapshotSize = size;
-    core.compact({ index, term, members, size }, index - RETAINED_ENTRIES);
+    const keepFrom = core.findRetainedIndex(index, RETAINED_ENTRIES, RETAINED_SIZE);
+    core.compact({ index, term, members, size }, keepFrom);
     await store.removeUpTo(core.status().baseIndex);
   };
 
--- a/src/node/replication/core/core.ts
+++ b/src/node/replication/core/core.ts
@@ -86,6 +86,11 @@
   readonly listEntries: (from: number, to: number) => readonly Entry[];
   readonly findTerm: (index: number) => number | undefined;
   readonly findMembers: (index: number) => readonly Member[];
+  /**
+   * Returns the lowest index from which the entries up to `index` are within a count and a size in
+   * characters.
+   */
+  readonly findRetainedIndex: (index: number, count: number, size: number) => number;
   readonly status: () => CoreStatus;
 }
 
@@ -282,6 +287,7 @@
     listEntries: (from, to) => state.log.listEntries(from, to),
     findTerm: (index) => state.log.findTerm(index),
     findMembers: (index) => state.log.findMembers(index),
+    findRetainedIndex: (index, count, size) => state.log.findRetainedIndex(index, count, size),
     status: () => readStatus(state),
   };
 };
--- a/src/node/replication/core/log.ts
+++ b/src/node/replication/core/log.ts
@@ -17,6 +17,11 @@
   readonly listEntries: (from: number, to: number) => readonly Entry[];
   /** Returns entries from an index on, limited by a count and a size in characters. */
   readonly listEntryBatch: (from: number, count: number, size: number) => readonly Entry[];
+  /**
+   * Returns the lowest index from which the entries up to `index` are within a count and a size in
+   * characters. Returns the index after `index` if its entry alone is larger.
+   */
+  readonly findRetainedIndex: (index: number, count: number, size: number) => number;
   /** Appends entries. They replace all entries from the index of the first one on. */
   readonly append: (entries: readonly Entry[]) => void;
   /** Records a newer snapshot of this log and drops the entries below `keepFrom`. */
@@ -59,6 +64,16 @@
     return found;
   };
 
+  const findRetainedIndex = (index: number, count: number, size: number): number => {
+    const lowest = Math.max(base.index, index - count);
+    let total = 0;
+    for (let at = index; at > lowest; at -= 1) {
+      total += entries[at - base.index - 1]!.data.length;
+      if (total > size) return at + 1;
+    }
+    return lowest + 1;
+  };
+
   const append = (added: readonly Entry[]): void => {
     const first = added[0];
     if (!first) return;
@@ -103,6 +118,7 @@
     findTerm,
     listEntries: list,
     listEntryBatch: listBatch,
+    findRetainedIndex,
     append,
     compact,
     installSnapshot: restore,
