Sync the folder after each removed log segment

The new test tries every such state while segments are removed. It failed before with 'segment 2 is missing'. The folder is synced after each removal, so that at most the last one can be undone.

--- a/src/node/replication/__tests__/store.test.ts
+++ b/src/node/replication/__tests__/store.test.ts
@@ -1,5 +1,7 @@
 import test, { type ExecutionContext } from 'ava';
 import {
+  copyFileSync,
+  mkdirSync,
   mkdtempSync,
   readdirSync,
   readFileSync,
@@ -8,7 +10,7 @@
   writeFileSync,
 } from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { basename, dirname, join } from 'node:path';
 import type { Entry } from '../core';
 import { diskFiles, openStore, type DurableFiles, type Store } from '../disk';
 
@@ -176,6 +178,58 @@
   t.deepEqual(third.initial.entries, createEntries(21, 22, 4));
 });
 
+/** Files whose removal is lost in a power failure until the folder is synced. */
+const createUnsyncedRemovals = (root: string) => {
+  let removed: readonly string[] = [];
+  const states: string[] = [];
+
+  /** Copies the folder as it may be after a power failure, with one removed file back. */
+  const recordPowerFailures = (folder: string): void =>
+    removed.forEach((name) => {
+      const copy = join(root, `state-${states.length}`);
+      mkdirSync(copy);
+      readdirSync(folder)
+        .filter((kept) => kept !== 'lock')
+        .forEach((kept) => copyFileSync(join(folder, kept), join(copy, kept)));
+      copyFileSync(join(root, name), join(copy, name));
+      states.push(copy);
+    });
+
+  const files: DurableFiles = {
+    ...diskFiles,
+    removeFile: async (path) => {
+      copyFileSync(path, join(root, basename(path)));
+      await diskFiles.removeFile(path);
+      removed = [...removed, basename(path)];
+      recordPowerFailures(dirname(path));
+    },
+    syncFolder: async (folder) => {
+      await diskFiles.syncFolder(folder);
+      removed = [];
+    },
+  };
+  return { files, states };
+};
+
+// Removed segments could come back in any combination: an earlier one without a later one looked like
+// a missing segment, and the host moved its data aside.
+test('a power failure while the log is trimmed leaves no gap between segments', async (t) => {
+  const folder = createFolder(t);
+  const { files, states } = createUnsyncedRemovals(dirname(folder));
+  const store = await openPlain(folder, false, files);
+  const large = createEntries(1, 16).map((entry) => ({ ...entry, data: 'x'.repeat(3_000_000) }));
+  for (const entry of large) await store.write({ entries: [entry] });
+  await store.writeSnapshot({ index: 16, term: 1, members: [], state: {} });
+  await store.removeUpTo(16);
+  await store.close();
+  t.true(states.length >= 4);
+  for (const state of states) {
+    const again = await openPlain(state);
+    t.is(again.damage, undefined);
+    await again.close();
+  }
+});
+
 const createFault = (code: string): Error => Object.assign(new Error(code), { code });
 
 const WRITE_FAULTS: readonly { readonly title: string; readonly files: DurableFiles }[] = [
@@ -195,6 +249,7 @@
     await writeBatches(folder);
     let isFaulty = false;
     const store = await openPlain(folder, false, {
+      ...diskFiles,
       write: (...call) => (isFaulty ? files.write(...call) : diskFiles.write(...call)),
       sync: (...call) => (isFaulty ? files.sync(...call) : diskFiles.sync(...call)),
     });
--- a/src/node/replication/disk/files.ts
+++ b/src/node/replication/disk/files.ts
@@ -1,4 +1,4 @@
-import { open, rename, type FileHandle } from 'node:fs/promises';
+import { open, rename, rm, type FileHandle } from 'node:fs/promises';
 import { dirname } from 'node:path';
 
 /** File operations that make data durable. Tests replace them to inject disk faults. */
@@ -7,6 +7,9 @@
   readonly write: (handle: FileHandle, bytes: Buffer, position: number) => Promise<void>;
   /** Resolves once the data of the file is on the disk. */
   readonly sync: (handle: FileHandle) => Promise<void>;
+  readonly removeFile: (path: string) => Promise<void>;
+  /** Resolves once the names in a folder are on the disk. */
+  readonly syncFolder: (folder: string) => Promise<void>;
 }
 
 /** The file operations on the real disk. */
@@ -24,16 +27,15 @@
     }
   },
   sync: (handle) => handle.datasync(),
-};
-
-/** Syncs a folder, so that created and renamed files in it are durable. */
-export const writeFolder = async (folder: string): Promise<void> => {
-  const handle = await open(folder, 'r');
-  try {
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
+  removeFile: (path) => rm(path),
+  syncFolder: async (folder) => {
+    const handle = await open(folder, 'r');
+    try {
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  },
 };
 
 /** Replaces a file atomically. After a crash it holds either the old or the new bytes. */
@@ -51,5 +53,5 @@
     await handle.close();
   }
   await rename(temporary, path);
-  await writeFolder(dirname(path));
+  await files.syncFolder(dirname(path));
 };
--- a/src/node/replication/disk/segments.ts
+++ b/src/node/replication/disk/segments.ts
@@ -1,8 +1,8 @@
-import { open, readdir, readFile, rm, type FileHandle } from 'node:fs/promises';
+import { open, readdir, readFile, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
 import { Left, Right, type Either } from 'purify-ts';
 import type { Entry, HardState } from '../core/types';
-import { writeFolder, type DurableFiles } from './files';
+import type { DurableFiles } from './files';
 import { encodeFrame, parseFrames } from './frame';
 
 /** One synced write to the log. */
@@ -101,9 +101,13 @@
   return mergeRecords(records).map((content) => ({ content, segments, end }));
 };
 
-const openSegment = async (folder: string, number: number): Promise<FileHandle> => {
+const openSegment = async (
+  folder: string,
+  files: DurableFiles,
+  number: number,
+): Promise<FileHandle> => {
   const handle = await open(join(folder, formatSegmentName(number)), 'a+');
-  await writeFolder(folder);
+  await files.syncFolder(folder);
   await handle.close();
   return open(join(folder, formatSegmentName(number)), 'r+');
 };
@@ -117,7 +121,7 @@
   let { hardState } = loaded.content;
   if (segments.length === 0) segments.push({ number: 1, lastIndex: 0 });
   let active = segments.at(-1)!;
-  let handle = await openSegment(folder, active.number);
+  let handle = await openSegment(folder, files, active.number);
   let position = loaded.end;
   await handle.truncate(position);
   await files.sync(handle);
@@ -134,7 +138,7 @@
     await handle.close();
     active = { number: active.number + 1, lastIndex: 0 };
     segments.push(active);
-    handle = await openSegment(folder, active.number);
+    handle = await openSegment(folder, files, active.number);
     position = 0;
     // Each segment starts with the hard state, so that older segments can be removed.
     await writeRecord({ state: hardState });
@@ -152,7 +156,9 @@
     },
     removeUpTo: async (index) => {
       while (segments.length > 1 && segments[0]!.lastIndex <= index) {
-        await rm(join(folder, formatSegmentName(segments[0]!.number)));
+        await files.removeFile(join(folder, formatSegmentName(segments[0]!.number)));
+        // A power failure must not bring back this segment without the ones after it.
+        await files.syncFolder(folder);
         segments.shift();
       }
     },
