Refuse an order of a roll-out that is older than the latest one

The operator ordered v2 at a control host that was frozen, got no answer within a second, and sent the order to the next host. v2 failed and was rolled back, and v3 was ordered and acknowledged. When the frozen host woke, it found the order of v2 in its socket and committed it: v2 started again, v3 was marked as retired.

Cause: an order has no version. A host committed whatever it read, without asking whether its caller still waited, and the state could not tell a late copy from a new order.

A host now confirms a read first. By then it knows all orders acknowledged before, and it has seen the end of the connection if the caller closed it; in that case the order is dropped. The order is proposed with the index of the latest order known then. If another one has been committed meanwhile, also while this host was frozen with the proposal pending, it is refused, and proposed again only while its caller waits.

The same cause elsewhere: a judgement of a roll-out was matched by target and stage only, so one that a frozen leader sent late could end a later roll-out of the same version; it now names its order. Ruled out: configurations (they have versions), leaves and reports of endpoints (start time and sequence number), changes of the own interface (change ids with recorded answers).

--- a/src/node/routingControl/__tests__/routingState.test.ts
+++ b/src/node/routingControl/__tests__/routingState.test.ts
@@ -15,17 +15,26 @@
   config: createConfig(version),
   source,
 });
-const createStart = (target: string): RoutingCommand => ({
+const createStart = (target: string, after?: number): RoutingCommand => ({
   type: 'startRollout',
   service: 's',
   target,
   durationMs: 1_000,
+  ...(after !== undefined && { after }),
 });
 const createAdvance = (
   target: string,
   from: 'canary' | 'ramp',
   to: 'ramp' | 'rolledBack' | 'completed',
-): RoutingCommand => ({ type: 'advanceRollout', service: 's', target, from, to });
+  order?: number,
+): RoutingCommand => ({
+  type: 'advanceRollout',
+  service: 's',
+  target,
+  from,
+  to,
+  ...(order !== undefined && { order }),
+});
 
 interface Case {
   readonly name: string;
@@ -74,6 +83,46 @@
     rollout: 'v3 canary',
     retired: ['v2'],
   },
+  {
+    name: 'an order that was accepted after the latest one starts a roll-out',
+    commands: [createStart('v2', 0), createStart('v3', 1)],
+    rollout: 'v3 canary',
+    retired: ['v2'],
+  },
+  {
+    name: 'a repeated order does not restart a roll-out that was rolled back',
+    commands: [
+      createStart('v2', 0),
+      createAdvance('v2', 'canary', 'rolledBack'),
+      createStart('v2', 1),
+    ],
+    rollout: 'v2 rolledBack',
+    retired: ['v2'],
+  },
+  // A host that was frozen commits the copy of an order that the operator sent elsewhere in time.
+  {
+    name: 'a late copy of an order does not remove a later roll-out',
+    commands: [
+      createStart('v2', 0),
+      createAdvance('v2', 'canary', 'rolledBack', 1),
+      createStart('v3', 1),
+      createStart('v2', 0),
+    ],
+    rollout: 'v3 canary',
+    retired: ['v2'],
+  },
+  {
+    name: 'a late judgement does not end a later roll-out of the same version',
+    commands: [
+      createStart('v2', 0),
+      createAdvance('v2', 'canary', 'rolledBack', 1),
+      createStart('v3', 1),
+      createStart('v2', 3),
+      createAdvance('v2', 'canary', 'rolledBack', 1),
+    ],
+    rollout: 'v2 canary',
+    retired: ['v3'],
+  },
 ];
 
 for (const { name, commands, source, rollout, retired } of cases) {
--- a/src/node/routingControl/rolloutSupervisor.ts
+++ b/src/node/routingControl/rolloutSupervisor.ts
@@ -144,6 +144,7 @@
     const known = resolveObserved(rollout);
     const now = readNow();
     const { service, target, stage, durationMs } = rollout;
+    const order = state.findOrder(service);
     const cells = listCells(known);
     const verdict = judgeServiceRollout({
       stage,
@@ -162,6 +163,7 @@
       target,
       from: stage,
       to,
+      order,
     });
     const samples = cells.reduce((sum, cell) => sum + cell.candidate.requests, 0);
     const failures = cells.reduce((sum, cell) => sum + cell.candidate.errors, 0);
--- a/src/node/routingControl/routingHandler.ts
+++ b/src/node/routingControl/routingHandler.ts
@@ -20,6 +20,12 @@
   readonly readNow: () => number;
 }
 
+/** The connection over which an order arrived. */
+export interface OrderCaller {
+  /** Returns whether the caller has closed its side of the connection. */
+  readonly hasLeft: () => boolean;
+}
+
 /** A configuration with the text that the operator sent. */
 export interface SubmittedConfig {
   readonly config: RoutingConfig;
@@ -40,8 +46,13 @@
    * confirms it.
    */
   readonly readConfig: () => Promise<Either<RouterError, string>>;
+  /**
+   * Commits an order. Returns `unavailable` if its caller has left meanwhile: the caller may have
+   * sent the order to another host and given further orders since.
+   */
   readonly startRollout: (
     order: Omit<ServiceRollout, 'stage'>,
+    caller: OrderCaller,
   ) => Promise<Either<RouterError, void>>;
   readonly readRollout: (service: string) => Promise<Either<RouterError, ServiceRollout>>;
   readonly watch: (params: WatchRoutingParams) => Promise<RoutingAnswer>;
@@ -50,6 +61,9 @@
 /** A gateway that has not called for this long is no longer counted. */
 const GATEWAY_TIMEOUT_MS = 3_000;
 
+/** How often an order is proposed while other orders for its service are committed first. */
+const MAX_ORDER_ATTEMPTS = 3;
+
 /** Creates the routing handler of one control host. */
 export const createRoutingHandler = (options: RoutingHandlerOptions): RoutingHandler => {
   const { replica, state, supervisor, log, listControlHosts, readNow } = options;
@@ -90,6 +104,41 @@
     return answer.map(() => version);
   };
 
+  const proposeOrder = async (
+    order: Omit<ServiceRollout, 'stage'>,
+    caller: OrderCaller,
+  ): Promise<Either<RouterError, RoutingResult>> => {
+    // The order may have waited in a socket while this process was frozen. After a confirmed read
+    // this host knows all earlier orders, and an end of the connection has been seen.
+    const read = await replica.confirmRead();
+    if (read.isLeft()) return read;
+    if (!isKnownService(order.service)) {
+      const message = `unknown service '${order.service}': not in the configuration`;
+      return Left(createError({ type: 'invalid_request', message, step: 'rollout.start' }));
+    }
+    if (caller.hasLeft()) {
+      const message = `the caller left before the order of '${order.target}' was committed`;
+      return Left(createError({ type: 'unavailable', message, step: 'rollout.start' }));
+    }
+    return propose({ type: 'startRollout', ...order, after: state.findOrder(order.service) });
+  };
+
+  const startRollout: RoutingHandler['startRollout'] = async (order, caller) => {
+    let answer = await proposeOrder(order, caller);
+    for (let attempt = 1; attempt < MAX_ORDER_ATTEMPTS; attempt += 1) {
+      if (!answer.map(({ type }) => type === 'refused').orDefault(false)) break;
+      log.info({ ...order, answer: answer.extract() }, 'another order was committed first');
+      answer = await proposeOrder(order, caller);
+    }
+    answer.ifRight((result) => log.info({ ...order, result }, 'roll-out start committed'));
+    answer.ifLeft((error) => log.warn({ ...order, err: error }, 'roll-out start not committed'));
+    return answer.chain((result) => {
+      if (result.type === 'accepted') return Right(undefined);
+      const { reason: message } = result;
+      return Left(createError({ type: 'unavailable', message, step: 'rollout.start' }));
+    });
+  };
+
   return {
     replaceConfig,
     readConfig: async () =>
@@ -99,21 +148,7 @@
         const message = 'no configuration has been committed yet';
         return Left(createError({ type: 'unavailable', message, step: 'config.read' }));
       }),
-    startRollout: async (order) => {
-      if (!isKnownService(order.service)) {
-        // This host may not have applied the configuration that names the service yet.
-        const read = await replica.confirmRead();
-        if (read.isLeft()) return read.map(() => undefined);
-      }
-      if (!isKnownService(order.service)) {
-        const message = `unknown service '${order.service}': not in the configuration`;
-        return Left(createError({ type: 'invalid_request', message, step: 'rollout.start' }));
-      }
-      const answer = await propose({ type: 'startRollout', ...order });
-      answer.ifRight((result) => log.info({ ...order, result }, 'roll-out start committed'));
-      answer.ifLeft((error) => log.warn({ ...order, err: error }, 'roll-out start not committed'));
-      return answer.map(() => undefined);
-    },
+    startRollout,
     readRollout: async (service) =>
       (await replica.confirmRead()).chain(() => {
         const rollout = state.listRollouts().find((item) => item.service === service);
--- a/src/node/routingControl/routingState.ts
+++ b/src/node/routingControl/routingState.ts
@@ -14,6 +14,11 @@
       readonly service: string;
       readonly target: string;
       readonly durationMs: number;
+      /**
+       * The latest order for the service when this one was accepted, see `findOrder`. The command is
+       * refused if another order has been committed since. Absent in commands of older versions.
+       */
+      readonly after?: number;
     }
   /** Advances a roll-out. Ignored unless the roll-out is still at the stage that was judged. */
   | {
@@ -22,6 +27,8 @@
       readonly target: string;
       readonly from: RolloutStage;
       readonly to: RolloutStage;
+      /** The order that started the judged roll-out. Absent in commands of older versions. */
+      readonly order?: number;
     };
 
 /** Results of the commands of the `routing` group. */
@@ -35,6 +42,8 @@
   readonly source: () => string | undefined;
   /** Returns the latest roll-out of each service. */
   readonly listRollouts: () => readonly ServiceRollout[];
+  /** Returns the log index of the latest order of a roll-out of a service, or 0 if there is none. */
+  readonly findOrder: (service: string) => number;
   /** Returns the versions that were rolled back, or whose roll-out was replaced by another. */
   readonly listRetired: () => readonly RetiredVersion[];
   /** Returns the number of changes of the state so far. */
@@ -53,6 +62,7 @@
   config: RoutingConfig | undefined;
   source: string | undefined;
   rollouts: Map<string, ServiceRollout>;
+  orders: Map<string, number>;
   retired: RetiredVersion[];
   revision: number;
 }
@@ -61,6 +71,8 @@
   readonly config: RoutingConfig | null;
   readonly source: string | null;
   readonly rollouts: readonly ServiceRollout[];
+  /** Absent in snapshots of older versions. */
+  readonly orders?: readonly (readonly [string, number])[];
   readonly retired: readonly RetiredVersion[];
   readonly revision: number;
 }
@@ -69,9 +81,12 @@
   readonly [T in RoutingCommand['type']]: (
     tables: Tables,
     command: Extract<RoutingCommand, { readonly type: T }>,
+    index: number,
   ) => RoutingResult;
 };
 
+const readOrder = (tables: Tables, service: string): number => tables.orders.get(service) ?? 0;
+
 /** Returns whether a roll-out has ended. */
 export const isFinalStage = (stage: RolloutStage): boolean =>
   stage === 'completed' || stage === 'rolledBack';
@@ -99,19 +114,26 @@
     tables.source = source;
     return createAnswer(tables, true);
   },
-  startRollout: (tables, { service, target, durationMs }) => {
+  startRollout: (tables, { service, target, durationMs, after }, index) => {
     const current = tables.rollouts.get(service);
     if (current?.target === target) return createAnswer(tables, false);
+    const latest = readOrder(tables, service);
+    if (after !== undefined && after !== latest) {
+      const reason = `order ${latest} for '${service}' was committed after order ${after}`;
+      return { type: 'refused', reason };
+    }
     if (current && !isFinalStage(current.stage)) addRetired(tables, service, current.target);
     tables.retired = tables.retired.filter(
       (item) => item.service !== service || item.version !== target,
     );
     tables.rollouts.set(service, { service, target, durationMs, stage: 'canary' });
+    tables.orders.set(service, index);
     return createAnswer(tables, true);
   },
-  advanceRollout: (tables, { service, target, from, to }) => {
+  advanceRollout: (tables, { service, target, from, to, order }) => {
     const current = tables.rollouts.get(service);
-    if (!current || current.target !== target) {
+    const isJudged = order === undefined || order === readOrder(tables, service);
+    if (!current || current.target !== target || !isJudged) {
       return { type: 'refused', reason: `no roll-out of '${service}' to '${target}'` };
     }
     if (current.stage !== from) return createAnswer(tables, false);
@@ -127,6 +149,7 @@
     config: undefined,
     source: undefined,
     rollouts: new Map(),
+    orders: new Map(),
     retired: [],
     revision: 0,
   };
@@ -138,9 +161,13 @@
   };
 
   return {
-    apply: (_index, command) => {
-      const handle = HANDLERS[command.type] as (t: Tables, c: RoutingCommand) => RoutingResult;
-      const result = handle(tables, command);
+    apply: (index, command) => {
+      const handle = HANDLERS[command.type] as (
+        t: Tables,
+        c: RoutingCommand,
+        i: number,
+      ) => RoutingResult;
+      const result = handle(tables, command, index);
       if (result.type === 'accepted' && result.isChange) emitChange();
       return result;
     },
@@ -148,14 +175,16 @@
       config: tables.config ?? null,
       source: tables.source ?? null,
       rollouts: [...tables.rollouts.values()],
+      orders: [...tables.orders],
       retired: tables.retired,
       revision: tables.revision,
     }),
     restore: (value) => {
-      const { config, source, rollouts, retired, revision } = value as Snapshot;
+      const { config, source, rollouts, orders = [], retired, revision } = value as Snapshot;
       tables.config = config ?? undefined;
       tables.source = source ?? undefined;
       tables.rollouts = new Map(rollouts.map((rollout) => [rollout.service, rollout]));
+      tables.orders = new Map(orders);
       tables.retired = [...retired];
       tables.revision = revision;
       [...listeners].forEach((listener) => listener());
@@ -163,6 +192,7 @@
     config: () => tables.config,
     source: () => tables.source,
     listRollouts: () => [...tables.rollouts.values()],
+    findOrder: (service) => readOrder(tables, service),
     listRetired: () => tables.retired,
     revision: () => tables.revision,
     addListener: (listener) => {
