--- /dev/null
+++ b/src/node/gateway/relayEventStream.ts
@@ -0,0 +1,106 @@
+import { isRetryableRoute } from '../routing';
+import {
+  recordConnectionLoss,
+  recordFailure,
+  recordFirstByte,
+  recordFirstEvent,
+  recordSuccess,
+  recordSurvival,
+  type AttemptContext,
+} from './attemptRecords';
+import {
+  computeResponseTimeoutMs,
+  computeStallTimeoutMs,
+  createReplyHead,
+  RETRY,
+  waitFor,
+  type AttemptResult,
+} from './attemptResult';
+import { checkCloseDelimitedEnd } from './closeDelimitedEnd';
+import { isConnectionLoss } from './endpointAttempt';
+import { createEventReader, isRepeatedEvent } from './eventReader';
+import type { ResponseHead } from './types';
+
+/** Relays the events of one attempt to the caller as they arrive. */
+export const relayEventStream = async (
+  context: AttemptContext,
+  head: ResponseHead,
+): Promise<AttemptResult> => {
+  const { exchange, deps, attempt, startedAt } = context;
+  const { reply } = exchange;
+  const reader = createEventReader();
+  const chunks = attempt.readBody()[Symbol.asyncIterator]();
+  // A stream that can be resumed is sent in chunks, because its end can be confirmed.
+  const isPassedOn = head.isCloseDelimited && !isRetryableRoute(exchange.request.route);
+  const replyHead = { ...createReplyHead(head), isCloseDelimited: isPassedOn };
+  let firstAt: number | undefined;
+  let hasSurvived = false;
+  let waitStartedAt = startedAt;
+  let nextEventDeadline = startedAt + computeResponseTimeoutMs(context);
+  try {
+    for (;;) {
+      const limitMs = nextEventDeadline - deps.readNow();
+      const next = await waitFor(chunks.next(), limitMs);
+      if (exchange.isFinished) return RETRY;
+      if (next.type === 'late') {
+        recordFailure(
+          context,
+          `no event within ${Math.round(nextEventDeadline - waitStartedAt)} ms`,
+          true,
+        );
+        return RETRY;
+      }
+      if (next.value.done === true) break;
+      const events = reader.add(next.value.value);
+      if (events.length === 0) continue;
+      // An endpoint that ignores the last event id runs the request anew, as another stream.
+      if (firstAt === undefined && isRepeatedEvent(events[0]!.id, exchange.lastEventId)) {
+        recordFailure(
+          context,
+          `endpoint did not resume the stream after event ${exchange.lastEventId}; it sent event ${events[0]!.id}`,
+          true,
+        );
+        return RETRY;
+      }
+      if (!reply.isStarted()) {
+        recordFirstByte(context);
+        reply.start(replyHead);
+      }
+      if (firstAt === undefined) {
+        firstAt = deps.readNow();
+        recordFirstEvent(context);
+      } else if (!hasSurvived) {
+        hasSurvived = true;
+        recordSurvival(context);
+      }
+      exchange.lastEventId =
+        events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
+      exchange.events += events.length;
+      await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
+      // Time that a slow caller takes is not the endpoint's.
+      waitStartedAt = deps.readNow();
+      nextEventDeadline = waitStartedAt + computeStallTimeoutMs(context);
+    }
+  } catch (cause) {
+    if (!exchange.isFinished) {
+      recordFailure(context, `stream was interrupted: ${(cause as Error).message}`, true);
+      if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context, true);
+    }
+    return RETRY;
+  }
+  if (reader.countPending() > 0) {
+    recordFailure(context, 'stream ended in the middle of an event', true);
+    if (!hasSurvived) recordConnectionLoss(context, true);
+    return RETRY;
+  }
+  if (head.isCloseDelimited) {
+    const hasContent = firstAt !== undefined;
+    const end = { hasContent, hasSurvived, isPassedOn, canRetry: false };
+    if ((await checkCloseDelimitedEnd(context, end)) !== 'complete') return RETRY;
+  }
+  recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
+  if (!hasSurvived) recordSurvival(context);
+  if (!reply.isStarted()) reply.start(replyHead);
+  reply.end();
+  return { type: 'done', status: head.status };
+};
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,78 +1,39 @@
 import { chooseSecondModel } from '../decisions';
 import { formatIncarnation } from '../registry';
-import { isRetryableRoute } from '../routing';
 import {
   recordConnectionLoss,
   recordFailure,
   recordFirstByte,
-  recordFirstEvent,
   recordSuccess,
   recordSurvival,
   type AttemptContext,
 } from './attemptRecords';
-import { BODILESS_STATUSES, findDeclaredLength, type ReplyHead } from './callerReply';
+import {
+  computeResponseTimeoutMs,
+  createReplyHead,
+  hasRetryLeft,
+  RETRY,
+  waitFor,
+  type AttemptResult,
+} from './attemptResult';
+import { findDeclaredLength } from './callerReply';
 import { createModelInput } from './choiceRequest';
 import { checkCloseDelimitedEnd } from './closeDelimitedEnd';
-import { waitWithTimeout } from './deadline';
 import { isConnectionLoss } from './endpointAttempt';
 import { startDropWatch } from './dropWatch';
-import { createEventReader, isRepeatedEvent } from './eventReader';
+import { relayEventStream } from './relayEventStream';
 import type { ResponseHead } from './types';
 
-/**
- * The result of an attempt: `done` if the caller has its response, `again` if another attempt may
- * follow.
- */
-export type AttemptResult =
-  { readonly type: 'done'; readonly status: number } | { readonly type: 'again' };
-
-/**
- * Another endpoint is tried when there is no response within this many times the target latency.
- */
-const RESPONSE_TIMEOUT_FACTOR = 2;
-/**
- * A stream without an event for this many times the route's target gap is resumed at another
- * endpoint.
- */
-const STALL_FACTOR = 1.5;
-/** Target gap between events, in milliseconds, for routes that set none. */
-const DEFAULT_GAP_MS = 1_500;
-
 /** Limit of a response body that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
 /** Status of an endpoint that turns a request away. */
 const UNAVAILABLE = 503;
 
-const RETRY: AttemptResult = { type: 'again' };
-
-const hasRetryLeft = ({ exchange }: AttemptContext): boolean => {
-  const { route } = exchange.request;
-  return isRetryableRoute(route) && exchange.attempts < route.attemptLimit;
-};
-
 const canRepeat = (context: AttemptContext): boolean =>
   hasRetryLeft(context) &&
   context.budget.canAcquire(context.deps.readNow(), context.snapshot.gatewayCount);
 
-// There is no timeout when a retry is not allowed, because giving up early gains nothing.
-const computeResponseTimeoutMs = (context: AttemptContext): number =>
-  hasRetryLeft(context)
-    ? RESPONSE_TIMEOUT_FACTOR * context.exchange.request.route.targetLatencyMs
-    : Infinity;
-
-const computeStallTimeoutMs = (context: AttemptContext): number =>
-  hasRetryLeft(context)
-    ? STALL_FACTOR * (context.exchange.request.route.gapTargetMs ?? DEFAULT_GAP_MS)
-    : Infinity;
-
-// Longest delay that Node timers support, in milliseconds. Longer and infinite timeouts are cut to
-// this.
-const MAX_TIMER_MS = 2 ** 31 - 1;
-
-const waitFor = <T>(promise: Promise<T>, timeoutMs: number) =>
-  waitWithTimeout(promise, Math.min(MAX_TIMER_MS, timeoutMs));
-
 const readFullBody = async (context: AttemptContext): Promise<Buffer | undefined> => {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -94,12 +55,6 @@
   }
 };
 
-const createReplyHead = ({ status, forwarded, isCloseDelimited }: ResponseHead): ReplyHead => ({
-  status,
-  headers: forwarded,
-  isCloseDelimited: isCloseDelimited && !BODILESS_STATUSES.has(status),
-});
-
 // Relays a body with a declared length as it arrives: the caller can tell if it is truncated.
 const relayLargeBody = async (
   context: AttemptContext,
@@ -153,89 +108,6 @@
   return { type: 'done', status: head.status };
 };
 
-const relayEventStream = async (
-  context: AttemptContext,
-  head: ResponseHead,
-): Promise<AttemptResult> => {
-  const { exchange, deps, attempt, startedAt } = context;
-  const { reply } = exchange;
-  const reader = createEventReader();
-  const chunks = attempt.readBody()[Symbol.asyncIterator]();
-  // A stream that can be resumed is sent in chunks, because its end can be confirmed.
-  const isPassedOn = head.isCloseDelimited && !isRetryableRoute(exchange.request.route);
-  const replyHead = { ...createReplyHead(head), isCloseDelimited: isPassedOn };
-  let firstAt: number | undefined;
-  let hasSurvived = false;
-  let waitStartedAt = startedAt;
-  let nextEventDeadline = startedAt + computeResponseTimeoutMs(context);
-  try {
-    for (;;) {
-      const limitMs = nextEventDeadline - deps.readNow();
-      const next = await waitFor(chunks.next(), limitMs);
-      if (exchange.isFinished) return RETRY;
-      if (next.type === 'late') {
-        recordFailure(
-          context,
-          `no event within ${Math.round(nextEventDeadline - waitStartedAt)} ms`,
-          true,
-        );
-        return RETRY;
-      }
-      if (next.value.done === true) break;
-      const events = reader.add(next.value.value);
-      if (events.length === 0) continue;
-      // An endpoint that ignores the last event id runs the request anew, as another stream.
-      if (firstAt === undefined && isRepeatedEvent(events[0]!.id, exchange.lastEventId)) {
-        recordFailure(
-          context,
-          `endpoint did not resume the stream after event ${exchange.lastEventId}; it sent event ${events[0]!.id}`,
-          true,
-        );
-        return RETRY;
-      }
-      if (!reply.isStarted()) {
-        recordFirstByte(context);
-        reply.start(replyHead);
-      }
-      if (firstAt === undefined) {
-        firstAt = deps.readNow();
-        recordFirstEvent(context);
-      } else if (!hasSurvived) {
-        hasSurvived = true;
-        recordSurvival(context);
-      }
-      exchange.lastEventId =
-        events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
-      exchange.events += events.length;
-      await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
-      // Time that a slow caller takes is not the endpoint's.
-      waitStartedAt = deps.readNow();
-      nextEventDeadline = waitStartedAt + computeStallTimeoutMs(context);
-    }
-  } catch (cause) {
-    if (!exchange.isFinished) {
-      recordFailure(context, `stream was interrupted: ${(cause as Error).message}`, true);
-      if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context, true);
-    }
-    return RETRY;
-  }
-  if (reader.countPending() > 0) {
-    recordFailure(context, 'stream ended in the middle of an event', true);
-    if (!hasSurvived) recordConnectionLoss(context, true);
-    return RETRY;
-  }
-  if (head.isCloseDelimited) {
-    const hasContent = firstAt !== undefined;
-    const end = { hasContent, hasSurvived, isPassedOn, canRetry: false };
-    if ((await checkCloseDelimitedEnd(context, end)) !== 'complete') return RETRY;
-  }
-  recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
-  if (!hasSurvived) recordSurvival(context);
-  if (!reply.isStarted()) reply.start(replyHead);
-  reply.end();
-  return { type: 'done', status: head.status };
-};
-
 /**
  * Drops a response whose head has arrived if a larger model is to answer instead. Returns whether
  * the response was dropped.
