Request the last event again to confirm the end of a stream

A stream without a length or chunks that ends between two events was resumed after its last event, and a second attempt that ended there without an event, its endpoint going on, counted as the confirmation. An attempt that breaks off before its first event looks exactly like that.

Evidence: two new rows of streams.test.ts, closed between two events and then before the next event, on the unchanged code: the caller gets events 1 and 2 of 4 and the last chunk.

Now the attempt that confirms is sent after the event before the last one. A whole stream sends the last event once more, which the caller has already and does not get again; only if it ends after that event too, and its endpoint goes on, is the stream complete. An attempt that ends without that event has failed, whatever its framing says.

Tests changed: the row 'ended a second time at the same event' stated the fault, as did two rows of closedDelimitedEnd.test.ts; their replacements need the last event to be repeated. Rows that resume such streams ask for one event more.

--- a/src/node/decisions/__tests__/closeDelimitedEnd.test.ts
+++ b/src/node/decisions/__tests__/closeDelimitedEnd.test.ts
@@ -57,13 +57,23 @@
     verdict: 'empty',
   },
   {
-    name: 'before another event, where an earlier attempt ended',
+    name: 'before any event, where an earlier attempt ended after one',
     end: { hasContent: false, isRepeated: true },
-    verdict: 'complete',
+    verdict: 'empty',
   },
   {
-    name: 'after more events, where an earlier attempt ended before them',
+    name: 'after the same event as the end of an earlier attempt',
     end: { isRepeated: true },
+    verdict: 'complete',
+  },
+  {
+    name: 'after the same event, of an endpoint that does not say who it is',
+    end: { isRepeated: true, process: 'unknown' },
+    verdict: 'unconfirmed',
+  },
+  {
+    name: 'after more events than an earlier attempt',
+    end: { isRepeated: false },
     verdict: 'unconfirmed',
   },
 ];
--- a/src/node/decisions/closeDelimitedEnd.ts
+++ b/src/node/decisions/closeDelimitedEnd.ts
@@ -10,7 +10,7 @@
   readonly process: ProcessState;
   /** Whether the endpoint sent an event, or any part of a body that is not a stream. */
   readonly hasContent: boolean;
-  /** Whether an earlier attempt ended in the same way after the same event. */
+  /** Whether an earlier attempt ended in the same way after the event that was the last one here. */
   readonly isRepeated: boolean;
   /** Whether the caller's response ends with its connection too, and so states no more. */
   readonly isPassedOn: boolean;
@@ -39,7 +39,7 @@
   canRetry,
 }: CloseDelimitedEnd): EndVerdict => {
   if (LOST_STATES.has(process)) return 'lost';
-  if (!hasContent) return isRepeated && process === 'same' ? 'complete' : 'empty';
-  if (!isPassedOn) return 'unconfirmed';
+  if (!hasContent) return 'empty';
+  if (!isPassedOn) return isRepeated && process === 'same' ? 'complete' : 'unconfirmed';
   return process === 'unknown' && canRetry ? 'doubtful' : 'complete';
 };
--- a/src/node/gateway/__tests__/streams.test.ts
+++ b/src/node/gateway/__tests__/streams.test.ts
@@ -63,6 +63,8 @@
 const closedStream = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 4)}`, close);
 const closedResumedStream = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(3, 4)}`, close);
 const closedBetweenEvents = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 2)}`, close);
+const closedBeforeEvents = createAnswer(SSE_UNTIL_CLOSE, close);
+const closedAfterLastEvent = createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(4, 4)}`, close);
 const closedInsideEvent = createAnswer(
   `${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 2)}id: 3\nda`,
   close,
@@ -118,36 +120,82 @@
   {
     name: 'without a length or chunks, complete and confirmed in chunks',
     route: STREAM,
-    answers: [createAnswers(closedStream, createAnswer(`${SSE}${END}`))],
+    answers: [createAnswers(closedStream, createAnswer(`${SSE}${formatEvents(4, 4)}${END}`))],
     ids: [1, 2, 3, 4],
     isComplete: true,
-    resumedAfter: '4',
+    resumedAfter: '3',
   },
   {
-    name: 'without a length or chunks, complete and ended a second time at the same event',
+    name: 'without a length or chunks, complete and ended a second time after the same event',
     route: STREAM,
-    answers: [createAnswers(closedStream, createAnswer(SSE_UNTIL_CLOSE, close))],
+    answers: [createAnswers(closedStream, closedAfterLastEvent)],
     ids: [1, 2, 3, 4],
     isComplete: true,
-    resumedAfter: '4',
+    resumedAfter: '3',
+  },
+  {
+    name: 'without a length or chunks, of one event, complete and ended a second time after it',
+    route: STREAM,
+    answers: [createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(1, 1)}`, close)],
+    ids: [1],
+    isComplete: true,
+  },
+  // A second attempt that broke off before its first event was taken for the confirmation of an end.
+  {
+    name: 'without a length or chunks, closed between two events, then before the next event',
+    route: STREAM,
+    answers: [createAnswers(closedBetweenEvents, closedBeforeEvents), resumedStream],
+    ids: [1, 2, 3, 4],
+    isComplete: true,
+    resumedAfter: '1',
+  },
+  {
+    name: 'without a length or chunks, closed between two events, then before the next event, with no attempt left',
+    route: { ...STREAM, attemptLimit: 2 },
+    answers: [createAnswers(closedBetweenEvents, closedBeforeEvents)],
+    ids: [1, 2],
+    isComplete: false,
+    resumedAfter: '1',
+  },
+  {
+    name: 'without a length or chunks, complete, then ended by its last chunk without the last event',
+    route: { ...STREAM, attemptLimit: 2 },
+    answers: [createAnswers(closedStream, createAnswer(`${SSE}${END}`))],
+    ids: [1, 2, 3, 4],
+    isComplete: false,
+    resumedAfter: '3',
+  },
+  {
+    name: 'without a length or chunks, complete and started again to confirm its end',
+    route: { ...STREAM, attemptLimit: 2 },
+    answers: [createAnswers(closedStream, closedStream)],
+    ids: [1, 2, 3, 4],
+    isComplete: false,
+    resumedAfter: '3',
   },
   {
     name: 'without a length or chunks, closed between two events by an endpoint that goes on',
     route: STREAM,
-    answers: [createAnswers(closedBetweenEvents, resumedStream)],
+    answers: [
+      createAnswers(closedBetweenEvents, createAnswer(`${SSE}${formatEvents(2, 4)}${END}`)),
+    ],
     ids: [1, 2, 3, 4],
     isComplete: true,
-    resumedAfter: '2',
+    resumedAfter: '1',
   },
   {
     name: 'without a length or chunks, closed between two events again and again',
     route: STREAM,
     answers: [
-      createAnswers(closedBetweenEvents, closedResumedStream, createAnswer(`${SSE}${END}`)),
+      createAnswers(
+        closedBetweenEvents,
+        createAnswer(`${SSE_UNTIL_CLOSE}${formatPlainEvents(2, 4)}`, close),
+        closedAfterLastEvent,
+      ),
     ],
     ids: [1, 2, 3, 4],
     isComplete: true,
-    resumedAfter: '2',
+    resumedAfter: '1',
   },
   {
     name: 'without a length or chunks, with no attempt left to confirm its end',
@@ -159,7 +207,7 @@
   {
     name: 'without a length or chunks or events, and sent again',
     route: STREAM,
-    answers: [createAnswer(SSE_UNTIL_CLOSE, close), completeStream],
+    answers: [closedBeforeEvents, completeStream],
     ids: [1, 2, 3, 4],
     isComplete: true,
   },
@@ -190,7 +238,10 @@
   {
     name: 'closed in the middle of an event and resumed by one without a length or chunks',
     route: STREAM,
-    answers: [closedInsideEvent, createAnswers(closedResumedStream, createAnswer(`${SSE}${END}`))],
+    answers: [
+      closedInsideEvent,
+      createAnswers(closedResumedStream, createAnswer(`${SSE}${formatEvents(4, 4)}${END}`)),
+    ],
     ids: [1, 2, 3, 4],
     isComplete: true,
     resumedAfter: '2',
--- a/src/node/gateway/closeDelimitedEnd.ts
+++ b/src/node/gateway/closeDelimitedEnd.ts
@@ -1,4 +1,5 @@
 import { judgeCloseDelimitedEnd, type EndVerdict, type ProcessState } from '../decisions';
+import type { Exchange } from './exchangeTypes';
 import {
   recordConnectionLoss,
   recordFailure,
@@ -6,6 +7,18 @@
   type AttemptContext,
 } from './attemptRecords';
 
+/** Whether the next attempt of a stream has to confirm where an earlier one ended. */
+export const isConfirmingEnd = ({ lastEventId, unconfirmedEndId }: Exchange): boolean =>
+  lastEventId !== undefined && unconfirmedEndId === lastEventId;
+
+/**
+ * Returns the id of the event after which the next attempt of a stream goes on. To confirm an end,
+ * the last event is requested again: otherwise an attempt that breaks off before its first event
+ * would look like the confirmation.
+ */
+export const findResumeId = (exchange: Exchange): string | undefined =>
+  isConfirmingEnd(exchange) ? exchange.previousEventId : exchange.lastEventId;
+
 /** The end of a close-delimited response, as its attempt has seen it. */
 export interface ObservedEnd {
   /** Whether the endpoint sent an event, or a body that is not a stream. */
@@ -93,8 +106,7 @@
   const { exchange } = context;
   const process = await fetchProcessAfterEnd(context);
   if (exchange.isFinished) return undefined;
-  const isRepeated =
-    exchange.lastEventId !== undefined && exchange.unconfirmedEndId === exchange.lastEventId;
+  const isRepeated = isConfirmingEnd(exchange);
   const verdict = judgeCloseDelimitedEnd({ ...end, process, isRepeated });
   handlers[verdict](context, end, process);
   return verdict;
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -9,6 +9,7 @@
 import { createExchangeCompletion, FAILED_RETRY_MS } from './exchangeCompletion';
 import type { AdmittedRequest, Exchange, ExchangeDependencies } from './exchangeTypes';
 import { createServiceRequest, type AttemptContext } from './attemptRecords';
+import { findResumeId } from './closeDelimitedEnd';
 import { relayResponse } from './relayResponse';
 import { listLoggedBlocks } from './promptBlocks';
 import type { GuardVerdict } from './requestGuard';
@@ -43,6 +44,7 @@
   doubtfulAnswer: undefined,
   unconfirmedEndId: undefined,
   lastEventId: request.caller.lastEventId,
+  previousEventId: undefined,
   firstByteAt: undefined,
   events: 0,
   currentAttempt: undefined,
@@ -127,7 +129,7 @@
 ): AttemptContext => {
   const { codec, chooser, loads, readNow } = deps;
   const { endpoint, uncachedTokens, queueMs, prefillMs } = choice;
-  const { request, lastEventId } = exchange;
+  const { request } = exchange;
   const { caller, method, path, body, organisation, deadlineAt } = request;
   const now = readNow();
   const headers = codec.encodeAttempt(caller, {
@@ -135,7 +137,7 @@
     organisation: organisation?.name,
     deadlineMs: caller.deadlineMs === undefined ? undefined : Math.max(1, deadlineAt - now),
     model,
-    lastEventId,
+    lastEventId: findResumeId(exchange),
   });
   const attempt = deps.startAttempt({
     endpoint,
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -93,8 +93,9 @@
   doubtfulAnswer: DoubtfulAnswer | undefined;
   /** Id of the last event of an attempt that ended without a sign that the stream is complete. */
   unconfirmedEndId: string | undefined;
-  /** Id of the last event that the caller has received. */
+  /** Ids of the last event that the caller has received, and of the one before it. */
   lastEventId: string | undefined;
+  previousEventId: string | undefined;
   /**
    * Monotonic time in milliseconds of the first byte sent to the caller, and the number of events
    * sent so far.
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -16,11 +16,19 @@
   waitFor,
   type AttemptResult,
 } from './attemptResult';
-import { checkCloseDelimitedEnd } from './closeDelimitedEnd';
+import { checkCloseDelimitedEnd, isConfirmingEnd } from './closeDelimitedEnd';
 import { isConnectionLoss } from './endpointAttempt';
-import { createEventReader, isRepeatedEvent } from './eventReader';
+import { createEventReader, isRepeatedEvent, type StreamEvent } from './eventReader';
+import type { Exchange } from './exchangeTypes';
 import type { ResponseHead } from './types';
 
+const recordEventIds = (exchange: Exchange, events: readonly StreamEvent[]): void => {
+  const ids = [exchange.previousEventId, exchange.lastEventId, ...events.map(({ id }) => id)];
+  const [last, previous] = ids.filter((id) => id !== undefined).reverse();
+  exchange.lastEventId = last;
+  exchange.previousEventId = previous;
+};
+
 /** Relays the events of one attempt to the caller as they arrive. */
 export const relayEventStream = async (
   context: AttemptContext,
@@ -33,6 +41,7 @@
   // A stream that can be resumed is sent in chunks, because its end can be confirmed.
   const isPassedOn = head.isCloseDelimited && !isRetryableRoute(exchange.request.route);
   const replyHead = { ...createReplyHead(head), isCloseDelimited: isPassedOn };
+  const isConfirming = isConfirmingEnd(exchange);
   let firstAt: number | undefined;
   let hasSurvived = false;
   let waitStartedAt = startedAt;
@@ -51,10 +60,18 @@
         return RETRY;
       }
       if (next.value.done === true) break;
-      const events = reader.add(next.value.value);
-      if (events.length === 0) continue;
+      const received = reader.add(next.value.value);
+      if (received.length === 0) continue;
+      // The event that the attempt was sent to repeat; the caller has it already.
+      const isRepetition =
+        isConfirming && firstAt === undefined && received[0]!.id === exchange.lastEventId;
+      const events = isRepetition ? received.slice(1) : received;
       // An endpoint that ignores the last event id runs the request anew, as another stream.
-      if (firstAt === undefined && isRepeatedEvent(events[0]!.id, exchange.lastEventId)) {
+      if (
+        firstAt === undefined &&
+        !isRepetition &&
+        isRepeatedEvent(events[0]!.id, exchange.lastEventId)
+      ) {
         recordFailure(
           context,
           `endpoint did not resume the stream after event ${exchange.lastEventId}; it sent event ${events[0]!.id}`,
@@ -73,10 +90,9 @@
         hasSurvived = true;
         recordSurvival(context);
       }
-      exchange.lastEventId =
-        events.findLast(({ id }) => id !== undefined)?.id ?? exchange.lastEventId;
+      recordEventIds(exchange, events);
       exchange.events += events.length;
-      await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
+      if (events.length > 0) await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
       // Time that a slow caller takes is not the endpoint's.
       waitStartedAt = deps.readNow();
       nextEventDeadline = waitStartedAt + computeStallTimeoutMs(context);
@@ -93,6 +109,11 @@
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
   }
+  if (isConfirming && firstAt === undefined) {
+    const reason = `stream ended without event ${exchange.lastEventId}, which an earlier attempt had sent`;
+    recordFailure(context, reason, true);
+    return RETRY;
+  }
   if (head.isCloseDelimited) {
     const hasContent = firstAt !== undefined;
     const end = { hasContent, hasSurvived, isPassedOn, canRetry: false };
