Read the success of a streaming route as events whatever its type says

What an answer must be follows from its route now; chooseResponseForm has the table. A 200 on a streaming route is read as events unless its type says that it is something else, which is a failure of the endpoint, retried where the route allows it. A type that does not match is one log line. The length of a stream is dropped where it is relayed, since the codec does not know the route.

Tests: the rows of streams without a type are checked like the others (before, they were expected to pass as bodies), with two more paths.

--- a/src/node/gateway/__tests__/brokenOffAnswers.test.ts
+++ b/src/node/gateway/__tests__/brokenOffAnswers.test.ts
@@ -115,6 +115,8 @@
   readonly name: string;
   readonly route: RouteFields;
   readonly isStream: boolean;
+  /** Content type header of the tested answer; by default that of an event stream. */
+  readonly typeHeader?: string;
   readonly bodies: readonly SentBody[];
   /** Answers of the endpoints before and after the one that is tested. */
   readonly before?: SocketAnswer;
@@ -186,8 +188,21 @@
     ...stream,
     name: 'a stream without a content type',
     route: STREAM,
-    isStream: false,
-    bodies: stream.bodies.map(({ isTorn: _isTorn, ...body }) => body),
+    typeHeader: '',
+    after: sendGoodStream,
+  },
+  {
+    ...stream,
+    name: 'a stream without a content type or a retry left',
+    route: { ...STREAM, attemptLimit: 1 },
+    typeHeader: '',
+    after: sendGoodStream,
+  },
+  {
+    ...stream,
+    name: 'a stream with a malformed content type that cannot resume',
+    route: { kind: 'stream' },
+    typeHeader: 'Content-Type: text\r\n',
     after: sendGoodStream,
   },
   { ...stream, name: 'a stream with a retry left', route: STREAM, after: sendGoodStream },
@@ -279,7 +294,7 @@
     }
     isResumed = path.isStream;
     const [socket, , stopListening, replaceProcess] = connection;
-    const type = path.isStream ? STREAM_TYPE : '';
+    const type = path.isStream ? (path.typeHeader ?? STREAM_TYPE) : '';
     const whole = path.bodies.at(-1)!.text;
     const head = `${framing.version ?? 'HTTP/1.1'} 200 OK\r\n${ECHO}\r\n${type}${framing.createHead(whole.length)}\r\n`;
     socket.write(head + framing.formatBody(body.text, body.name === 'whole'));
--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -13,7 +13,7 @@
   confidence: undefined,
   requestsPerSecond: undefined,
   isLeaving: false,
-  isEventStream: false,
+  contentKind: 'unknown',
   isCloseDelimited: false,
   isEncoded: false,
   forwarded: [],
--- a/src/node/gateway/__tests__/relayResponse.test.ts
+++ b/src/node/gateway/__tests__/relayResponse.test.ts
@@ -43,7 +43,7 @@
     confidence: undefined,
     requestsPerSecond: undefined,
     isLeaving: false,
-    isEventStream: true,
+    contentKind: 'events' as const,
     isCloseDelimited: false,
     isEncoded: false,
     forwarded: [],
--- a/src/node/gateway/__tests__/scriptedEndpoint.ts
+++ b/src/node/gateway/__tests__/scriptedEndpoint.ts
@@ -67,6 +67,17 @@
   other: () => `${HEADERS.requestId}: id-0\r\n`,
 };
 
+/** Content type headers of a stream; those but the first ones lie or say nothing. */
+const typeHeaders: Readonly<Record<string, string>> = {
+  events: 'Content-Type: text/event-stream\r\n',
+  'in other case': 'content-TYPE: Text/Event-Stream\r\n',
+  'with parameters': 'Content-Type: text/event-stream; charset=utf-8\r\n',
+  missing: '',
+  malformed: 'Content-Type: text event-stream\r\n',
+  'another type': 'Content-Type: application/json\r\n',
+  'two types': 'Content-Type: text/event-stream\r\nContent-Type: text/plain\r\n',
+};
+
 const afterwards: Readonly<Record<string, string>> = {
   nothing: '',
   'extra bytes': 'extra bytes',
@@ -78,7 +89,9 @@
   readonly head: string;
   readonly id: string;
   readonly framing: string;
-  readonly hasType: boolean;
+  readonly type: string;
+  /** Whether the framing states that a body is whole of which only a part is sent. */
+  readonly claimsWhole: boolean;
   readonly hasInterimResponse: boolean;
   /** Share of the body's bytes that are sent. */
   readonly sentShare: number;
@@ -98,7 +111,8 @@
   head: fc.oneof({ weight: 5, arbitrary: fc.constant('ok') }, choose(heads)),
   id: fc.oneof({ weight: 5, arbitrary: fc.constant('own') }, choose(idHeaders)),
   framing: fc.constantFrom(...READABLE_FRAMINGS.map(({ name }) => name)),
-  hasType: fc.oneof({ weight: 3, arbitrary: fc.constant(true) }, fc.boolean()),
+  type: fc.oneof({ weight: 3, arbitrary: fc.constant('events') }, choose(typeHeaders)),
+  claimsWhole: fc.oneof({ weight: 3, arbitrary: fc.constant(false) }, fc.boolean()),
   hasInterimResponse: fc.boolean(),
   sentShare: fc.oneof(
     fc.constant(1),
@@ -130,6 +144,8 @@
   readonly body: string;
   readonly isFramed: boolean;
   readonly isReset: boolean;
+  /** Whether the framing states that the body is whole, and nothing in the body speaks against it. */
+  readonly isFalselyWhole: boolean;
   readonly state: ProcessState;
   /** Last event that the caller has after this answer, if it is a stream. */
   readonly lastEvent: number;
@@ -152,6 +168,7 @@
     const answer = isStream ? formatEvents(requestId, after + 1) : formatText(requestId);
     const whole = isAnswer ? answer : 'a refusal';
     const isWhole = script.sentShare === 1;
+    const isStated = isWhole || script.claimsWhole;
     const body = whole.slice(0, Math.floor(whole.length * script.sentShare));
     const { state, process } = processScripts[script.process]!;
     records.push({
@@ -160,16 +177,18 @@
       body,
       isFramed: framing.isFramed,
       isReset: script.end === 'resets',
+      isFalselyWhole:
+        framing.isFramed && isStated && !isWhole && (!isStream || /(?:^|\n\n)$/.test(body)),
       state,
       lastEvent: after + countEvents(body),
     });
-    const type =
-      isStream && isAnswer && script.hasType ? 'Content-Type: text/event-stream\r\n' : '';
-    const headers = `${idHeaders[script.id]!(requestId)}${type}${framing.createHead(whole.length)}`;
+    const type = isStream && isAnswer ? typeHeaders[script.type]! : '';
+    const length = script.claimsWhole ? body.length : whole.length;
+    const headers = `${idHeaders[script.id]!(requestId)}${type}${framing.createHead(length)}`;
     const interim = script.hasInterimResponse ? 'HTTP/1.1 103 Early Hints\r\n\r\n' : '';
     const start = `${interim}${framing.version ?? 'HTTP/1.1'} ${line}\r\n${headers}\r\n`;
-    const extra = framing.isFramed && isWhole ? afterwards[script.afterwards]! : '';
-    const bytes = `${start}${framing.formatBody(body, isWhole)}${extra}`;
+    const extra = framing.isFramed && isStated ? afterwards[script.afterwards]! : '';
+    const bytes = `${start}${framing.formatBody(body, isStated)}${extra}`;
     const half = script.isInPieces ? Math.floor(bytes.length / 2) : bytes.length;
     socket.write(bytes.slice(0, half));
     setTimeout(() => {
--- a/src/node/gateway/__tests__/scriptedEndpoints.test.ts
+++ b/src/node/gateway/__tests__/scriptedEndpoints.test.ts
@@ -70,6 +70,7 @@
     const { result, run } = outcome;
     if (result.status !== 200 || !result.isComplete || !isFramedReply(result)) return true;
     if (result.body === formatWhole(outcome)) return true;
+    if (outcome.records.some(({ isFalselyWhole }) => isFalselyWhole)) return true;
     return isStreamRoute(run) && canRepeat(run) && hasTwoOpenEnds(outcome);
   },
   'an unframed success is what an endpoint sent that was not lost': ({ result, records }) => {
@@ -158,7 +159,8 @@
   head: 'ok',
   id: 'own',
   framing: 'a length',
-  hasType: true,
+  type: 'events',
+  claimsWhole: false,
   hasInterimResponse: false,
   sentShare: 1,
   isInPieces: false,
@@ -174,6 +176,7 @@
   body: 'the ans',
   isFramed: false,
   isReset: false,
+  isFalselyWhole: false,
   state: 'running',
   lastEvent: 0,
 };
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -20,7 +20,7 @@
 import { isConnectionLoss } from './endpointAttempt';
 import { createEventReader, isRepeatedEvent, type StreamEvent } from './eventReader';
 import type { Exchange } from './exchangeTypes';
-import type { ResponseHead } from './types';
+import type { RawHeaders, ResponseHead } from './types';
 
 const recordEventIds = (exchange: Exchange, events: readonly StreamEvent[]): void => {
   const ids = [exchange.previousEventId, exchange.lastEventId, ...events.map(({ id }) => id)];
@@ -29,6 +29,11 @@
   exchange.previousEventId = previous;
 };
 
+const removeLength = (headers: RawHeaders): RawHeaders => {
+  const isKept = (at: number): boolean => headers[at]?.toLowerCase() !== 'content-length';
+  return headers.filter((_item, at) => isKept(at - (at % 2)));
+};
+
 /** Relays the events of one attempt to the caller as they arrive. */
 export const relayEventStream = async (
   context: AttemptContext,
@@ -40,7 +45,9 @@
   const chunks = attempt.readBody()[Symbol.asyncIterator]();
   // A stream that can be resumed is sent in chunks, because its end can be confirmed.
   const isPassedOn = head.isCloseDelimited && !isRetryableRoute(exchange.request.route);
-  const replyHead = { ...createReplyHead(head), isCloseDelimited: isPassedOn };
+  // A stream may be resumed at another endpoint, so its total length is not known.
+  const headers = removeLength(head.forwarded);
+  const replyHead = { ...createReplyHead(head), headers, isCloseDelimited: isPassedOn };
   const isConfirming = isConfirmingEnd(exchange);
   let firstAt: number | undefined;
   let hasSurvived = false;
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,4 +1,4 @@
-import { chooseSecondModel } from '../decisions';
+import { chooseResponseForm, chooseSecondModel } from '../decisions';
 import { formatIncarnation } from '../registry';
 import {
   recordConnectionLoss,
@@ -167,6 +167,20 @@
   deps.backoffs.record({ endpoint, request, backoffMs }, deps.readNow());
 };
 
+const chooseForm = ({ exchange, deps, endpoint }: AttemptContext, head: ResponseHead) => {
+  const { request } = exchange;
+  const { status, contentKind } = head;
+  const routeKind = request.route.kind;
+  const form = chooseResponseForm({ method: request.method, routeKind, status, contentKind });
+  if (form !== 'body' && contentKind !== 'events') {
+    deps.log.info(
+      { request: request.caller.requestId, endpoint: endpoint.id, status, contentKind, form },
+      'content type of a response does not match its route',
+    );
+  }
+  return form;
+};
+
 const handleHead = async (context: AttemptContext, head: ResponseHead): Promise<AttemptResult> => {
   const { exchange, deps, endpoint } = context;
   const { requestId } = exchange.request.caller;
@@ -195,12 +209,17 @@
     recordFailure(context, 'response has a content encoding that was not requested', true);
     return RETRY;
   }
+  const form = chooseForm(context, head);
+  if (form === 'mismatch') {
+    recordFailure(context, 'response to a streaming route is not an event stream', true);
+    return RETRY;
+  }
   if (applyModelCascade(context, head)) {
     exchange.currentAttempt = undefined;
     startDropWatch(context);
     return RETRY;
   }
-  if (exchange.reply.isStarted() && !(head.status === 200 && head.isEventStream)) {
+  if (exchange.reply.isStarted() && form !== 'events') {
     recordFailure(
       context,
       `endpoint did not resume the stream; it responded with status ${head.status}`,
@@ -212,8 +231,7 @@
     { request: requestId, endpoint: endpoint.id, status: head.status },
     'response started',
   );
-  const isStream = head.isEventStream && head.status === 200;
-  if (isStream) return relayEventStream(context, head);
+  if (form === 'events') return relayEventStream(context, head);
   const isLarge = (findDeclaredLength(head.forwarded) ?? 0) > MAX_BUFFERED_BYTES;
   return isLarge && head.status < 500 && !exchange.reply.isStarted()
     ? relayLargeBody(context, head)
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -1,4 +1,5 @@
 import type { Either } from 'purify-ts';
+import type { ContentKind } from '../decisions';
 import type { EndpointReport } from '../registry';
 import type { RoutedService } from '../routing';
 
@@ -59,7 +60,7 @@
   readonly requestsPerSecond: number | undefined;
   /** Whether the endpoint says that it is about to end. */
   readonly isLeaving: boolean;
-  readonly isEventStream: boolean;
+  readonly contentKind: ContentKind;
   /** Whether the body is delimited only by the close of the connection. */
   readonly isCloseDelimited: boolean;
   /** Whether the body has a content or transfer encoding, although the request asked for none. */
