Bound the bodies that a gateway holds for all requests together

Reported by other operators: a faulty endpoint sent bytes without end, the process that had called it kept them and ran out of memory, and the requests of its other callers ended with it.

A body may hold at most as much as is free, so that any number of endless ones leave room for small ones. A request that finds no room is refused at once (503 with Retry-After, it has not run); a response that finds none has failed, and another endpoint is asked where the route allows it. Bodies are kept in one piece of memory in place of a list of chunks, and an event that arrives byte by byte is neither copied nor searched from its start for each byte.

Ruled out by rows that passed before: heads, header lines, interim responses, chunk extensions and events without end, which end their attempts.

Rows for bodies and events in chunks of one byte (these passed before).

--- a/src/node/gateway/__tests__/endlessBytes.test.ts
+++ b/src/node/gateway/__tests__/endlessBytes.test.ts
@@ -15,6 +15,8 @@
 const formatChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 const FILLER = 'x'.repeat(32 * 1024);
 
+const BYTES_IN_CHUNKS = formatChunk('x').repeat(8_000);
+
 /** Writes `repeated` until the gateway closes the connection. */
 const createEndless =
   (start: string, repeated: string, pauseMs = 0): SocketAnswer =>
@@ -31,6 +33,10 @@
 const sendGood: SocketAnswer = (socket) => {
   socket.end(`${OK_HEAD}Content-Length: 4\r\n\r\ngood`);
 };
+/** Answers after all callers have sent their bodies. */
+const sendLate: SocketAnswer = (socket) => {
+  setTimeout(() => socket.end(`${OK_HEAD}Content-Length: 4\r\n\r\ngood`), 500);
+};
 const sendGoodStream: SocketAnswer = (socket) => {
   socket.end(`${EVENT_STREAM}${formatChunk('id: 2\ndata: b\n\n')}0\r\n\r\n`);
 };
@@ -53,6 +59,16 @@
     answer: createEndless(`${OK_HEAD}Transfer-Encoding: chunked\r\n\r\n`, formatChunk(FILLER)),
     retry: sendGood,
   },
+  {
+    name: 'a body in chunks of one byte',
+    answer: createEndless(`${OK_HEAD}Transfer-Encoding: chunked\r\n\r\n`, BYTES_IN_CHUNKS),
+    retry: sendGood,
+  },
+  {
+    name: 'an event in chunks of one byte',
+    answer: createEndless(EVENT_STREAM, BYTES_IN_CHUNKS),
+    retry: sendGoodStream,
+  },
   {
     name: 'a close-delimited body',
     answer: createEndless(`${OK_HEAD}Connection: close\r\n\r\n`, FILLER),
@@ -116,6 +132,64 @@
   );
 }
 
+/** Samples the memory of this process until it is stopped, and returns the highest value in bytes. */
+const startMemoryWatch = () => {
+  let peak = process.memoryUsage().rss;
+  const timer = setInterval(() => {
+    peak = Math.max(peak, process.memoryUsage().rss);
+  }, 5);
+  return () => {
+    clearInterval(timer);
+    return Math.max(peak, process.memoryUsage().rss);
+  };
+};
+
+const CONCURRENT_CALLS = 60;
+/** Memory that concurrent calls may add, for callers, endpoints and the gateway together. */
+const CONCURRENT_MEMORY_BYTES = 160 * MIB;
+
+// Each response was limited by itself: 60 of them took 240 MB, where a gateway has 200 to 350.
+test.serial(
+  'bytes without end in many bodies at once take a bounded amount of memory',
+  async (t) => {
+    const endless = createEndless(
+      `${OK_HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+      formatChunk(FILLER),
+    );
+    const gateway = await startGateway({ ...ROUTE, kind: 'idempotent' }, [endless, sendGood]);
+    t.teardown(gateway.stop);
+    const memoryBefore = process.memoryUsage().rss;
+    const stopWatch = startMemoryWatch();
+    const calls = Array.from({ length: CONCURRENT_CALLS }, () => gateway.call(DEADLINE));
+    const results = await Promise.all(calls);
+    const added = stopWatch() - memoryBefore;
+    t.log(`${Math.round(added / MIB)} MiB added by ${CONCURRENT_CALLS} calls`);
+    t.true(added < CONCURRENT_MEMORY_BYTES);
+    t.deepEqual(
+      results.map(({ status, body }) => `${status} ${body}`),
+      calls.map(() => '200 good'),
+    );
+  },
+);
+
+test.serial(
+  'request bodies beyond the memory for them are refused at once, before they run',
+  async (t) => {
+    const gateway = await startGateway({ ...ROUTE, kind: 'once' }, [sendLate], {
+      bodyMemoryBytes: 8 * MIB,
+    });
+    t.teardown(gateway.stop);
+    const send = () => gateway.call({ ...DEADLINE, method: 'POST', body: FILLER.repeat(30) });
+    const results = await Promise.all(Array.from({ length: 20 }, send));
+    const refused = results.filter(({ status }) => status === 503);
+    t.true(refused.length > 0 && refused.length < results.length);
+    t.true(refused.every(({ headers }) => Number(headers['retry-after']) > 0));
+    t.true(results.every(({ status }) => status === 200 || status === 503));
+    t.is(gateway.heads[0]!.length, results.length - refused.length);
+    t.is((await send()).status, 200);
+  },
+);
+
 test('bytes without end on a route without retries give 502 before the timeout', async (t) => {
   const endless = createEndless(
     `${OK_HEAD}Transfer-Encoding: chunked\r\n\r\n`,
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -17,6 +17,7 @@
 import type { EndpointReport, KnownEndpoint } from '../../registry';
 import { createRouteTable, type Route, type RoutingConfig } from '../../routing';
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
+import { createByteBudget } from '../byteBudget';
 import { createCallerServer } from '../callerServer';
 import { startEndpointAttempt } from '../endpointAttempt';
 import { fetchProcessState } from '../endpointProcess';
@@ -90,6 +91,7 @@
   readonly hasLease?: () => boolean;
   /** Limit for the answer of a process that is asked who it is, in milliseconds. */
   readonly processTimeoutMs?: number;
+  readonly bodyMemoryBytes?: number;
 }
 
 /** Fields of a test's route that replace the defaults. */
@@ -98,6 +100,7 @@
 const HOST = 'shop.example';
 /** Long enough for a busy machine. */
 const PROCESS_TIMEOUT_MS = 10_000;
+const BODY_MEMORY_BYTES = 32 * 1024 * 1024;
 const KEY = 'key-1';
 
 /** Creates a test's route. */
@@ -236,6 +239,7 @@
     bindUnknown = async () => {},
     hasLease = () => true,
     processTimeoutMs = PROCESS_TIMEOUT_MS,
+    bodyMemoryBytes = BODY_MEMORY_BYTES,
   }: GatewayOverrides = {},
 ): Promise<GatewayHarness> => {
   const heads: string[][] = answers.map(() => []);
@@ -331,6 +335,7 @@
   const server = createCallerServer({
     codec: headerCodec,
     runner,
+    bodyBudget: createByteBudget(bodyMemoryBytes),
     metrics,
     log,
     readSnapshot: () => snapshot,
--- a/src/node/gateway/__tests__/relayResponse.test.ts
+++ b/src/node/gateway/__tests__/relayResponse.test.ts
@@ -4,6 +4,7 @@
 import { Registry } from 'prom-client';
 import { Right } from 'purify-ts';
 import { createWindowBudget } from '../../decisions';
+import { createByteBudget } from '../byteBudget';
 import { createEndpointLoads } from '../endpointLoads';
 import { createGatewayMetrics } from '../gatewayMetrics';
 import type { AttemptContext } from '../attemptRecords';
@@ -21,7 +22,12 @@
   const route = createRoute({ kind: 'stream', canResume: true, gapTargetMs: GAP_TARGET_MS });
   let isStarted = false;
   const exchange = {
-    request: { route, caller: { requestId: 'id-1', promptBlocks: [] }, receivedAt: 0 },
+    request: {
+      route,
+      account: createByteBudget(10_000).openAccount(),
+      caller: { requestId: 'id-1', promptBlocks: [] },
+      receivedAt: 0,
+    },
     reply: {
       isStarted: () => isStarted,
       start: () => {
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -4,10 +4,11 @@
 import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
 import { admitRequest, type AdmissionRefusal } from './admitRequest';
+import type { ByteBudget } from './byteBudget';
 import { createCallerReply, type CallerReply } from './callerReply';
 import type { ExchangeRunner } from './exchange';
 import type { GatewayMetrics } from './gatewayMetrics';
-import { readBody } from './readBody';
+import { readBody, type BodyFailure } from './readBody';
 import { computeFingerprint } from './requestFingerprint';
 import type { RoutingSnapshot } from './routingView';
 import type { CallerHeaders, HeaderCodec } from './types';
@@ -16,6 +17,8 @@
 export interface CallerServerOptions {
   readonly codec: HeaderCodec;
   readonly runner: ExchangeRunner;
+  /** Bounds the bodies that are held in memory. */
+  readonly bodyBudget: ByteBudget;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
   readonly readSnapshot: () => RoutingSnapshot | undefined;
@@ -45,7 +48,18 @@
 const MAX_CONFIG_WAIT_MS = 1_000;
 /** Fraction of the caller's deadline that a request may wait for the configuration. */
 const CONFIG_WAIT_DEADLINE_FRACTION = 0.1;
-const BODY_FAILURE_STATUS = { too_large: 413, broken: 400 } as const;
+/** Bodies are held in memory until their requests end, most within this time. */
+const NO_MEMORY_RETRY_MS = 300;
+
+const BODY_REFUSALS: Readonly<Record<BodyFailure, AdmissionRefusal>> = {
+  too_large: { status: 413, reason: 'the request body is too large' },
+  broken: { status: 400, reason: 'the request body is incomplete' },
+  no_memory: {
+    status: 503,
+    reason: 'the gateway has no memory left for the request body',
+    retryAfterMs: NO_MEMORY_RETRY_MS,
+  },
+};
 
 const computeConfigWaitMs = (deadlineMs: number | undefined): number =>
   Math.min(MAX_CONFIG_WAIT_MS, CONFIG_WAIT_DEADLINE_FRACTION * (deadlineMs ?? 0));
@@ -109,11 +123,11 @@
       return;
     }
     const { limits } = snapshot.table.config;
-    const body = await readBody(message, limits.bodyBytes);
+    const account = options.bodyBudget.openAccount();
+    response.once('close', account.close);
+    const body = await readBody(message, limits.bodyBytes, account);
     if (body.isLeft()) {
-      const failure = body.swap().unsafeCoerce();
-      const reason = `the request body is ${failure === 'too_large' ? 'too large' : 'incomplete'}`;
-      refuse(reply, caller, { status: BODY_FAILURE_STATUS[failure], reason });
+      refuse(reply, caller, BODY_REFUSALS[body.swap().unsafeCoerce()]);
       return;
     }
     const method = message.method ?? 'GET';
@@ -131,6 +145,7 @@
         method,
         path,
         body: content,
+        account,
         fingerprint: computeFingerprint(identity),
         route,
         organisation,
--- a/src/node/gateway/eventReader.ts
+++ b/src/node/gateway/eventReader.ts
@@ -1,3 +1,6 @@
+import type { ByteAccount } from './byteBudget';
+import { createByteBuffer } from './byteBuffer';
+
 /** One complete server-sent event with its original bytes. */
 export interface StreamEvent {
   readonly bytes: Buffer;
@@ -46,27 +49,44 @@
   return id === lastEventId || Number(id) <= Number(lastEventId);
 };
 
-/** Creates a reader with an empty buffer. */
-export const createEventReader = (): EventReader => {
-  let pending: Buffer = Buffer.alloc(0);
+/** Bytes before an event's last one that belong to its end: an empty line with CR LF. */
+const END_OVERLAP_BYTES = 3;
+
+/** Creates an empty reader. Its incomplete last event counts towards an account. */
+export const createEventReader = (
+  account: Pick<ByteAccount, 'acquire' | 'release'>,
+): EventReader => {
+  const pending = createByteBuffer(account);
+
+  const appendPending = (bytes: Buffer): void => {
+    if (!pending.add(bytes)) {
+      throw new Error(`no memory is left for ${bytes.length} more bytes of an incomplete event`);
+    }
+    if (pending.countBytes() <= MAX_EVENT_BYTES) return;
+    throw new Error(
+      `an event has more than ${MAX_EVENT_BYTES} bytes: ${pending.countBytes()} without its end`,
+    );
+  };
+
   return {
     add: (chunk) => {
-      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      const known = pending.countBytes();
+      if (known > 0) appendPending(chunk);
+      const bytes = known > 0 ? pending.read() : chunk;
       const events: StreamEvent[] = [];
       let start = 0;
-      for (let end = findEventEnd(pending, 0); end >= 0; end = findEventEnd(pending, start)) {
-        const bytes = pending.subarray(start, end);
-        events.push({ bytes, id: parseId(bytes) });
+      let end = findEventEnd(bytes, Math.max(0, known - END_OVERLAP_BYTES));
+      while (end >= 0) {
+        const event = bytes.subarray(start, end);
+        events.push({ bytes: event, id: parseId(event) });
         start = end;
+        end = findEventEnd(bytes, start);
       }
-      pending = pending.subarray(start);
-      if (pending.length > MAX_EVENT_BYTES) {
-        throw new Error(
-          `an event has more than ${MAX_EVENT_BYTES} bytes: ${pending.length} without its end`,
-        );
-      }
+      if (known > 0 && start === 0) return events;
+      if (known > 0) pending.clear();
+      if (start < bytes.length) appendPending(bytes.subarray(start));
       return events;
     },
-    countPending: () => pending.length,
+    countPending: pending.countBytes,
   };
 };
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -2,6 +2,7 @@
 import type { EndpointReport } from '../registry';
 import type { RouteTable, RoutedOrganisation, Route } from '../routing';
 import type { WindowBudget } from '../decisions';
+import type { ByteAccount } from './byteBudget';
 import type { CallerReply, ReplyHead } from './callerReply';
 import type { EndpointChooser } from './endpointChoice';
 import type { EndpointLimits } from './endpointLimits';
@@ -25,6 +26,8 @@
   /** Path and query string as the caller sent them. */
   readonly path: string;
   readonly body: Buffer;
+  /** Bytes that are held for the request and its responses. */
+  readonly account: ByteAccount;
   /** Identifies the same request when it comes again under another id. */
   readonly fingerprint: string;
   readonly route: Route;
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -6,6 +6,7 @@
 import { createPartLogger, type Logger } from '../log';
 import { createInternalServer, createMetricsService, type Metrics } from '../metrics';
 import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
+import { createByteBudget } from './byteBudget';
 import { createCallerServer, updateTimeouts } from './callerServer';
 import { createRestraintServices } from './restraintServices';
 import { createEndpointChooser } from './endpointChoice';
@@ -325,11 +326,13 @@
       view.read() !== undefined &&
       registry.hasAnswer() &&
       exchange.hasEndedCall();
+    const bodyBudget = createByteBudget(settings.bodyMemoryBytes);
     const callers = createCallerServer({
       codec,
       runner,
       log,
       readNow,
+      bodyBudget,
       metrics: find<GatewayMetrics>('gateway-metrics'),
       readSnapshot: view.read,
       waitForSnapshot: view.waitForSnapshot,
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -41,7 +41,7 @@
 ): Promise<AttemptResult> => {
   const { exchange, deps, attempt, startedAt } = context;
   const { reply } = exchange;
-  const reader = createEventReader();
+  const reader = createEventReader(exchange.request.account);
   const chunks = attempt.readBody()[Symbol.asyncIterator]();
   // A stream that can be resumed is sent in chunks, because its end can be confirmed.
   const isPassedOn = head.isCloseDelimited && !isRetryableRoute(exchange.request.route);
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -16,6 +16,7 @@
   waitFor,
   type AttemptResult,
 } from './attemptResult';
+import { createByteBuffer } from './byteBuffer';
 import { findDeclaredLength } from './callerReply';
 import { createModelInput } from './choiceRequest';
 import { checkCloseDelimitedEnd } from './closeDelimitedEnd';
@@ -35,20 +36,25 @@
   context.budget.canAcquire(context.deps.readNow(), context.snapshot.gatewayCount);
 
 const readFullBody = async (context: AttemptContext): Promise<Buffer | undefined> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const buffer = createByteBuffer(context.exchange.request.account);
+  const refuse = (reason: string): undefined => {
+    buffer.clear();
+    recordFailure(context, reason, true);
+  };
   try {
     for await (const chunk of context.attempt.readBody()) {
-      size += chunk.length;
-      if (size > MAX_BUFFERED_BYTES) {
-        const reason = `response body has more than ${MAX_BUFFERED_BYTES} bytes and no length`;
-        recordFailure(context, reason, true);
-        return undefined;
+      if (buffer.countBytes() + chunk.length > MAX_BUFFERED_BYTES) {
+        return refuse(`response body has more than ${MAX_BUFFERED_BYTES} bytes and no length`);
+      }
+      if (!buffer.add(chunk)) {
+        return refuse(
+          `no memory is left for a response body of ${buffer.countBytes()} bytes so far`,
+        );
       }
-      chunks.push(chunk);
     }
-    return Buffer.concat(chunks);
+    return buffer.read();
   } catch (cause) {
+    buffer.clear();
     recordFailure(context, `response body was truncated: ${(cause as Error).message}`, true);
     if (isConnectionLoss(cause)) recordConnectionLoss(context, true);
     return undefined;
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -33,4 +33,6 @@
   /** Internal secret, shared by all processes of the deployment. */
   readonly secret: string;
   readonly bounds: GatewayBounds;
+  /** Limit of the request and response bodies held in memory together, in bytes. */
+  readonly bodyMemoryBytes: number;
 }
