Limit an event that an engine sends without end

The agent's part of the report of endpoints that send without end: the parser of events kept an incomplete line, event or comment without a limit, so one faulty engine could end its agent and all requests there. Frames were limited already, the parser's own buffer was not. The three new rows failed before: 64 MiB were read without an end. An attempt now fails after 1 MiB without a complete event.

Questions of a gateway who an endpoint is: rows for a body and a head without end, which passed before.

--- a/src/node/agent/__tests__/engineCall.test.ts
+++ b/src/node/agent/__tests__/engineCall.test.ts
@@ -62,6 +62,34 @@
   });
 }
 
+const ENDLESS_LIMIT_BYTES = 64 * 1024 * 1024;
+
+const endlessStreams = [
+  { name: 'a line', start: 'data: ', repeated: 'x' },
+  { name: 'an event', start: '', repeated: 'data: x\n' },
+  { name: 'a comment', start: ': ', repeated: 'x' },
+] as const;
+
+// The parser of events kept an incomplete one without a limit, until the agent had no memory left.
+for (const { name, start, repeated } of endlessStreams) {
+  test(`a stream with ${name} without end fails its attempt`, async (t) => {
+    let sent = 0;
+    const filler = Buffer.from(repeated.repeat(8_192));
+    const body = (async function* generateChunks() {
+      yield Buffer.from(start);
+      for (; sent < ENDLESS_LIMIT_BYTES; sent += filler.length) yield filler;
+    })();
+    const headers = { 'content-type': 'text/event-stream' };
+    const pool = { request: async () => ({ statusCode: 200, headers, body }) };
+    const counts = { inputTokens: 0, outputTokens: 0 };
+    const target = { pool, counts } as unknown as EngineTarget;
+    await t.throwsAsync(callEngine(target, createAttempt(REQUEST)), {
+      message: /an event of the engine has more than \d+ bytes/,
+    });
+    t.true(sent < ENDLESS_LIMIT_BYTES / 8);
+  });
+}
+
 /** Lets an engine listen, and creates an agent's one connection to it. */
 const startPool = async (t: ExecutionContext, server: Server): Promise<Pool> => {
   server.listen(0, '127.0.0.1');
--- a/src/node/agent/engineCall.ts
+++ b/src/node/agent/engineCall.ts
@@ -69,6 +69,9 @@
 
 const encodeData = (text: string): string => Buffer.from(text).toString('base64');
 
+/** Bounds the memory for an engine that sends bytes without the end of an event. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 // Parses the event stream to read the usage chunk, and drops it unless the caller wants it. Events
 // that arrive together share a frame: an agent that falls behind then has less work for each event,
 // so that new attempts do not wait behind the frames of running ones.
@@ -80,7 +83,9 @@
 ): Promise<void> => {
   let texts: string[] = [];
   let hasEnded = false;
+  let pendingBytes = 0;
   const handleEvent = (event: EventSourceMessage): void => {
+    pendingBytes = 0;
     if (event.data === END_OF_STREAM) hasEnded = true;
     const chunk = parseChunk(event.data);
     updateCounts(target, chunk);
@@ -89,9 +94,16 @@
     const lines = event.data.split('\n').map((line) => `data: ${line}\n`);
     texts.push(`${name}${lines.join('')}\n`);
   };
-  const parser = createParser({ onEvent: handleEvent });
+  const handleComment = (): void => {
+    pendingBytes = 0;
+  };
+  const parser = createParser({ onEvent: handleEvent, onComment: handleComment });
   const decoder = new TextDecoder();
   for await (const chunk of chunks) {
+    pendingBytes += chunk.length;
+    if (pendingBytes > MAX_EVENT_BYTES) {
+      throw new Error(`an event of the engine has more than ${MAX_EVENT_BYTES} bytes`);
+    }
     parser.feed(decoder.decode(chunk, { stream: true }));
     if (texts.length > 0) attempt.append({ type: 'data', data: encodeData(texts.join('')) });
     texts = [];
--- a/src/node/gateway/__tests__/endpointProcess.test.ts
+++ b/src/node/gateway/__tests__/endpointProcess.test.ts
@@ -23,6 +23,22 @@
 const sendNothing: Answer = () => {};
 const turnAway = sendText(formatAnswer('503 Service Unavailable', ''));
 
+const sendEndlessBody: Answer = (socket) => {
+  const chunk = `8000\r\n${'x'.repeat(0x8000)}\r\n`;
+  socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+  const sendNext = (): void => {
+    if (!socket.destroyed) socket.write(chunk, sendNext);
+  };
+  sendNext();
+};
+const sendEndlessHead: Answer = (socket) => {
+  socket.write('HTTP/1.1 200 OK\r\n');
+  const sendNext = (): void => {
+    if (!socket.destroyed) socket.write(`X-More: ${'x'.repeat(1_000)}\r\n`, sendNext);
+  };
+  sendNext();
+};
+
 const TIMEOUT_MS = 1_000;
 
 /** Answers to the questions in turn; nothing accepts connections after the last one. */
@@ -47,6 +63,18 @@
     state: 'unknown',
     asked: 3,
   },
+  {
+    name: 'sends a body without end',
+    answers: [sendEndlessBody, identify],
+    state: 'unknown',
+    asked: 1,
+  },
+  {
+    name: 'sends a head without end',
+    answers: [sendEndlessHead, identify],
+    state: 'unknown',
+    asked: 1,
+  },
   { name: 'does not answer', answers: [sendNothing, identify], state: 'unknown', asked: 1 },
   {
     name: 'answers without saying who it is',
