Pass on the leave of an endpoint that a control host does not know

Such a host now asks the other control hosts to record the leave. It is acknowledged if one that knows the endpoint has recorded it, or if all answer that none does; otherwise the endpoint is told to try another host (503).

Looked at with it: a drain report carries all that a host needs to know and is shared when it arrives; a roll-out and a configuration go through the log. Open: a leave that no host knows because all of them have just started is acknowledged and not remembered, so that a report that was delayed could follow it.

--- a/src/node/routingControl/protocol.ts
+++ b/src/node/routingControl/protocol.ts
@@ -95,3 +95,18 @@
   report: z.custom<EndpointRecord['report']>((value) => typeof value === 'object'),
   hasLeft: z.boolean(),
 });
+
+/** Schema of the parameters of `registry.leave`. */
+export const peerLeaveParams = z.strictObject({
+  id: z.string(),
+  /** Unix time of the endpoint's start in milliseconds; absent if the endpoint did not say it. */
+  startedAt: z.number().optional(),
+});
+
+/** Parameters of `registry.leave`, which a control host calls that does not know the endpoint. */
+export type PeerLeaveParams = Readonly<z.infer<typeof peerLeaveParams>>;
+
+/** Result of `registry.leave`. */
+export interface PeerLeaveAnswer {
+  readonly wasKnown: boolean;
+}
--- a/src/node/routingControl/registryHandler.ts
+++ b/src/node/routingControl/registryHandler.ts
@@ -2,7 +2,12 @@
 import type { Logger } from '../log';
 import type { EndpointReport, Registry, ReportOutcome } from '../registry';
 import type { RpcClient } from '../rpc';
-import type { RegistryAnswer, WatchRegistryParams } from './protocol';
+import type {
+  PeerLeaveAnswer,
+  PeerLeaveParams,
+  RegistryAnswer,
+  WatchRegistryParams,
+} from './protocol';
 import { createChangeNotifier } from './changeNotifier';
 
 /** Options of a registry handler. */
@@ -21,6 +26,12 @@
 /** What became of a report; `implausible` if it cannot be an endpoint's. */
 export type HandledReport = ReportOutcome | 'implausible';
 
+/**
+ * What became of a leave: `left` if a control host that knew the endpoint has recorded it, `unknown`
+ * if no control host knows the endpoint, `unconfirmed` if one that may know it did not answer.
+ */
+export type HandledLeave = 'left' | 'unknown' | 'unconfirmed';
+
 /**
  * Handles endpoint reports: updates the registry, forwards changes to other control hosts, notifies
  * gateways.
@@ -30,8 +41,10 @@
    * Applies a report. Resolves once another control host has received the change, or after 300 ms.
    */
   readonly handleReport: (report: EndpointReport) => Promise<HandledReport>;
-  /** Marks an endpoint as left. Returns false if the endpoint is unknown. */
-  readonly handleLeave: (id: string, startedAt: number | undefined) => Promise<boolean>;
+  /** Marks an endpoint as left, here or at the control hosts that know it. */
+  readonly handleLeave: (id: string, startedAt: number | undefined) => Promise<HandledLeave>;
+  /** Marks an endpoint as left for another control host that does not know it. */
+  readonly handlePeerLeave: (leave: PeerLeaveParams) => PeerLeaveAnswer;
   /** Applies a change received from another control host. */
   readonly handlePeerReport: (report: EndpointReport, hasLeft: boolean) => void;
   readonly watch: (params: WatchRegistryParams) => Promise<RegistryAnswer>;
@@ -89,6 +102,26 @@
     logChange(report, outcome);
   };
 
+  const applyLeave = (id: string, startedAt: number | undefined): EndpointReport | undefined => {
+    const wasKnown = registry.applyLeave(id, startedAt, readNow());
+    const report = wasKnown ? registry.find(id)?.report : undefined;
+    if (report) handleChange(report, 'left');
+    return report;
+  };
+
+  // A host that has started after the endpoint's last change knows it only from its next report.
+  const callPeersToLeave = async (params: PeerLeaveParams): Promise<HandledLeave> => {
+    const timeout = { timeoutMs: PEER_TIMEOUT_MS };
+    const answers = await Promise.all(
+      listPeers().map((peer) => rpc.call(peer, 'registry.leave', params, timeout)),
+    );
+    const isKnownToPeer = answers.some((answer) =>
+      answer.map((value) => (value as PeerLeaveAnswer).wasKnown).orDefault(false),
+    );
+    if (isKnownToPeer) return 'left';
+    return answers.every((answer) => answer.isRight()) ? 'unknown' : 'unconfirmed';
+  };
+
   return {
     handleReport: async (report) => {
       if (report.startedAt > readWallClock() + MAX_CLOCK_SKEW_MS) return 'implausible';
@@ -100,14 +133,19 @@
       return outcome;
     },
     handleLeave: async (id, startedAt) => {
-      const wasKnown = registry.applyLeave(id, startedAt, readNow());
-      const record = registry.find(id);
-      if (wasKnown && record) {
-        handleChange(record.report, 'left');
-        await sendChange(record.report, true);
+      const report = applyLeave(id, startedAt);
+      if (report) {
+        await sendChange(report, true);
+        return 'left';
       }
-      return wasKnown;
+      const outcome = await callPeersToLeave({ id, ...(startedAt !== undefined && { startedAt }) });
+      log.info(
+        { endpoint: id, startedAt, outcome },
+        'leave of an endpoint that this host does not know',
+      );
+      return outcome;
     },
+    handlePeerLeave: ({ id, startedAt }) => ({ wasKnown: applyLeave(id, startedAt) !== undefined }),
     handlePeerReport: (report, hasLeft) => {
       const now = readNow();
       const outcome = registry.applyReport(report, now);
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -22,7 +22,12 @@
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
 import { claimProbeParams, createSuspectDirectory } from './suspectDirectory';
-import { shareReportParams, watchRegistryParams, watchRoutingParams } from './protocol';
+import {
+  peerLeaveParams,
+  shareReportParams,
+  watchRegistryParams,
+  watchRoutingParams,
+} from './protocol';
 import { createRegistryHandler, type RegistryHandler } from './registryHandler';
 import { createRolloutSupervisor } from './rolloutSupervisor';
 import { createRoutingHandler, type RoutingHandler } from './routingHandler';
@@ -173,6 +178,7 @@
         'session.bind': createMethod(bindSessionsParams, (params) =>
           sessionDirectory.bind(params, readNow()),
         ),
+        'registry.leave': createMethod(peerLeaveParams, handlers.registry.handlePeerLeave),
         'registry.share': createMethod(shareReportParams, ({ report, hasLeft }) => {
           handlers.registry.handlePeerReport(report, hasLeft);
           return { type: 'recorded' };
