Keep the answer of a small model where no other model may be asked

Whether the route allows another attempt is asked first; where it does not, the first answer goes out. The row of such a stream failed before.

--- a/src/node/gateway/__tests__/droppedResponse.test.ts
+++ b/src/node/gateway/__tests__/droppedResponse.test.ts
@@ -46,3 +46,34 @@
     if (isSeen) t.true(suspected[0]!.includes('"incarnation":"e-0|1"'));
   });
 }
+
+const unsureAnswer = createAnswer(`${SMALL_HEAD}f\r\nid: 1\ndata: y\n\n\r\n0\r\n\r\n`);
+
+const cascadeRoutes = [
+  {
+    name: 'a stream that may be resumed',
+    route: CASCADE,
+    text: 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n',
+  },
+  {
+    name: 'a stream that may not be resumed',
+    route: { ...CASCADE, canResume: false },
+    text: 'id: 1\ndata: y\n\n',
+  },
+] as const;
+
+// The unsure answer of a small model was dropped before it was known whether the request may be sent
+// again. Where it may not, callers got 502.
+for (const { name, route, text } of cascadeRoutes) {
+  test(`an unsure answer is dropped only if another model may be asked: ${name}`, async (t) => {
+    const replyByModel: SocketAnswer = (...connection) => {
+      const isSmall = connection[1].includes(`${HEADERS.model}: small`);
+      (isSmall ? unsureAnswer : createAnswer(LARGE_ANSWER))(...connection);
+    };
+    const gateway = await startGateway(route, [replyByModel]);
+    t.teardown(gateway.stop);
+    const { status, body } = await gateway.call({ headers: { [HEADERS.model]: '*' } });
+    t.is(status, 200);
+    t.is(body, text);
+  });
+}
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,5 +1,6 @@
 import { chooseResponseForm, chooseSecondModel } from '../decisions';
 import { formatIncarnation } from '../registry';
+import { isRetryableRoute } from '../routing';
 import {
   recordConnectionLoss,
   recordFailure,
@@ -127,6 +128,8 @@
   const { route, caller } = exchange.request;
   // A probe may take the endpoint down, so it gets a single attempt.
   if (model === undefined || exchange.reply.isStarted() || exchange.isProbe) return false;
+  // An endpoint runs the request already, so where it may run only once this answer is the only one.
+  if (!isRetryableRoute(route)) return false;
   const now = deps.readNow();
   const { confidence } = head;
   const secondModel = chooseSecondModel({
