Remember that an attempt had begun an event when it broke off

The caller got events 1 and 2 as a complete stream, although the bytes received had shown that there is a third one. Such an end is a failure of its attempt now; the beginning of a comment does not count.

--- a/src/node/gateway/eventReader.ts
+++ b/src/node/gateway/eventReader.ts
@@ -17,6 +17,8 @@
   readonly add: (chunk: Buffer) => readonly StreamEvent[];
   /** Returns the number of bytes of the incomplete last event. */
   readonly countPending: () => number;
+  /** Returns whether the incomplete last event is more than the beginning of a comment. */
+  readonly hasBegunEvent: () => boolean;
 }
 
 /** Bounds the memory for an endpoint that sends bytes without the end of an event. */
@@ -25,6 +27,9 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(.*)$/m;
 
+/** A line that is neither empty nor a comment, which begins with a colon. */
+const FIELD_LINE = /^[^:\r\n]/m;
+
 const parseId = (bytes: Buffer): string | undefined =>
   ID_LINE.exec(bytes.toString('latin1'))?.[1]?.trim();
 
@@ -88,5 +93,6 @@
       return events;
     },
     countPending: pending.countBytes,
+    hasBegunEvent: () => FIELD_LINE.test(pending.read().toString('latin1')),
   };
 };
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -43,6 +43,7 @@
   confidence: undefined,
   doubtfulAnswer: undefined,
   unconfirmedEndId: undefined,
+  begunEvent: undefined,
   lastEventId: request.caller.lastEventId,
   previousEventId: undefined,
   firstByteAt: undefined,
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -96,6 +96,8 @@
   doubtfulAnswer: DoubtfulAnswer | undefined;
   /** Id of the last event of an attempt that ended without a sign that the stream is complete. */
   unconfirmedEndId: string | undefined;
+  /** Id of the event after which an attempt broke off inside another one, if one did. */
+  begunEvent: { readonly afterId: string | undefined } | undefined;
   /** Ids of the last event that the caller has received, and of the one before it. */
   lastEventId: string | undefined;
   previousEventId: string | undefined;
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -18,7 +18,12 @@
 } from './attemptResult';
 import { checkCloseDelimitedEnd, isConfirmingEnd } from './closeDelimitedEnd';
 import { isConnectionLoss } from './endpointAttempt';
-import { createEventReader, isRepeatedEvent, type StreamEvent } from './eventReader';
+import {
+  createEventReader,
+  isRepeatedEvent,
+  type EventReader,
+  type StreamEvent,
+} from './eventReader';
 import type { Exchange } from './exchangeTypes';
 import type { RawHeaders, ResponseHead } from './types';
 
@@ -34,6 +39,13 @@
   return headers.filter((_item, at) => isKept(at - (at % 2)));
 };
 
+const recordBegunEvent = (exchange: Exchange, reader: EventReader): void => {
+  if (reader.hasBegunEvent()) exchange.begunEvent = { afterId: exchange.lastEventId };
+};
+
+const isEventMissing = ({ begunEvent, lastEventId }: Exchange): boolean =>
+  begunEvent !== undefined && begunEvent.afterId === lastEventId;
+
 /** Relays the events of one attempt to the caller as they arrive. */
 export const relayEventStream = async (
   context: AttemptContext,
@@ -59,6 +71,7 @@
       const next = await waitFor(chunks.next(), limitMs);
       if (exchange.isFinished) return RETRY;
       if (next.type === 'late') {
+        recordBegunEvent(exchange, reader);
         recordFailure(
           context,
           `no event within ${Math.round(nextEventDeadline - waitStartedAt)} ms`,
@@ -105,6 +118,7 @@
       nextEventDeadline = waitStartedAt + computeStallTimeoutMs(context);
     }
   } catch (cause) {
+    recordBegunEvent(exchange, reader);
     if (!exchange.isFinished) {
       recordFailure(context, `stream was interrupted: ${(cause as Error).message}`, true);
       if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context, true);
@@ -112,6 +126,7 @@
     return RETRY;
   }
   if (reader.countPending() > 0) {
+    recordBegunEvent(exchange, reader);
     recordFailure(context, 'stream ended in the middle of an event', true);
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
@@ -121,6 +136,11 @@
     recordFailure(context, reason, true);
     return RETRY;
   }
+  if (isEventMissing(exchange)) {
+    const reason = `stream ended after event ${exchange.lastEventId}, but an earlier attempt had begun another one`;
+    recordFailure(context, reason, true);
+    return RETRY;
+  }
   if (head.isCloseDelimited) {
     const hasContent = firstAt !== undefined;
     const end = { hasContent, hasSurvived, isPassedOn, canRetry: false };
