--- a/src/node/gateway/__tests__/begunEvents.test.ts
+++ b/src/node/gateway/__tests__/begunEvents.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { startGateway, type RouteFields, type SocketAnswer } from './harness';
 import { CHUNKED, formatChunks } from './framings';
-import { closeByReset, createAnswer, ECHO, LONG_DEADLINE } from './socketAnswers';
+import { close, closeByReset, createAnswer, ECHO, LONG_DEADLINE } from './socketAnswers';
 
 const HEAD = `HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Type: text/event-stream\r\n${CHUNKED}\r\n`;
 const STREAM: RouteFields = { kind: 'stream', canResume: true };
@@ -62,6 +62,26 @@
   },
 ];
 
+const UNFRAMED_HEAD = `HTTP/1.1 200 OK\r\n${ECHO}\r\nContent-Type: text/event-stream\r\n\r\n`;
+
+test('a confirming attempt that breaks off inside the repeated event says nothing about a further one', async (t) => {
+  const answers = [
+    createAnswer(`${UNFRAMED_HEAD}${formatEvents(1, 2)}`, close),
+    createBroken('id: 2\nda'),
+    createWhole(formatEvents(2, 2)),
+  ];
+  let count = 0;
+  const sendNext: SocketAnswer = (...connection) => {
+    answers[count]!(...connection);
+    count += 1;
+  };
+  const gateway = await startGateway(STREAM, [sendNext, sendNext]);
+  t.teardown(gateway.stop);
+  const result = await gateway.call({ method: 'POST', body: '{}', ...LONG_DEADLINE });
+  t.is(result.body, formatEvents(1, 2));
+  t.true(result.isComplete);
+});
+
 // The bytes of an event that had begun were forgotten, so that the next attempt could end the stream
 // without the event.
 for (const { name, answers, attemptLimit, body, isComplete } of cases) {
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -39,8 +39,10 @@
   return headers.filter((_item, at) => isKept(at - (at % 2)));
 };
 
-const recordBegunEvent = (exchange: Exchange, reader: EventReader): void => {
-  if (reader.hasBegunEvent()) exchange.begunEvent = { afterId: exchange.lastEventId };
+const recordBegunEvent = (exchange: Exchange, reader: EventReader, isRepeating: boolean): void => {
+  if (reader.hasBegunEvent() && !isRepeating) {
+    exchange.begunEvent = { afterId: exchange.lastEventId };
+  }
 };
 
 const isEventMissing = ({ begunEvent, lastEventId }: Exchange): boolean =>
@@ -71,7 +73,7 @@
       const next = await waitFor(chunks.next(), limitMs);
       if (exchange.isFinished) return RETRY;
       if (next.type === 'late') {
-        recordBegunEvent(exchange, reader);
+        recordBegunEvent(exchange, reader, isConfirming && firstAt === undefined);
         recordFailure(
           context,
           `no event within ${Math.round(nextEventDeadline - waitStartedAt)} ms`,
@@ -118,7 +120,7 @@
       nextEventDeadline = waitStartedAt + computeStallTimeoutMs(context);
     }
   } catch (cause) {
-    recordBegunEvent(exchange, reader);
+    recordBegunEvent(exchange, reader, isConfirming && firstAt === undefined);
     if (!exchange.isFinished) {
       recordFailure(context, `stream was interrupted: ${(cause as Error).message}`, true);
       if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context, true);
@@ -126,7 +128,7 @@
     return RETRY;
   }
   if (reader.countPending() > 0) {
-    recordBegunEvent(exchange, reader);
+    recordBegunEvent(exchange, reader, isConfirming && firstAt === undefined);
     recordFailure(context, 'stream ended in the middle of an event', true);
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
