Write the marker of the log again with the record after it

Cause: the marker that says that all bytes before it are synced is not synced itself. A power failure may lose it and keep the record that was written after it; a complete record behind a gap looks like damage.

The marker does not move the end of the log any more: the next record is written together with it in one write, without another sync. A log file that ends with a marker is synced before the next one begins.

--- a/src/node/replication/disk/segments.ts
+++ b/src/node/replication/disk/segments.ts
@@ -126,8 +126,14 @@
   await handle.truncate(position);
   await files.sync(handle);
 
+  // The marker is not synced, so the next record is written together with it: otherwise a power
+  // failure could leave the record without the marker before it, which would look like damage.
+  let isMarked = false;
+
   const writeRecord = async (record: LogRecord): Promise<void> => {
-    const bytes = encodeFrame(Buffer.from(JSON.stringify(record)));
+    const frame = encodeFrame(Buffer.from(JSON.stringify(record)));
+    const bytes = isMarked ? Buffer.concat([MARKER, frame]) : frame;
+    isMarked = false;
     await files.write(handle, bytes, position);
     await files.sync(handle);
     position += bytes.length;
@@ -135,6 +141,9 @@
   };
 
   const openNextSegment = async (): Promise<void> => {
+    // Only the last segment may end with a torn frame.
+    if (isMarked) await files.sync(handle);
+    isMarked = false;
     await handle.close();
     active = { number: active.number + 1, lastIndex: 0 };
     segments.push(active);
@@ -152,7 +161,7 @@
     },
     appendMarker: async () => {
       await files.write(handle, MARKER, position);
-      position += MARKER.length;
+      isMarked = true;
     },
     removeUpTo: async (index) => {
       while (segments.length > 1 && segments[0]!.lastIndex <= index) {
