Let the callers of tests see a reset that arrives with the last bytes

A row of 'neither, over HTTP/1.0' was red once in a whole run beside load 22 to 30: a stream that cannot be resumed broke off inside an event, and the caller took it for complete. The gateway had reset the connection; the test's caller did not see it.

--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -1,5 +1,6 @@
 import { request as openRequest, type IncomingMessage } from 'node:http';
 import {
+  connect,
   createServer as createNetServer,
   type AddressInfo,
   type Server as NetServer,
@@ -213,6 +214,11 @@
   return { port, stop };
 };
 
+const isCloseDelimited = ({ headers }: CallerResult): boolean =>
+  headers['content-length'] === undefined &&
+  headers['transfer-encoding'] === undefined &&
+  headers.connection === 'close';
+
 const readAnswer = (message: IncomingMessage): Promise<CallerResult> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -350,11 +356,15 @@
 
   const call: GatewayHarness['call'] = (options = {}) =>
     new Promise((resolve, reject) => {
+      const socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true });
+      // A reset that arrives with the last bytes is read like a close; an empty write tells it from one.
+      const hasBeenReset = new Promise<boolean>((resolveReset) => {
+        socket.once('end', () => socket.write('', (cause) => resolveReset(cause instanceof Error)));
+        socket.once('close', () => resolveReset(false));
+      });
       const sent = openRequest(
         {
-          host: '127.0.0.1',
-          port,
-          agent: false,
+          createConnection: () => socket,
           method: options.method ?? 'GET',
           path: options.path ?? '/a/b',
           headers: {
@@ -371,10 +381,12 @@
           sent.off('error', reject).on('error', () => {
             isReset = true;
           });
-          readAnswer(message).then(
-            (result) => resolve({ ...result, isComplete: result.isComplete && !isReset }),
-            reject,
-          );
+          readAnswer(message).then(async (result) => {
+            // Only the end of the connection ends a response without a length or chunks.
+            if (result.isComplete && isCloseDelimited(result)) isReset ||= await hasBeenReset;
+            socket.destroy();
+            resolve({ ...result, isComplete: result.isComplete && !isReset });
+          }, reject);
         },
       );
       sent.on('error', reject);
