Reserve a part of the memory for bodies to small ones

Callers with a small answer got 502 'no memory is left for a response body of 0 bytes so far' while other answers sent bytes without end. Each body may hold as much as is free: bodies that grow side by side end at equal sizes, but those that grow one after another halve what is free each time, and after about twenty of them a first kilobyte has no room. Load matters only because it makes them grow one after another. A quarter of the limit is now left to bodies of up to a 256th of it (130 KB of 33 MB). The new test fails on the code before (nothing free after 100 bodies); the tests of the rule itself are unchanged and pass.

--- a/src/node/gateway/__tests__/byteBudget.test.ts
+++ b/src/node/gateway/__tests__/byteBudget.test.ts
@@ -28,6 +28,18 @@
   t.is(budget.countHeld(), 800);
 });
 
+// Each large body left less room than the one before it, so that a small answer failed after about twenty of them.
+test('a hundred bodies without end that grow one after another leave room for small ones', (t) => {
+  const budget = createByteBudget(1_000_000);
+  const chunk = Buffer.alloc(1_000);
+  for (let body = 0; body < 100; body += 1) {
+    const { add } = createByteBuffer(budget.openAccount());
+    while (add(chunk));
+  }
+  t.true(budget.countHeld() <= 1_000_000);
+  t.true(createByteBuffer(budget.openAccount()).add(Buffer.alloc(800)));
+});
+
 test('a buffer gives back what it took, and an account that is closed takes no more', (t) => {
   const budget = createByteBudget(100_000);
   const account = budget.openAccount();
--- a/src/node/gateway/byteBudget.ts
+++ b/src/node/gateway/byteBudget.ts
@@ -27,12 +27,21 @@
   readonly limit: number;
 }
 
+/** Largest body that may use the reserve, as a fraction of the limit. */
+const SMALL_BODY_FRACTION = 1 / 256;
+/** Part of the limit that large bodies leave to small ones. */
+const RESERVED_FRACTION = 1 / 4;
+
 /**
- * Returns whether a body may take more bytes. It may hold at most as much as is free, so that any
- * number of large bodies leave room for small ones.
+ * Returns whether a body may take more bytes. A large body may hold at most as much as is free, so
+ * that one body cannot take everything. Bodies that grow one after another still leave nothing free
+ * together, so a part is reserved for small bodies.
  */
-export const hasRoomFor = ({ bytes, held, heldByAll, limit }: ByteDemand): boolean =>
-  held + bytes <= limit - heldByAll;
+export const hasRoomFor = ({ bytes, held, heldByAll, limit }: ByteDemand): boolean => {
+  const size = held + bytes;
+  if (size <= SMALL_BODY_FRACTION * limit) return bytes <= limit - heldByAll;
+  return size <= (1 - RESERVED_FRACTION) * limit - heldByAll;
+};
 
 /** Creates a budget of `limit` bytes. */
 export const createByteBudget = (limit: number): ByteBudget => {
