--- a/src/node/gateway/__tests__/scriptedEndpoints.test.ts
+++ b/src/node/gateway/__tests__/scriptedEndpoints.test.ts
@@ -157,7 +157,12 @@
   // Runs wait most of the time, so several are in progress at once.
   await Promise.all(
     Array.from({ length: LANES }, (_item, lane) =>
-      fc.assert(property, { seed: SEED + lane, numRuns: Math.ceil(RUNS / LANES) }),
+      fc.assert(property, {
+        seed: SEED + lane,
+        numRuns: Math.ceil(RUNS / LANES),
+        // Names the broken check; the cause of an error is not printed otherwise.
+        includeErrorInReport: true,
+      }),
     ),
   );
   t.true(answered > RUNS / LANES);
