Add orders to evacuate a zone to the replicated routing state

Cause: operators can't take a zone out of service; the state has no place for such an order.

The state keeps the latest order of each zone with its log index. An order names the latest order that was known when it was accepted, and is refused if another has been committed since; the same order again is accepted without a change. An order that changes nothing is recorded too, so that a late copy of an earlier opposite order can't undo it.

--- a/src/node/routingControl/__tests__/routingState.test.ts
+++ b/src/node/routingControl/__tests__/routingState.test.ts
@@ -142,3 +142,147 @@
     }
   });
 }
+
+const createEvacuation = (
+  zone: string,
+  action: 'start' | 'end',
+  after: number,
+): RoutingCommand => ({ type: 'evacuateZone', zone, action, after });
+
+interface EvacuationCase {
+  readonly name: string;
+  /** Orders as committed; the index of each is its position, counted from 1. */
+  readonly orders: readonly RoutingCommand[];
+  readonly evacuated: readonly string[];
+  readonly changes: number;
+  readonly refused?: number;
+}
+
+const evacuationCases: readonly EvacuationCase[] = [
+  {
+    name: 'a start evacuates the zone',
+    orders: [createEvacuation('a', 'start', 0)],
+    evacuated: ['a'],
+    changes: 1,
+  },
+  {
+    name: 'an end lets requests in again',
+    orders: [createEvacuation('a', 'start', 0), createEvacuation('a', 'end', 1)],
+    evacuated: [],
+    changes: 2,
+  },
+  {
+    name: 'zones are evacuated independently',
+    orders: [
+      createEvacuation('a', 'start', 0),
+      createEvacuation('b', 'start', 0),
+      createEvacuation('a', 'end', 1),
+    ],
+    evacuated: ['b'],
+    changes: 3,
+  },
+  // The leader was lost between the commit and the answer, and the operator sends the order again.
+  {
+    name: 'the same order again is accepted without a change',
+    orders: [createEvacuation('a', 'start', 0), createEvacuation('a', 'start', 1)],
+    evacuated: ['a'],
+    changes: 1,
+  },
+  {
+    name: 'a copy of the same order that was on its way is accepted without a change',
+    orders: [createEvacuation('a', 'start', 0), createEvacuation('a', 'start', 0)],
+    evacuated: ['a'],
+    changes: 1,
+  },
+  {
+    name: 'an end of a zone that is not evacuated is accepted without a change',
+    orders: [createEvacuation('a', 'end', 0)],
+    evacuated: [],
+    changes: 0,
+  },
+  // A host that was frozen commits the copy of an order that the operator sent elsewhere in time.
+  {
+    name: 'a late copy of a start does not undo a later end',
+    orders: [
+      createEvacuation('a', 'start', 0),
+      createEvacuation('a', 'end', 1),
+      createEvacuation('a', 'start', 0),
+    ],
+    evacuated: [],
+    changes: 2,
+    refused: 1,
+  },
+  {
+    name: 'a late copy of an end does not undo a later start',
+    orders: [
+      createEvacuation('a', 'start', 0),
+      createEvacuation('a', 'end', 1),
+      createEvacuation('a', 'start', 2),
+      createEvacuation('a', 'end', 1),
+    ],
+    evacuated: ['a'],
+    changes: 3,
+    refused: 1,
+  },
+  // The operator had no answer to the opposite order, and gave this one instead.
+  {
+    name: 'a late copy of a start does not undo an end that changed nothing',
+    orders: [createEvacuation('a', 'end', 0), createEvacuation('a', 'start', 0)],
+    evacuated: [],
+    changes: 0,
+    refused: 1,
+  },
+  {
+    name: 'a late copy of an end does not undo a start that changed nothing',
+    orders: [
+      createEvacuation('a', 'start', 0),
+      createEvacuation('a', 'start', 1),
+      createEvacuation('a', 'end', 1),
+    ],
+    evacuated: ['a'],
+    changes: 1,
+    refused: 1,
+  },
+  {
+    name: 'orders that cross at two hosts do not both take effect unseen',
+    orders: [
+      createEvacuation('a', 'start', 0),
+      createEvacuation('a', 'end', 1),
+      createEvacuation('a', 'start', 1),
+    ],
+    evacuated: [],
+    changes: 2,
+    refused: 1,
+  },
+];
+
+for (const { name, orders, evacuated, changes, refused = 0 } of evacuationCases) {
+  test(`evacuation orders: ${name}`, (t) => {
+    const first = createRoutingState();
+    const results = orders.map((order, index) => first.apply(index + 1, order));
+    t.is(results.filter(({ type }) => type === 'refused').length, refused);
+    const restored = createRoutingState();
+    restored.restore(JSON.parse(JSON.stringify(first.snapshot())));
+    for (const state of [first, restored]) {
+      t.deepEqual(
+        state.listEvacuations().flatMap(({ zone, isActive }) => (isActive ? [zone] : [])),
+        [...evacuated],
+      );
+      t.is(state.revision(), changes);
+      t.is(state.findEvacuationOrder('a'), first.findEvacuationOrder('a'));
+    }
+  });
+}
+
+// A host that is upgraded starts from a snapshot of the version before.
+test('evacuation orders: a snapshot without evacuations is restored', (t) => {
+  const older = createRoutingState();
+  older.apply(1, createPut(4));
+  const snapshot = { ...(older.snapshot() as object), evacuations: undefined };
+  const state = createRoutingState();
+  state.apply(1, createEvacuation('a', 'start', 0));
+  state.restore(JSON.parse(JSON.stringify(snapshot)));
+  t.deepEqual(state.listEvacuations(), []);
+  t.is(state.source(), 'text 4');
+  t.is(state.apply(2, createEvacuation('a', 'start', 0)).type, 'accepted');
+});
--- a/src/node/routingControl/routingState.ts
+++ b/src/node/routingControl/routingState.ts
@@ -29,14 +29,35 @@
       readonly to: RolloutStage;
       /** The order that started the judged roll-out. Absent in commands of older versions. */
       readonly order?: number;
+    }
+  | {
+      readonly type: 'evacuateZone';
+      readonly zone: string;
+      readonly action: EvacuationAction;
+      /**
+       * The latest order for the zone when this one was accepted, see `findEvacuationOrder`. The
+       * command is refused if another order has been committed since.
+       */
+      readonly after: number;
     };
 
+/** What an operator orders for a zone: to start its evacuation or to end it. */
+export type EvacuationAction = 'start' | 'end';
+
+/** The latest order for a zone. */
+export interface Evacuation {
+  readonly zone: string;
+  readonly isActive: boolean;
+  /** Log index of the order. */
+  readonly order: number;
+}
+
 /** Results of the commands of the `routing` group. */
 export type RoutingResult =
   | { readonly type: 'accepted'; readonly version: number; readonly isChange: boolean }
   | { readonly type: 'refused'; readonly reason: string };
 
-/** Replicated state: the current configuration and the latest roll-out of each service. */
+/** Replicated state: the current configuration, and the latest orders of services and zones. */
 export interface RoutingState extends StateMachine<RoutingCommand, RoutingResult> {
   readonly config: () => RoutingConfig | undefined;
   readonly source: () => string | undefined;
@@ -44,6 +65,10 @@
   readonly listRollouts: () => readonly ServiceRollout[];
   /** Returns the log index of the latest order of a roll-out of a service, or 0 if there is none. */
   readonly findOrder: (service: string) => number;
+  /** Returns the latest order for each zone that was ever ordered to be evacuated. */
+  readonly listEvacuations: () => readonly Evacuation[];
+  /** Returns the log index of the latest order for a zone, or 0 if there is none. */
+  readonly findEvacuationOrder: (zone: string) => number;
   /** Returns the versions that were rolled back, or whose roll-out was replaced by another. */
   readonly listRetired: () => readonly RetiredVersion[];
   /** Returns the number of changes of the state so far. */
@@ -63,6 +88,7 @@
   source: string | undefined;
   rollouts: Map<string, ServiceRollout>;
   orders: Map<string, number>;
+  evacuations: Map<string, Evacuation>;
   retired: RetiredVersion[];
   revision: number;
 }
@@ -73,6 +99,8 @@
   readonly rollouts: readonly ServiceRollout[];
   /** Absent in snapshots of older versions. */
   readonly orders?: readonly (readonly [string, number])[];
+  /** Absent in snapshots of older versions. */
+  readonly evacuations?: readonly Evacuation[];
   readonly retired: readonly RetiredVersion[];
   readonly revision: number;
 }
@@ -87,6 +115,9 @@
 
 const readOrder = (tables: Tables, service: string): number => tables.orders.get(service) ?? 0;
 
+const readEvacuationOrder = (tables: Tables, zone: string): number =>
+  tables.evacuations.get(zone)?.order ?? 0;
+
 /** Returns whether a roll-out has ended. */
 export const isFinalStage = (stage: RolloutStage): boolean =>
   stage === 'completed' || stage === 'rolledBack';
@@ -141,6 +172,19 @@
     if (to === 'rolledBack') addRetired(tables, service, target);
     return createAnswer(tables, true);
   },
+  // An order that changes nothing is recorded too. Otherwise a late copy of an opposite order from
+  // before it would still name the latest order, and undo it.
+  evacuateZone: (tables, { zone, action, after }, index) => {
+    const isActive = action === 'start';
+    const latest = readEvacuationOrder(tables, zone);
+    const isChange = (tables.evacuations.get(zone)?.isActive ?? false) !== isActive;
+    if (isChange && after !== latest) {
+      const reason = `order ${latest} for zone '${zone}' was committed after order ${after}`;
+      return { type: 'refused', reason };
+    }
+    tables.evacuations.set(zone, { zone, isActive, order: index });
+    return createAnswer(tables, isChange);
+  },
 };
 
 /** Creates an empty routing state. */
@@ -150,6 +194,7 @@
     source: undefined,
     rollouts: new Map(),
     orders: new Map(),
+    evacuations: new Map(),
     retired: [],
     revision: 0,
   };
@@ -176,15 +221,18 @@
       source: tables.source ?? null,
       rollouts: [...tables.rollouts.values()],
       orders: [...tables.orders],
+      evacuations: [...tables.evacuations.values()],
       retired: tables.retired,
       revision: tables.revision,
     }),
     restore: (value) => {
-      const { config, source, rollouts, orders = [], retired, revision } = value as Snapshot;
+      const { config, source, rollouts, retired, revision } = value as Snapshot;
+      const { orders = [], evacuations = [] } = value as Snapshot;
       tables.config = config ?? undefined;
       tables.source = source ?? undefined;
       tables.rollouts = new Map(rollouts.map((rollout) => [rollout.service, rollout]));
       tables.orders = new Map(orders);
+      tables.evacuations = new Map(evacuations.map((item) => [item.zone, item]));
       tables.retired = [...retired];
       tables.revision = revision;
       [...listeners].forEach((listener) => listener());
@@ -193,6 +241,8 @@
     source: () => tables.source,
     listRollouts: () => [...tables.rollouts.values()],
     findOrder: (service) => readOrder(tables, service),
+    listEvacuations: () => [...tables.evacuations.values()],
+    findEvacuationOrder: (zone) => readEvacuationOrder(tables, zone),
     listRetired: () => tables.retired,
     revision: () => tables.revision,
     addListener: (listener) => {
