Accept evacuation orders at control hosts, and tell gateways

Cause: control hosts have no call to take a zone out of service.

Orders of zones go the way of roll-out starts, which moves to orderProposer.ts: a confirmed read, a check that the caller still waits, a command that names the latest known order, and further attempts while other orders are committed first. A zone with an accepted order stays known. The answer to a gateway's watch lists the evacuated zones, but only where the settings allow evacuations. New gauges: oleanderfront_zones_evacuated, and its counterpart for gateways. metrics.test.ts registers the new gauge of control hosts.

--- a/src/node/metrics/__tests__/metrics.test.ts
+++ b/src/node/metrics/__tests__/metrics.test.ts
@@ -18,6 +18,7 @@
   'ledgerCommitted',
   'leader',
   'nodes',
+  'zonesEvacuated',
 ] as const;
 
 const listDefined = (role: MetricRole): readonly string[] =>
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -108,6 +108,13 @@
     'blocks',
     'Prompt blocks whose requests are refused because they take endpoints down.',
   ),
+  gatewayZonesEvacuated: createDefinition(
+    'gateway',
+    'gauge',
+    'gateway_zones_evacuated',
+    'zones',
+    'Evacuated zones, whose endpoints get no requests, as known to this gateway; 0 without a lease.',
+  ),
   gatewayRequestsQuarantined: createDefinition(
     'gateway',
     'gauge',
@@ -158,6 +165,13 @@
     '0 or 1',
     '1 if this host is the leader of the config group, else 0.',
   ),
+  zonesEvacuated: createDefinition(
+    'control',
+    'gauge',
+    'zones_evacuated',
+    'zones',
+    'Evacuated zones as known to this routing control host.',
+  ),
   nodes: createDefinition(
     'control',
     'gauge',
--- a/src/node/metrics/metrics.ts
+++ b/src/node/metrics/metrics.ts
@@ -10,6 +10,8 @@
   | 'leader'
   | 'nodes'
   | 'revision'
+  | 'zonesEvacuated'
+  | 'gatewayZonesEvacuated'
   | 'lease';
 
 /** The metrics of one process. Metrics of other roles may be set but are not served. */
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -1,5 +1,6 @@
 export * from './loadAggregator';
 export * from './protocol';
+export * from './orderProposer';
 export * from './registryHandler';
 export * from './rolloutSupervisor';
 export * from './routingControlServices';
@@ -11,3 +12,4 @@
 export * from './gatewayExchange';
 export * from './suspectDirectory';
 export * from './limitTable';
+export * from './zoneOrders';
--- a/src/node/routingControl/protocol.ts
+++ b/src/node/routingControl/protocol.ts
@@ -61,6 +61,8 @@
     readonly config: RoutingConfig | null;
     readonly rollouts: readonly ServiceRollout[];
     readonly retired: readonly RetiredVersion[];
+    /** Zones whose endpoints get no requests; absent in older versions and where none may be. */
+    readonly evacuatedZones?: readonly string[];
   };
 }
 
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -118,6 +118,12 @@
       replica,
       state,
       supervisor,
+      listZones:
+        settings.evacuation &&
+        (() => [
+          ...settings.evacuation!.zones,
+          ...registry.list().map(({ report }) => report.zone),
+        ]),
       log,
       listControlHosts,
       readNow,
@@ -191,6 +197,7 @@
       readRevision: state.revision,
     });
     metrics.registerSource('configCommitted', () => replica.status().committed);
+    metrics.registerSource('zonesEvacuated', handlers.routing.countEvacuatedZones);
     metrics.registerSource('leader', () => Number(replica.status().role === 'leader'));
     const operatorServer = createHttpServer();
     registerRoutes(operatorServer, handlers, log);
--- a/src/node/routingControl/routingHandler.ts
+++ b/src/node/routingControl/routingHandler.ts
@@ -7,12 +7,16 @@
 import type { RolloutSupervisor } from './rolloutSupervisor';
 import type { RoutingCommand, RoutingResult, RoutingState } from './routingState';
 import { createChangeNotifier } from './changeNotifier';
+import { createOrderProposer, type OrderCaller } from './orderProposer';
+import { createZoneOrders, type ZoneOrders } from './zoneOrders';
 
 /** Options of a routing handler. */
 export interface RoutingHandlerOptions {
   readonly replica: Replica<RoutingCommand, RoutingResult>;
   readonly state: RoutingState;
   readonly supervisor: RolloutSupervisor;
+  /** Lists the zones that this host knows; undefined if zones can't be evacuated. */
+  readonly listZones: (() => readonly string[]) | undefined;
   readonly log: Logger;
   /** Returns the internal addresses of the control hosts, which gateways call. */
   readonly listControlHosts: () => readonly string[];
@@ -20,12 +24,6 @@
   readonly readNow: () => number;
 }
 
-/** The connection over which an order arrived. */
-export interface OrderCaller {
-  /** Returns whether the caller has closed its side of the connection. */
-  readonly hasLeft: () => boolean;
-}
-
 /** A configuration with the text that the operator sent. */
 export interface SubmittedConfig {
   readonly config: RoutingConfig;
@@ -46,14 +44,14 @@
    * confirms it.
    */
   readonly readConfig: () => Promise<Either<RouterError, string>>;
-  /**
-   * Commits an order. Returns `unavailable` if its caller has left meanwhile: the caller may have
-   * sent the order to another host and given further orders since.
-   */
+  /** Commits an order, see `OrderProposer`. */
   readonly startRollout: (
     order: Omit<ServiceRollout, 'stage'>,
     caller: OrderCaller,
   ) => Promise<Either<RouterError, void>>;
+  /** Commits an order to evacuate a zone or to end its evacuation. */
+  readonly proposeEvacuation: ZoneOrders['propose'];
+  readonly countEvacuatedZones: () => number;
   readonly readRollout: (service: string) => Promise<Either<RouterError, ServiceRollout>>;
   readonly watch: (params: WatchRoutingParams) => Promise<RoutingAnswer>;
 }
@@ -61,13 +59,12 @@
 /** A gateway that has not called for this long is no longer counted. */
 const GATEWAY_TIMEOUT_MS = 3_000;
 
-/** How often an order is proposed while other orders for its service are committed first. */
-const MAX_ORDER_ATTEMPTS = 3;
-
 /** Creates the routing handler of one control host. */
 export const createRoutingHandler = (options: RoutingHandlerOptions): RoutingHandler => {
   const { replica, state, supervisor, log, listControlHosts, readNow } = options;
   const notifier = createChangeNotifier();
+  const orders = createOrderProposer(replica, log);
+  const zoneOrders = createZoneOrders({ orders, state, listZones: options.listZones });
   const lastCallAt = new Map<string, number>();
   state.addListener(notifier.notify);
 
@@ -104,40 +101,25 @@
     return answer.map(() => version);
   };
 
-  const proposeOrder = async (
-    order: Omit<ServiceRollout, 'stage'>,
-    caller: OrderCaller,
-  ): Promise<Either<RouterError, RoutingResult>> => {
-    // The order may have waited in a socket while this process was frozen. After a confirmed read
-    // this host knows all earlier orders, and an end of the connection has been seen.
-    const read = await replica.confirmRead();
-    if (read.isLeft()) return read;
-    if (!isKnownService(order.service)) {
-      const message = `unknown service '${order.service}': not in the configuration`;
-      return Left(createError({ type: 'invalid_request', message, step: 'rollout.start' }));
-    }
-    if (caller.hasLeft()) {
-      const message = `the caller left before the order of '${order.target}' was committed`;
-      return Left(createError({ type: 'unavailable', message, step: 'rollout.start' }));
-    }
-    return propose({ type: 'startRollout', ...order, after: state.findOrder(order.service) });
-  };
-
-  const startRollout: RoutingHandler['startRollout'] = async (order, caller) => {
-    let answer = await proposeOrder(order, caller);
-    for (let attempt = 1; attempt < MAX_ORDER_ATTEMPTS; attempt += 1) {
-      if (!answer.map(({ type }) => type === 'refused').orDefault(false)) break;
-      log.info({ ...order, answer: answer.extract() }, 'another order was committed first');
-      answer = await proposeOrder(order, caller);
-    }
-    answer.ifRight((result) => log.info({ ...order, result }, 'roll-out start committed'));
-    answer.ifLeft((error) => log.warn({ ...order, err: error }, 'roll-out start not committed'));
-    return answer.chain((result) => {
-      if (result.type === 'accepted') return Right(undefined);
-      const { reason: message } = result;
-      return Left(createError({ type: 'unavailable', message, step: 'rollout.start' }));
-    });
-  };
+  const startRollout: RoutingHandler['startRollout'] = (order, caller) =>
+    orders.propose(
+      {
+        step: 'rollout.start',
+        title: 'roll-out start',
+        facts: { ...order },
+        check: () => {
+          if (isKnownService(order.service)) return undefined;
+          const message = `unknown service '${order.service}': not in the configuration`;
+          return createError({ type: 'invalid_request', message, step: 'rollout.start' });
+        },
+        createCommand: () => ({
+          type: 'startRollout',
+          ...order,
+          after: state.findOrder(order.service),
+        }),
+      },
+      caller,
+    );
 
   return {
     replaceConfig,
@@ -149,6 +131,8 @@
         return Left(createError({ type: 'unavailable', message, step: 'config.read' }));
       }),
     startRollout,
+    proposeEvacuation: zoneOrders.propose,
+    countEvacuatedZones: () => zoneOrders.listEvacuated()?.length ?? 0,
     readRollout: async (service) =>
       (await replica.confirmRead()).chain(() => {
         const rollout = state.listRollouts().find((item) => item.service === service);
@@ -176,6 +160,7 @@
         config: state.config() ?? null,
         rollouts: state.listRollouts(),
         retired: state.listRetired(),
+        evacuatedZones: zoneOrders.listEvacuated(),
       };
       return { ...answer, update };
     },
--- a/src/node/routingControl/settings.ts
+++ b/src/node/routingControl/settings.ts
@@ -21,4 +21,6 @@
   readonly secret: string;
   /** Interval between two reports of an endpoint, in milliseconds. */
   readonly reportIntervalMs: number;
+  /** Present if operators may evacuate zones; the zones that are known without reports. */
+  readonly evacuation?: { readonly zones: readonly string[] };
 }
