Send nothing to the endpoints of evacuated zones

Cause: gateways do not know of evacuations, and every attempt may go to any ready endpoint.

The choice of an endpoint, which every kind of attempt goes through, leaves their endpoints out, as it does those that are not ready. A request for which nothing else is left is refused at once with that reason. New gauge at gateways: oleanderfront_gateway_zones_evacuated.

--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -68,6 +68,7 @@
   retired: [],
   rolloutStartedAt: new Map(),
   gatewayCount: pattern.gateways,
+  evacuatedZones: new Set(),
 });
 
 /** Formats the zone name of the host with the given index. */
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -21,6 +21,17 @@
   limits: { headerBytes: 1_000, bodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
 });
 
+const ENGINE_TABLE = createRouteTable({
+  ...TABLE.config,
+  services: [
+    {
+      name: 's',
+      connectionLimit: 100,
+      engine: { slots: 8, cacheTokens: 10_000, tokensPerEvent: 1, models: [] },
+    },
+  ],
+});
+
 const createReport = (id: string, version: string): EndpointReport => ({
   id,
   startedAt: 1,
@@ -44,6 +55,7 @@
     retired: [],
     rolloutStartedAt: new Map([[formatRolloutKey(rollout), seenAt]]),
     gatewayCount: 2,
+    evacuatedZones: new Set(),
   };
 };
 
@@ -145,3 +157,136 @@
   const choice = chooseFor(sessions, createSnapshot('canary', 0), 'one', 9_000, ['v2']);
   t.true(choice.type === 'placed' && choice.versionBasis.isFallback);
 });
+
+interface ZoneCase {
+  readonly name: string;
+  readonly evacuated: readonly string[];
+  /** Zone and version of each endpoint. */
+  readonly endpoints: readonly (readonly [string, string])[];
+  /** Endpoints that were tried for this request, by their position. */
+  readonly tried?: readonly number[];
+  readonly sessionVersion?: string;
+  readonly stage?: RolloutStage;
+  /** The only zone that may be chosen, or the reason of the refusal. */
+  readonly zone?: string;
+  readonly refusal?: string;
+}
+
+const EVACUATED = 'all endpoints are in evacuated zones';
+
+const zoneCases: readonly ZoneCase[] = [
+  {
+    name: 'the own zone is left out while another one has endpoints',
+    evacuated: ['a'],
+    endpoints: [
+      ['a', 'v1'],
+      ['b', 'v1'],
+    ],
+    zone: 'b',
+  },
+  {
+    name: 'the zone is used again after the end of the evacuation',
+    evacuated: [],
+    endpoints: [['a', 'v1']],
+    zone: 'a',
+  },
+  {
+    name: 'a retry does not go to an evacuated zone',
+    evacuated: ['b'],
+    endpoints: [
+      ['a', 'v1'],
+      ['b', 'v1'],
+      ['c', 'v1'],
+    ],
+    tried: [0],
+    zone: 'c',
+  },
+  {
+    name: 'a retry with no endpoint left outside evacuated zones is refused',
+    evacuated: ['b'],
+    endpoints: [
+      ['a', 'v1'],
+      ['b', 'v1'],
+    ],
+    tried: [0],
+    refusal: EVACUATED,
+  },
+  {
+    name: 'a request is refused when all zones are evacuated',
+    evacuated: ['a', 'b'],
+    endpoints: [
+      ['a', 'v1'],
+      ['b', 'v1'],
+    ],
+    refusal: EVACUATED,
+  },
+  {
+    name: 'an evacuation is not blamed when the service has no endpoint',
+    evacuated: ['a'],
+    endpoints: [],
+    refusal: 'no endpoint accepts requests',
+  },
+  // Like an endpoint that has left, one in an evacuated zone can't keep a session's version.
+  {
+    name: 'a session whose version is only in an evacuated zone gets another version',
+    evacuated: ['a'],
+    endpoints: [
+      ['a', 'v1'],
+      ['b', 'v2'],
+    ],
+    sessionVersion: 'v1',
+    stage: 'canary',
+    zone: 'b',
+  },
+  {
+    name: 'an evacuation is not blamed for a version that gets no traffic anyway',
+    evacuated: ['a'],
+    endpoints: [['a', 'v1']],
+    stage: 'completed',
+    refusal: 'no endpoint accepts requests',
+  },
+];
+
+// The same rule holds for plain services and for prompts to engines.
+for (const kind of ['plain service', 'engine'] as const) {
+  for (const item of zoneCases) {
+    test(`evacuated zones, ${kind}: ${item.name}`, (t) => {
+      const reports = item.endpoints.map(([zone, version], index) => ({
+        ...createReport(`e-${index}`, version),
+        zone,
+      }));
+      const sessions = createSessionVersions(SESSION_MS);
+      if (item.sessionVersion !== undefined) {
+        const { sessionVersion: version } = item;
+        sessions.record({ service: 's', session: 'one', version }, 8_900);
+      }
+      const chooser = createEndpointChooser({
+        limits: { canSend: () => true },
+        backoffs: { findEnd: () => undefined },
+        zone: 'a',
+        sessionMs: SESSION_MS,
+        exposureShare: 0.15,
+        loads: createEndpointLoads(),
+        sessions,
+        cacheEstimates: createPrefixCacheEstimates(() => undefined),
+        registry: { listEndpoints: () => reports.map((report) => ({ report, isReady: true })) },
+      });
+      const isEngine = kind === 'engine';
+      const table = isEngine ? ENGINE_TABLE : TABLE;
+      const snapshot = {
+        ...createSnapshot(item.stage, 0),
+        table,
+        evacuatedZones: new Set(item.evacuated),
+      };
+      const tried = new Set((item.tried ?? []).map((index) => `e-${index}`));
+      for (let index = 0; index < 50; index += 1) {
+        const promptBlocks = isEngine ? [{ id: `block-${index}`, tokens: 100 }] : [];
+        const caller = { ...createCaller('one'), requestId: `id-${index}`, promptBlocks };
+        const request = { route: ROUTE, caller, model: undefined, timeLeftMs: 1_000, tried };
+        const choice = chooser.choose(snapshot, request, 9_000);
+        const found = choice.type === 'refused' ? choice.reason : choice.endpoint.zone;
+        t.is(found, (item.refusal ?? item.zone)!);
+      }
+    });
+  }
+}
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -261,6 +261,7 @@
     retired: [],
     rolloutStartedAt: new Map(),
     gatewayCount: 1,
+    evacuatedZones: new Set(),
   };
   const logs: string[] = [];
   const log = pino({ level: 'info' }, { write: (line: string) => logs.push(line) });
--- a/src/node/gateway/__tests__/sessionExchange.test.ts
+++ b/src/node/gateway/__tests__/sessionExchange.test.ts
@@ -35,6 +35,7 @@
   retired: [],
   rolloutStartedAt: new Map([[formatRolloutKey(ROLLOUT), 0]]),
   gatewayCount: 2,
+  evacuatedZones: new Set(),
 });
 
 type Call = RpcClient['call'];
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -165,9 +165,27 @@
 
 interface VersionCandidates {
   readonly reports: readonly EndpointReport[];
+  /** Whether endpoints were left out because their zones are evacuated. */
+  readonly hasEvacuated: boolean;
   readonly versionBasis: VersionBasis;
 }
 
+const listReady = (
+  registry: Pick<RegistryView, 'listEndpoints'>,
+  { evacuatedZones }: RoutingSnapshot,
+  service: string,
+  tried: ReadonlySet<string>,
+) => {
+  const known = registry
+    .listEndpoints(service)
+    .filter(({ isReady, report }) => isReady && !tried.has(report.id))
+    .map(({ report }) => report);
+  return {
+    ready: known.filter(({ zone }) => !evacuatedZones.has(zone)),
+    evacuated: known.filter(({ zone }) => evacuatedZones.has(zone)),
+  };
+};
+
 /** Retry time of a request that no endpoint has a token for; the next ones may have come by then. */
 const LIMIT_RETRY_MS = 500;
 
@@ -177,6 +195,18 @@
   retryAfterMs: LIMIT_RETRY_MS,
 };
 
+/**
+ * Retry time of a request whose endpoints are all in evacuated zones. When an evacuation ends is not
+ * known; new endpoints elsewhere may have reported by then.
+ */
+const EVACUATED_RETRY_MS = 500;
+
+const ZONES_EVACUATED: RefusedPlacement = {
+  type: 'refused',
+  reason: 'all endpoints are in evacuated zones',
+  retryAfterMs: EVACUATED_RETRY_MS,
+};
+
 const createBackoffRefusal = (
   ends: readonly (number | undefined)[],
   now: number,
@@ -201,10 +231,7 @@
     now: number,
   ): VersionCandidates => {
     const { caller, tried } = request;
-    const ready = registry
-      .listEndpoints(service)
-      .filter(({ isReady, report }) => isReady && !tried.has(report.id))
-      .map(({ report }) => report);
+    const { ready, evacuated } = listReady(registry, snapshot, service, tried);
     const rollout = snapshot.rollouts.find((item) => item.service === service);
     const startedAt = rollout && snapshot.rolloutStartedAt.get(formatRolloutKey(rollout));
     const session =
@@ -224,6 +251,7 @@
     const isFallback = preferred.length === 0;
     return {
       reports: isFallback ? ready.filter(({ version }) => choice.isAllowed(version)) : preferred,
+      hasEvacuated: evacuated.some(({ version }) => choice.isAllowed(version)),
       versionBasis: {
         reason: choice.reason,
         isFallback,
@@ -281,7 +309,9 @@
     choose: (snapshot, request, now) => {
       const { route, caller } = request;
       const service = chooseService(route, caller);
-      const { reports: allowed, versionBasis } = listByVersion(snapshot, request, service, now);
+      const candidates = listByVersion(snapshot, request, service, now);
+      const { reports: allowed, versionBasis } = candidates;
+      if (allowed.length === 0 && candidates.hasEvacuated) return ZONES_EVACUATED;
       // Limits and back-offs must not move a session to another version, so they count only among these.
       const backoffEnds = allowed.map((report) => options.backoffs.findEnd(report, now));
       const available = allowed.filter((_report, index) => backoffEnds[index] === undefined);
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -350,6 +350,10 @@
       isReady,
       readRevision: () => view.read()?.revision ?? -1,
     });
+    find<Metrics>('metrics').registerSource(
+      'gatewayZonesEvacuated',
+      () => view.read()?.evacuatedZones.size ?? 0,
+    );
     const address = await startHttpServer(callers, settings.listen);
     await startHttpServer(ready, settings.readyListen);
     await startHttpServer(internal, settings.internalListen);
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -27,6 +27,8 @@
   readonly rolloutStartedAt: ReadonlyMap<string, number>;
   /** Gateways that share the endpoints, this one included. */
   readonly gatewayCount: number;
+  /** Zones whose endpoints get no requests. */
+  readonly evacuatedZones: ReadonlySet<string>;
 }
 
 /** Watches the routing state on the control hosts and holds a lease on it. */
@@ -112,6 +114,17 @@
     return { service, target, ageMs: Math.max(0, now - startedAt) };
   });
 
+const logEvacuated = (
+  log: Logger,
+  known: RoutingSnapshot | undefined,
+  { evacuatedZones, revision }: Pick<RoutingSnapshot, 'evacuatedZones' | 'revision'>,
+): void => {
+  const before = [...(known?.evacuatedZones ?? [])];
+  const isSame = before.length === evacuatedZones.size;
+  if (isSame && before.every((zone) => evacuatedZones.has(zone))) return;
+  log.info({ before, evacuatedZones: [...evacuatedZones], revision }, 'evacuated zones changed');
+};
+
 /** Creates a routing view. It sends no calls before `start`. */
 export const createRoutingView = (options: RoutingViewOptions): RoutingView => {
   const { leaseMs, clock, log } = options;
@@ -157,6 +170,8 @@
       const before = revision;
       revision = answer.revision;
       const { config, rollouts, retired } = update;
+      const evacuatedZones = new Set(update.evacuatedZones);
+      logEvacuated(log, snapshot, { evacuatedZones, revision });
       snapshot = config
         ? {
             revision,
@@ -168,6 +183,7 @@
             retired,
             rolloutStartedAt: resolveStartTimes({ rollouts, ages, known, now }),
             gatewayCount,
+            evacuatedZones,
           }
         : undefined;
       log.info({ before, revision, version: config?.version ?? 0, rollouts }, 'routing updated');
