Do not send a request on a connection that opened late after a pause

Cause: after a pause of the process the event of an open connection may precede that of the connect timeout. A gateway that was frozen between the choice of an endpoint and the connection then sent the request on waking, after the end of its lease: to an evacuated zone, or for a revoked key.

A connection that opens after twice the connect timeout is closed, and the attempt counts as not run.

--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -1,5 +1,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { promisify } from 'node:util';
 import test from 'ava';
 import type { EndpointReport } from '../../registry';
@@ -152,3 +154,35 @@
     server.close();
   });
 }
+
+/** Pauses the event loop, like a process that is frozen. */
+const runBusy = (durationMs: number): void => {
+  const end = performance.now() + durationMs;
+  while (performance.now() < end);
+};
+
+const pauses = [
+  { name: 'a process that was not paused sends it', pauseMs: 0, isSent: true },
+  { name: 'a process that was paused shortly sends it', pauseMs: 300, isSent: true },
+  // The endpoint's zone may have been evacuated, or a key revoked, while the process was frozen.
+  { name: 'a process that was paused for long does not send it', pauseMs: 2_500, isSent: false },
+] as const;
+
+for (const { name, pauseMs, isSent } of pauses) {
+  test.serial(`request whose connection opens after a pause: ${name}`, async (t) => {
+    let requests = 0;
+    const server = await startServer((socket) => {
+      requests += 1;
+      sendThen(`${FRAMED}0123456789`, (s) => s.end())(socket);
+    });
+    const attempt = startAttempt((server.address() as AddressInfo).port);
+    runBusy(pauseMs);
+    const head = await attempt.head;
+    t.is(head.isRight(), isSent);
+    if (isSent) await readText(attempt.readBody());
+    else t.false(head.swap().unsafeCoerce().mayHaveRun);
+    await sleep(PAUSE_MS);
+    t.is(requests, isSent ? 1 : 0);
+    server.close();
+  });
+}
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import { Left, Right } from 'purify-ts';
 import { buildConnector, Client } from 'undici';
 import type { ResponseHeaders, AttemptTarget, EndpointAttempt, RawHeaders } from './types';
@@ -8,6 +9,13 @@
  * is complete.
  */
 const CONNECTION_IDLE_MS = 1;
+/**
+ * A connection that opens later than this many connect timeouts is not used. After a pause of the
+ * process its event may precede that of the timeout, while the lease under which the endpoint was
+ * chosen has run out. Twice the 400 ms of the gateway is less than the second that a lease leaves of
+ * a bound of 5 s; once would reject connections that a busy event loop notices late.
+ */
+const MAX_CONNECT_TIMEOUTS = 2;
 /** Maximum size of an endpoint's response head, in bytes. */
 const HEAD_LIMIT_BYTES = 32 * 1024;
 
@@ -66,6 +74,9 @@
   let bodyBytes = 0;
   let limitFailure: Error | undefined;
   // Half-open connections can be written to after the endpoint has closed its side.
+  const startedAt = performance.now();
+  const isLate = (): boolean =>
+    performance.now() - startedAt > MAX_CONNECT_TIMEOUTS * target.connectTimeoutMs;
   const connect = buildConnector({ timeout: target.connectTimeoutMs, allowHalfOpen: true });
   const client = new Client(`http://${target.endpoint.address}`, {
     pipelining: 1,
@@ -88,6 +99,11 @@
           );
           socket.destroy(limitFailure);
         });
+        if (socket && isLate()) {
+          socket.destroy();
+          callback(new Error('the connection opened too late after a pause'), null);
+          return;
+        }
         if (socket) callback(null, socket);
         else callback(failure, null);
       }),
