Read the rates of cold endpoints and decide on permits to send to them

Configurations had no rate for cold endpoints, so gateways sent them any. The service fields cold_start_s and cold_per_s and the bounds cold_overage and cold_slack are read; without them nothing changes. The decisions are pure: the terms of permits with the proof of their bound, the debt of a new leader, and whether an endpoint is warm, cold or unknown.

--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -29,3 +29,4 @@
 export * from './suspicion';
 export * from './endpointBackoff';
 export * from './requestTokens';
+export * from './coldEndpoints';
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -1,3 +1,4 @@
+import type { ColdBounds } from '../decisions';
 import type { ListenAddress } from '../rpc';
 
 /** Limits that a deployment sets for its gateways. */
@@ -14,6 +15,8 @@
   readonly exposureShare: number;
   /** Idle time after which a session ends, in milliseconds. */
   readonly sessionMs: number;
+  /** Bounds on the requests to cold endpoints; absent if the deployment sets none. */
+  readonly cold?: ColdBounds | undefined;
 }
 
 /** Resolved settings of a gateway. */
--- a/src/node/routing/types.ts
+++ b/src/node/routing/types.ts
@@ -56,6 +56,14 @@
   readonly models: readonly EngineModel[];
 }
 
+/** How an endpoint of a service takes requests soon after a start. */
+export interface ColdStart {
+  /** How long an endpoint is cold, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests per second that a cold endpoint takes from all gateways together. */
+  readonly requestsPerSecond: number;
+}
+
 /** A service of the routing configuration. */
 export interface RoutedService {
   readonly name: string;
@@ -65,6 +73,11 @@
   readonly healthPath?: string | undefined;
   /** Engine profile; absent for a plain service. */
   readonly engine: EngineProfile | undefined;
+  /**
+   * Rate of cold endpoints; undefined if they take any rate. Absent in configurations stored by
+   * earlier releases.
+   */
+  readonly coldStart?: ColdStart | undefined;
 }
 
 /** An organisation with its API keys. */
--- a/src/node/routingControl/settings.ts
+++ b/src/node/routingControl/settings.ts
@@ -1,3 +1,4 @@
+import type { ColdBounds } from '../decisions';
 import type { ListenAddress } from '../rpc';
 
 /** Resolved settings of a routing control host. */
@@ -21,4 +22,6 @@
   readonly secret: string;
   /** Interval between two reports of an endpoint, in milliseconds. */
   readonly reportIntervalMs: number;
+  /** Bounds on the requests to cold endpoints; absent if the deployment sets none. */
+  readonly coldBounds?: ColdBounds | undefined;
 }
