Tell gateways when reports of an endpoint are missing or come again

Gateways hear of changed reports only. An endpoint whose reports are overdue looked warm to them, and one that is doubted could not become warm again by a report that says the same. A control host now marks records of services with cold rates as overdue, counts a longer remaining cold time as a change, and sends every report of the endpoints that a gateway follows. Before, the new registry tests fail: no record is ever overdue, and the reports of a followed endpoint are no changes.

--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -9,8 +9,14 @@
   type EndpointReport,
   type KnownEndpoint,
 } from '../registry';
-import type { RegistryAnswer } from '../routingControl';
+import { MAX_FOLLOWED, type RegistryAnswer } from '../routingControl';
 import type { RpcClient } from '../rpc';
+import {
+  countLostHosts,
+  createHostRecords,
+  listHostRecords,
+  type HostRecords,
+} from './hostRecords';
 
 /** The endpoints that report to any of the control hosts. */
 export interface RegistryView {
@@ -21,6 +27,8 @@
   readonly findIncarnation: (incarnation: string) => EndpointReport | undefined;
   /** Records that an incarnation has said itself that it is about to end. */
   readonly recordLeaving: (endpoint: EndpointReport, request: string) => void;
+  /** Replaces the ids of the endpoints of which every report is needed. */
+  readonly updateFollowed: (ids: readonly string[]) => void;
   /** Whether any control host has answered. */
   readonly hasAnswer: () => boolean;
   readonly start: () => void;
@@ -39,13 +47,6 @@
   readonly seenAt: number;
 }
 
-interface HostState {
-  bootId: string;
-  revision: number;
-  records: Map<string, EndpointRecord>;
-  isReachable: boolean;
-}
-
 /**
  * How long a watch call waits for a change; a change ends the call at once. A dead connection is
  * detected only after this wait plus `WATCH_GRACE_MS`, so the wait must be short.
@@ -53,6 +54,8 @@
 const WATCH_WAIT_MS = 1_600;
 /** Time beyond the wait after which the watch call times out. */
 const WATCH_GRACE_MS = 600;
+/** Wait while reports are followed, which do not end a call. */
+const FOLLOW_WAIT_MS = 400;
 const RETRY_PAUSE_MS = 200;
 const WATCH_PAUSE_MS = 20;
 /** Must be much longer than the few seconds by which a report can be late. */
@@ -73,13 +76,46 @@
   return groups;
 };
 
+const logChanges = (
+  log: Logger,
+  known: ReadonlyMap<string, KnownEndpoint>,
+  next: readonly KnownEndpoint[],
+): void => {
+  const nextById = new Map(next.map((endpoint) => [endpoint.report.id, endpoint]));
+  for (const [id, endpoint] of nextById) {
+    const before = known.get(id);
+    if (before?.isReady === endpoint.isReady) continue;
+    const { service, address, zone, version, startedAt, sequence } = endpoint.report;
+    const { isReady } = endpoint;
+    log.info(
+      { endpoint: id, service, address, zone, version, startedAt, sequence, isReady },
+      'endpoint added or changed readiness',
+    );
+  }
+  for (const id of known.keys()) {
+    if (!nextById.has(id)) log.info({ endpoint: id }, 'endpoint removed');
+  }
+};
+
+const logReachable = (
+  log: Logger,
+  host: string,
+  state: HostRecords,
+  isReachable: boolean,
+): void => {
+  if (state.isReachable === isReachable) return;
+  state.isReachable = isReachable;
+  if (isReachable) log.info({ peer: host }, 'control host is reachable again');
+  else log.warn({ peer: host }, 'control host did not answer');
+};
+
 /**
  * Creates a registry view. It watches every control host, because each one has only the reports
  * sent to it.
  */
 export const createRegistryView = (options: RegistryViewOptions): RegistryView => {
   const { rpc, log, listControlHosts } = options;
-  const hosts = new Map<string, HostState>();
+  const hosts = new Map<string, HostRecords>();
   /**
    * Incarnations that were seen draining or removed, or said that they leave. A control host may not
    * know about them, because it was restarted or their reports are late.
@@ -88,34 +124,19 @@
   let byService: ReadonlyMap<string, readonly KnownEndpoint[]> = new Map();
   let byId: ReadonlyMap<string, KnownEndpoint> = new Map();
   let byIncarnation: ReadonlyMap<string, EndpointReport> = new Map();
+  let lostHosts = 0;
+  let followed: readonly string[] = [];
   let hasAnswer = false;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
 
-  const logChanges = (next: readonly KnownEndpoint[]): void => {
-    const nextById = new Map(next.map((endpoint) => [endpoint.report.id, endpoint]));
-    for (const [id, endpoint] of nextById) {
-      const before = byId.get(id);
-      if (before?.isReady === endpoint.isReady) continue;
-      const { service, address, zone, version, startedAt, sequence } = endpoint.report;
-      const { isReady } = endpoint;
-      log.info(
-        { endpoint: id, service, address, zone, version, startedAt, sequence, isReady },
-        'endpoint added or changed readiness',
-      );
-    }
-    for (const id of byId.keys()) {
-      if (!nextById.has(id)) log.info({ endpoint: id }, 'endpoint removed');
-    }
-  };
-
   const mergeAll = (): void => {
-    const lists = [...hosts.values()].map(({ records }) => [...records.values()]);
+    const lists = listHostRecords([...hosts.values()], performance.now());
     const next = mergeRecords([
       ...lists,
       [...endedIncarnations.values()].map(({ record }) => record),
     ]);
-    logChanges(next);
+    logChanges(log, byId, next);
     byService = computeGroups(next);
     byId = new Map(next.map((endpoint) => [endpoint.report.id, endpoint]));
     byIncarnation = new Map(next.map(({ report }) => [formatIncarnation(report), report]));
@@ -125,8 +146,10 @@
     endedIncarnations.set(formatIncarnation(record.report), { record, seenAt: performance.now() });
   };
 
-  const applyAnswer = (state: HostState, answer: RegistryAnswer): void => {
+  const applyAnswer = (state: HostRecords, answer: RegistryAnswer): void => {
     hasAnswer = true;
+    state.answeredAt = performance.now();
+    if (state.bootId !== answer.bootId) state.refusesFollowed = false;
     state.bootId = answer.bootId;
     state.revision = answer.revision;
     if (answer.isWhole) state.records.clear();
@@ -137,25 +160,23 @@
     if (answer.isWhole || answer.records.length > 0) mergeAll();
   };
 
-  const logReachable = (host: string, state: HostState, isReachable: boolean): void => {
-    if (state.isReachable === isReachable) return;
-    state.isReachable = isReachable;
-    if (isReachable) log.info({ peer: host }, 'control host is reachable again');
-    else log.warn({ peer: host }, 'control host did not answer');
-  };
-
-  const fetchRecords = async (host: string, state: HostState): Promise<void> => {
+  const fetchRecords = async (host: string, state: HostRecords): Promise<void> => {
     const { bootId, revision } = state;
-    const params = { bootId, revision, waitMs: WATCH_WAIT_MS };
-    const timeoutMs = WATCH_WAIT_MS + WATCH_GRACE_MS;
+    const isFollowing = followed.length > 0 && !state.refusesFollowed;
+    const waitMs = isFollowing ? FOLLOW_WAIT_MS : WATCH_WAIT_MS;
+    const params = { bootId, revision, waitMs, ...(isFollowing && { followed }) };
+    const timeoutMs = waitMs + WATCH_GRACE_MS;
     const answer = await rpc.call<RegistryAnswer>(host, 'registry.watch', params, { timeoutMs });
     if (isStopped) return;
-    logReachable(host, state, answer.isRight());
+    logReachable(log, host, state, answer.isRight());
     answer.ifRight((value) => applyAnswer(state, value));
+    answer.ifLeft(({ type }) => {
+      if (isFollowing && type === 'invalid_request') state.refusesFollowed = true;
+    });
     await sleep(answer.isRight() ? WATCH_PAUSE_MS : RETRY_PAUSE_MS);
   };
 
-  const run = async (host: string, state: HostState): Promise<void> => {
+  const run = async (host: string, state: HostRecords): Promise<void> => {
     while (!isStopped && hosts.get(host) === state) await fetchRecords(host, state);
   };
 
@@ -173,15 +194,23 @@
     }
   };
 
+  const checkLostHosts = (): void => {
+    const count = countLostHosts([...hosts.values()], performance.now());
+    if (count === lostHosts) return;
+    lostHosts = count;
+    mergeAll();
+  };
+
   const updateHosts = (): void => {
     expireEnded();
+    checkLostHosts();
     const listed = listControlHosts();
     for (const host of hosts.keys()) {
       if (!listed.includes(host)) hosts.delete(host);
     }
     for (const host of listed) {
       if (hosts.has(host)) continue;
-      const state: HostState = { bootId: '', revision: -1, records: new Map(), isReachable: true };
+      const state = createHostRecords(performance.now());
       hosts.set(host, state);
       run(host, state).catch((cause: unknown) => {
         hosts.delete(host);
@@ -202,6 +231,9 @@
       recordEnded({ report, state: 'draining', heardAt: performance.now() });
       mergeAll();
     },
+    updateFollowed: (ids) => {
+      followed = ids.slice(0, MAX_FOLLOWED);
+    },
     hasAnswer: () => hasAnswer,
     start: () => {
       updateHosts();
--- a/src/node/registry/__tests__/registry.test.ts
+++ b/src/node/registry/__tests__/registry.test.ts
@@ -163,3 +163,66 @@
     ['e-2'],
   );
 });
+
+const createColdRegistry = (): Registry => {
+  const registry = createRegistry({
+    reportTimeoutMs: 7_000,
+    retentionMs: 60_000,
+    overdueMs: 3_000,
+    hasColdStart: (service) => service === 's',
+  });
+  registry.applyReport(BASE, 0);
+  return registry;
+};
+
+const overdue = [
+  { name: 'on time', service: 's', now: 2_900, isOverdue: false },
+  { name: 'missing', service: 's', now: 3_100, isOverdue: true },
+  { name: 'missing, without cold rates', service: 'other', now: 3_100, isOverdue: false },
+] as const;
+
+// Guards against an endpoint that is taken for warm although nothing is heard of it.
+for (const { name, service, now, isOverdue } of overdue) {
+  test(`reports that are ${name}`, (t) => {
+    const registry = createColdRegistry();
+    registry.applyReport({ ...BASE, id: 'e-2', address: '10.0.0.2:80', service }, 0);
+    registry.expire(now);
+    t.is(registry.find('e-2')?.isOverdue === true, isOverdue);
+    const { revision } = registry;
+    const before = revision();
+    registry.applyReport({ ...BASE, id: 'e-2', address: '10.0.0.2:80', service, sequence: 2 }, now);
+    t.is(registry.find('e-2')?.isOverdue, undefined);
+    t.is(revision() > before, isOverdue, 'gateways hear that reports come again');
+  });
+}
+
+// Guards against a doubted endpoint that stays doubted because gateways hear of changes only.
+test('every report of a followed endpoint counts as a change', (t) => {
+  const registry = createColdRegistry();
+  const countChanges = (sequence: number, now: number): number => {
+    const before = registry.revision();
+    registry.applyReport({ ...BASE, sequence }, now);
+    return registry.listSince(before).length;
+  };
+  t.is(countChanges(2, 1_000), 0);
+  registry.follow(['e-1'], 1_000);
+  t.is(countChanges(3, 2_000), 1);
+  t.is(countChanges(4, 9_000), 0, 'the gateway has not asked again');
+});
+
+// Guards against an endpoint that becomes cold again while it is cold.
+test('a longer remaining cold time counts as a change', (t) => {
+  const registry = createColdRegistry();
+  const outcomes = [3_000, 1_800, 2_900].map((warmupMs, index) =>
+    registry.applyReport({ ...BASE, warmupMs, sequence: 2 + index }, 1_000),
+  );
+  t.deepEqual(outcomes, ['changed', 'refreshed', 'changed']);
+});
+
+test('reports are missing only if no control host has heard of the endpoint', (t) => {
+  const record = { report: BASE, state: 'ready', heardAt: 0 } as const;
+  const isOverdue = (lists: readonly boolean[]): boolean =>
+    mergeRecords(lists.map((item) => [{ ...record, isOverdue: item }]))[0]!.isOverdue === true;
+  t.false(isOverdue([true, false]));
+  t.true(isOverdue([true, true]));
+});
--- a/src/node/registry/mergeRecords.ts
+++ b/src/node/registry/mergeRecords.ts
@@ -1,3 +1,4 @@
+import { formatIncarnation } from './incarnation';
 import type { EndpointRecord, EndpointReport } from './types';
 
 /** An endpoint as seen by a gateway, merged from the records of all control hosts. */
@@ -5,6 +6,8 @@
   readonly report: EndpointReport;
   /** Whether the endpoint accepts new work. */
   readonly isReady: boolean;
+  /** Whether no control host has heard from the endpoint lately, so that it may be cold. */
+  readonly isOverdue?: boolean;
 }
 
 const ORDER: Readonly<Record<EndpointRecord['state'], number>> = {
@@ -35,14 +38,28 @@
   return [...best.values()];
 };
 
+const listHeard = (records: readonly EndpointRecord[]): ReadonlySet<string> =>
+  new Set(
+    records
+      .filter(({ state, isOverdue }) => state === 'ready' && isOverdue !== true)
+      .map(({ report }) => formatIncarnation(report)),
+  );
+
 /**
  * Merges the records of several control hosts to the newest incarnation per endpoint and address.
  */
 export const mergeRecords = (
   lists: readonly (readonly EndpointRecord[])[],
 ): readonly KnownEndpoint[] => {
-  const byId = chooseByKey(lists.flat(), (record) => record.report.id);
+  const records = lists.flat();
+  const heard = listHeard(records);
+  const byId = chooseByKey(records, (record) => record.report.id);
   return chooseByKey(byId, (record) => record.report.address)
     .filter((record) => record.state === 'ready' || record.state === 'draining')
-    .map((record) => ({ report: record.report, isReady: record.state === 'ready' }));
+    .map((record) => {
+      const isReady = record.state === 'ready';
+      const isOverdue = isReady && !heard.has(formatIncarnation(record.report));
+      const endpoint = { report: record.report, isReady };
+      return isOverdue ? { ...endpoint, isOverdue } : endpoint;
+    });
 };
--- a/src/node/registry/registry.ts
+++ b/src/node/registry/registry.ts
@@ -8,6 +8,12 @@
    * Time for which the record of an ended endpoint is kept to reject late reports, in milliseconds.
    */
   readonly retentionMs: number;
+  /**
+   * Time without a report after which an endpoint may have become cold unnoticed, in milliseconds.
+   */
+  readonly overdueMs?: number;
+  /** Whether it matters if endpoints of a service are cold. */
+  readonly hasColdStart?: (service: string) => boolean;
 }
 
 /** Result of applying a report. */
@@ -23,10 +29,12 @@
    */
   readonly applyLeave: (id: string, startedAt: number | undefined, now: number) => boolean;
   /**
-   * Marks endpoints that have stopped reporting, removes old records and returns the ids of the
-   * newly marked endpoints.
+   * Marks endpoints whose reports are overdue or have stopped, removes old records and returns the
+   * ids of the newly marked endpoints.
    */
   readonly expire: (now: number) => readonly string[];
+  /** Counts each report of these endpoints as a change for a while; a gateway doubts them. */
+  readonly follow: (ids: readonly string[], now: number) => void;
   readonly find: (id: string) => EndpointRecord | undefined;
   readonly list: () => readonly EndpointRecord[];
   /** Number of changes so far, not counting refreshed reports. */
@@ -40,6 +48,9 @@
   readonly revision: number;
 }
 
+/** How long the reports of an endpoint count as changes after a gateway has asked for them. */
+const FOLLOW_MS = 3_000;
+
 const isNewer = (a: EndpointReport, b: EndpointReport): boolean =>
   a.startedAt > b.startedAt || (a.startedAt === b.startedAt && a.sequence > b.sequence);
 
@@ -50,11 +61,14 @@
   a.zone === b.zone &&
   a.version === b.version &&
   a.slots === b.slots &&
-  a.warmupMs > 0 === b.warmupMs > 0;
+  a.warmupMs > 0 === b.warmupMs > 0 &&
+  // Otherwise it has become cold again in the meantime.
+  b.warmupMs <= a.warmupMs;
 
 /** Creates an empty registry. It holds soft state that endpoint reports restore after a restart. */
 export const createRegistry = (options: RegistryOptions): Registry => {
   const rows = new Map<string, Row>();
+  const followedUntil = new Map<string, number>();
   let revision = 0;
 
   const updateRow = (record: EndpointRecord): void => {
@@ -91,13 +105,20 @@
     const record: EndpointRecord = { report: { ...report, state }, state, heardAt: now };
     if (known.state === state && hasSameContent(known.report, report)) {
       const row = rows.get(report.id)!;
-      rows.set(report.id, { ...row, record });
+      const isFollowed = (followedUntil.get(report.id) ?? 0) > now;
+      if (known.isOverdue || isFollowed) updateRow(record);
+      else rows.set(report.id, { ...row, record });
       return 'refreshed';
     }
     updateRow(record);
     return 'changed';
   };
 
+  const isNewlyOverdue = ({ report, isOverdue }: EndpointRecord, age: number): boolean =>
+    isOverdue !== true &&
+    age > (options.overdueMs ?? Infinity) &&
+    options.hasColdStart?.(report.service) === true;
+
   return {
     applyReport: (report, now) => {
       if (hasNewerAtAddress(report)) return 'late';
@@ -122,12 +143,19 @@
         if (isLive && age > options.reportTimeoutMs) {
           updateRow({ ...record, state: 'silent' });
           changed.push(id);
+        } else if (isLive && isNewlyOverdue(record, age)) {
+          updateRow({ ...record, isOverdue: true });
+          changed.push(id);
         } else if (!isLive && age > options.retentionMs) {
           rows.delete(id);
         }
       }
+      for (const [id, until] of followedUntil) {
+        if (until <= now) followedUntil.delete(id);
+      }
       return changed;
     },
+    follow: (ids, now) => ids.forEach((id) => followedUntil.set(id, now + FOLLOW_MS)),
     find: (id) => rows.get(id)?.record,
     list: () => [...rows.values()].map(({ record }) => record),
     revision: () => revision,
--- a/src/node/registry/types.ts
+++ b/src/node/registry/types.ts
@@ -31,4 +31,6 @@
   readonly state: EndpointState | 'gone' | 'silent';
   /** Time of the newest report in milliseconds, on the monotonic clock of the record's host. */
   readonly heardAt: number;
+  /** Whether reports are missing, so that the endpoint may be cold; absent in older versions. */
+  readonly isOverdue?: boolean;
 }
--- a/src/node/routingControl/protocol.ts
+++ b/src/node/routingControl/protocol.ts
@@ -64,12 +64,17 @@
   };
 }
 
+/** Maximum number of endpoints of which one gateway needs every report. */
+export const MAX_FOLLOWED = 500;
+
 /** Schema of the parameters of `registry.watch`. */
 export const watchRegistryParams = z.strictObject({
   /** Id of the control process that issued `revision`. Empty in the first call. */
   bootId: z.string(),
   revision: z.number().int(),
   waitMs: z.number().int().min(0).max(5_000),
+  /** Ids of endpoints of which the caller needs every report; absent in older gateways. */
+  followed: z.array(z.string()).max(MAX_FOLLOWED).readonly().optional(),
 });
 
 /** Parameters of `registry.watch`. */
--- a/src/node/routingControl/registryHandler.ts
+++ b/src/node/routingControl/registryHandler.ts
@@ -153,7 +153,8 @@
       if (hasLeft) registry.applyLeave(report.id, report.startedAt, now);
       if (isChange || hasLeft) notifier.notify();
     },
-    watch: async ({ bootId: known, revision, waitMs }) => {
+    watch: async ({ bootId: known, revision, waitMs, followed = [] }) => {
+      registry.follow(followed, readNow());
       const isSame = known === bootId;
       if (isSame && registry.revision() <= revision) await notifier.wait(waitMs);
       const records = isSame ? registry.listSince(revision) : registry.list();
@@ -163,7 +164,7 @@
       timer = setInterval(() => {
         const expired = registry.expire(readNow());
         if (expired.length === 0) return;
-        log.info({ endpoints: expired }, 'endpoints stopped reporting');
+        log.info({ endpoints: expired }, 'reports of endpoints are missing');
         notifier.notify();
       }, EXPIRE_INTERVAL_MS);
     },
