Grant permits for cold endpoints at the leading control host

Nobody knew how many requests all gateways together sent to a cold endpoint. The leading control host grants permits to send to it, by the topic 'cold' of gateway.exchange, at the rate of its service. The topic also passes on which endpoints may have become cold. The clock that counts a suspension moves to lease, where control hosts can use it.

--- a/bench/exchange.ts
+++ b/bench/exchange.ts
@@ -10,6 +10,7 @@
 import { computeExchangeInterval } from '../src/node/gateway';
 import {
   createExchangeHandler,
+  createColdTable,
   createLimitTable,
   createLoadAggregator,
   createSessionDirectory,
@@ -218,6 +219,12 @@
     sessions: createSessionDirectory(),
     suspects: createSuspectDirectory(),
     limits: createLimitTable(),
+    cold: createColdTable({
+      log: pino({ level: 'silent' }),
+      bounds: undefined,
+      findColdStart: () => undefined,
+      readLeader: () => undefined,
+    }),
   };
   const handle = createExchangeHandler(tables, pino({ level: 'silent' }));
   const app = createHttpServer({ tls: undefined });
--- a/src/node/lease/index.ts
+++ b/src/node/lease/index.ts
@@ -1,1 +1,2 @@
 export * from './leaseClient';
+export * from './leaseClock';
--- a/src/node/routingControl/__tests__/gatewayExchange.test.ts
+++ b/src/node/routingControl/__tests__/gatewayExchange.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import pino from 'pino';
 import {
+  createColdTable,
   createExchangeHandler,
   createLimitTable,
   createLoadAggregator,
@@ -16,6 +17,12 @@
       sessions: createSessionDirectory('sessions'),
       suspects: createSuspectDirectory('suspects'),
       limits: createLimitTable('limits'),
+      cold: createColdTable({
+        log: pino({ level: 'silent' }),
+        bounds: undefined,
+        findColdStart: () => undefined,
+        readLeader: () => undefined,
+      }),
     },
     pino({ level: 'silent' }),
   );
@@ -41,6 +48,7 @@
   { name: 'sessions', params: { gateway: 'a', sessions: SESSIONS } },
   { name: 'suspects', params: { gateway: 'a', suspects: { suspects: [] } } },
   { name: 'limits', params: { gateway: 'a', limits: { limits: [] } } },
+  { name: 'cold', params: { gateway: 'a', cold: { wanted: [], doubts: [] } } },
 ] as const;
 
 for (const { name, params } of cases) {
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -11,3 +11,5 @@
 export * from './gatewayExchange';
 export * from './suspectDirectory';
 export * from './limitTable';
+export * from './coldTable';
+export * from './leaderConfirmation';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -1,6 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import type { FastifyInstance } from 'fastify';
 import type { Service } from '../kernel';
+import { createLeaseClock } from '../lease';
 import { createPartLogger, type Logger } from '../log';
 import { createInternalServer, createMetricsService, type Metrics } from '../metrics';
 import { createRegistry, type Registry } from '../registry';
@@ -18,6 +19,8 @@
   type RpcClient,
 } from '../rpc';
 import { createExchangeHandler, exchangeParams } from './gatewayExchange';
+import { createColdTable } from './coldTable';
+import { createLeaderConfirmation } from './leaderConfirmation';
 import { createLimitTable } from './limitTable';
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
@@ -52,6 +55,11 @@
 
 /** Reports may arrive seconds late, so an endpoint times out only after several missed reports. */
 const MAX_MISSED_REPORTS = 6;
+/**
+ * Reports missing until an endpoint may have become cold unnoticed. Fewer would often be late ones,
+ * and the endpoint would get little until its next reports.
+ */
+const OVERDUE_REPORTS = 2.5;
 /** How long an endpoint that left is remembered. Far longer than any report can be delayed. */
 const LEFT_ENDPOINT_RETENTION_MS = 60_000;
 
@@ -103,6 +111,9 @@
     const registry: Registry = createRegistry({
       reportTimeoutMs: MAX_MISSED_REPORTS * settings.reportIntervalMs,
       retentionMs: LEFT_ENDPOINT_RETENTION_MS,
+      overdueMs: settings.coldBounds && OVERDUE_REPORTS * settings.reportIntervalMs,
+      hasColdStart: (service) =>
+        state.config()?.services.some((item) => item.name === service && item.coldStart) === true,
     });
     const listControlHosts = (): readonly string[] => replica.status().members;
     const supervisor = createRolloutSupervisor({ replica, state, registry, log, readNow });
@@ -158,6 +169,13 @@
       sessions: sessionDirectory,
       suspects: suspectDirectory,
       limits: createLimitTable(),
+      cold: createColdTable({
+        log,
+        bounds: settings.coldBounds,
+        findColdStart: (service) =>
+          state.config()?.services.find(({ name }) => name === service)?.coldStart,
+        readLeader: createLeaderConfirmation({ replica, log, ...createLeaseClock() }).read,
+      }),
     };
     const handleExchange = createExchangeHandler(tables, log);
     const internalServer = createInternalServer({
