Send to endpoints that are not known to be warm with permits only

23 gateways sent 19 to 20 requests in a second to a cold endpoint that takes 18.2: each kept sending to it until it heard that it is cold, and prefix affinity made all of them prefer it. A gateway now takes an endpoint for warm only while nothing speaks against it: a report that says cold, reports that are overdue, a connection that was lost here or at another gateway. Other endpoints get requests with permits only, when no warm endpoint serves in time. A permit is checked again when the connection is established, because the process may have been paused in between.

--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -103,6 +103,7 @@
     zone,
     sessionMs: 5_000,
     exposureShare: 0.1,
+    coldPermits: { isWarm: () => true, canSend: () => true, computeRetryMs: () => 0 },
     limits: { canSend: () => true },
     backoffs: { findEnd: () => undefined },
     loads,
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -72,6 +72,7 @@
   const known: readonly KnownEndpoint[] = reports.map((report) => ({ report, isReady: true }));
   const chooser = createEndpointChooser({
     limits: { canSend: () => true },
+    coldPermits: { isWarm: () => true, canSend: () => true, computeRetryMs: () => 0 },
     backoffs: { findEnd: () => undefined },
     zone: 'a',
     sessionMs: SESSION_MS,
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -13,7 +13,7 @@
 import { HEADERS, formatDescription } from '../../../../platform/__tests__/wireNames';
 import { headerCodec } from '../../../../platform/headers';
 import { identityCodec } from '../../../../platform/identity';
-import { createWindowBudget } from '../../decisions';
+import { createWindowBudget, type ColdBounds } from '../../decisions';
 import { createError } from '../../errors';
 import type { EndpointReport, KnownEndpoint } from '../../registry';
 import { createRouteTable, type Route, type RoutingConfig } from '../../routing';
@@ -23,11 +23,13 @@
 import { startEndpointAttempt } from '../endpointAttempt';
 import { fetchProcessState } from '../endpointProcess';
 import { createEndpointChooser } from '../endpointChoice';
+import { createColdPermits } from '../coldPermits';
 import { createEndpointLimits } from '../endpointLimits';
 import { createEndpointLoads } from '../endpointLoads';
 import { createEndpointBackoffs } from '../endpointBackoffs';
 import { createExchangeRunner } from '../exchange';
 import { createGatewayMetrics } from '../gatewayMetrics';
+import { createLeaseClock } from '../leaseClock';
 import { createRequestGuard } from '../requestGuard';
 import { createRequestQuarantine } from '../requestQuarantine';
 import type { RoutingSnapshot } from '../routingView';
@@ -93,6 +95,8 @@
   /** Limit for the answer of a process that is asked who it is, in milliseconds. */
   readonly processTimeoutMs?: number;
   readonly bodyMemoryBytes?: number;
+  /** Bounds on the requests to cold endpoints; the service's cold endpoints take 8.8 a second. */
+  readonly coldBounds?: ColdBounds;
 }
 
 /** Fields of a test's route that replace the defaults. */
@@ -129,6 +133,7 @@
     {
       name: 's',
       connectionLimit: 100,
+      coldStart: { durationMs: 3_000, requestsPerSecond: 8.8 },
       engine:
         route.models.length > 0
           ? {
@@ -246,6 +251,7 @@
     hasLease = () => true,
     processTimeoutMs = PROCESS_TIMEOUT_MS,
     bodyMemoryBytes = BODY_MEMORY_BYTES,
+    coldBounds,
   }: GatewayOverrides = {},
 ): Promise<GatewayHarness> => {
   const heads: string[][] = answers.map(() => []);
@@ -273,19 +279,31 @@
     countEndpoints: () => reports.length,
     countGateways: () => 1,
   });
+  const metrics = createGatewayMetrics(new Registry());
+  const coldPermits = createColdPermits({
+    bounds: coldBounds,
+    log,
+    metrics,
+    clock: createLeaseClock(),
+    listServices: () => [],
+    findColdStart: (service) => snapshot.table.findService(service)?.coldStart,
+    listEndpoints: () => known,
+    updateFollowed: () => {},
+    countGateways: () => 1,
+  });
   const backoffs = createEndpointBackoffs(log);
   const chooser = createEndpointChooser({
     zone: 'a',
     sessionMs: 5_000,
     exposureShare: 0.1,
     limits,
+    coldPermits,
     backoffs,
     loads,
     sessions,
     cacheEstimates: createPrefixCacheEstimates(() => undefined),
     registry: { listEndpoints: () => known },
   });
-  const metrics = createGatewayMetrics(new Registry());
   const quarantine = createRequestQuarantine({
     suspects: createSuspectTable(log, metrics),
     log,
@@ -321,6 +339,7 @@
     quarantine,
     requestGuard,
     limits,
+    coldPermits,
     recordLeaving: () => {},
     backoffs,
     tallies: createVersionTallies(),
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -91,6 +91,13 @@
   deps.quarantine.recordAnswer(createServiceRequest(exchange, endpoint.service));
 };
 
+/**
+ * Records that the endpoint's connection was lost or could not be established, after which the
+ * endpoint may be cold.
+ */
+export const recordEndpointLoss = ({ deps, endpoint }: AttemptContext): void =>
+  deps.coldPermits.recordLoss(endpoint, deps.readNow());
+
 /** Records that an attempt ended with its connection before the endpoint had survived it. */
 export const recordConnectionLoss = (context: AttemptContext, isAnswering: boolean): void => {
   const { deps, exchange, endpoint, startedAt } = context;
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -88,7 +88,11 @@
           );
           socket.destroy(limitFailure);
         });
-        if (socket) callback(null, socket);
+        // This process may have been paused since it decided to send.
+        if (socket && target.canSend?.() === false) {
+          socket.destroy();
+          callback(new Error('the permit to send ran out before the connection was made'), null);
+        } else if (socket) callback(null, socket);
         else callback(failure, null);
       }),
     headersTimeout: 0,
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -12,6 +12,7 @@
 } from '../decisions';
 import type { EndpointReport } from '../registry';
 import type { EngineProfile, RolloutStage, Route } from '../routing';
+import type { ColdPermits, ColdShortage } from './coldPermits';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
@@ -66,9 +67,14 @@
 
 type EndpointPlacement = PlacedEndpoint | RefusedPlacement;
 
+interface ColdPlacement {
+  /** What became of the request if no warm endpoint could serve it in time. */
+  readonly coldShortage?: ColdShortage;
+}
+
 /** The endpoint chosen for a request, or why the request is refused. */
-export type EndpointChoice =
-  (PlacedEndpoint & { readonly versionBasis: VersionBasis }) | RefusedPlacement;
+export type EndpointChoice = ColdPlacement &
+  ((PlacedEndpoint & { readonly versionBasis: VersionBasis }) | RefusedPlacement);
 
 /** Options of an endpoint chooser. */
 export interface ChooserOptions {
@@ -79,6 +85,7 @@
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
   readonly limits: Pick<EndpointLimits, 'canSend'>;
+  readonly coldPermits: Pick<ColdPermits, 'isWarm' | 'canSend' | 'computeRetryMs'>;
   readonly backoffs: Pick<EndpointBackoffs, 'findEnd'>;
   readonly cacheEstimates: PrefixCacheEstimates;
 }
@@ -189,6 +196,34 @@
   ),
 });
 
+/**
+ * Places a request at a warm endpoint if one serves it in time, otherwise also at the cold ones that
+ * a permit is left for. Permits are not kept to fill the prefix caches of cold endpoints.
+ */
+const placeWithPermits = (
+  { isWarm, canSend, computeRetryMs }: ChooserOptions['coldPermits'],
+  reports: readonly EndpointReport[],
+  { timeLeftMs }: ChoiceRequest,
+  now: number,
+  place: (candidates: readonly EndpointReport[]) => EndpointPlacement,
+): EndpointPlacement & ColdPlacement => {
+  const warm = reports.filter((report) => isWarm(report, now));
+  if (warm.length === reports.length) return place(reports);
+  const atWarm = place(warm);
+  if (atWarm.type === 'placed' && atWarm.predictedMs <= timeLeftMs) return atWarm;
+  const usable = reports.filter((report) => canSend(report, now));
+  if (usable.length > warm.length) return { ...place(usable), coldShortage: 'permitted' };
+  if (warm.length > 0) {
+    return { ...atWarm, coldShortage: atWarm.type === 'placed' ? 'late' : 'refused' };
+  }
+  return {
+    type: 'refused',
+    reason: 'all endpoints are cold or may be, and no permit is left',
+    retryAfterMs: computeRetryMs(reports[0]!.service, now),
+    coldShortage: 'refused',
+  };
+};
+
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
   const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
@@ -293,9 +328,11 @@
       const ejected = loads.listEjected(ids, now);
       const isEngine =
         findEngine(snapshot, service) !== undefined && caller.promptBlocks.length > 0;
-      const placement = isEngine
-        ? chooseEngineEndpoint(snapshot, request, reports, ejected, now)
-        : choosePlainEndpoint(options, request, reports, ejected, now);
+      const place = (candidates: readonly EndpointReport[]): EndpointPlacement =>
+        isEngine
+          ? chooseEngineEndpoint(snapshot, request, candidates, ejected, now)
+          : choosePlainEndpoint(options, request, candidates, ejected, now);
+      const placement = placeWithPermits(options.coldPermits, reports, request, now, place);
       return placement.type === 'placed' ? { ...placement, versionBasis } : placement;
     },
     recordSent: (snapshot, { caller, model }, { id, service }) => {
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -140,8 +140,10 @@
     model,
     lastEventId: findResumeId(exchange),
   });
+  const canSend = deps.coldPermits.recordSent(endpoint, now);
   const attempt = deps.startAttempt({
     endpoint,
+    canSend,
     method,
     path,
     headers,
@@ -226,6 +228,10 @@
       createChoiceRequest(exchange, model, readNow()),
       readNow(),
     );
+    if (choice.coldShortage) {
+      const service = chooseService(route, request.caller);
+      deps.coldPermits.recordDemand(service, choice.coldShortage, readNow());
+    }
     if (choice.type === 'refused') {
       settleRefused(exchange, choice);
       return;
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -4,6 +4,7 @@
 import type { WindowBudget } from '../decisions';
 import type { ByteAccount } from './byteBudget';
 import type { CallerReply, ReplyHead } from './callerReply';
+import type { ColdPermits } from './coldPermits';
 import type { EndpointChooser } from './endpointChoice';
 import type { EndpointLimits } from './endpointLimits';
 import type { EndpointLoads } from './endpointLoads';
@@ -56,6 +57,7 @@
   readonly quarantine: Pick<RequestQuarantine, 'recordAnswer' | 'recordLoss'>;
   readonly requestGuard: RequestGuard;
   readonly limits: EndpointLimits;
+  readonly coldPermits: Pick<ColdPermits, 'recordSent' | 'recordDemand' | 'recordLoss'>;
   readonly recordLeaving: RegistryView['recordLeaving'];
   readonly backoffs: Pick<EndpointBackoffs, 'record'>;
   readonly tallies: VersionTallies;
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -10,6 +10,7 @@
   readonly active: Gauge;
   readonly blocksQuarantined: Gauge;
   readonly requestsQuarantined: Gauge;
+  readonly coldPermits: Counter<'service' | 'step'>;
 }
 
 const SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 3, 5, 10, 20];
@@ -32,5 +33,6 @@
     active: new Gauge(resolveOptions('gatewayActive')),
     blocksQuarantined: new Gauge(resolveOptions('gatewayBlocksQuarantined')),
     requestsQuarantined: new Gauge(resolveOptions('gatewayRequestsQuarantined')),
+    coldPermits: new Counter(resolveOptions('gatewayColdPermits')),
   };
 };
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -8,6 +8,8 @@
 import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
 import { createByteBudget } from './byteBudget';
 import { createCallerServer, updateTimeouts } from './callerServer';
+import type { ColdPermits } from './coldPermits';
+import { createColdTopic } from './coldTopic';
 import { createRestraintServices } from './restraintServices';
 import { createEndpointChooser } from './endpointChoice';
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
@@ -166,6 +168,7 @@
     'suspects',
     'quarantine',
     'limits',
+    'cold-permits',
   ],
   start: (find) => {
     const view = find<RoutingView>('routing-view');
@@ -191,6 +194,12 @@
           log: createPartLogger(find<Logger>('log'), 'gateway'),
           readNow,
         }),
+        createColdTopic({
+          permits: find<ColdPermits>('cold-permits'),
+          log: createPartLogger(find<Logger>('log'), 'gateway'),
+          clock: createLeaseClock(),
+          readNow,
+        }),
       ],
       countGateways: () => view.read()?.gatewayCount ?? 1,
       findControlHost: view.findLeader,
@@ -230,6 +239,7 @@
     'quarantine',
     'request-guard',
     'limits',
+    'cold-permits',
     'backoffs',
     'tallies',
     'gateway-metrics',
@@ -250,6 +260,7 @@
         loads,
         sessions,
         limits: find<EndpointLimits>('limits'),
+        coldPermits: find<ColdPermits>('cold-permits'),
         backoffs: find<EndpointBackoffs>('backoffs'),
         cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
         registry: find<RegistryView>('registry-view'),
@@ -259,6 +270,7 @@
       quarantine: find<RequestQuarantine>('quarantine'),
       requestGuard: find<RequestGuard>('request-guard'),
       limits: find<EndpointLimits>('limits'),
+      coldPermits: find<ColdPermits>('cold-permits'),
       recordLeaving: find<RegistryView>('registry-view').recordLeaving,
       backoffs: find<EndpointBackoffs>('backoffs'),
       tallies: find<VersionTallies>('tallies'),
@@ -384,7 +396,7 @@
   },
   ...createViewServices(settings),
   ...createSessionServices(settings),
-  ...createRestraintServices(),
+  ...createRestraintServices(settings),
   createExchangeService(settings),
   createRunnerService(settings, codecs),
   createServersService(settings, codecs.codec),
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -1,6 +1,7 @@
 import { isRetryableRoute } from '../routing';
 import {
   recordConnectionLoss,
+  recordEndpointLoss,
   recordFailure,
   recordFirstByte,
   recordFirstEvent,
@@ -123,6 +124,7 @@
     recordBegunEvent(exchange, reader, isConfirming && firstAt === undefined);
     if (!exchange.isFinished) {
       recordFailure(context, `stream was interrupted: ${(cause as Error).message}`, true);
+      if (isConnectionLoss(cause)) recordEndpointLoss(context);
       if (!hasSurvived && isConnectionLoss(cause)) recordConnectionLoss(context, true);
     }
     return RETRY;
@@ -130,6 +132,7 @@
   if (reader.countPending() > 0) {
     recordBegunEvent(exchange, reader, isConfirming && firstAt === undefined);
     recordFailure(context, 'stream ended in the middle of an event', true);
+    recordEndpointLoss(context);
     if (!hasSurvived) recordConnectionLoss(context, true);
     return RETRY;
   }
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -3,6 +3,7 @@
 import { isRetryableRoute } from '../routing';
 import {
   recordConnectionLoss,
+  recordEndpointLoss,
   recordFailure,
   recordFirstByte,
   recordSuccess,
@@ -59,7 +60,10 @@
   } catch (cause) {
     buffer.clear();
     recordFailure(context, `response body was truncated: ${(cause as Error).message}`, true);
-    if (isConnectionLoss(cause)) recordConnectionLoss(context, true);
+    if (isConnectionLoss(cause)) {
+      recordEndpointLoss(context);
+      recordConnectionLoss(context, true);
+    }
     return undefined;
   }
 };
@@ -81,6 +85,7 @@
   } catch (cause) {
     if (!exchange.isFinished) {
       recordFailure(context, `response body was truncated: ${(cause as Error).message}`, true);
+      if (isConnectionLoss(cause)) recordEndpointLoss(context);
     }
     return RETRY;
   }
@@ -266,6 +271,7 @@
   const { mayHaveRun, isConnectionLost, reason } = head.swap().unsafeCoerce();
   if (mayHaveRun) exchange.attempts += 1;
   recordFailure(context, reason, mayHaveRun);
+  if (!mayHaveRun || isConnectionLost) recordEndpointLoss(context);
   if (isConnectionLost) recordConnectionLoss(context, false);
   return RETRY;
 };
--- a/src/node/gateway/restraintServices.ts
+++ b/src/node/gateway/restraintServices.ts
@@ -2,6 +2,7 @@
 import type { Service } from '../kernel';
 import { createPartLogger, type Logger } from '../log';
 import type { RpcClient } from '../rpc';
+import { createColdPermits } from './coldPermits';
 import { createEndpointLimits } from './endpointLimits';
 import { createEndpointBackoffs } from './endpointBackoffs';
 import type { GatewayMetrics } from './gatewayMetrics';
@@ -9,6 +10,8 @@
 import { createRequestGuard } from './requestGuard';
 import { createRequestQuarantine, type RequestQuarantine } from './requestQuarantine';
 import type { RoutingView } from './routingView';
+import { createLeaseClock } from './leaseClock';
+import type { GatewayBounds, GatewaySettings } from './settings';
 import { createSuspectTable, type SuspectTable } from './suspectTable';
 
 /** How often tables drop what is no longer in force. */
@@ -72,6 +75,30 @@
   },
 });
 
+const createColdPermitsService = ({ cold: bounds }: GatewayBounds): Service => ({
+  name: 'cold-permits',
+  dependencies: ['log', 'gateway-metrics', 'routing-view', 'registry-view'],
+  start: (find) => {
+    const registry = find<RegistryView>('registry-view');
+    const view = find<RoutingView>('routing-view');
+    const value = createColdPermits({
+      bounds,
+      log: createPartLogger(find<Logger>('log'), 'gateway'),
+      metrics: find<GatewayMetrics>('gateway-metrics'),
+      clock: createLeaseClock(),
+      listServices: () =>
+        (view.read()?.table.config.services ?? []).flatMap(({ name, coldStart }) =>
+          coldStart ? [name] : [],
+        ),
+      findColdStart: (service) => view.read()?.table.findService(service)?.coldStart,
+      listEndpoints: registry.listEndpoints,
+      updateFollowed: registry.updateFollowed,
+      countGateways: () => view.read()?.gatewayCount ?? 1,
+    });
+    return { value };
+  },
+});
+
 const createBackoffsService = (): Service => ({
   name: 'backoffs',
   dependencies: ['log'],
@@ -83,8 +110,11 @@
 });
 
 /** Creates the services that say what must not be sent to endpoints, and why. */
-export const createRestraintServices = (): readonly Service[] => [
+export const createRestraintServices = ({
+  bounds,
+}: Pick<GatewaySettings, 'bounds'>): readonly Service[] => [
   ...createQuarantineServices(),
   createLimitsService(),
+  createColdPermitsService(bounds),
   createBackoffsService(),
 ];
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -132,4 +132,6 @@
   readonly headers: RawHeaders;
   readonly body: Buffer;
   readonly connectTimeoutMs: number;
+  /** Whether the request may still be sent; asked once the connection is established. */
+  readonly canSend?: () => boolean;
 }
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -115,6 +115,14 @@
     'requests',
     'Requests, by fingerprint, that are refused because they take endpoints down.',
   ),
+  gatewayColdPermits: createDefinition(
+    'gateway',
+    'counter',
+    'gateway_cold_permits_total',
+    'permits',
+    'Permits to send to cold endpoints: asked, given, used; refused counts requests without one.',
+    ['service', 'step'],
+  ),
   queue: createDefinition(
     'agent',
     'gauge',
