--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -44,7 +44,7 @@
   models: [],
 });
 
-const startAttempt = (port: number) =>
+const startAttempt = (port: number, canSend?: () => boolean) =>
   startEndpointAttempt(
     {
       endpoint: createEndpoint(port),
@@ -53,6 +53,7 @@
       headers: ['Host', 'x.example'],
       body: Buffer.alloc(0),
       connectTimeoutMs: 1_000,
+      canSend,
     },
     () => HEADERS,
   );
@@ -152,3 +153,16 @@
     server.close();
   });
 }
+
+// Guards against a request that is sent with a permit that ran out while the process was paused.
+test('a request that may not be sent any more is not written', async (t) => {
+  let requests = 0;
+  const server = await startServer(() => {
+    requests += 1;
+  });
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const head = await startAttempt(port, () => false).head;
+  t.like(head.swap().unsafeCoerce(), { mayHaveRun: false, isConnectionLost: false });
+  t.is(requests, 0);
+});
--- a/src/node/gateway/coldPermits.ts
+++ b/src/node/gateway/coldPermits.ts
@@ -14,6 +14,7 @@
   type ShareColdParams,
   type SharedDoubt,
 } from '../routingControl';
+import { createColdFreshness } from './coldFreshness';
 import { createColdStates } from './coldStates';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { ClockReading, LeaseClock } from './leaseClock';
@@ -44,7 +45,7 @@
   readonly computeRetryMs: (service: string, now: number) => number;
   /** Records that a connection to an endpoint was lost, or could not be established. */
   readonly recordLoss: (endpoint: EndpointReport, now: number) => void;
-  /** Creates the report to the control host; undefined without cold services. */
+  /** Creates the report to the control host; undefined if the deployment sets no bounds. */
   readonly createReport: (now: number) => ShareColdParams | undefined;
   /** Applies the answer to a report; `calledAt` was read before the call. */
   readonly applyAnswer: (answer: ShareColdAnswer, calledAt: ClockReading, now: number) => void;
@@ -73,7 +74,31 @@
 /** Bounds the times that are kept for each service. */
 const MAX_DEMAND = 1_000;
 /** A doubt that could not be shared for this time is known from reports by now, in milliseconds. */
-const MAX_DOUBT_AGE_MS = 3_000;
+const MAX_DOUBT_AGE_MS = 6_000;
+
+const createDemandCounter = () => {
+  const times = new Map<string, readonly number[]>();
+  return {
+    record: (service: string, now: number): void => {
+      times.set(service, [...(times.get(service) ?? []).slice(-MAX_DEMAND), now]);
+    },
+    /** Counts the requests per second for a service. */
+    count: (service: string, now: number): number =>
+      (times.get(service) ?? []).filter((at) => now - at <= DEMAND_WINDOW_MS).length /
+      (DEMAND_WINDOW_MS / 1_000),
+  };
+};
+
+const addDoubts = (
+  newDoubts: Map<string, number>,
+  doubts: readonly SharedDoubt[],
+  now: number,
+): void =>
+  doubts
+    .filter(({ ageMs }) => ageMs < MAX_DOUBT_AGE_MS)
+    .forEach(({ endpoint, ageMs }) =>
+      newDoubts.set(endpoint, Math.max(now - ageMs, newDoubts.get(endpoint) ?? -Infinity)),
+    );
 
 const canAlwaysSend = (): boolean => true;
 
@@ -98,28 +123,29 @@
 export const createColdPermits = (options: ColdPermitsOptions): ColdPermits => {
   const { bounds, log, metrics, clock, listEndpoints } = options;
   const states = createColdStates(log);
+  const freshness = createColdFreshness(clock, log);
+  const demand = createDemandCounter();
   const findTerms = createTermsFinder(options);
   /** When this gateway called for each permit that it holds, in order, by endpoint id. */
   const permits = new Map<string, readonly ClockReading[]>();
-  const demand = new Map<string, readonly number[]>();
   /** Times of the doubts that the other gateways do not know, by incarnation. */
   const newDoubts = new Map<string, number>();
+  let leaderTerm: number | undefined;
+
+  const isKnownWarm = (endpoint: EndpointReport, now: number): boolean =>
+    freshness.isCurrent(now) && states.isWarm(endpoint, now);
 
   const listValid = (id: string, { lifetimeMs }: PermitTerms): readonly ClockReading[] =>
     (permits.get(id) ?? []).filter((calledAt) => clock.computeElapsedMs(calledAt) < lifetimeMs);
 
-  const countDemand = (service: string, now: number): number =>
-    (demand.get(service) ?? []).filter((at) => now - at <= DEMAND_WINDOW_MS).length /
-    (DEMAND_WINDOW_MS / 1_000);
-
   const listCold = (service: string, now: number): readonly EndpointReport[] =>
     listEndpoints(service)
-      .filter(({ isReady, report }) => isReady && !states.isWarm(report, now))
+      .filter(({ isReady, report }) => isReady && !isKnownWarm(report, now))
       .map(({ report }) => report);
 
   const listWanted = (service: string, now: number): ShareColdParams['wanted'] => {
     const terms = findTerms(service);
-    const requestsPerSecond = countDemand(service, now);
+    const requestsPerSecond = demand.count(service, now);
     if (!terms || requestsPerSecond === 0) return [];
     const cold = listCold(service, now);
     return cold.flatMap((report) => {
@@ -147,18 +173,18 @@
     );
 
   const isWarm = (endpoint: EndpointReport, now: number): boolean =>
-    findTerms(endpoint.service) === undefined || states.isWarm(endpoint, now);
+    findTerms(endpoint.service) === undefined || isKnownWarm(endpoint, now);
 
   return {
     isWarm,
     canSend: (endpoint, now) => {
       const terms = findTerms(endpoint.service);
-      if (!terms || states.isWarm(endpoint, now)) return true;
+      if (!terms || isKnownWarm(endpoint, now)) return true;
       return listValid(endpoint.id, terms).length > 0;
     },
     recordSent: (endpoint, now) => {
       const terms = findTerms(endpoint.service);
-      if (!terms || states.isWarm(endpoint, now)) return canAlwaysSend;
+      if (!terms || isKnownWarm(endpoint, now)) return canAlwaysSend;
       const [used, ...left] = listValid(endpoint.id, terms);
       permits.set(endpoint.id, left);
       if (used) metrics.coldPermits.inc({ service: endpoint.service, step: 'used' });
@@ -167,13 +193,13 @@
     recordDemand: (service, shortage, now) => {
       if (!findTerms(service)) return;
       if (shortage !== 'permitted') metrics.coldPermits.inc({ service, step: 'refused' });
-      demand.set(service, [...(demand.get(service) ?? []).slice(-MAX_DEMAND), now]);
+      demand.record(service, now);
     },
     computeRetryMs: (service, now) => {
       const terms = findTerms(service);
       if (!terms) return 0;
       const shortage = {
-        requestsPerSecond: countDemand(service, now),
+        requestsPerSecond: demand.count(service, now),
         endpoints: listCold(service, now).length,
         gateways: options.countGateways(),
       };
@@ -187,8 +213,9 @@
       newDoubts.set(formatIncarnation(endpoint), now);
     },
     createReport: (now) => {
-      const services = bounds ? options.listServices() : [];
-      if (services.length === 0) return undefined;
+      if (!bounds) return undefined;
+      freshness.check(now);
+      const services = options.listServices();
       const endpoints = services.flatMap(listEndpoints);
       states.recordEndpoints(endpoints, now);
       updateFollowed(endpoints);
@@ -203,7 +230,13 @@
       );
       return { wanted, doubts: doubts.slice(-MAX_COLD_ENDPOINTS) };
     },
-    applyAnswer: ({ granted, doubts }, calledAt, now) => {
+    applyAnswer: ({ granted, doubts, leader }, calledAt, now) => {
+      freshness.check(now);
+      freshness.recordAnswer(leader, calledAt);
+      if (leader && leader.term !== leaderTerm) {
+        leaderTerm = leader.term;
+        addDoubts(newDoubts, states.listDoubts(now), now);
+      }
       granted.forEach(({ endpoint, service, permits: count }) => {
         const terms = findTerms(service);
         if (!terms) return;
@@ -213,9 +246,6 @@
       });
       doubts.forEach((doubt) => states.recordPeerDoubt(doubt, now));
     },
-    restoreDoubts: (doubts, now) =>
-      doubts
-        .filter(({ ageMs }) => ageMs < MAX_DOUBT_AGE_MS)
-        .forEach(({ endpoint, ageMs }) => newDoubts.set(endpoint, now - ageMs)),
+    restoreDoubts: (doubts, now) => addDoubts(newDoubts, doubts, now),
   };
 };
--- a/src/node/gateway/coldStates.ts
+++ b/src/node/gateway/coldStates.ts
@@ -29,6 +29,8 @@
   ) => void;
   /** Records the doubt of another gateway. */
   readonly recordPeerDoubt: (doubt: SharedDoubt, now: number) => void;
+  /** Lists the doubts that no report has settled. */
+  readonly listDoubts: (now: number) => readonly SharedDoubt[];
   /** Removes endpoints that were not seen for a while. */
   readonly expire: (now: number) => void;
 }
@@ -52,10 +54,15 @@
  */
 const SAME_DOUBT_MS = 500;
 
+/** Doubts about endpoints that no control host has reported yet are kept for this time. */
+const EARLY_DOUBT_MS = 10_000;
+
 /** Creates an empty table. */
 export const createColdStates = (log: Logger): ColdStates => {
   /** By incarnation. */
   const rows = new Map<string, Row>();
+  /** Times of other gateways' doubts about endpoints that this one does not know yet. */
+  const earlyDoubts = new Map<string, number>();
 
   const updateRow = (key: string, next: Omit<Row, 'state' | 'usedAt'>, now: number): Row => {
     const { seen, isOverdue } = next;
@@ -86,7 +93,9 @@
     const key = formatIncarnation(report);
     const known = rows.get(key);
     if (known && isUnchanged(known, report, now)) return known;
-    const seen = updateObservation(known?.seen, report, now);
+    const updated = updateObservation(known?.seen, report, now);
+    const doubtedAt = known ? undefined : earlyDoubts.get(key);
+    const seen = doubtedAt === undefined ? updated : addDoubt(updated, doubtedAt);
     return updateRow(key, { seen, isOverdue: known?.isOverdue === true }, now);
   };
 
@@ -115,13 +124,21 @@
     recordPeerDoubt: ({ endpoint, ageMs }, now) => {
       const row = rows.get(endpoint);
       const at = now - ageMs;
+      if (!row) earlyDoubts.set(endpoint, at);
       if (!row || (row.seen.doubt && at - row.seen.doubt.at < SAME_DOUBT_MS)) return;
       updateRow(endpoint, { ...row, seen: addDoubt(row.seen, at) }, now);
     },
+    listDoubts: (now) =>
+      [...rows].flatMap(([endpoint, { seen }]) =>
+        seen.doubt && isDoubted(seen) ? [{ endpoint, ageMs: now - seen.doubt.at }] : [],
+      ),
     expire: (now) => {
       for (const [key, { usedAt }] of rows) {
         if (now - usedAt > ROW_MEMORY_MS) rows.delete(key);
       }
+      for (const [key, at] of earlyDoubts) {
+        if (now - at > EARLY_DOUBT_MS) earlyDoubts.delete(key);
+      }
     },
   };
 };
--- a/src/node/gateway/coldTopic.ts
+++ b/src/node/gateway/coldTopic.ts
@@ -33,7 +33,7 @@
       return {
         report,
         applyAnswer: (answer) => {
-          logLeader(host, answer.isLeader);
+          logLeader(host, answer.leader !== undefined);
           permits.applyAnswer(answer, calledAt, readNow());
         },
         handleFailure: (error) => {
--- a/src/node/routingControl/coldTable.ts
+++ b/src/node/routingControl/coldTable.ts
@@ -51,12 +51,19 @@
   readonly permits: number;
 }
 
+/** The leading control host. */
+export interface ColdLeader {
+  readonly term: number;
+  /** Time since which it collects the doubts of all gateways, in milliseconds. */
+  readonly collectingMs: number;
+}
+
 /** The permits granted to a gateway, and the latest doubts of all gateways. */
 export interface ShareColdAnswer {
   readonly granted: readonly GrantedPermits[];
   readonly doubts: readonly SharedDoubt[];
-  /** Whether the host grants permits: a quorum has confirmed lately that it leads. */
-  readonly isLeader: boolean;
+  /** Absent if the host grants no permits: no quorum has confirmed lately that it leads. */
+  readonly leader?: ColdLeader;
 }
 
 /** Grants permits for cold endpoints, and passes on which endpoints may have become cold. */
@@ -76,8 +83,11 @@
 
 /** Buckets of endpoints that no gateway has asked for are dropped after this time, in milliseconds. */
 const BUCKET_MEMORY_MS = 60_000;
-/** Every gateway calls several times within this time, in milliseconds. */
-const DOUBT_MEMORY_MS = 3_000;
+/**
+ * Doubts are passed on for this time, in milliseconds, so that a gateway that has just started learns
+ * of them. Reports that are missing since then have long been overdue.
+ */
+const DOUBT_MEMORY_MS = 6_000;
 
 const LOG_INTERVAL_MS = 1_000;
 
@@ -163,7 +173,7 @@
         doubts: [...doubts]
           .slice(-MAX_COLD_ENDPOINTS)
           .map(([endpoint, at]) => ({ endpoint, ageMs: now - at })),
-        isLeader: term !== undefined,
+        ...(term && { leader: { term: term.term, collectingMs: now - term.confirmedAt } }),
       };
     },
   };
