--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -104,7 +104,11 @@
           callback(new Error('the connection opened too late after a pause'), null);
           return;
         }
-        if (socket) callback(null, socket);
+        // This process may have been paused since it decided to send.
+        if (socket && target.canSend?.() === false) {
+          socket.destroy();
+          callback(new Error('the permit to send ran out before the connection was made'), null);
+        } else if (socket) callback(null, socket);
         else callback(failure, null);
       }),
     headersTimeout: 0,
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -13,3 +13,5 @@
 export * from './suspectDirectory';
 export * from './limitTable';
 export * from './zoneOrders';
+export * from './coldTable';
+export * from './leaderConfirmation';
--- a/src/node/routingControl/settings.ts
+++ b/src/node/routingControl/settings.ts
@@ -1,3 +1,4 @@
+import type { ColdBounds } from '../decisions';
 import type { ListenAddress } from '../rpc';
 
 /** Resolved settings of a routing control host. */
@@ -23,4 +24,6 @@
   readonly reportIntervalMs: number;
   /** Present if operators may evacuate zones; the zones that are known without reports. */
   readonly evacuation?: { readonly zones: readonly string[] };
+  /** Bounds on the requests to cold endpoints; absent if the deployment sets none. */
+  readonly coldBounds?: ColdBounds | undefined;
 }
