Hold back less urgent requests when endpoints are short of capacity

Gateways accepted every request until all endpoints held 1.25 requests a slot. A burst of long prompts with a long target filled the endpoints' queues beyond the shorter targets of more urgent kinds, so that these were served late more often than the least urgent kind.

Requests of services whose routes differ in rank now pass a decision between the choice of an endpoint and the attempt: run, wait at the gateway, or refuse with the predicted drain as Retry-After. The limit of the pool's pending prefill falls with the rank.

--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -1,9 +1,16 @@
-import { computeExchangeInterval } from '../../src/node/gateway';
+import { computeExchangeInterval, type PredictedWork } from '../../src/node/gateway';
 import { createLoadAggregator } from '../../src/node/routingControl';
 import { createClock, type Clock } from './clock';
 import { createRandomSource, type RandomSource } from './randomSource';
 import { createEngine, type Engine } from './engine';
-import { createFacts, createGateway, createReports, type EmulatedGateway } from './gateway';
+import {
+  createFacts,
+  createGateway,
+  createReports,
+  createRoute,
+  SERVICE,
+  type EmulatedGateway,
+} from './gateway';
 import type { Pattern, PatternModel } from './pattern';
 import { POLICIES, type Policy, type PolicyView } from './policies';
 import { createRequestSource, type EmulatedRequest } from './requests';
@@ -65,8 +72,32 @@
   readonly runs: number;
   readonly retries: number;
   readonly cost: number;
+  /** Gateway of the attempt, and the time at which it received the request. */
+  readonly gateway: number;
+  readonly receivedAt: number;
+  /** Whether the gateway has admitted the request. */
+  readonly isAdmitted: boolean;
 }
 
+const createAttempt = (request: EmulatedRequest, now: number): Attempt => ({
+  request,
+  runs: 0,
+  retries: 0,
+  cost: 0,
+  gateway: request.gateway,
+  receivedAt: now,
+  isAdmitted: false,
+});
+
+// The caller comes back by another gateway, as by a load balancer.
+const createReturn = ({ clock, pattern }: Simulation, attempt: Attempt): Attempt => ({
+  ...attempt,
+  retries: attempt.retries + 1,
+  gateway: (attempt.gateway + 1) % pattern.gateways,
+  receivedAt: clock.readNow(),
+  isAdmitted: false,
+});
+
 const computeCost = (model: PatternModel, promptTokens: number, answerTokens: number): number =>
   (model.cost * (PROMPT_TOKEN_PRICE_FACTOR * promptTokens + answerTokens)) / 1_000;
 
@@ -77,17 +108,57 @@
   if (retries < RETRY_LIMIT && leftMs > 0) {
     const delayMs = Math.min(retryAfterMs, MAX_RETRY_DELAY_FRACTION * leftMs);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a refused caller retries
-    clock.schedule(delayMs, () => startRequest(simulation, { ...attempt, retries: retries + 1 }));
+    clock.schedule(delayMs, () => startRequest(simulation, createReturn(simulation, attempt)));
     return;
   }
   const { runs, cost } = attempt;
   record({ request, end: 'refused', firstTokenMs: Infinity, isGood: false, model: '', runs, cost });
 };
 
+// Returns false if the request waits or is refused.
+const admitAttempt = (
+  simulation: Simulation,
+  attempt: Attempt,
+  model: string,
+  work: PredictedWork,
+): boolean => {
+  const { pattern, policy, clock, gateways, view } = simulation;
+  const { request, retries, receivedAt } = attempt;
+  const { task } = request;
+  const gateway = gateways[attempt.gateway]!;
+  const result = gateway.admission.admit(
+    {
+      requestId: `${request.id}-${retries}`,
+      route: createRoute(pattern, task),
+      rank: task.rank,
+      organisation: request.organisation,
+      service: SERVICE,
+      table: view.facts.table,
+      fingerprint: request.id,
+      targetEndsAt: receivedAt + task.targetMs,
+      deadlineAt: request.arrivedAt + task.deadlineMs,
+      gatewayCount: pattern.gateways,
+      work,
+      estimateWork: () => {
+        const next = policy.place({ ...view, gateway, request, now: clock.readNow() }, model);
+        return next.type === 'placed' ? next : undefined;
+      },
+      hasEnded: () => false,
+    },
+    (end) => {
+      if (end.type === 'refused') settleRefused(simulation, attempt, end.retryAfterMs);
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- chosen again after a wait
+      if (end.type === 'run') startRequest(simulation, { ...attempt, isAdmitted: true });
+    },
+  );
+  if (result.type === 'refused') settleRefused(simulation, attempt, result.retryAfterMs);
+  return result.type === 'run';
+};
+
 const startRun = (simulation: Simulation, attempt: Attempt, modelName: string): void => {
   const { pattern, policy, clock, engines, gateways, view, record } = simulation;
   const { request } = attempt;
-  const gateway = gateways[request.gateway]!;
+  const gateway = gateways[attempt.gateway]!;
   const model = pattern.models.find(({ name }) => name === modelName)!;
   const now = clock.readNow();
   const choice = policy.place({ ...view, gateway, request, now }, modelName);
@@ -95,6 +166,10 @@
     settleRefused(simulation, attempt, choice.retryAfterMs);
     return;
   }
+  if (!attempt.isAdmitted && policy.hasAdmission) {
+    const admitted = admitAttempt(simulation, attempt, modelName, choice);
+    if (!admitted) return;
+  }
   const { endpoint, queueMs, prefillMs, uncachedTokens } = choice;
   const engine = engines.find(({ id }) => id === endpoint.id)!;
   gateway.cacheEstimates.record(endpoint.id, modelName, request.promptBlocks);
@@ -121,7 +196,7 @@
     if (secondModel === undefined) return true;
     share.release();
     clock.schedule(networkMs, () =>
-      startRun(simulation, { ...attempt, runs, cost: promptCost }, secondModel),
+      startRun(simulation, { ...attempt, runs, cost: promptCost, isAdmitted: true }, secondModel),
     );
     return false;
   };
@@ -157,25 +232,31 @@
 const startRequest = (simulation: Simulation, attempt: Attempt): void => {
   const { policy, clock, gateways, view } = simulation;
   const { request } = attempt;
-  const gateway = gateways[request.gateway]!;
+  const gateway = gateways[attempt.gateway]!;
   const policyView = { ...view, gateway, request, now: clock.readNow() };
   startRun(simulation, attempt, policy.chooseFirst(policyView));
 };
 
 const addArrivals = (simulation: Simulation, load: number): void => {
   const { pattern, clock, draws } = simulation;
-  const { burst } = pattern;
-  const readFactor = (now: number): number =>
-    burst && now >= burst.at * 1_000 && now < (burst.at + burst.seconds) * 1_000 ? burst.factor : 1;
+  const { burst, bursts = [] } = pattern;
+  const isDuring = (
+    now: number,
+    { at, seconds }: { readonly at: number; readonly seconds: number },
+  ) => now >= at * 1_000 && now < (at + seconds) * 1_000;
+  const readFactor = (task: string, now: number): number =>
+    [...(burst ? [burst] : []), ...bursts.filter((item) => item.task === task)]
+      .filter((item) => isDuring(now, item))
+      .reduce((product, { factor }) => product * factor, 1);
   pattern.tasks.forEach((task) => {
     const gaps = createRandomSource(draws.sampleIndex(2 ** 30));
     const source = createRequestSource(pattern, createRandomSource(draws.sampleIndex(2 ** 30)));
     const addNext = (): void => {
-      const rate = task.perSecond * load * readFactor(clock.readNow());
+      const rate = task.perSecond * load * readFactor(task.name, clock.readNow());
       clock.schedule(gaps.sampleExponential(1_000 / rate), () => {
         if (clock.readNow() > pattern.seconds * 1_000) return;
         const request = source.generate(task, clock.readNow());
-        startRequest(simulation, { request, runs: 0, retries: 0, cost: 0 });
+        startRequest(simulation, createAttempt(request, clock.readNow()));
         addNext();
       });
     };
@@ -196,7 +277,7 @@
   const engines = reports.map(({ id, zone }) => createEngine(clock, pattern, id, zone));
   const outcomes: Outcome[] = [];
   const gateways = Array.from({ length: pattern.gateways }, (_item, index) =>
-    createGateway(pattern, reports, index),
+    createGateway(pattern, reports, index, clock),
   );
   const facts = createFacts(pattern);
   const simulation: Simulation = {
--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -1,18 +1,22 @@
+import { Registry } from 'prom-client';
 import {
+  createGatewayMetrics,
   createPrefixCacheEstimates,
   createEndpointChooser,
   createEndpointLoads,
+  createScarcityAdmission,
   createSessionVersions,
   type PrefixCacheEstimates,
   type EndpointChooser,
   type EndpointLoads,
   type RoutingFacts,
+  type ScarcityAdmission,
 } from '../../src/node/gateway';
 import type { EndpointReport } from '../../src/node/registry';
 import { createRouteTable, type Route } from '../../src/node/routing';
 import type { LoadAggregator, PromptCursor } from '../../src/node/routingControl';
-import type { Pattern } from './pattern';
-import type { EmulatedRequest } from './requests';
+import type { Clock } from './clock';
+import type { Pattern, PatternTask } from './pattern';
 
 /** One gateway, built from the production components. */
 export interface EmulatedGateway {
@@ -20,22 +24,24 @@
   readonly chooser: EndpointChooser;
   readonly loads: EndpointLoads;
   readonly cacheEstimates: PrefixCacheEstimates;
+  readonly admission: ScarcityAdmission;
   /** Reports the load of this gateway to the aggregator and applies that of the other gateways. */
   readonly exchange: (aggregator: LoadAggregator, now: number) => void;
 }
 
-const SERVICE = 'engines';
+/** Service of all routes. */
+export const SERVICE = 'engines';
 
-/** Builds the route for the task of a request. */
-export const createRoute = (pattern: Pattern, request: EmulatedRequest): Route => ({
-  name: request.task.name,
+/** Builds the route for a task. */
+export const createRoute = (pattern: Pattern, task: PatternTask): Route => ({
+  name: task.name,
   host: 'emulator',
-  pathPrefix: `/${request.task.name}/`,
+  pathPrefix: `/${task.name}/`,
   kind: 'stream',
-  timeoutMs: request.task.deadlineMs,
-  targetLatencyMs: request.task.targetMs,
+  timeoutMs: task.deadlineMs,
+  targetLatencyMs: task.targetMs,
   gapTargetMs: undefined,
-  rank: request.task.rank,
+  rank: task.rank,
   targets: [{ service: SERVICE, weight: 1 }],
   attemptLimit: 3,
   isPublic: true,
@@ -48,7 +54,7 @@
   revision: 1,
   table: createRouteTable({
     version: 1,
-    routes: [],
+    routes: pattern.tasks.map((task) => createRoute(pattern, task)),
     services: [
       {
         name: SERVICE,
@@ -94,11 +100,21 @@
   pattern: Pattern,
   reports: readonly EndpointReport[],
   index: number,
+  clock: Clock,
 ): EmulatedGateway => {
   const zone = formatZone(pattern, index);
   const loads = createEndpointLoads();
   const cacheEstimates = createPrefixCacheEstimates(() => pattern.engine.cacheTokens);
   const endpoints = reports.map((report) => ({ report, isReady: true }));
+  const registry = { listEndpoints: () => endpoints };
+  const admission = createScarcityAdmission({
+    registry,
+    loads,
+    metrics: createGatewayMetrics(new Registry()),
+    log: { info: () => {} },
+    readNow: clock.readNow,
+    schedule: clock.schedule,
+  });
   const chooser = createEndpointChooser({
     zone,
     sessionMs: 5_000,
@@ -108,7 +124,7 @@
     loads,
     cacheEstimates,
     sessions: createSessionVersions(5_000),
-    registry: { listEndpoints: () => endpoints },
+    registry,
   });
   let cursor: PromptCursor | undefined;
   return {
@@ -116,6 +132,7 @@
     chooser,
     loads,
     cacheEstimates,
+    admission,
     exchange: (aggregator, now) => {
       const own = {
         gateway: `g-${index}`,
@@ -126,6 +143,7 @@
       loads.updatePeerLoads(answer.loads);
       cacheEstimates.applyPeerPrompts(answer.reads);
       cursor = answer.cursor;
+      admission.recordExchange();
     },
   };
 };
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -56,6 +56,12 @@
    * A burst multiplies the load for some seconds. A hot organisation sends a multiple of its share.
    */
   burst: z.strictObject({ at: z.number(), seconds: z.number(), factor: z.number() }).optional(),
+  /** Bursts of single tasks. */
+  bursts: z
+    .array(
+      z.strictObject({ task: z.string(), at: z.number(), seconds: z.number(), factor: z.number() }),
+    )
+    .optional(),
   hotOrganisation: z.number().optional(),
 });
 
--- a/bench/emulator/policies.ts
+++ b/bench/emulator/policies.ts
@@ -29,6 +29,8 @@
 
 /** Chooses models and endpoints. The `live` policy calls the production code. */
 export interface Policy {
+  /** Whether the gateways hold back or refuse requests under scarcity. */
+  readonly hasAdmission?: boolean;
   readonly chooseFirst: (view: PolicyView) => string;
   /** Returns the model that answers instead, if any. */
   readonly chooseSecond: (view: PolicyView, run: RunInProgress) => string | undefined;
@@ -40,7 +42,7 @@
 const createChoiceRequest = (view: PolicyView, model: string): ChoiceRequest => {
   const { pattern, request, now } = view;
   return {
-    route: createRoute(pattern, request),
+    route: createRoute(pattern, request.task),
     caller: {
       requestId: request.id,
       host: 'emulator',
@@ -104,6 +106,7 @@
   items.reduce((best, item) => (readCost(item) < readCost(best) ? item : best));
 
 const live: Policy = {
+  hasAdmission: true,
   chooseFirst: (view) =>
     chooseFirstModel(createModelChoiceInput(view)) ?? readModels(view).smallest,
   chooseSecond: (view, { model, confidence, runs }) =>
@@ -129,6 +132,8 @@
 /** The policies that can be compared, by name. */
 export const POLICIES: Readonly<Record<string, Policy>> = {
   live,
+  /** The production decisions without the admission under scarcity. */
+  'accept-all': { ...live, hasAdmission: false },
   random: {
     ...CASCADE,
     place: ({ reports, draws }) => createPlaced(reports[draws.sampleIndex(reports.length)]!),
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -29,3 +29,5 @@
 export * from './suspicion';
 export * from './endpointBackoff';
 export * from './requestTokens';
+export * from './admitUnderScarcity';
+export * from './organisationShare';
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -321,6 +321,7 @@
     quarantine,
     requestGuard,
     limits,
+    admission: { admit: () => ({ type: 'run' }) },
     recordLeaving: () => {},
     backoffs,
     tallies: createVersionTallies(),
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -4,6 +4,7 @@
 import { isRetryableRoute } from '../routing';
 import type { CallerReply } from './callerReply';
 import { waitWithTimeout } from './deadline';
+import { admitExchange } from './exchangeAdmission';
 import { chooseService, type EndpointChoice, type VersionBasis } from './endpointChoice';
 import { createChoiceRequest, createModelInput } from './choiceRequest';
 import { createExchangeCompletion, FAILED_RETRY_MS } from './exchangeCompletion';
@@ -36,6 +37,7 @@
   reply,
   tried: new Set(),
   attempts: 0,
+  isAdmitted: false,
   mayHaveRun: false,
   isProbe: false,
   dropped: undefined,
@@ -230,6 +232,11 @@
       settleRefused(exchange, choice);
       return;
     }
+    const admission = admitExchange(deps, exchange, snapshot, model, choice);
+    const admitted = admission.type === 'wait' ? await admission.end : admission;
+    if (admitted.type === 'refused') settleRefused(exchange, admitted);
+    // After a wait, the endpoint and the model are chosen again.
+    if (admission.type !== 'run') return;
     const { endpoint } = choice;
     const budget = deps.findBudget(endpoint.service);
     const isRetry = exchange.attempts > 0;
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -14,6 +14,7 @@
 import type { RequestQuarantine } from './requestQuarantine';
 import type { RegistryView } from './registryView';
 import type { RoutingSnapshot } from './routingView';
+import type { ScarcityAdmission } from './scarcityAdmission';
 import type { SessionExchange } from './sessionExchange';
 import type { SessionVersions } from './sessionVersions';
 import type { AttemptTarget, CallerHeaders, EndpointAttempt, HeaderCodec } from './types';
@@ -56,6 +57,7 @@
   readonly quarantine: Pick<RequestQuarantine, 'recordAnswer' | 'recordLoss'>;
   readonly requestGuard: RequestGuard;
   readonly limits: EndpointLimits;
+  readonly admission: Pick<ScarcityAdmission, 'admit'>;
   readonly recordLeaving: RegistryView['recordLeaving'];
   readonly backoffs: Pick<EndpointBackoffs, 'record'>;
   readonly tallies: VersionTallies;
@@ -83,6 +85,8 @@
   readonly reply: CallerReply;
   readonly tried: Set<string>;
   attempts: number;
+  /** Whether the request has been admitted, so that it is not held back again. */
+  isAdmitted: boolean;
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean;
   /** Whether the request tests if a quarantined prompt block still takes endpoints down. */
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -8,6 +8,8 @@
   readonly firstByte: Histogram<'route'>;
   readonly duration: Histogram<'route'>;
   readonly active: Gauge;
+  readonly admissions: Counter<'route' | 'outcome' | 'reason'>;
+  readonly admissionWait: Histogram<'route'>;
   readonly blocksQuarantined: Gauge;
   readonly requestsQuarantined: Gauge;
 }
@@ -30,6 +32,8 @@
     firstByte: new Histogram({ ...resolveOptions('gatewayFirstByte'), buckets }),
     duration: new Histogram({ ...resolveOptions('gatewayDuration'), buckets }),
     active: new Gauge(resolveOptions('gatewayActive')),
+    admissions: new Counter(resolveOptions('gatewayAdmissions')),
+    admissionWait: new Histogram({ ...resolveOptions('gatewayAdmissionWait'), buckets }),
     blocksQuarantined: new Gauge(resolveOptions('gatewayBlocksQuarantined')),
     requestsQuarantined: new Gauge(resolveOptions('gatewayRequestsQuarantined')),
   };
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -26,6 +26,7 @@
 import type { RequestQuarantine } from './requestQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
+import { createScarcityAdmission, type ScarcityAdmission } from './scarcityAdmission';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
 import type { SuspectTable } from './suspectTable';
 import { createSuspectTopic } from './suspectTopic';
@@ -154,6 +155,25 @@
   },
 ];
 
+const createAdmissionService = (): Service => ({
+  name: 'admission',
+  dependencies: ['registry-view', 'loads', 'gateway-metrics', 'log'],
+  start: (find) => {
+    const value = createScarcityAdmission({
+      registry: find<RegistryView>('registry-view'),
+      loads: find<EndpointLoads>('loads'),
+      metrics: find<GatewayMetrics>('gateway-metrics'),
+      log: createPartLogger(find<Logger>('log'), 'gateway'),
+      readNow,
+      schedule: (delayMs, run) => {
+        setTimeout(run, delayMs);
+      },
+    });
+    const timer = setInterval(value.expire, EXPIRE_INTERVAL_MS);
+    return { value, stop: () => clearInterval(timer) };
+  },
+});
+
 const createExchangeService = ({ node }: GatewaySettings): Service => ({
   name: 'peer-exchange',
   dependencies: [
@@ -162,6 +182,7 @@
     'routing-view',
     'loads',
     'beliefs',
+    'admission',
     'session-exchange',
     'suspects',
     'quarantine',
@@ -178,6 +199,7 @@
           loads: find<EndpointLoads>('loads'),
           cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
           readNow,
+          handleUpdate: find<ScarcityAdmission>('admission').recordExchange,
         }),
         find<SessionExchange>('session-exchange').topic,
         createSuspectTopic({
@@ -230,6 +252,7 @@
     'quarantine',
     'request-guard',
     'limits',
+    'admission',
     'backoffs',
     'tallies',
     'gateway-metrics',
@@ -259,6 +282,7 @@
       quarantine: find<RequestQuarantine>('quarantine'),
       requestGuard: find<RequestGuard>('request-guard'),
       limits: find<EndpointLimits>('limits'),
+      admission: find<ScarcityAdmission>('admission'),
       recordLeaving: find<RegistryView>('registry-view').recordLeaving,
       backoffs: find<EndpointBackoffs>('backoffs'),
       tallies: find<VersionTallies>('tallies'),
@@ -385,6 +409,7 @@
   ...createViewServices(settings),
   ...createSessionServices(settings),
   ...createRestraintServices(),
+  createAdmissionService(),
   createExchangeService(settings),
   createRunnerService(settings, codecs),
   createServersService(settings, codecs.codec),
--- a/src/node/gateway/loadTopic.ts
+++ b/src/node/gateway/loadTopic.ts
@@ -9,11 +9,13 @@
   readonly cacheEstimates: PrefixCacheEstimates;
   /** Returns the monotonic time in milliseconds. */
   readonly readNow: () => number;
+  /** Called when the loads of the other gateways have been updated. */
+  readonly handleUpdate: () => void;
 }
 
 /** Creates the topic that shares loads and sent prompts with the other gateways. */
 export const createLoadTopic = (options: LoadTopicOptions): ExchangeTopic<'loads'> => {
-  const { loads, cacheEstimates, readNow } = options;
+  const { loads, cacheEstimates, readNow, handleUpdate } = options;
   let cursor: PromptCursor | undefined;
   return {
     name: 'loads',
@@ -25,6 +27,7 @@
           loads.updatePeerLoads(answer.loads);
           cursor = answer.cursor;
           cacheEstimates.applyPeerPrompts(answer.reads);
+          handleUpdate();
         },
         handleFailure: (error) => {
           // After a failed call the earlier reports are out of date, so only this gateway's own
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -101,6 +101,22 @@
     'requests',
     'Requests of routes in progress.',
   ),
+  gatewayAdmissions: createDefinition(
+    'gateway',
+    'counter',
+    'gateway_admissions_total',
+    'requests',
+    'Decisions on requests of services whose routes differ in rank, by route, outcome (admitted, waited, refused) and reason.',
+    ['route', 'outcome', 'reason'],
+  ),
+  gatewayAdmissionWait: createDefinition(
+    'gateway',
+    'histogram',
+    'gateway_admission_wait_seconds',
+    'seconds',
+    'Time that requests waited at the gateway for their place, by route.',
+    ['route'],
+  ),
   gatewayBlocksQuarantined: createDefinition(
     'gateway',
     'gauge',
