Leave larger models out before requests are refused

Under scarcity, second runs of larger models filled the endpoints up to the rank's limit, and first runs of small models were then refused that could still be on time. Larger models are now used only while the pool's pending work is below 0.6 of the rank's limit; the limits themselves are higher.

--- a/bench/emulator/policies.ts
+++ b/bench/emulator/policies.ts
@@ -4,7 +4,7 @@
 import type { EndpointReport } from '../../src/node/registry';
 import type { RandomSource } from './randomSource';
 import type { Engine } from './engine';
-import { createRoute, type EmulatedGateway } from './gateway';
+import { createRoute, SERVICE, type EmulatedGateway } from './gateway';
 import type { Pattern } from './pattern';
 import type { EmulatedRequest } from './requests';
 
@@ -70,7 +70,8 @@
   return choice.type === 'placed' ? choice.predictedMs : Infinity;
 };
 
-const createModelChoiceInput = (view: PolicyView) => ({
+const createModelChoiceInput = (view: PolicyView, hasRoomForLarger: boolean) => ({
+  hasRoomForLarger,
   models: view.pattern.models.map(({ name }) => name),
   timeLeftMs: view.request.arrivedAt + view.request.task.targetMs - view.now,
   rank: view.request.task.rank,
@@ -105,19 +106,31 @@
 const findCheapest = <T>(items: readonly T[], readCost: (item: T) => number): T =>
   items.reduce((best, item) => (readCost(item) < readCost(best) ? item : best));
 
-const live: Policy = {
-  hasAdmission: true,
-  chooseFirst: (view) =>
-    chooseFirstModel(createModelChoiceInput(view)) ?? readModels(view).smallest,
-  chooseSecond: (view, { model, confidence, runs }) =>
-    chooseSecondModel({
-      ...createModelChoiceInput(view),
-      model,
-      confidence,
-      attemptsLeft: 3 - runs,
-      hasBudget: true,
-    }),
-  place: placeLive,
+const hasRoomForLarger = ({ pattern, request, facts, gateway }: PolicyView): boolean =>
+  gateway.admission.hasRoomForLarger({
+    route: createRoute(pattern, request.task),
+    rank: request.task.rank,
+    service: SERVICE,
+    table: facts.table,
+    gatewayCount: pattern.gateways,
+  });
+
+const createLive = (hasAdmission: boolean): Policy => {
+  const createInput = (view: PolicyView) =>
+    createModelChoiceInput(view, !hasAdmission || hasRoomForLarger(view));
+  return {
+    hasAdmission,
+    chooseFirst: (view) => chooseFirstModel(createInput(view)) ?? readModels(view).smallest,
+    chooseSecond: (view, { model, confidence, runs }) =>
+      chooseSecondModel({
+        ...createInput(view),
+        model,
+        confidence,
+        attemptsLeft: 3 - runs,
+        hasBudget: true,
+      }),
+    place: placeLive,
+  };
 };
 
 const chooseOracleEngine = (view: PolicyView, model: string): Engine => {
@@ -131,9 +144,9 @@
 
 /** The policies that can be compared, by name. */
 export const POLICIES: Readonly<Record<string, Policy>> = {
-  live,
+  live: createLive(true),
   /** The production decisions without the admission under scarcity. */
-  'accept-all': { ...live, hasAdmission: false },
+  'accept-all': createLive(false),
   random: {
     ...CASCADE,
     place: ({ reports, draws }) => createPlaced(reports[draws.sampleIndex(reports.length)]!),
--- a/src/node/decisions/__tests__/chooseModel.test.ts
+++ b/src/node/decisions/__tests__/chooseModel.test.ts
@@ -19,6 +19,7 @@
   readonly name: string;
   readonly times: ModelTimes;
   readonly rank?: number;
+  readonly hasRoomForLarger?: boolean;
   readonly models?: readonly string[];
   readonly chosen: string | undefined;
 }[] = [
@@ -54,6 +55,13 @@
     models: ['small'],
     chosen: 'small',
   },
+  {
+    // Guards against first runs of large models that take the places of other requests.
+    name: 'time for one run only, but no room for larger models',
+    times: { small: 1_000, middle: 1_000, large: 1_500 },
+    hasRoomForLarger: false,
+    chosen: 'small',
+  },
   {
     name: 'no model',
     times: { small: 0, middle: 0, large: 0 },
@@ -62,9 +70,11 @@
   },
 ];
 
-for (const { name, times, rank = 0, models = MODELS, chosen } of firstRuns) {
+for (const item of firstRuns) {
+  const { name, times, rank = 0, models = MODELS, hasRoomForLarger = true, chosen } = item;
   test(`model choice for the first run: ${name}`, (t) => {
-    const question = { models, timeLeftMs: 2_000, rank, estimateFirstToken: createEstimate(times) };
+    const estimateFirstToken = createEstimate(times);
+    const question = { models, timeLeftMs: 2_000, rank, hasRoomForLarger, estimateFirstToken };
     t.is(chooseFirstModel(question), chosen);
   });
 }
@@ -78,6 +88,7 @@
   timeLeftMs: 2_000,
   estimateFirstToken: createEstimate({ small: 50, middle: 150, large: 400 }),
   rank: 0,
+  hasRoomForLarger: true,
 };
 
 const secondRuns: readonly {
@@ -101,6 +112,12 @@
     change: { estimateFirstToken: createEstimate({ small: 900, middle: 1_800, large: 5_000 }) },
     second: undefined,
   },
+  {
+    // Guards against second runs that make other requests late.
+    name: 'no room for larger models',
+    change: { hasRoomForLarger: false },
+    second: undefined,
+  },
   {
     name: 'a least urgent request while the largest model has a queue',
     change: {
--- a/src/node/decisions/admitUnderScarcity.ts
+++ b/src/node/decisions/admitUnderScarcity.ts
@@ -70,13 +70,20 @@
  * Fraction of a request's own target that the pending work may take: the rest is left for the
  * request's own prefill and for endpoints that are above the mean.
  */
-const OWN_TARGET_FRACTION = 0.6;
+const OWN_TARGET_FRACTION = 0.85;
 /**
  * Fraction of the shortest target of the more urgent routes that the second most urgent rank may
- * fill with pending work. Each further rank has half of it.
+ * fill with pending work. Each further rank has `RANK_STEP` of
+ * the one before it.
  */
-const RESERVED_TARGET_FRACTION = 0.3;
-const RANK_STEP = 0.5;
+const RESERVED_TARGET_FRACTION = 0.7;
+const RANK_STEP = 0.7;
+/**
+ * Factor of the limit for the work of larger models. It leaves room for first runs, so that under
+ * scarcity a request gets a smaller model before another one is refused. At 1, larger models fill
+ * the pool up to the limit (emulator pattern scarce.jsonc).
+ */
+const LARGER_MODEL_FACTOR = 0.6;
 /** Factor of the limit of requests that can no longer be on time. */
 const LATE_FACTOR = 0.5;
 /** Factor of the limit of a returning request, so that it goes before new ones at all gateways. */
@@ -161,3 +168,11 @@
   const retryAfterMs = computeRetryAfterMs(drainMs, input.spread);
   return { type: 'refuse', retryAfterMs, reason: refusalReason, limitMs };
 };
+
+/** Whether the pool has room for a larger model than the smallest one. */
+export const hasRoomForLarger = (
+  rank: number,
+  targetMs: number,
+  targets: readonly RankTarget[],
+  pendingMs: number,
+): boolean => pendingMs <= LARGER_MODEL_FACTOR * computeRankLimitMs(rank, targetMs, targets);
--- a/src/node/decisions/chooseModel.ts
+++ b/src/node/decisions/chooseModel.ts
@@ -17,6 +17,8 @@
   /** Urgency of the request, 0 is the most urgent. */
   readonly rank: number;
   readonly estimateFirstToken: EstimateFirstToken;
+  /** Whether the pool has room for the work of larger models; a request of this rank may use them. */
+  readonly hasRoomForLarger: boolean;
 }
 
 /** Input for the choice of a second model, when the first model's answer begins. */
@@ -54,7 +56,7 @@
   const [smallest] = models;
   const largest = models.at(-1);
   if (smallest === undefined || largest === undefined || smallest === largest) return smallest;
-  if (rank >= LEAST_URGENT_RANK) return smallest;
+  if (rank >= LEAST_URGENT_RANK || !input.hasRoomForLarger) return smallest;
   const limitMs = computeLimitMs(input);
   const largestMs = estimateFirstToken(largest);
   if (largestMs > limitMs) return smallest;
@@ -69,7 +71,7 @@
 export const chooseSecondModel = (input: EscalationInput): string | undefined => {
   const { models, model, confidence, attemptsLeft, hasBudget, rank } = input;
   if (confidence === undefined || confidence >= MIN_CONFIDENCE) return undefined;
-  if (attemptsLeft <= 0 || !hasBudget) return undefined;
+  if (attemptsLeft <= 0 || !hasBudget || !input.hasRoomForLarger) return undefined;
   const limitMs = computeLimitMs(input);
   const larger = models.slice(models.indexOf(model) + 1).reverse();
   // A medium model answers few more requests than the smallest, so the least urgent skip it.
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -321,7 +321,7 @@
     quarantine,
     requestGuard,
     limits,
-    admission: { admit: () => ({ type: 'run' }) },
+    admission: { admit: () => ({ type: 'run' }), hasRoomForLarger: () => true },
     recordLeaving: () => {},
     backoffs,
     tallies: createVersionTallies(),
--- a/src/node/gateway/choiceRequest.ts
+++ b/src/node/gateway/choiceRequest.ts
@@ -1,5 +1,5 @@
 import type { ModelInput } from '../decisions';
-import type { ChoiceRequest } from './endpointChoice';
+import { chooseService, type ChoiceRequest } from './endpointChoice';
 import type { Exchange, ExchangeDependencies } from './exchangeTypes';
 import type { RoutingSnapshot } from './routingView';
 
@@ -34,15 +34,25 @@
 
 /** Creates the inputs for choosing the model of a request. */
 export const createModelInput = (
-  deps: Pick<ExchangeDependencies, 'chooser' | 'readNow'>,
+  deps: Pick<ExchangeDependencies, 'admission' | 'chooser' | 'readNow'>,
   exchange: Exchange,
   snapshot: RoutingSnapshot,
 ): ModelInput => {
-  const { route, organisation } = exchange.request;
+  const { route, organisation, caller } = exchange.request;
+  const { table, gatewayCount } = snapshot;
+  const rank = organisation?.rank ?? route.rank;
+  const service = chooseService(route, caller);
   return {
     models: route.models,
     timeLeftMs: computeTimeLeftMs(exchange, deps.readNow()),
-    rank: organisation?.rank ?? route.rank,
+    rank,
+    hasRoomForLarger: deps.admission.hasRoomForLarger({
+      route,
+      rank,
+      service,
+      table,
+      gatewayCount,
+    }),
     estimateFirstToken: (model) => estimateFirstToken(deps, exchange, snapshot, model),
   };
 };
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -57,7 +57,7 @@
   readonly quarantine: Pick<RequestQuarantine, 'recordAnswer' | 'recordLoss'>;
   readonly requestGuard: RequestGuard;
   readonly limits: EndpointLimits;
-  readonly admission: Pick<ScarcityAdmission, 'admit'>;
+  readonly admission: Pick<ScarcityAdmission, 'admit' | 'hasRoomForLarger'>;
   readonly recordLeaving: RegistryView['recordLeaving'];
   readonly backoffs: Pick<EndpointBackoffs, 'record'>;
   readonly tallies: VersionTallies;
--- a/src/node/gateway/scarcityAdmission.ts
+++ b/src/node/gateway/scarcityAdmission.ts
@@ -1,16 +1,19 @@
+import { hasRoomForLarger } from '../decisions';
 import type { Logger } from '../log';
 import { createAdmissionRecords } from './admissionRecords';
 import type { GatewayMetrics } from './gatewayMetrics';
 import { createOrganisationUse } from './organisationUse';
-import { createRankTargetFinder, type PoolLoadOptions } from './poolLoad';
+import { createRankTargetFinder, readPoolLoad, type PoolLoadOptions } from './poolLoad';
 import { createRefusedRequests } from './refusedRequests';
-import type { AdmissionResult, ScarcityRequest, WaitEnd } from './scarcityTypes';
+import type { AdmissionResult, RankedRequest, ScarcityRequest, WaitEnd } from './scarcityTypes';
 import { createServiceAdmission, type ServiceAdmission } from './serviceAdmission';
 
 /** Admits requests of services whose routes differ in rank. */
 export interface ScarcityAdmission {
   /** Decides on a request. If it has to wait, `handleEnd` is called when the wait ends. */
   readonly admit: (request: ScarcityRequest, handleEnd: (end: WaitEnd) => void) => AdmissionResult;
+  /** Whether the pool has room for larger models than the smallest one, for requests of a rank. */
+  readonly hasRoomForLarger: (request: RankedRequest) => boolean;
   /** Records that the loads of the other gateways were updated. */
   readonly recordExchange: () => void;
   /** Decides again on the waiting requests, since the loads have changed. */
@@ -88,6 +91,14 @@
       if (result.type === 'wait') schedulePoll();
       return result;
     },
+    hasRoomForLarger: ({ service, table, route, rank, gatewayCount }) => {
+      const targets = findTargets(table, service);
+      if (!targets) return true;
+      const now = readNow();
+      const peers = { ageMs: now - exchangedAt, gatewayCount };
+      const { pendingMs } = readPoolLoad({ registry, loads }, service, peers, now);
+      return hasRoomForLarger(rank, route.targetLatencyMs, targets, pendingMs);
+    },
     recordExchange: () => {
       exchangedAt = readNow();
       notify();
--- a/src/node/gateway/scarcityTypes.ts
+++ b/src/node/gateway/scarcityTypes.ts
@@ -8,21 +8,25 @@
   readonly prefillMs: number;
 }
 
-/** A request that asks to be sent to an endpoint. */
-export interface ScarcityRequest {
-  readonly requestId: string;
+/** The service of a request and its rank there. */
+export interface RankedRequest {
   readonly route: Route;
   readonly rank: number;
-  /** Name of the organisation; undefined on a public route without a key. */
-  readonly organisation: string | undefined;
   readonly service: string;
   readonly table: RouteTable;
+  readonly gatewayCount: number;
+}
+
+/** A request that asks to be sent to an endpoint. */
+export interface ScarcityRequest extends RankedRequest {
+  readonly requestId: string;
+  /** Name of the organisation; undefined on a public route without a key. */
+  readonly organisation: string | undefined;
   readonly fingerprint: string;
   /** Monotonic time in milliseconds at which the target is missed. */
   readonly targetEndsAt: number;
   /** Monotonic time in milliseconds at which the caller's limit or the route's timeout ends. */
   readonly deadlineAt: number;
-  readonly gatewayCount: number;
   readonly work: PredictedWork;
   /** Estimates the work again; undefined when no endpoint accepts the request. */
   readonly estimateWork: () => PredictedWork | undefined;
