--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -24,6 +24,8 @@
   readonly isGood: boolean;
   readonly model: string;
   readonly runs: number;
+  /** Time of the last refusal, if it was refused. */
+  readonly refusedAt?: number;
   /** Price of all model runs for the request, including discarded answers. */
   readonly cost: number;
 }
@@ -55,6 +57,12 @@
 /** Time after the last arrival in which requests in flight can finish. */
 const DRAIN_MS = 30_000;
 
+/** Organisation whose callers return after refusals more often and sooner than they may. */
+export const ABUSIVE_ORGANISATION = 'o-0';
+
+const computePatienceMs = (pattern: Pattern, { task }: EmulatedRequest): number =>
+  task.deadlineMs * (pattern.patience ?? 1);
+
 interface Simulation {
   readonly pattern: Pattern;
   readonly policy: Policy;
@@ -102,17 +110,20 @@
   (model.cost * (PROMPT_TOKEN_PRICE_FACTOR * promptTokens + answerTokens)) / 1_000;
 
 const settleRefused = (simulation: Simulation, attempt: Attempt, retryAfterMs: number): void => {
-  const { clock, record } = simulation;
+  const { pattern, clock, record } = simulation;
   const { request, retries } = attempt;
-  const leftMs = request.arrivedAt + request.task.deadlineMs - clock.readNow();
-  if (retries < RETRY_LIMIT && leftMs > 0) {
-    const delayMs = Math.min(retryAfterMs, MAX_RETRY_DELAY_FRACTION * leftMs);
+  const abuse = request.organisation === ABUSIVE_ORGANISATION ? pattern.retryAbuse : undefined;
+  const leftMs = request.arrivedAt + computePatienceMs(pattern, request) - clock.readNow();
+  if (retries < (abuse?.returns ?? RETRY_LIMIT) && leftMs > 0) {
+    const politeMs = Math.min(retryAfterMs, MAX_RETRY_DELAY_FRACTION * leftMs);
+    const delayMs = abuse?.delayMs ?? politeMs;
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a refused caller retries
     clock.schedule(delayMs, () => startRequest(simulation, createReturn(simulation, attempt)));
     return;
   }
   const { runs, cost } = attempt;
-  record({ request, end: 'refused', firstTokenMs: Infinity, isGood: false, model: '', runs, cost });
+  const fields = { firstTokenMs: Infinity, isGood: false, model: '', refusedAt: clock.readNow() };
+  record({ request, end: 'refused', ...fields, runs, cost });
 };
 
 // Returns false if the request waits or is refused.
@@ -143,10 +154,15 @@
         const next = policy.place({ ...view, gateway, request, now: clock.readNow() }, model);
         return next.type === 'placed' ? next : undefined;
       },
-      hasEnded: () => false,
+      hasEnded: () => clock.readNow() > request.arrivedAt + computePatienceMs(pattern, request),
     },
     (end) => {
       if (end.type === 'refused') settleRefused(simulation, attempt, end.retryAfterMs);
+      if (end.type === 'ended') {
+        const { runs, cost } = attempt;
+        const fields = { firstTokenMs: Infinity, isGood: false, model: '' };
+        simulation.record({ request, end: 'gave_up', ...fields, runs, cost });
+      }
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- chosen again after a wait
       if (end.type === 'run') startRequest(simulation, { ...attempt, isAdmitted: true });
     },
@@ -181,7 +197,7 @@
   const computeElapsedMs = (): number => clock.readNow() - request.arrivedAt;
 
   const handleResponseHead = (): boolean => {
-    if (computeElapsedMs() > request.task.deadlineMs) {
+    if (computeElapsedMs() > computePatienceMs(pattern, request)) {
       share.release();
       const fields = { firstTokenMs: Infinity, isGood: false, model: modelName, runs };
       record({ request, end: 'gave_up', ...fields, cost: promptCost });
--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -106,7 +106,12 @@
   const loads = createEndpointLoads();
   const cacheEstimates = createPrefixCacheEstimates(() => pattern.engine.cacheTokens);
   const endpoints = reports.map((report) => ({ report, isReady: true }));
-  const registry = { listEndpoints: () => endpoints };
+  const { stepDown } = pattern;
+  const remaining = endpoints.slice(0, stepDown?.endpoints);
+  const registry = {
+    listEndpoints: () =>
+      stepDown && clock.readNow() >= stepDown.at * 1_000 ? remaining : endpoints,
+  };
   const admission = createScarcityAdmission({
     registry,
     loads,
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -63,6 +63,14 @@
     )
     .optional(),
   hotOrganisation: z.number().optional(),
+  /** Second from which the hot organisation sends more; from the start when absent. */
+  hotFrom: z.number().optional(),
+  /** From this second on, only some of the endpoints accept new requests. */
+  stepDown: z.strictObject({ at: z.number(), endpoints: z.number().int() }).optional(),
+  /** The callers of the first organisation return this often after refusals, and how soon. */
+  retryAbuse: z.strictObject({ returns: z.number().int(), delayMs: z.number() }).optional(),
+  /** Callers give up after this fraction of the limit that they send. */
+  patience: z.number().optional(),
 });
 
 /** A load pattern: a deployment and the requests of its callers. */
--- a/bench/emulator/requests.ts
+++ b/bench/emulator/requests.ts
@@ -71,8 +71,9 @@
   );
   let count = 0;
 
-  const sampleOrganisation = (): string => {
-    const hot = pattern.hotOrganisation ?? 1;
+  const sampleOrganisation = (now: number): string => {
+    const isHot = now >= 1_000 * (pattern.hotFrom ?? 0);
+    const hot = isHot ? (pattern.hotOrganisation ?? 1) : 1;
     const index = draws.sampleIndex(pattern.organisations - 1 + Math.round(hot));
     return `o-${Math.max(0, index - Math.round(hot) + 1)}`;
   };
@@ -94,7 +95,7 @@
       return {
         id: `${task.name}-r-${count}`,
         task,
-        organisation: sampleOrganisation(),
+        organisation: sampleOrganisation(now),
         gateway: draws.sampleIndex(pattern.gateways),
         arrivedAt: now,
         promptBlocks: [prefix, { id: `${task.name}-own-${count}`, tokens: own }],
--- a/src/node/decisions/admitUnderScarcity.ts
+++ b/src/node/decisions/admitUnderScarcity.ts
@@ -77,7 +77,7 @@
  * the one before it.
  */
 const RESERVED_TARGET_FRACTION = 0.7;
-const RANK_STEP = 0.7;
+const RANK_STEP = 0.8;
 /**
  * Factor of the limit for the work of larger models. It leaves room for first runs, so that under
  * scarcity a request gets a smaller model before another one is refused. At 1, larger models fill
