--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -30,3 +30,5 @@
 export * from './endpointBackoff';
 export * from './requestTokens';
 export * from './coldEndpoints';
+export * from './admitUnderScarcity';
+export * from './organisationShare';
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -341,6 +341,7 @@
     requestGuard,
     limits,
     coldPermits,
+    admission: { admit: () => ({ type: 'run' }), hasRoomForLarger: () => true },
     recordLeaving: () => {},
     backoffs,
     tallies: createVersionTallies(),
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -28,6 +28,7 @@
 import type { RequestQuarantine } from './requestQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
+import { createScarcityAdmission, type ScarcityAdmission } from './scarcityAdmission';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
 import type { SuspectTable } from './suspectTable';
 import { createSuspectTopic } from './suspectTopic';
@@ -156,6 +157,25 @@
   },
 ];
 
+const createAdmissionService = (): Service => ({
+  name: 'admission',
+  dependencies: ['registry-view', 'loads', 'gateway-metrics', 'log'],
+  start: (find) => {
+    const value = createScarcityAdmission({
+      registry: find<RegistryView>('registry-view'),
+      loads: find<EndpointLoads>('loads'),
+      metrics: find<GatewayMetrics>('gateway-metrics'),
+      log: createPartLogger(find<Logger>('log'), 'gateway'),
+      readNow,
+      schedule: (delayMs, run) => {
+        setTimeout(run, delayMs);
+      },
+    });
+    const timer = setInterval(value.expire, EXPIRE_INTERVAL_MS);
+    return { value, stop: () => clearInterval(timer) };
+  },
+});
+
 const createExchangeService = ({ node }: GatewaySettings): Service => ({
   name: 'peer-exchange',
   dependencies: [
@@ -164,6 +184,7 @@
     'routing-view',
     'loads',
     'beliefs',
+    'admission',
     'session-exchange',
     'suspects',
     'quarantine',
@@ -181,6 +202,7 @@
           loads: find<EndpointLoads>('loads'),
           cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
           readNow,
+          handleUpdate: find<ScarcityAdmission>('admission').recordExchange,
         }),
         find<SessionExchange>('session-exchange').topic,
         createSuspectTopic({
@@ -240,6 +262,7 @@
     'request-guard',
     'limits',
     'cold-permits',
+    'admission',
     'backoffs',
     'tallies',
     'gateway-metrics',
@@ -271,6 +294,7 @@
       requestGuard: find<RequestGuard>('request-guard'),
       limits: find<EndpointLimits>('limits'),
       coldPermits: find<ColdPermits>('cold-permits'),
+      admission: find<ScarcityAdmission>('admission'),
       recordLeaving: find<RegistryView>('registry-view').recordLeaving,
       backoffs: find<EndpointBackoffs>('backoffs'),
       tallies: find<VersionTallies>('tallies'),
@@ -401,6 +425,7 @@
   ...createViewServices(settings),
   ...createSessionServices(settings),
   ...createRestraintServices(settings),
+  createAdmissionService(),
   createExchangeService(settings),
   createRunnerService(settings, codecs),
   createServersService(settings, codecs.codec),
