Withheld requests are no lost connections; test choices and losses of cold endpoints

A request whose permit ran out before the connection was made was recorded as a connection that could not be made, which made all gateways doubt the endpoint.

--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type { EndpointReport, KnownEndpoint } from '../../registry';
 import { createRouteTable, type RolloutStage } from '../../routing';
+import type { ColdShortage } from '../coldPermits';
 import { createEndpointChooser, type EndpointChoice } from '../endpointChoice';
 import { createEndpointLoads } from '../endpointLoads';
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
@@ -146,3 +147,96 @@
   const choice = chooseFor(sessions, createSnapshot('canary', 0), 'one', 9_000, ['v2']);
   t.true(choice.type === 'placed' && choice.versionBasis.isFallback);
 });
+
+interface ColdCase {
+  readonly name: string;
+  /** Endpoints that are known to be warm, and those that a permit is left for. */
+  readonly warm: readonly string[];
+  readonly permitted: readonly string[];
+  /** Requests running at each warm endpoint, which has 8 slots. */
+  readonly running?: number;
+  readonly chosen: string | undefined;
+  readonly coldShortage: ColdShortage | undefined;
+}
+
+const coldCases: readonly ColdCase[] = [
+  {
+    name: 'a warm endpoint goes before a cold one with a permit',
+    warm: ['a'],
+    permitted: ['b'],
+    running: 4,
+    chosen: 'a',
+    coldShortage: undefined,
+  },
+  {
+    name: 'a permit is used while the warm endpoints are full',
+    warm: ['a'],
+    permitted: ['b'],
+    running: 24,
+    chosen: 'b',
+    coldShortage: 'permitted',
+  },
+  {
+    name: 'a request is refused while the warm endpoints are full and no permit is left',
+    warm: ['a'],
+    permitted: [],
+    running: 24,
+    chosen: undefined,
+    coldShortage: 'refused',
+  },
+  {
+    name: 'a permit is used while no endpoint is warm',
+    warm: [],
+    permitted: ['b'],
+    chosen: 'b',
+    coldShortage: 'permitted',
+  },
+  {
+    name: 'a request is refused while no endpoint is warm and no permit is left',
+    warm: [],
+    permitted: [],
+    chosen: undefined,
+    coldShortage: 'refused',
+  },
+];
+
+// Guards against cold endpoints that are sent requests without a permit, and against permits that
+// are used while warm endpoints have room.
+for (const { name, warm, permitted, running = 0, chosen, coldShortage } of coldCases) {
+  test(`cold endpoints: ${name}`, (t) => {
+    const loads = createEndpointLoads();
+    warm.forEach((id) =>
+      Array.from({ length: running }, () => loads.add(id, { startsAt: 0, prefillMs: 0 })),
+    );
+    const chooser = createEndpointChooser({
+      limits: { canSend: () => true },
+      coldPermits: {
+        isWarm: ({ id }) => warm.includes(id),
+        canSend: ({ id }) => warm.includes(id) || permitted.includes(id),
+        computeRetryMs: () => 321,
+      },
+      backoffs: { findEnd: () => undefined },
+      zone: 'a',
+      sessionMs: SESSION_MS,
+      exposureShare: 0.15,
+      loads,
+      sessions: createSessionVersions(SESSION_MS),
+      cacheEstimates: createPrefixCacheEstimates(() => undefined),
+      registry: {
+        listEndpoints: () =>
+          ['a', 'b'].map((id) => ({ report: createReport(id, 'v1'), isReady: true })),
+      },
+    });
+    const request = {
+      route: ROUTE,
+      caller: createCaller(undefined),
+      model: undefined,
+      timeLeftMs: 1_000,
+      tried: new Set<string>(),
+    };
+    const choice = chooser.choose(createSnapshot(undefined, 0), request, 0);
+    t.is(choice.type === 'placed' ? choice.endpoint.id : undefined, chosen);
+    t.is(choice.coldShortage, coldShortage);
+    if (choice.type === 'refused' && warm.length === 0) t.is(choice.retryAfterMs, 321);
+  });
+}
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -280,17 +280,21 @@
     countGateways: () => 1,
   });
   const metrics = createGatewayMetrics(new Registry());
+  const clock = createLeaseClock();
   const coldPermits = createColdPermits({
     bounds: coldBounds,
     log,
     metrics,
-    clock: createLeaseClock(),
+    clock,
     listServices: () => [],
     findColdStart: (service) => snapshot.table.findService(service)?.coldStart,
     listEndpoints: () => known,
     updateFollowed: () => {},
     countGateways: () => 1,
   });
+  // The gateway has heard from a leader that no endpoint may be cold.
+  const leader = { term: 1, collectingMs: 60_000 };
+  coldPermits.applyAnswer({ granted: [], doubts: [], leader }, clock.readClocks(), readNow());
   const backoffs = createEndpointBackoffs(log);
   const chooser = createEndpointChooser({
     zone: 'a',
--- a/src/node/gateway/coldFreshness.ts
+++ b/src/node/gateway/coldFreshness.ts
@@ -29,7 +29,8 @@
 const START_MS = 5_500;
 /**
  * A new leader knows the doubts of all gateways after this time: they hear of it within a second, and
- * send those again that no report has settled.
+ * send those again that no report has settled. With 1.5 s the model exceeds the bound: a single gateway
+ * started and was paused around the change, and the reports were not overdue yet (seed 12).
  */
 const COLLECTED_MS = 3_000;
 
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -60,6 +60,7 @@
   decodeAnswer: (status: number, raw: RawHeaders) => ResponseHeaders,
 ): EndpointAttempt => {
   let isConnected = false;
+  let isWithheld = false;
   let isReset = false;
   let isResetAtEnd: Promise<boolean> = Promise.resolve(false);
   let isCancelled = false;
@@ -90,6 +91,7 @@
         });
         // This process may have been paused since it decided to send.
         if (socket && target.canSend?.() === false) {
+          isWithheld = true;
           socket.destroy();
           callback(new Error('the permit to send ran out before the connection was made'), null);
         } else if (socket) callback(null, socket);
@@ -128,6 +130,7 @@
       return Left({
         mayHaveRun: isConnected,
         isConnectionLost: isConnected && isConnectionLoss(failure),
+        isWithheld,
         reason: readMessage(failure),
       });
     },
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -268,10 +268,10 @@
   }
   const head = headResult.value;
   if (head.isRight()) return handleHead(context, head.unsafeCoerce());
-  const { mayHaveRun, isConnectionLost, reason } = head.swap().unsafeCoerce();
+  const { mayHaveRun, isConnectionLost, isWithheld, reason } = head.swap().unsafeCoerce();
   if (mayHaveRun) exchange.attempts += 1;
   recordFailure(context, reason, mayHaveRun);
-  if (!mayHaveRun || isConnectionLost) recordEndpointLoss(context);
+  if ((!mayHaveRun && !isWithheld) || isConnectionLost) recordEndpointLoss(context);
   if (isConnectionLost) recordConnectionLoss(context, false);
   return RETRY;
 };
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -108,6 +108,8 @@
   readonly mayHaveRun: boolean;
   /** Whether the connection was closed or reset while the endpoint had the request. */
   readonly isConnectionLost: boolean;
+  /** Whether the gateway itself did not send the request on the connection. */
+  readonly isWithheld: boolean;
   readonly reason: string;
 }
 
