Doubt endpoints that are lost behind a dropped or close-delimited response

Both ends of a connection were recorded for the quarantine only, so an endpoint that restarted there still looked warm. No test shows it: found by reading.

--- a/src/node/gateway/closeDelimitedEnd.ts
+++ b/src/node/gateway/closeDelimitedEnd.ts
@@ -2,6 +2,7 @@
 import type { Exchange } from './exchangeTypes';
 import {
   recordConnectionLoss,
+  recordEndpointLoss,
   recordFailure,
   recordSurvival,
   type AttemptContext,
@@ -91,6 +92,7 @@
   lost: (context, { hasSurvived }) => {
     const reason = 'the endpoint was lost at the end of a close-delimited response';
     recordFailure(context, reason, true);
+    recordEndpointLoss(context);
     if (!hasSurvived) recordConnectionLoss(context, true);
   },
 };
--- a/src/node/gateway/dropWatch.ts
+++ b/src/node/gateway/dropWatch.ts
@@ -1,5 +1,5 @@
 import { convertToRouterError } from '../errors';
-import { recordConnectionLoss, type AttemptContext } from './attemptRecords';
+import { recordConnectionLoss, recordEndpointLoss, type AttemptContext } from './attemptRecords';
 import { waitWithTimeout } from './deadline';
 import { isConnectionLoss } from './endpointAttempt';
 
@@ -19,7 +19,9 @@
 const runDropWatch = async (context: AttemptContext): Promise<void> => {
   const end = await waitWithTimeout(readToEnd(context), DROP_WATCH_MS);
   context.attempt.cancel();
-  if (end.type === 'done' && isConnectionLoss(end.value)) recordConnectionLoss(context, true);
+  if (end.type !== 'done' || !isConnectionLoss(end.value)) return;
+  recordEndpointLoss(context);
+  recordConnectionLoss(context, true);
 };
 
 /**
