Do not take the endpoints of a returned zone for warm by their earlier reports

An endpoint may become cold while its zone is evacuated. Its latest report can be 1.2 s old or more when the evacuation ends, and gateways that trust it send without permits. Every gateway sees the end itself, so it doubts these endpoints until reports have come that were made later. Found by reading; the two new rows for the zone itself fail without the rule, the one for another zone passes.

--- a/src/node/gateway/__tests__/coldPermits.test.ts
+++ b/src/node/gateway/__tests__/coldPermits.test.ts
@@ -154,6 +154,7 @@
   );
   let followed: readonly string[] = [];
   let endpoint = ENDPOINT;
+  let evacuatedZones: ReadonlySet<string> | undefined = new Set();
   const permits = createColdPermits({
     bounds: hasBounds ? COLD_BOUNDS : undefined,
     log: pino({ level: 'silent' }),
@@ -166,6 +167,7 @@
       followed = ids;
     },
     countGateways: () => 1,
+    readEvacuatedZones: () => evacuatedZones,
   });
   const readNow = (): number => clocks.monotonic;
   return {
@@ -184,6 +186,12 @@
     updateEndpoint: (fields: Partial<KnownEndpoint['report']>, isOverdue = false): void => {
       endpoint = { isReady: true, isOverdue, report: { ...REPORT, ...fields } };
     },
+    evacuate: (...zones: readonly string[]): void => {
+      evacuatedZones = new Set(zones);
+    },
+    loseLease: (): void => {
+      evacuatedZones = undefined;
+    },
     canSend: () => permits.canSend(endpoint.report, readNow()),
     send: () => permits.recordSent(endpoint.report, readNow()),
     loseConnection: () => permits.recordLoss(endpoint.report, readNow()),
@@ -247,6 +255,32 @@
   t.deepEqual(gateway.listFollowed(), []);
 });
 
+const evacuations = [
+  { name: 'its zone', zone: 'a', hasLease: true, canSend: false },
+  { name: 'its zone, while the gateway had no lease', zone: 'a', hasLease: false, canSend: false },
+  { name: 'another zone', zone: 'b', hasLease: true, canSend: true },
+] as const;
+
+// Guards against a gateway that trusts a report from before the endpoint became cold in an evacuation.
+for (const { name, zone, hasLease, canSend } of evacuations) {
+  test(`an endpoint needs ${canSend ? 'no ' : ''}permits after the evacuation of ${name}`, (t) => {
+    const gateway = createGateway();
+    gateway.exchange(0);
+    gateway.evacuate(zone);
+    gateway.canSend();
+    if (!hasLease) gateway.loseLease();
+    gateway.canSend();
+    gateway.evacuate();
+    t.is(gateway.canSend(), canSend);
+    for (const sequence of [50, 51, 52]) {
+      gateway.advance(1_200);
+      gateway.updateEndpoint({ sequence });
+      gateway.canSend();
+    }
+    t.true(gateway.canSend());
+  });
+}
+
 test('an endpoint whose reports are overdue gets requests with permits only', (t) => {
   const gateway = createGateway();
   gateway.exchange(0);
--- a/src/node/gateway/__tests__/coldWorld.ts
+++ b/src/node/gateway/__tests__/coldWorld.ts
@@ -203,6 +203,7 @@
         Object.assign(gateway, { followed: ids });
       },
       countGateways: () => schedule.gateways,
+      readEvacuatedZones: () => undefined,
     });
     return { permits, topic: createColdTopic({ permits, log, clock, readNow: readMonotonic }) };
   };
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -292,6 +292,8 @@
       }
     });
   }
+}
+
 interface ColdCase {
   readonly name: string;
   /** Endpoints that are known to be warm, and those that a permit is left for. */
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -292,6 +292,7 @@
     listEndpoints: () => known,
     updateFollowed: () => {},
     countGateways: () => 1,
+    readEvacuatedZones: () => undefined,
   });
   // The gateway has heard from a leader that no endpoint may be cold.
   const leader = { term: 1, collectingMs: 60_000 };
--- a/src/node/gateway/coldPermits.ts
+++ b/src/node/gateway/coldPermits.ts
@@ -67,6 +67,8 @@
   readonly updateFollowed: (ids: readonly string[]) => void;
   /** Returns the number of gateways that share the endpoints, including this one. */
   readonly countGateways: () => number;
+  /** Returns the zones that are evacuated; undefined while the gateway has no lease. */
+  readonly readEvacuatedZones: () => ReadonlySet<string> | undefined;
 }
 
 /** Requests of this time show what a gateway needs, in milliseconds. */
@@ -119,6 +121,21 @@
   };
 };
 
+// Endpoints may have become cold while their zone was evacuated, and their latest reports may be
+// older. Every gateway sees the end of the evacuation, so these doubts are not shared.
+const createReturnWatch = (
+  readEvacuatedZones: ColdPermitsOptions['readEvacuatedZones'],
+): (() => readonly string[]) => {
+  let known: ReadonlySet<string> = new Set();
+  return () => {
+    const current = readEvacuatedZones();
+    if (current === undefined || current === known) return [];
+    const returned = [...known].filter((zone) => !current.has(zone));
+    known = current;
+    return returned;
+  };
+};
+
 /** Creates a table without permits. */
 export const createColdPermits = (options: ColdPermitsOptions): ColdPermits => {
   const { bounds, log, metrics, clock, listEndpoints } = options;
@@ -132,8 +149,29 @@
   const newDoubts = new Map<string, number>();
   let leaderTerm: number | undefined;
 
-  const isKnownWarm = (endpoint: EndpointReport, now: number): boolean =>
-    freshness.isCurrent(now) && states.isWarm(endpoint, now);
+  const recordDoubt = (endpoint: EndpointReport, now: number): void => {
+    const known = listEndpoints(endpoint.service).map(({ report }) => report);
+    const reports = known.filter(({ id }) => id === endpoint.id);
+    states.recordLoss(endpoint, reports, now);
+  };
+
+  const listReturnedZones = createReturnWatch(options.readEvacuatedZones);
+
+  const recordReturnedZones = (now: number): void => {
+    const returned = listReturnedZones();
+    if (returned.length === 0) return;
+    log.info({ zones: returned }, 'endpoints of returned zones are not taken for warm');
+    options
+      .listServices()
+      .flatMap(listEndpoints)
+      .filter(({ report }) => returned.includes(report.zone))
+      .forEach(({ report }) => recordDoubt(report, now));
+  };
+
+  const isKnownWarm = (endpoint: EndpointReport, now: number): boolean => {
+    recordReturnedZones(now);
+    return freshness.isCurrent(now) && states.isWarm(endpoint, now);
+  };
 
   const listValid = (id: string, { lifetimeMs }: PermitTerms): readonly ClockReading[] =>
     (permits.get(id) ?? []).filter((calledAt) => clock.computeElapsedMs(calledAt) < lifetimeMs);
@@ -207,9 +245,7 @@
     },
     recordLoss: (endpoint, now) => {
       if (!findTerms(endpoint.service)) return;
-      const known = listEndpoints(endpoint.service).map(({ report }) => report);
-      const reports = known.filter(({ id }) => id === endpoint.id);
-      states.recordLoss(endpoint, reports, now);
+      recordDoubt(endpoint, now);
       newDoubts.set(formatIncarnation(endpoint), now);
     },
     createReport: (now) => {
--- a/src/node/gateway/restraintServices.ts
+++ b/src/node/gateway/restraintServices.ts
@@ -94,6 +94,7 @@
       listEndpoints: registry.listEndpoints,
       updateFollowed: registry.updateFollowed,
       countGateways: () => view.read()?.gatewayCount ?? 1,
+      readEvacuatedZones: () => view.read()?.evacuatedZones,
     });
     return { value };
   },
