--- a/src/node/gateway/coldPermits.ts
+++ b/src/node/gateway/coldPermits.ts
@@ -18,6 +18,7 @@
 import { createColdStates } from './coldStates';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { ClockReading, LeaseClock } from './leaseClock';
+import { createReturnedZones } from './returnedZones';
 
 /**
  * What became of a request that no warm endpoint could serve in time: a permit was left for it, or
@@ -121,21 +122,6 @@
   };
 };
 
-// Endpoints may have become cold while their zone was evacuated, and their latest reports may be
-// older. Every gateway sees the end of the evacuation, so these doubts are not shared.
-const createReturnWatch = (
-  readEvacuatedZones: ColdPermitsOptions['readEvacuatedZones'],
-): (() => readonly string[]) => {
-  let known: ReadonlySet<string> = new Set();
-  return () => {
-    const current = readEvacuatedZones();
-    if (current === undefined || current === known) return [];
-    const returned = [...known].filter((zone) => !current.has(zone));
-    known = current;
-    return returned;
-  };
-};
-
 /** Creates a table without permits. */
 export const createColdPermits = (options: ColdPermitsOptions): ColdPermits => {
   const { bounds, log, metrics, clock, listEndpoints } = options;
@@ -155,21 +141,10 @@
     states.recordLoss(endpoint, reports, now);
   };
 
-  const listReturnedZones = createReturnWatch(options.readEvacuatedZones);
-
-  const recordReturnedZones = (now: number): void => {
-    const returned = listReturnedZones();
-    if (returned.length === 0) return;
-    log.info({ zones: returned }, 'endpoints of returned zones are not taken for warm');
-    options
-      .listServices()
-      .flatMap(listEndpoints)
-      .filter(({ report }) => returned.includes(report.zone))
-      .forEach(({ report }) => recordDoubt(report, now));
-  };
+  const returnedZones = createReturnedZones({ ...options, recordDoubt });
 
   const isKnownWarm = (endpoint: EndpointReport, now: number): boolean => {
-    recordReturnedZones(now);
+    returnedZones.record(now);
     return freshness.isCurrent(now) && states.isWarm(endpoint, now);
   };
 
