--- a/src/node/gateway/coldPermits.ts
+++ b/src/node/gateway/coldPermits.ts
@@ -15,7 +15,7 @@
   type SharedDoubt,
 } from '../routingControl';
 import { createColdFreshness } from './coldFreshness';
-import { createColdStates } from './coldStates';
+import { createColdStates, type ColdStates } from './coldStates';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { ClockReading, LeaseClock } from './leaseClock';
 import { createReturnedZones } from './returnedZones';
@@ -122,6 +122,14 @@
   };
 };
 
+const createDoubtRecorder =
+  (states: Pick<ColdStates, 'recordLoss'>, listEndpoints: ColdPermitsOptions['listEndpoints']) =>
+  (endpoint: EndpointReport, now: number): void => {
+    const known = listEndpoints(endpoint.service).map(({ report }) => report);
+    const reports = known.filter(({ id }) => id === endpoint.id);
+    states.recordLoss(endpoint, reports, now);
+  };
+
 /** Creates a table without permits. */
 export const createColdPermits = (options: ColdPermitsOptions): ColdPermits => {
   const { bounds, log, metrics, clock, listEndpoints } = options;
@@ -135,12 +143,7 @@
   const newDoubts = new Map<string, number>();
   let leaderTerm: number | undefined;
 
-  const recordDoubt = (endpoint: EndpointReport, now: number): void => {
-    const known = listEndpoints(endpoint.service).map(({ report }) => report);
-    const reports = known.filter(({ id }) => id === endpoint.id);
-    states.recordLoss(endpoint, reports, now);
-  };
-
+  const recordDoubt = createDoubtRecorder(states, listEndpoints);
   const returnedZones = createReturnedZones({ ...options, recordDoubt });
 
   const isKnownWarm = (endpoint: EndpointReport, now: number): boolean => {
