Count only the endpoints that take traffic in the load of a pool

During a roll-out the endpoints of both versions run side by side, and those of the new one get a small share until half of its time. The mean of the pool's pending work was taken over all of them, so that it was half of what the busy endpoints had: admission began at twice its limits. Endpoints of evacuated zones were counted as well.

--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -24,6 +24,7 @@
 import { createLimitTopic } from './limitTopic';
 import { createLoadTopic } from './loadTopic';
 import { createPeerExchange, type PeerExchange } from './peerExchange';
+import { listPoolEndpoints } from './poolEndpoints';
 import type { RequestGuard } from './requestGuard';
 import type { RequestQuarantine } from './requestQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
@@ -159,10 +160,18 @@
 
 const createAdmissionService = (): Service => ({
   name: 'admission',
-  dependencies: ['registry-view', 'loads', 'gateway-metrics', 'log'],
+  dependencies: ['routing-view', 'registry-view', 'loads', 'gateway-metrics', 'log'],
   start: (find) => {
+    const view = find<RoutingView>('routing-view');
+    const registry = find<RegistryView>('registry-view');
     const value = createScarcityAdmission({
-      registry: find<RegistryView>('registry-view'),
+      registry: {
+        listEndpoints: (service) => {
+          const snapshot = view.read();
+          const endpoints = registry.listEndpoints(service);
+          return snapshot ? listPoolEndpoints(snapshot, service, endpoints) : endpoints;
+        },
+      },
       loads: find<EndpointLoads>('loads'),
       metrics: find<GatewayMetrics>('gateway-metrics'),
       log: createPartLogger(find<Logger>('log'), 'gateway'),
