Reserve places for more urgent ranks, and weigh organisations by their usual work

With one model the places ran out before the prefill did, and the endpoints then refused all ranks alike. Each more urgent rank now has a tenth of the places for itself. Prompts that wait for their prefill count as waiting, so that a pool with a long queue and few taken places may refuse. The weight of an organisation no longer grows with what it asks for while requests are held back.

--- a/src/node/decisions/admitUnderScarcity.ts
+++ b/src/node/decisions/admitUnderScarcity.ts
@@ -84,6 +84,8 @@
  * the pool up to the limit (emulator pattern scarce.jsonc).
  */
 const LARGER_MODEL_FACTOR = 0.6;
+/** Fraction of the places that each more urgent rank has for itself. */
+const RESERVED_PLACES_FRACTION = 0.1;
 /** Factor of the limit of requests that can no longer be on time. */
 const LATE_FACTOR = 0.5;
 /** Factor of the limit of a returning request, so that it goes before new ones at all gateways. */
@@ -97,7 +99,10 @@
  * mean says. Work that starts there at once delays no other request by much.
  */
 const IDLE_QUEUE_FRACTION = 0.25;
-/** Below this fraction of taken places nothing is refused, unless other requests wait. */
+/**
+ * Below this fraction of taken places nothing is refused, unless other requests wait, here or at the
+ * endpoints. Prompts that wait for their prefill take few of an engine's places.
+ */
 const FREE_PLACES_FRACTION = 0.5;
 /** Bounds of the time after which a refused caller may return. */
 const MIN_RETRY_MS = 200;
@@ -127,6 +132,15 @@
   return Math.min(ownLimitMs, reservedMs);
 };
 
+/**
+ * Computes the fraction of the pool's places up to which a rank may take them. The most urgent rank
+ * has no limit of its own; endpoints refuse it when they are full.
+ */
+export const computePlacesLimit = (rank: number, targets: readonly RankTarget[]): number => {
+  const ranks = new Set(targets.map((target) => target.rank).filter((other) => other < rank));
+  return ranks.size === 0 ? Infinity : 1 - RESERVED_PLACES_FRACTION * ranks.size;
+};
+
 const computeLimitMs = (input: ScarcityInput): number => {
   const { rank, targetMs, targets, isReturner, useRatio, targetLeftMs } = input;
   return (
@@ -137,6 +151,16 @@
   );
 };
 
+/**
+ * Whether requests wait at the endpoints: the pending work is above what even the most urgent route
+ * leaves to it.
+ */
+export const isWaitingAtEndpoints = (
+  { pendingMs }: Pick<PoolLoad, 'pendingMs'>,
+  targets: readonly RankTarget[],
+): boolean =>
+  pendingMs > OWN_TARGET_FRACTION * Math.min(...targets.map(({ targetMs }) => targetMs));
+
 /** Computes the time after which a refused caller may return, when the pool has drained so far. */
 export const computeRetryAfterMs = (drainMs: number, spread: number): number =>
   Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, drainMs) * (SPREAD_FROM + SPREAD_WIDTH * spread));
@@ -150,8 +174,10 @@
   const { pool, queueMs, prefillMs, targetLeftMs, limitLeftMs, waitingAheadMs } = input;
   const limitMs = computeLimitMs(input);
   const isBelowLimit = pool.pendingMs <= limitMs || queueMs <= IDLE_QUEUE_FRACTION * limitMs;
-  if (isBelowLimit && !input.isAnyAhead) return { type: 'run', limitMs };
-  const isCalm = !input.isAnyWaiting && pool.takenFraction < FREE_PLACES_FRACTION;
+  const isPlaceFree = pool.takenFraction < computePlacesLimit(input.rank, input.targets);
+  if (isBelowLimit && isPlaceFree && !input.isAnyAhead) return { type: 'run', limitMs };
+  const isAnyWaiting = input.isAnyWaiting || isWaitingAtEndpoints(pool, input.targets);
+  const isCalm = !isAnyWaiting && pool.takenFraction < FREE_PLACES_FRACTION;
   const drainMs = Math.max(0, pool.pendingMs - limitMs) + waitingAheadMs;
   // At the latest time of an offer, the work ahead is at the limit; a prompt that is too long to be
   // on time behind it may still be offered in the first half of its target.
--- a/src/node/gateway/organisationUse.ts
+++ b/src/node/gateway/organisationUse.ts
@@ -1,8 +1,16 @@
 import { computeUseRatio, type OrganisationWork } from '../decisions';
 
+/** Work that an organisation asks for. */
+export interface AskedWork {
+  readonly amount: number;
+  /** Whether the pool had room, so that the work shows what the organisation usually asks for. */
+  readonly isUsual: boolean;
+}
+
 /** Recent work of the organisations at this gateway, by kind of request. */
 export interface OrganisationUse {
-  readonly recordDemand: (kind: string, organisation: string, work: number, now: number) => void;
+  /** Records work that an organisation asks for; usual work counts for its weight. */
+  readonly recordDemand: (kind: string, organisation: string, work: AskedWork, now: number) => void;
   readonly recordUse: (kind: string, organisation: string, work: number, now: number) => void;
   /** Returns an organisation's use divided by its fair share; 0 if all get what they ask for. */
   readonly findRatio: (kind: string, organisation: string, now: number) => number;
@@ -65,10 +73,10 @@
   };
 
   return {
-    recordDemand: (kind, organisation, work, now) => {
+    recordDemand: (kind, organisation, { amount, isUsual }, now) => {
       const state = acquire(kind, organisation, now);
-      state.demand += work;
-      state.usual += work;
+      state.demand += amount;
+      if (isUsual) state.usual += amount;
     },
     recordUse: (kind, organisation, work, now) => {
       const state = acquire(kind, organisation, now);
--- a/src/node/gateway/serviceAdmission.ts
+++ b/src/node/gateway/serviceAdmission.ts
@@ -59,7 +59,7 @@
 /** Work that a request causes besides its prefill, in milliseconds of an engine. */
 const BASE_WORK_MS = 10;
 /** Above this ratio an organisation's requests wait behind those of the others. */
-const ABOVE_SHARE_RATIO = 1.5;
+const ABOVE_SHARE_RATIO = 1.2;
 const HASH_RANGE = 2 ** 32;
 
 const computeAmount = ({ prefillMs }: PredictedWork): number => BASE_WORK_MS + prefillMs;
@@ -145,7 +145,6 @@
     const now = readNow();
     const { work, rank, route, organisation = '' } = request;
     const isReturner = refused.isReturner(request.fingerprint, now);
-    if (!isReturner) use.recordDemand(route.name, organisation, computeAmount(work), now);
     const pool = readPool(request, now);
     const useRatio = findUseRatio(request, now);
     const isAboveShare = useRatio > ABOVE_SHARE_RATIO;
@@ -157,6 +156,10 @@
     const input = { request, targets, work, useRatio, isReturner, pool, ...counts };
     const judgement = judge(input, now);
     const { verdict } = judgement;
+    // What an organisation asks for while requests are held back says nothing about its usual work.
+    const isUsual = verdict.type === 'run' && queue.count() === 0;
+    const amount = computeAmount(work);
+    if (!isReturner) use.recordDemand(route.name, organisation, { amount, isUsual }, now);
     if (verdict.type === 'run') {
       use.recordUse(route.name, organisation, computeAmount(work), now);
       records.record(request, judgement, 'admitted', 0);
