--- a/bench/emulator/__tests__/scarcity.test.ts
+++ b/bench/emulator/__tests__/scarcity.test.ts
@@ -44,7 +44,7 @@
     title: 'half of the endpoints are lost',
     pattern: { ...scarce, bursts: [], stepDown: { at: 15, endpoints: 5 } },
     load: 1.6,
-    urgentShare: 0.95,
+    urgentShare: 0.98,
   },
   {
     title: 'callers give up early',
