--- a/bench/emulator/__tests__/scarcity.test.ts
+++ b/bench/emulator/__tests__/scarcity.test.ts
@@ -51,7 +51,7 @@
     pattern: { ...oneModel, patience: 0.4 },
     load: 3,
     // Callers who have left count as not served, and they leave soon after the target.
-    urgentShare: 0.75,
+    urgentShare: 0.85,
   },
 ];
 
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -358,10 +358,10 @@
       const ejected = loads.listEjected(ids, now);
       const isEngine =
         findEngine(snapshot, service) !== undefined && caller.promptBlocks.length > 0;
-      const place = (candidates: readonly EndpointReport[]): EndpointPlacement =>
+      const place = (usable: readonly EndpointReport[]): EndpointPlacement =>
         isEngine
-          ? chooseEngineEndpoint(snapshot, request, candidates, ejected, now)
-          : choosePlainEndpoint(options, request, candidates, ejected, now);
+          ? chooseEngineEndpoint(snapshot, request, usable, ejected, now)
+          : choosePlainEndpoint(options, request, usable, ejected, now);
       const placement = placeWithPermits(options.coldPermits, reports, request, now, place);
       return placement.type === 'placed' ? { ...placement, versionBasis } : placement;
     },
--- a/src/node/gateway/endpointLoads.ts
+++ b/src/node/gateway/endpointLoads.ts
@@ -25,6 +25,8 @@
    * reported it. `now` is monotonic time in milliseconds.
    */
   readonly findTotal: (endpoint: string, now: number) => EndpointLoad;
+  /** Returns the part of an endpoint's load that comes from this gateway. */
+  readonly findOwn: (endpoint: string, now: number) => EndpointLoad;
   /** Lists the loads that come from this gateway. */
   readonly listOwn: (now: number) => readonly EndpointLoad[];
   /** Replaces the loads reported by the other gateways. */
@@ -98,6 +100,7 @@
         readMs: own.readMs + other.readMs,
       };
     },
+    findOwn,
     listOwn: (now) => [...ownLoads.keys()].map((endpoint) => findOwn(endpoint, now)),
     updatePeerLoads: (loads) => {
       peerLoads = new Map(loads.map((load) => [load.endpoint, load]));
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -9,7 +9,6 @@
 import { createByteBudget } from './byteBudget';
 import { createCallerServer, updateTimeouts } from './callerServer';
 import type { ColdPermits } from './coldPermits';
-import { createColdTopic } from './coldTopic';
 import { createRestraintServices } from './restraintServices';
 import { createEndpointChooser } from './endpointChoice';
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
@@ -21,9 +20,8 @@
 import { createExchangeRunner, type ExchangeRunner } from './exchange';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { createLeaseClock } from './leaseClock';
-import { createLimitTopic } from './limitTopic';
-import { createLoadTopic } from './loadTopic';
-import { createPeerExchange, type PeerExchange } from './peerExchange';
+import type { PeerExchange } from './peerExchange';
+import { createPeerExchangeService } from './peerExchangeService';
 import { listPoolEndpoints } from './poolEndpoints';
 import type { RequestGuard } from './requestGuard';
 import type { RequestQuarantine } from './requestQuarantine';
@@ -31,8 +29,6 @@
 import { createRoutingView, type RoutingView } from './routingView';
 import { createScarcityAdmission, type ScarcityAdmission } from './scarcityAdmission';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
-import type { SuspectTable } from './suspectTable';
-import { createSuspectTopic } from './suspectTopic';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec, IdentityCodec } from './types';
@@ -185,61 +181,6 @@
   },
 });
 
-const createExchangeService = ({ node }: GatewaySettings): Service => ({
-  name: 'peer-exchange',
-  dependencies: [
-    'rpc',
-    'log',
-    'routing-view',
-    'loads',
-    'beliefs',
-    'admission',
-    'session-exchange',
-    'suspects',
-    'quarantine',
-    'limits',
-    'cold-permits',
-  ],
-  start: (find) => {
-    const view = find<RoutingView>('routing-view');
-    const value = createPeerExchange({
-      gateway: node,
-      rpc: find<RpcClient>('rpc'),
-      log: createPartLogger(find<Logger>('log'), 'gateway'),
-      topics: [
-        createLoadTopic({
-          loads: find<EndpointLoads>('loads'),
-          cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
-          readNow,
-          handleUpdate: find<ScarcityAdmission>('admission').recordExchange,
-        }),
-        find<SessionExchange>('session-exchange').topic,
-        createSuspectTopic({
-          suspects: find<SuspectTable>('suspects'),
-          quarantine: find<RequestQuarantine>('quarantine'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          readNow,
-        }),
-        createLimitTopic({
-          limits: find<EndpointLimits>('limits'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          readNow,
-        }),
-        createColdTopic({
-          permits: find<ColdPermits>('cold-permits'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          clock: createLeaseClock(),
-          readNow,
-        }),
-      ],
-      countGateways: () => view.read()?.gatewayCount ?? 1,
-      findControlHost: view.findLeader,
-    });
-    value.start();
-    return { value, stop: value.stop };
-  },
-});
-
 const createBudgetFinder = ({ bounds }: GatewaySettings): ((service: string) => WindowBudget) => {
   const budgets = new Map<string, WindowBudget>();
   return (service) => {
@@ -311,7 +252,11 @@
       log: createPartLogger(find<Logger>('log'), 'gateway'),
       readSnapshot: view.read,
       findBudget: createBudgetFinder(settings),
-      startAttempt: (target) => startEndpointAttempt(target, codec.decodeResponse),
+      startAttempt: (target) =>
+        startEndpointAttempt(
+          { ...target, isPauseChecked: bounds.canEvacuate === true },
+          codec.decodeResponse,
+        ),
       fetchProcessState: (endpoint) =>
         fetchProcessState(
           identityCodec,
@@ -435,7 +380,7 @@
   ...createSessionServices(settings),
   ...createRestraintServices(settings),
   createAdmissionService(),
-  createExchangeService(settings),
+  createPeerExchangeService(settings),
   createRunnerService(settings, codecs),
   createServersService(settings, codecs.codec),
 ];
--- a/src/node/gateway/loadTopic.ts
+++ b/src/node/gateway/loadTopic.ts
@@ -11,6 +11,8 @@
   readonly readNow: () => number;
   /** Called when the loads of the other gateways have been updated. */
   readonly handleUpdate: () => void;
+  /** Called when the loads of the other gateways are not known any more. */
+  readonly handleLoss: () => void;
 }
 
 /** Creates the topic that shares loads and sent prompts with the other gateways. */
@@ -33,6 +35,7 @@
           // After a failed call the earlier reports are out of date, so only this gateway's own
           // load counts.
           loads.updatePeerLoads([]);
+          options.handleLoss();
           if (!isRefusedReport(error)) cacheEstimates.restoreDispatched(reads);
         },
       };
