Add the decision on engine priorities and its header

A short prompt behind two long ones on an engine misses its target for the first token, because engines prefill prompts in the order of arrival unless X-Request-Priority says otherwise, and the gateway never sets it.

chooseEnginePriority computes a priority from 0 to 9 from rank, uncached prefill and the pending work ahead. The emulator's engine prefills waiting runs by priority, then arrival.

--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -56,7 +56,7 @@
   readonly draws: RandomSource;
   readonly engines: readonly Engine[];
   readonly gateways: readonly EmulatedGateway[];
-  readonly view: Omit<PolicyView, 'gateway' | 'request' | 'now'>;
+  readonly view: Omit<PolicyView, 'gateway' | 'request' | 'now' | 'earlierPriority'>;
   readonly record: (outcome: Outcome) => void;
 }
 
@@ -65,6 +65,7 @@
   readonly runs: number;
   readonly retries: number;
   readonly cost: number;
+  readonly priority: number | undefined;
 }
 
 const computeCost = (model: PatternModel, promptTokens: number, answerTokens: number): number =>
@@ -90,12 +91,13 @@
   const gateway = gateways[request.gateway]!;
   const model = pattern.models.find(({ name }) => name === modelName)!;
   const now = clock.readNow();
-  const choice = policy.place({ ...view, gateway, request, now }, modelName);
+  const { priority: earlierPriority } = attempt;
+  const choice = policy.place({ ...view, gateway, request, now, earlierPriority }, modelName);
   if (choice.type === 'refused') {
     settleRefused(simulation, attempt, choice.retryAfterMs);
     return;
   }
-  const { endpoint, queueMs, prefillMs, uncachedTokens } = choice;
+  const { endpoint, queueMs, prefillMs, uncachedTokens, priority } = choice;
   const engine = engines.find(({ id }) => id === endpoint.id)!;
   gateway.cacheEstimates.record(endpoint.id, modelName, request.promptBlocks);
   const share = gateway.loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
@@ -112,7 +114,13 @@
       record({ request, end: 'gave_up', ...fields, cost: promptCost });
       return false;
     }
-    const policyView = { ...view, gateway, request, now: clock.readNow() };
+    const policyView = {
+      ...view,
+      gateway,
+      request,
+      now: clock.readNow(),
+      earlierPriority: priority,
+    };
     const secondModel = policy.chooseSecond(policyView, {
       model: modelName,
       confidence: request.confidence,
@@ -121,7 +129,7 @@
     if (secondModel === undefined) return true;
     share.release();
     clock.schedule(networkMs, () =>
-      startRun(simulation, { ...attempt, runs, cost: promptCost }, secondModel),
+      startRun(simulation, { ...attempt, runs, cost: promptCost, priority }, secondModel),
     );
     return false;
   };
@@ -131,6 +139,7 @@
     model,
     promptBlocks: request.promptBlocks,
     answerTokens: request.answerTokens,
+    priority,
     handleResponseHead,
     handleFirstToken: () => {
       share.endPrefill();
@@ -156,9 +165,9 @@
 
 const startRequest = (simulation: Simulation, attempt: Attempt): void => {
   const { policy, clock, gateways, view } = simulation;
-  const { request } = attempt;
+  const { request, priority: earlierPriority } = attempt;
   const gateway = gateways[request.gateway]!;
-  const policyView = { ...view, gateway, request, now: clock.readNow() };
+  const policyView = { ...view, gateway, request, now: clock.readNow(), earlierPriority };
   startRun(simulation, attempt, policy.chooseFirst(policyView));
 };
 
@@ -175,7 +184,7 @@
       clock.schedule(gaps.sampleExponential(1_000 / rate), () => {
         if (clock.readNow() > pattern.seconds * 1_000) return;
         const request = source.generate(task, clock.readNow());
-        startRequest(simulation, { request, runs: 0, retries: 0, cost: 0 });
+        startRequest(simulation, { request, runs: 0, retries: 0, cost: 0, priority: undefined });
         addNext();
       });
     };
--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_PRIORITY } from '../../src/node/decisions';
 import type { PromptBlock } from '../../src/node/gateway';
 import type { Clock } from './clock';
 import type { Pattern, PatternModel } from './pattern';
@@ -7,6 +8,8 @@
   readonly model: PatternModel;
   readonly promptBlocks: readonly PromptBlock[];
   readonly answerTokens: number;
+  /** 0 is prefilled first; a run without one has the priority 5. */
+  readonly priority?: number | undefined;
   /** Called before the first token, when the response head is available. False cancels the run. */
   readonly handleResponseHead: () => boolean;
   readonly handleFirstToken: () => void;
@@ -20,7 +23,10 @@
   readonly running: number;
 }
 
-/** An engine with continuous batching and chunked prefill, first come first served. */
+/**
+ * An engine with continuous batching and chunked prefill. Each chunk belongs to the waiting run with
+ * the most urgent priority, then the earliest arrival; a run that others overtake keeps its chunks.
+ */
 export interface Engine {
   readonly id: string;
   readonly zone: string;
@@ -34,6 +40,7 @@
 
 interface ActiveRun {
   readonly run: EngineRun;
+  readonly priority: number;
   uncachedTokens: number;
   prefilledTokens: number;
   promptTokens: number;
@@ -47,7 +54,10 @@
 /** Creates an idle engine with an empty prefix cache. */
 export const createEngine = (clock: Clock, pattern: Pattern, id: string, zone: string): Engine => {
   const { engine: settings } = pattern;
+  /** Runs without a first token, in the order of their prefill. */
   const queue: ActiveRun[] = [];
+  /** Run whose chunk is prefilled in the current step. */
+  let prefilling: ActiveRun | undefined;
   const decoding = new Set<ActiveRun>();
   /** Tokens by model and prompt block, the least recently used first. */
   const cache = new Map<string, number>();
@@ -99,6 +109,7 @@
 
   const runPrefillChunk = (): number => {
     const [head] = queue;
+    prefilling = head;
     if (!head) return 0;
     if (head.prefilledTokens === 0 && !head.isStarted) {
       // Earlier runs may have cached blocks of this prompt since it was queued.
@@ -116,9 +127,9 @@
   };
 
   const settlePrefill = (): void => {
-    const [head] = queue;
-    if (!head || !head.isStarted || head.uncachedTokens > 0) return;
-    queue.shift();
+    const head = prefilling;
+    if (!head || head.uncachedTokens > 0) return;
+    queue.splice(queue.indexOf(head), 1);
     addBlocks(head.run);
     if (!head.run.handleResponseHead()) return;
     head.run.handleFirstToken();
@@ -152,8 +163,11 @@
     zone,
     start: (run) => {
       if (queue.length + decoding.size >= settings.slots * 2) return false;
-      queue.push({
+      const priority = run.priority ?? DEFAULT_PRIORITY;
+      const next = queue.findIndex((active) => active.priority > priority);
+      queue.splice(next < 0 ? queue.length : next, 0, {
         run,
+        priority,
         uncachedTokens: countUncachedTokens(run.model, run.promptBlocks),
         prefilledTokens: 0,
         promptTokens: countTokens(run.promptBlocks),
--- a/bench/emulator/policies.ts
+++ b/bench/emulator/policies.ts
@@ -18,6 +18,8 @@
   readonly draws: RandomSource;
   readonly request: EmulatedRequest;
   readonly now: number;
+  /** Priority of an earlier run of the request, if there was one. */
+  readonly earlierPriority: number | undefined;
 }
 
 /** A run that has started on a smaller model. */
@@ -56,6 +58,8 @@
     },
     model,
     tried: new Set(),
+    rank: request.task.rank,
+    earlierPriority: view.earlierPriority,
     timeLeftMs: request.arrivedAt + request.task.targetMs - now,
   };
 };
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -5,6 +5,7 @@
 export * from './closeDelimitedEnd';
 export * from './responseForm';
 export * from './chooseEndpoint';
+export * from './chooseEnginePriority';
 export * from './chooseTarget';
 export * from './chooseVersion';
 export * from './endpointHealth';
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -86,6 +86,7 @@
     caller: createCaller(session),
     model: undefined,
     timeLeftMs: 1_000,
+    rank: 0,
     tried: new Set<string>(),
   };
   return chooser.choose(snapshot, request, now);
--- a/src/node/gateway/choiceRequest.ts
+++ b/src/node/gateway/choiceRequest.ts
@@ -8,15 +8,20 @@
 const computeTimeLeftMs = ({ request }: Exchange, now: number): number =>
   request.receivedAt + request.route.targetLatencyMs - now;
 
+// The rank of the organisation takes precedence over that of the route.
+const readRank = ({ request: { organisation, route } }: Exchange): number =>
+  organisation?.rank ?? route.rank;
+
 /** Creates the inputs for choosing the endpoint of a request's next attempt. */
 export const createChoiceRequest = (
   exchange: Exchange,
   model: string | undefined,
   now: number,
 ): ChoiceRequest => {
-  const { request, tried } = exchange;
+  const { request, tried, priority: earlierPriority } = exchange;
   const { route, caller } = request;
-  return { route, caller, model, tried, timeLeftMs: computeTimeLeftMs(exchange, now) };
+  const timeLeftMs = computeTimeLeftMs(exchange, now);
+  return { route, caller, model, tried, timeLeftMs, rank: readRank(exchange), earlierPriority };
 };
 
 // Estimates the milliseconds to a model's first token; infinite when no endpoint accepts the
@@ -38,11 +43,11 @@
   exchange: Exchange,
   snapshot: RoutingSnapshot,
 ): ModelInput => {
-  const { route, organisation } = exchange.request;
+  const { route } = exchange.request;
   return {
     models: route.models,
     timeLeftMs: computeTimeLeftMs(exchange, deps.readNow()),
-    rank: organisation?.rank ?? route.rank,
+    rank: readRank(exchange),
     estimateFirstToken: (model) => estimateFirstToken(deps, exchange, snapshot, model),
   };
 };
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -31,6 +31,10 @@
   readonly timeLeftMs: number;
   /** Endpoints that were already tried for this request. */
   readonly tried: ReadonlySet<string>;
+  /** Urgency of the request, 0 is the most urgent. */
+  readonly rank: number;
+  /** Engine priority of an earlier attempt, if there was one. */
+  readonly earlierPriority?: number | undefined;
 }
 
 /** Why a request runs on its version, with the inputs of that decision, for the log. */
@@ -60,6 +64,8 @@
    */
   readonly uncachedTokens: number;
   readonly prefillMs: number;
+  /** Priority in the queue of an engine; undefined for a service without engines. */
+  readonly priority?: number | undefined;
 }
 
 type RefusedPlacement = Extract<Placement, { readonly type: 'refused' }>;
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -36,6 +36,7 @@
   reply,
   tried: new Set(),
   attempts: 0,
+  priority: undefined,
   mayHaveRun: false,
   isProbe: false,
   dropped: undefined,
@@ -89,6 +90,7 @@
       reason: choice.reason,
       predictedMs: Math.round(choice.predictedMs),
       queueMs: Math.round(choice.queueMs),
+      priority: choice.priority,
       unreadTokens: choice.uncachedTokens,
       running: deps.loads.findTotal(endpoint.id, startedAt).running,
       attempt: exchange.attempts + 1,
@@ -139,7 +141,9 @@
     deadlineMs: caller.deadlineMs === undefined ? undefined : Math.max(1, deadlineAt - now),
     model,
     lastEventId: findResumeId(exchange),
+    priority: choice.priority,
   });
+  exchange.priority = choice.priority;
   const attempt = deps.startAttempt({
     endpoint,
     method,
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -83,6 +83,8 @@
   readonly reply: CallerReply;
   readonly tried: Set<string>;
   attempts: number;
+  /** Engine priority of the latest attempt, which later attempts keep or exceed. */
+  priority: number | undefined;
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean;
   /** Whether the request tests if a quarantined prompt block still takes endpoints down. */
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -45,6 +45,8 @@
   readonly model: string | undefined;
   /** Id of the event after which the endpoint resumes the stream. */
   readonly lastEventId: string | undefined;
+  /** Priority in the queue of an engine, 0 to 9, 0 first; undefined for other endpoints. */
+  readonly priority?: number | undefined;
 }
 
 /** The decoded headers of an endpoint's response. */
