Give requests for engines a priority, and count pending work by priority

Change: the endpoint chooser sets a priority for every request with a prompt. Loads carry the pending prefill by priority, and EngineCandidate.queueMs is the work that goes ahead at the request's priority. Gateways send the new field only to control hosts that say they take it, since older ones refuse unknown fields; work whose priority is unknown counts as ahead. Elapsed time is counted for the most urgent pending work first.

Now requests keep the order of arrival while they are on time, and rise only as far as they have to.

--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -34,7 +34,7 @@
   kind: 'stream',
   timeoutMs: request.task.deadlineMs,
   targetLatencyMs: request.task.targetMs,
-  gapTargetMs: undefined,
+  gapTargetMs: request.task.gapTargetMs,
   rank: request.task.rank,
   targets: [{ service: SERVICE, weight: 1 }],
   attemptLimit: 3,
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -27,6 +27,8 @@
   answerSpread: z.number(),
   targetMs: z.number(),
   deadlineMs: z.number(),
+  /** Longest pause between two events of a stream that is on time, if any. */
+  gapTargetMs: z.number().optional(),
   /** Benefit of an answer to a request of mean size, in time and late. */
   worth: z.number(),
   lateWorth: z.number(),
--- a/bench/emulator/policies.ts
+++ b/bench/emulator/policies.ts
@@ -69,7 +69,7 @@
 
 const estimateLive = (view: PolicyView) => (model: string) => {
   const choice = placeLive(view, model);
-  return choice.type === 'placed' ? choice.predictedMs : Infinity;
+  return choice.type === 'placed' ? choice.predictedMs + (choice.displacedMs ?? 0) : Infinity;
 };
 
 const createModelChoiceInput = (view: PolicyView) => ({
--- a/src/node/decisions/chooseEnginePriority.ts
+++ b/src/node/decisions/chooseEnginePriority.ts
@@ -18,65 +18,43 @@
 
 /** Number of priorities that engines distinguish; 0 goes first. */
 export const PRIORITY_COUNT = 10;
-/** Priority of an engine for requests that have none. */
+/** Priority of requests that are on time in order of arrival; engines assume it when none is sent. */
 export const DEFAULT_PRIORITY = 5;
-/** Priorities of one rank: short, medium and long prompts. */
-const PRIORITIES_PER_RANK = 3;
-/** Offset of medium prompts, and of prompts that rise because they would otherwise be late. */
-const RISEN_OFFSET = 1;
-const LONG_OFFSET = 2;
+/** Priorities of one rank that rises: short prompts, then longer ones. */
+const PRIORITIES_PER_RANK = 2;
 /** Higher ranks have the priorities of this one. */
 const LEAST_URGENT_RANK = 2;
-/**
- * Requests that cannot meet their target. They must not make others late, so all ranks share the
- * last priority.
- */
-const LATE_PRIORITY = PRIORITY_COUNT - 1;
+/** First priority of requests that cannot meet their target. One for each rank follows. */
+const LATE_PRIORITY = 7;
 /** Prefill below which a prompt is short: about a twentieth of the shortest targets (1.5 to 2 s). */
 const SHORT_MS = 100;
-/** Prefill from which a prompt is long: two of them use a third of such a target. */
-const LONG_MS = 300;
 /** Predictions below this fraction of the time left are on time in about 9 of 10 requests. */
 const ON_TIME_FRACTION = 0.85;
 
-const computeSizeOffset = (prefillMs: number): number => {
-  if (prefillMs < SHORT_MS) return 0;
-  return prefillMs < LONG_MS ? RISEN_OFFSET : LONG_OFFSET;
-};
-
-/** Computes the priority of a request that is on time, by its rank and size alone. */
-export const computeBasePriority = (rank: number, prefillMs: number): number => {
-  const level = Math.min(LEAST_URGENT_RANK, Math.max(0, Math.floor(rank)));
-  return level * PRIORITIES_PER_RANK + computeSizeOffset(prefillMs);
-};
-
-/**
- * Computes the most urgent priority that a request may rise to. A short prompt delays others by
- * little, so it may go before longer prompts of any rank. A longer one stays within its rank.
- */
-const computeLimit = (base: number, prefillMs: number): number => {
-  const rankStart = base - (base % PRIORITIES_PER_RANK);
-  const limit = prefillMs < SHORT_MS ? RISEN_OFFSET : rankStart + RISEN_OFFSET;
-  return Math.min(base, limit);
+// The most urgent priority that a request may rise to.
+const computeLimit = (level: number, prefillMs: number): number => {
+  const offset = prefillMs < SHORT_MS ? 0 : 1;
+  return Math.min(DEFAULT_PRIORITY - 1, level * PRIORITIES_PER_RANK + offset);
 };
 
 const chooseOwnPriority = (input: EnginePriorityInput): number => {
   const { rank, prefillMs, timeLeftMs, computeQueueMs } = input;
-  if (prefillMs > timeLeftMs) return LATE_PRIORITY;
-  const base = computeBasePriority(rank, prefillMs);
-  const limit = computeLimit(base, prefillMs);
+  const level = Math.min(LEAST_URGENT_RANK, Math.max(0, Math.floor(rank)));
+  if (prefillMs > timeLeftMs) return LATE_PRIORITY + level;
+  const limit = computeLimit(level, prefillMs);
   const slackMs = ON_TIME_FRACTION * timeLeftMs - prefillMs;
-  for (let priority = base; priority > limit; priority -= 1) {
+  for (let priority = DEFAULT_PRIORITY; priority >= limit; priority -= 1) {
     if (computeQueueMs(priority) <= slackMs) return priority;
   }
   // If the request would be late at the limit too, rising only delays others.
-  return computeQueueMs(limit) <= slackMs ? limit : base;
+  return DEFAULT_PRIORITY;
 };
 
 /**
- * Chooses the priority of a request in the queue of an engine, from 0 (first) to 9. Ranks go in
- * order, and the short prompts of a rank go before its long ones. A request that would be late
- * rises only as far as it has to.
+ * Chooses the priority of a request in the queue of an engine, from 0 (first) to 9. While requests
+ * are on time, all have the same one and go in order of arrival. A request that would be late rises
+ * as far as it has to: at most to the priorities of its rank, of which short prompts have the more
+ * urgent one. A request that cannot meet its target any more goes behind all that can.
  */
 export const chooseEnginePriority = (input: EnginePriorityInput): number =>
-  Math.min(chooseOwnPriority(input), input.earlierPriority ?? LATE_PRIORITY);
+  Math.min(chooseOwnPriority(input), input.earlierPriority ?? PRIORITY_COUNT);
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -23,7 +23,7 @@
   readonly loadEntry: LoadEntry;
   /** Records that the session's request has ended. */
   readonly endSession: () => void;
-  /** Prefill time of the prompts that were queued ahead, in milliseconds. */
+  /** Prefill time of the prompts that were pending, ahead or behind, in milliseconds. */
   readonly queueMs: number;
   /** Prompt tokens that were probably not in the endpoint's prefix cache. */
   readonly uncachedTokens: number;
--- a/src/node/gateway/choiceRequest.ts
+++ b/src/node/gateway/choiceRequest.ts
@@ -24,8 +24,9 @@
   return { route, caller, model, tried, timeLeftMs, rank: readRank(exchange), earlierPriority };
 };
 
-// Estimates the milliseconds to a model's first token; infinite when no endpoint accepts the
-// request.
+// Estimates the milliseconds to a model's first token behind all pending work; infinite when no
+// endpoint accepts the request. Work that the request would go before counts too: at 1.5 times the
+// load, urgent requests otherwise take the larger models and leave the others late.
 const estimateFirstToken = (
   { chooser, readNow }: Pick<ExchangeDependencies, 'chooser' | 'readNow'>,
   exchange: Exchange,
@@ -34,7 +35,7 @@
 ): number => {
   const now = readNow();
   const choice = chooser.choose(snapshot, createChoiceRequest(exchange, model, now), now);
-  return choice.type === 'placed' ? choice.predictedMs : Infinity;
+  return choice.type === 'placed' ? choice.predictedMs + (choice.displacedMs ?? 0) : Infinity;
 };
 
 /** Creates the inputs for choosing the model of a request. */
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -14,6 +14,7 @@
 import type { EngineProfile, RolloutStage, Route } from '../routing';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
+import { chooseQueuePosition } from './queuePosition';
 import type { EndpointLoads } from './endpointLoads';
 import type { EndpointBackoffs } from './endpointBackoffs';
 import type { RegistryView } from './registryView';
@@ -64,6 +65,8 @@
    */
   readonly uncachedTokens: number;
   readonly prefillMs: number;
+  /** Prefill time of the prompts that this one goes before, in milliseconds. */
+  readonly displacedMs?: number;
   /** Priority in the queue of an engine; undefined for a service without engines. */
   readonly priority?: number | undefined;
 }
@@ -256,17 +259,18 @@
     const prompt = createPromptKey(model, promptBlocks);
     const placement = placeEngineRequest({
       candidates: reports.map((report) => {
-        const { running, readMs: queueMs } = loads.findTotal(report.id, now);
+        const load = loads.findTotal(report.id, now);
         const { shared: uncachedPrefixTokens, total: uncachedTokens } =
           cacheEstimates.countUncached(report.id, prompt);
+        const prefillMs = rate?.estimate(model, { uncachedTokens, promptTokens }) ?? 0;
         return {
           id: report.id,
           endpoint: report,
           isOwnZone: report.zone === zone,
           slots: report.slots,
-          running,
-          queueMs,
-          prefillMs: rate?.estimate(model, { uncachedTokens, promptTokens }) ?? 0,
+          running: load.running,
+          ...chooseQueuePosition(load, request, prefillMs),
+          prefillMs,
           uncachedPrefixTokens,
           uncachedTokens,
           isWarmingUp: report.warmupMs > 0,
@@ -277,10 +281,11 @@
       timeLeftMs: request.timeLeftMs,
     });
     if (placement.type === 'refused') return placement;
-    const { endpoint, queueMs, uncachedTokens, prefillMs } = placement.candidate;
-    const { predictedMs } = placement;
+    const { candidate, predictedMs } = placement;
+    const { endpoint, queueMs, uncachedTokens, prefillMs, priority, displacedMs } = candidate;
     const reason = 'prefix cache and predicted first token';
-    return { type: 'placed', endpoint, reason, predictedMs, queueMs, uncachedTokens, prefillMs };
+    const prefill = { predictedMs, queueMs, uncachedTokens, prefillMs, priority, displacedMs };
+    return { type: 'placed', endpoint, reason, ...prefill };
   };
 
   return {
--- a/src/node/gateway/endpointLoads.ts
+++ b/src/node/gateway/endpointLoads.ts
@@ -1,5 +1,10 @@
 import { createEndpointHealth, type RunOutcome } from '../decisions';
-import type { EndpointLoad } from '../routingControl';
+import { mergeEndpointLoads, type EndpointLoad } from '../routingControl';
+import {
+  createPendingPrefills,
+  type PendingPrefills,
+  type PredictedPrefill,
+} from './pendingPrefill';
 
 /** The load that one running request adds to an endpoint. */
 export interface LoadEntry {
@@ -9,13 +14,6 @@
   readonly release: () => void;
 }
 
-/** The prefill of a prompt, as predicted when the request was sent. */
-export interface PredictedPrefill {
-  /** Monotonic time in milliseconds at which the prefill starts. */
-  readonly startsAt: number;
-  readonly prefillMs: number;
-}
-
 /** Tracks the load of each endpoint and the outcomes of this gateway's attempts. */
 export interface EndpointLoads {
   /** Adds a request that was sent to an endpoint. */
@@ -36,19 +34,9 @@
 interface OwnLoad {
   running: number;
   /** Prefills of requests without a first token. */
-  readonly pendingPrefills: Set<PredictedPrefill>;
+  readonly pendingPrefills: PendingPrefills;
 }
 
-/**
- * Fraction of a prefill that counts as remaining until the first token arrives, however late it is.
- */
-const MIN_REMAINING_FRACTION = 0.1;
-
-const computeRemainingMs = ({ startsAt, prefillMs }: PredictedPrefill, now: number): number => {
-  const doneMs = Math.max(0, now - startsAt);
-  return Math.max(MIN_REMAINING_FRACTION * prefillMs, prefillMs - doneMs);
-};
-
 /** Creates a tracker without any loads. */
 export const createEndpointLoads = (): EndpointLoads => {
   const ownLoads = new Map<string, OwnLoad>();
@@ -58,16 +46,15 @@
   const acquireOwnLoad = (endpoint: string): OwnLoad => {
     const known = ownLoads.get(endpoint);
     if (known) return known;
-    const created: OwnLoad = { running: 0, pendingPrefills: new Set() };
+    const created: OwnLoad = { running: 0, pendingPrefills: createPendingPrefills() };
     ownLoads.set(endpoint, created);
     return created;
   };
 
   const findOwn = (endpoint: string, now: number): EndpointLoad => {
     const load = ownLoads.get(endpoint);
-    const pending = [...(load?.pendingPrefills ?? [])];
-    const readMs = pending.reduce((sum, prefill) => sum + computeRemainingMs(prefill, now), 0);
-    return { endpoint, running: load?.running ?? 0, readMs };
+    const pending = load?.pendingPrefills.compute(peerLoads.get(endpoint), now);
+    return { endpoint, running: load?.running ?? 0, readMs: 0, ...pending };
   };
 
   return {
@@ -78,10 +65,10 @@
       let isOpen = true;
       return {
         endPrefill: () => {
-          state.pendingPrefills.delete(prefill);
+          state.pendingPrefills.remove(prefill);
         },
         release: () => {
-          state.pendingPrefills.delete(prefill);
+          state.pendingPrefills.remove(prefill);
           if (isOpen) state.running -= 1;
           isOpen = false;
           if (state.running === 0 && ownLoads.get(endpoint) === state) ownLoads.delete(endpoint);
@@ -91,12 +78,7 @@
     findTotal: (endpoint, now) => {
       const own = findOwn(endpoint, now);
       const other = peerLoads.get(endpoint);
-      if (!other) return own;
-      return {
-        endpoint,
-        running: own.running + other.running,
-        readMs: own.readMs + other.readMs,
-      };
+      return other ? mergeEndpointLoads(own, other) : own;
     },
     listOwn: (now) => [...ownLoads.keys()].map((endpoint) => findOwn(endpoint, now)),
     updatePeerLoads: (loads) => {
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -90,6 +90,7 @@
       reason: choice.reason,
       predictedMs: Math.round(choice.predictedMs),
       queueMs: Math.round(choice.queueMs),
+      displacedMs: convertToWholeMs(choice.displacedMs),
       priority: choice.priority,
       unreadTokens: choice.uncachedTokens,
       running: deps.loads.findTotal(endpoint.id, startedAt).running,
@@ -131,7 +132,8 @@
   model: string | undefined,
 ): AttemptContext => {
   const { codec, chooser, loads, readNow } = deps;
-  const { endpoint, uncachedTokens, queueMs, prefillMs } = choice;
+  const { endpoint, uncachedTokens, prefillMs, priority, displacedMs = 0 } = choice;
+  const queueMs = choice.queueMs + displacedMs;
   const { request } = exchange;
   const { caller, method, path, body, organisation, deadlineAt } = request;
   const now = readNow();
@@ -141,9 +143,9 @@
     deadlineMs: caller.deadlineMs === undefined ? undefined : Math.max(1, deadlineAt - now),
     model,
     lastEventId: findResumeId(exchange),
-    priority: choice.priority,
+    priority,
   });
-  exchange.priority = choice.priority;
+  exchange.priority = priority;
   const attempt = deps.startAttempt({
     endpoint,
     method,
@@ -157,7 +159,7 @@
   chooser.recordSent(snapshot, { caller, model }, endpoint);
   const endSession = startSession(deps, exchange, endpoint);
   const budget = deps.findBudget(endpoint.service);
-  const loadEntry = loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
+  const loadEntry = loads.add(endpoint.id, { sentAt: now, prefillMs, priority });
   const common = { deps, exchange, snapshot, endpoint, model, attempt };
   const before = { startedAt: now, eventsBefore: exchange.events };
   return { ...common, ...before, budget, loadEntry, endSession, queueMs, uncachedTokens };
--- a/src/node/gateway/loadTopic.ts
+++ b/src/node/gateway/loadTopic.ts
@@ -1,8 +1,15 @@
-import type { PromptCursor } from '../routingControl';
+import type { EndpointLoad, PromptCursor } from '../routingControl';
 import type { PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLoads } from './endpointLoads';
 import { isRefusedReport, type ExchangeTopic } from './peerExchange';
 
+// Whole milliseconds without trailing zeros keep a report short.
+const formatLoad = ({ readMsByPriority, ...load }: EndpointLoad, takesPriorities: boolean) => {
+  if (!takesPriorities || !readMsByPriority) return load;
+  const last = readMsByPriority.findLastIndex((value) => value >= 0.5);
+  return { ...load, readMsByPriority: readMsByPriority.slice(0, last + 1).map(Math.round) };
+};
+
 /** Options of the load topic. */
 export interface LoadTopicOptions {
   readonly loads: EndpointLoads;
@@ -15,22 +22,29 @@
 export const createLoadTopic = (options: LoadTopicOptions): ExchangeTopic<'loads'> => {
   const { loads, cacheEstimates, readNow } = options;
   let cursor: PromptCursor | undefined;
+  /** Host that has last said that it takes priorities; older hosts refuse reports with them. */
+  let priorityHost: string | undefined;
   return {
     name: 'loads',
-    createReport: () => {
+    createReport: (host) => {
       const reads = cacheEstimates.drainDispatched();
+      const takesPriorities = host === priorityHost;
+      const own = loads.listOwn(readNow()).map((load) => formatLoad(load, takesPriorities));
       return {
-        report: { loads: loads.listOwn(readNow()), reads, cursor },
+        report: { loads: own, reads, cursor },
         applyAnswer: (answer) => {
           loads.updatePeerLoads(answer.loads);
           cursor = answer.cursor;
+          priorityHost = answer.takesPriorities ? host : undefined;
           cacheEstimates.applyPeerPrompts(answer.reads);
         },
         handleFailure: (error) => {
           // After a failed call the earlier reports are out of date, so only this gateway's own
           // load counts.
           loads.updatePeerLoads([]);
-          if (!isRefusedReport(error)) cacheEstimates.restoreDispatched(reads);
+          // The next report goes without priorities, so a host that refused them takes its prompts.
+          if (!isRefusedReport(error) || takesPriorities) cacheEstimates.restoreDispatched(reads);
+          if (isRefusedReport(error)) priorityHost = undefined;
         },
       };
     },
--- a/src/node/routingControl/__tests__/loadAggregator.test.ts
+++ b/src/node/routingControl/__tests__/loadAggregator.test.ts
@@ -18,6 +18,23 @@
   t.deepEqual(callExchange('c', 4, 1_500), [{ endpoint: 'e', running: 2, readMs: 20 }]);
 });
 
+// Gateways of two versions report to one host: work without a priority stays in the total only.
+test('load aggregator: work is summed by priority, beside work without one', (t) => {
+  const aggregator = createLoadAggregator();
+  const callExchange = (gateway: string, readMs: number, readMsByPriority?: readonly number[]) =>
+    aggregator.exchange(
+      { gateway, loads: [{ endpoint: 'e', running: 1, readMs, readMsByPriority }], reads: [] },
+      0,
+    );
+  callExchange('old', 100);
+  callExchange('a', 30, [10, 20]);
+  callExchange('b', 50, [0, 0, 50]);
+  const answer = callExchange('c', 0);
+  const load = { endpoint: 'e', running: 3, readMs: 180, readMsByPriority: [10, 20, 50] };
+  t.deepEqual(answer.loads, [load]);
+  t.true(answer.takesPriorities);
+});
+
 const createPrompt = (part: string): DispatchedPrompt => ({
   endpoint: 'e',
   model: 'm',
--- a/src/node/routingControl/loadAggregator.ts
+++ b/src/node/routingControl/loadAggregator.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
+import { PRIORITY_COUNT } from '../decisions';
 
 /** Schema of the load that one gateway puts on one endpoint. */
 export const endpointLoadSchema = z.strictObject({
@@ -8,6 +9,11 @@
   running: z.number(),
   /** Estimated prefill time that is still pending, in milliseconds. */
   readMs: z.number(),
+  /**
+   * The part of `readMs` of each engine priority, 0 first; trailing zeros are omitted. Absent from
+   * gateways of an older version.
+   */
+  readMsByPriority: z.array(z.number()).max(PRIORITY_COUNT).readonly().optional(),
 });
 
 /** Load that one gateway puts on one endpoint. */
@@ -55,6 +61,8 @@
   /** Prompts dispatched since the cursor of the call. */
   readonly reads: readonly DispatchedPrompt[];
   readonly cursor: PromptCursor;
+  /** Whether loads may have `readMsByPriority`; absent from hosts that refuse such reports. */
+  readonly takesPriorities?: boolean;
 }
 
 /** Aggregates the recent loads of all gateways, so that each gateway knows what the others send. */
@@ -71,6 +79,32 @@
   readonly loads: readonly EndpointLoad[];
 }
 
+const mergePriorities = (
+  first: readonly number[],
+  second: readonly number[],
+): readonly number[] => {
+  const [longer, shorter] = first.length < second.length ? [second, first] : [first, second];
+  return longer.map((value, priority) => value + (shorter[priority] ?? 0));
+};
+
+/**
+ * Adds two loads of one endpoint. Work without a priority is in `readMs` alone: it cannot be
+ * attributed to one.
+ */
+export const mergeEndpointLoads = (first: EndpointLoad, second: EndpointLoad): EndpointLoad => {
+  const sums = {
+    endpoint: first.endpoint,
+    running: first.running + second.running,
+    readMs: first.readMs + second.readMs,
+  };
+  if (!first.readMsByPriority && !second.readMsByPriority) return sums;
+  const readMsByPriority = mergePriorities(
+    first.readMsByPriority ?? [],
+    second.readMsByPriority ?? [],
+  );
+  return { ...sums, readMsByPriority };
+};
+
 /** Loads older than this are stale and are dropped. */
 const LOAD_MAX_AGE_MS = 1_000;
 /**
@@ -98,13 +132,9 @@
       if (now - gatewayLoads.at > LOAD_MAX_AGE_MS) {
         loadsByGateway.delete(name);
       } else if (name !== gateway) {
-        for (const { endpoint, running, readMs } of gatewayLoads.loads) {
-          const known = sums.get(endpoint);
-          sums.set(endpoint, {
-            endpoint,
-            running: (known?.running ?? 0) + running,
-            readMs: (known?.readMs ?? 0) + readMs,
-          });
+        for (const load of gatewayLoads.loads) {
+          const known = sums.get(load.endpoint);
+          sums.set(load.endpoint, known ? mergeEndpointLoads(known, load) : load);
         }
       }
     }
@@ -142,6 +172,7 @@
         loads: mergeOthers(gateway, now),
         reads: newPrompts,
         cursor: { board: aggregatorId, next: firstIndex + recent.length },
+        takesPriorities: true,
       };
     },
   };
