Count what a prompt causes when it is placed

Cause: an endpoint looks empty to an urgent request however much other work waits there, and a long prompt is placed beside many streams as soon as beside few, although its chunks delay each of their events.

Change: the cost of a placement includes the less urgent work that the request goes before, and the prefill without a break beyond half of the pause target of the route, for each running request. The emulator measures the longest pause of each stream.

Two new cases of routedRequests.test.ts fail on the code before.

--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -14,6 +14,8 @@
   readonly end: 'answered' | 'refused' | 'gave_up';
   /** Time from the caller's first attempt to the first token; infinite if there was none. */
   readonly firstTokenMs: number;
+  /** Longest time between two events of the stream. */
+  readonly longestPauseMs: number;
   readonly isGood: boolean;
   readonly model: string;
   readonly runs: number;
@@ -82,7 +84,16 @@
     return;
   }
   const { runs, cost } = attempt;
-  record({ request, end: 'refused', firstTokenMs: Infinity, isGood: false, model: '', runs, cost });
+  record({
+    request,
+    end: 'refused',
+    firstTokenMs: Infinity,
+    longestPauseMs: 0,
+    isGood: false,
+    model: '',
+    runs,
+    cost,
+  });
 };
 
 const startRun = (simulation: Simulation, attempt: Attempt, modelName: string): void => {
@@ -110,7 +121,13 @@
   const handleResponseHead = (): boolean => {
     if (computeElapsedMs() > request.task.deadlineMs) {
       share.release();
-      const fields = { firstTokenMs: Infinity, isGood: false, model: modelName, runs };
+      const fields = {
+        firstTokenMs: Infinity,
+        longestPauseMs: 0,
+        isGood: false,
+        model: modelName,
+        runs,
+      };
       record({ request, end: 'gave_up', ...fields, cost: promptCost });
       return false;
     }
@@ -149,11 +166,20 @@
       const prefill = { ...uncached, promptTokens: request.promptTokens };
       gateway.chooser.recordFirstToken(view.facts, prefill, clock.readNow() - now);
     },
-    handleEnd: () => {
+    handleEnd: (longestPauseMs: number) => {
       share.release();
       const cost = promptCost + computeCost(model, 0, request.answerTokens);
       const isGood = request.difficulty < model.quality;
-      record({ request, end: 'answered', firstTokenMs, isGood, model: modelName, runs, cost });
+      record({
+        request,
+        end: 'answered',
+        firstTokenMs,
+        longestPauseMs,
+        isGood,
+        model: modelName,
+        runs,
+        cost,
+      });
     },
   };
   clock.schedule(networkMs, () => {
--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -13,7 +13,8 @@
   /** Called before the first token, when the response head is available. False cancels the run. */
   readonly handleResponseHead: () => boolean;
   readonly handleFirstToken: () => void;
-  readonly handleEnd: () => void;
+  /** Called after the last token, with the longest time between two events of the stream. */
+  readonly handleEnd: (longestPauseMs: number) => void;
 }
 
 /** The actual state of an engine. Only the oracle policy may read it. */
@@ -38,6 +39,32 @@
   readonly countBusyMs: () => number;
 }
 
+/** Measures the pauses between the events of one stream. */
+interface PauseWatch {
+  readonly start: () => void;
+  readonly recordToken: (isLast: boolean) => void;
+  readonly readLongestMs: () => number;
+}
+
+const createPauseWatch = (clock: Clock, tokensPerEvent: number): PauseWatch => {
+  let lastEventAt = 0;
+  let tokens = 0;
+  let longestMs = 0;
+  return {
+    start: () => {
+      lastEventAt = clock.readNow();
+    },
+    recordToken: (isLast) => {
+      tokens += 1;
+      if (tokens < tokensPerEvent && !isLast) return;
+      longestMs = Math.max(longestMs, clock.readNow() - lastEventAt);
+      lastEventAt = clock.readNow();
+      tokens = 0;
+    },
+    readLongestMs: () => longestMs,
+  };
+};
+
 interface ActiveRun {
   readonly run: EngineRun;
   readonly priority: number;
@@ -45,6 +72,7 @@
   prefilledTokens: number;
   promptTokens: number;
   remainingAnswerTokens: number;
+  readonly pauses: PauseWatch;
   isStarted: boolean;
 }
 
@@ -134,6 +162,7 @@
     if (!head.run.handleResponseHead()) return;
     head.run.handleFirstToken();
     head.remainingAnswerTokens -= 1;
+    head.pauses.start();
     decoding.add(head);
   };
 
@@ -149,9 +178,10 @@
     clock.schedule(stepMs, () => {
       for (const active of decoding) {
         active.remainingAnswerTokens -= 1;
+        active.pauses.recordToken(active.remainingAnswerTokens <= 0);
         if (active.remainingAnswerTokens > 0) continue;
         decoding.delete(active);
-        active.run.handleEnd();
+        active.run.handleEnd(active.pauses.readLongestMs());
       }
       settlePrefill();
       advance();
@@ -172,6 +202,7 @@
         prefilledTokens: 0,
         promptTokens: countTokens(run.promptBlocks),
         remainingAnswerTokens: run.answerTokens,
+        pauses: createPauseWatch(clock, settings.tokensPerEvent),
         isStarted: false,
       });
       if (!isBusy) {
--- a/src/node/decisions/__tests__/routedRequests.test.ts
+++ b/src/node/decisions/__tests__/routedRequests.test.ts
@@ -32,6 +32,7 @@
     candidates: list.map((fields, index) => ({ ...ENGINE, id: `e-${index}`, ...fields })),
     affinity,
     timeLeftMs: 3_000,
+    pauseTargetMs: 800,
   });
 
 const placements = [
@@ -56,6 +57,30 @@
     list: [{ unreadShared: 0, readMs: 100, queueMs: 2_900 }, {}],
     chosen: ['e-1'],
   },
+  {
+    name: 'prefers an endpoint where it goes before no other work',
+    list: [
+      { uncachedPrefixTokens: 0, queueMs: 400 },
+      { uncachedPrefixTokens: 0, queueMs: 200, displacedMs: 2_000 },
+    ],
+    chosen: ['e-0'],
+  },
+  {
+    name: 'prefers an endpoint where its prefill breaks the pause target of fewer streams',
+    list: [
+      { uncachedPrefixTokens: 0, running: 4, queueMs: 600 },
+      { uncachedPrefixTokens: 0, running: 40, queueMs: 300 },
+    ],
+    chosen: ['e-0'],
+  },
+  {
+    name: 'ignores streams while its prefill breaks no pause target',
+    list: [
+      { uncachedPrefixTokens: 0, running: 4, prefillMs: 50, queueMs: 300 },
+      { uncachedPrefixTokens: 0, running: 40, prefillMs: 50 },
+    ],
+    chosen: ['e-1'],
+  },
   { name: 'skips a full endpoint', list: [{ running: 80 }, { queueMs: 500 }], chosen: ['e-1'] },
   { name: 'refuses if all endpoints are full', list: [{ running: 80 }], chosen: [] },
   { name: 'refuses without endpoints', list: [], chosen: [] },
--- a/src/node/decisions/placeEngineRequest.ts
+++ b/src/node/decisions/placeEngineRequest.ts
@@ -2,7 +2,7 @@
 
 // Load pattern: long prompts with shared prefixes arrive while the caches are empty, after a start
 // or with a new version. Prefill is the bottleneck, and several gateways choose endpoints
-// concurrently.
+// concurrently. Long prompts delay waiting requests and the streams that run beside them.
 
 /** An engine endpoint that may take a request. */
 export interface EngineCandidate {
@@ -14,6 +14,8 @@
   readonly running: number;
   /** Prefill work queued ahead of a new request, in milliseconds. */
   readonly queueMs: number;
+  /** Prefill work of less urgent requests, which this request goes before, in milliseconds. */
+  readonly displacedMs?: number;
   /** Prefill time of the part of this prompt that the endpoint has not cached, in milliseconds. */
   readonly prefillMs: number;
   /** Tokens of the shared prompt prefix that the endpoint has not cached. */
@@ -30,6 +32,8 @@
   readonly affinity: string;
   /** Milliseconds left until the first token misses its latency target. */
   readonly timeLeftMs: number;
+  /** Longest pause of a stream that is on time, in milliseconds; undefined if there is no limit. */
+  readonly pauseTargetMs?: number | undefined;
 }
 
 /** The placement of a request with the predicted time to its first token, or the refusal. */
@@ -56,6 +60,17 @@
 const EARLY_FRACTION = 0.3;
 /** Weight of a millisecond within that time. */
 const EARLY_WEIGHT = 0.25;
+/**
+ * Weight of a millisecond of less urgent work that the request goes before. At 0, urgent requests
+ * gather where they delay others most; at 1, they follow the least total work and pass nothing.
+ */
+const DISPLACED_WEIGHT = 0.25;
+/**
+ * Cost, for each running request, of a millisecond of prefill without a break beyond a fraction of
+ * the pause target. At 0.5, requests themselves wait longer than the pauses gain.
+ */
+const PAUSE_WEIGHT = 0.1;
+const PAUSE_FRACTION = 0.5;
 /** Requests per slot above which an endpoint is full; requests beyond its slots only wait there. */
 const QUEUE_FACTOR = 1.25;
 /** Retry time without endpoints, by which new endpoint reports may have arrived. */
@@ -86,19 +101,36 @@
   return engineMs + running * RUNNING_REQUEST_MS + (isOwnZone ? 0 : OTHER_ZONE_MS);
 };
 
+// The cost to requests that wait at the endpoint or already stream from it, in milliseconds. An
+// engine that prefills without a break delays each event by several chunks.
+const computeCausedMs = (
+  { queueMs, prefillMs, displacedMs = 0, running }: EngineCandidate,
+  pauseTargetMs: number,
+): number => {
+  const pendingMs = queueMs + displacedMs;
+  const limitMs = Math.max(pendingMs, PAUSE_FRACTION * pauseTargetMs);
+  const overrunMs = Math.max(0, pendingMs + prefillMs - limitMs);
+  return DISPLACED_WEIGHT * displacedMs + PAUSE_WEIGHT * running * overrunMs;
+};
+
 // The cost of a placement to the caller and to other requests, in milliseconds.
 const computeCost = (
   predictedMs: number,
-  timeLeftMs: number,
-  { uncachedPrefixTokens }: EngineCandidate,
+  {
+    timeLeftMs,
+    pauseTargetMs = Infinity,
+  }: Pick<EnginePlacementInput<EngineCandidate>, 'timeLeftMs' | 'pauseTargetMs'>,
+  candidate: EngineCandidate,
   isPreferred: boolean,
 ): number => {
   const excessMs = Math.max(0, predictedMs - EARLY_FRACTION * timeLeftMs);
   const reprefillMs =
-    uncachedPrefixTokens *
+    candidate.uncachedPrefixTokens *
     REPREFILL_MS_PER_TOKEN *
     (isPreferred ? PREFERRED_REPREFILL_FRACTION : 1);
-  return excessMs + EARLY_WEIGHT * predictedMs + reprefillMs;
+  return (
+    excessMs + EARLY_WEIGHT * predictedMs + reprefillMs + computeCausedMs(candidate, pauseTargetMs)
+  );
 };
 
 /**
@@ -109,7 +141,7 @@
 export const placeEngineRequest = <T extends EngineCandidate>(
   input: EnginePlacementInput<T>,
 ): EnginePlacement<T> => {
-  const { candidates, timeLeftMs } = input;
+  const { candidates } = input;
   if (candidates.length === 0) {
     const reason = 'no endpoint accepts requests';
     return { type: 'refused', reason, retryAfterMs: NO_ENDPOINT_RETRY_MS };
@@ -124,7 +156,7 @@
     if (isAnyHealthy && candidate.isEjected) continue;
     if (candidate.running >= candidate.slots * QUEUE_FACTOR) continue;
     const predictedMs = estimateFirstTokenMs(candidate);
-    const cost = computeCost(predictedMs, timeLeftMs, candidate, candidate === preferred);
+    const cost = computeCost(predictedMs, input, candidate, candidate === preferred);
     if (cost < bestCost) {
       bestCost = cost;
       best = { candidate, predictedMs };
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -279,6 +279,7 @@
       }),
       affinity: formatAffinity(request),
       timeLeftMs: request.timeLeftMs,
+      pauseTargetMs: request.route.gapTargetMs,
     });
     if (placement.type === 'refused') return placement;
     const { candidate, predictedMs } = placement;
