Replay long prompts beside short ones, and let old views fade

The emulator can change rates, lose an engine and delay what gateways hear of each other.

Cause of the change to the loads: with views that are 2 s old, all gateways choose the endpoint that was the least loaded 2 s ago.

--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -18,6 +18,8 @@
   readonly longestPauseMs: number;
   readonly isGood: boolean;
   readonly model: string;
+  /** Engine of the last run; empty if there was none. */
+  readonly endpoint: string;
   readonly runs: number;
   /** Price of all model runs for the request, including discarded answers. */
   readonly cost: number;
@@ -58,7 +60,7 @@
   readonly draws: RandomSource;
   readonly engines: readonly Engine[];
   readonly gateways: readonly EmulatedGateway[];
-  readonly view: Omit<PolicyView, 'gateway' | 'request' | 'now' | 'earlierPriority'>;
+  readonly view: Omit<PolicyView, 'gateway' | 'request' | 'now' | 'earlierPriority' | 'tried'>;
   readonly record: (outcome: Outcome) => void;
 }
 
@@ -68,8 +70,20 @@
   readonly retries: number;
   readonly cost: number;
   readonly priority: number | undefined;
+  readonly tried: ReadonlySet<string>;
+  /** Time to the first token of an earlier run whose engine was lost after it. */
+  readonly firstTokenMs: number;
 }
 
+const NEW_ATTEMPT = {
+  runs: 0,
+  retries: 0,
+  cost: 0,
+  priority: undefined,
+  tried: new Set<string>(),
+  firstTokenMs: Infinity,
+};
+
 const computeCost = (model: PatternModel, promptTokens: number, answerTokens: number): number =>
   (model.cost * (PROMPT_TOKEN_PRICE_FACTOR * promptTokens + answerTokens)) / 1_000;
 
@@ -91,6 +105,7 @@
     longestPauseMs: 0,
     isGood: false,
     model: '',
+    endpoint: '',
     runs,
     cost,
   });
@@ -102,8 +117,9 @@
   const gateway = gateways[request.gateway]!;
   const model = pattern.models.find(({ name }) => name === modelName)!;
   const now = clock.readNow();
-  const { priority: earlierPriority } = attempt;
-  const choice = policy.place({ ...view, gateway, request, now, earlierPriority }, modelName);
+  const { priority: earlierPriority, tried } = attempt;
+  const base = { ...view, gateway, request, tried };
+  const choice = policy.place({ ...base, now, earlierPriority }, modelName);
   if (choice.type === 'refused') {
     settleRefused(simulation, attempt, choice.retryAfterMs);
     return;
@@ -126,18 +142,13 @@
         longestPauseMs: 0,
         isGood: false,
         model: modelName,
+        endpoint: endpoint.id,
         runs,
       };
       record({ request, end: 'gave_up', ...fields, cost: promptCost });
       return false;
     }
-    const policyView = {
-      ...view,
-      gateway,
-      request,
-      now: clock.readNow(),
-      earlierPriority: priority,
-    };
+    const policyView = { ...base, now: clock.readNow(), earlierPriority: priority };
     const secondModel = policy.chooseSecond(policyView, {
       model: modelName,
       confidence: request.confidence,
@@ -151,8 +162,16 @@
     return false;
   };
 
-  let firstTokenMs = Infinity;
+  let { firstTokenMs } = attempt;
+  // The gateway sees the lost connection and repeats the request at another engine.
+  const handleLoss = (): void => {
+    share.release();
+    gateway.loads.recordOutcome(endpoint.id, 'failed', clock.readNow());
+    const next = { ...attempt, runs, cost: promptCost, priority, firstTokenMs };
+    startRun(simulation, { ...next, tried: new Set([...tried, endpoint.id]) }, modelName);
+  };
   const run = {
+    handleLoss,
     model,
     promptBlocks: request.promptBlocks,
     answerTokens: request.answerTokens,
@@ -160,7 +179,7 @@
     handleResponseHead,
     handleFirstToken: () => {
       share.endPrefill();
-      firstTokenMs = computeElapsedMs() + networkMs;
+      firstTokenMs = Math.min(firstTokenMs, computeElapsedMs() + networkMs);
       if (queueMs + displacedMs > 50) return;
       const uncached = { service: endpoint.service, model: modelName, uncachedTokens };
       const prefill = { ...uncached, promptTokens: request.promptTokens };
@@ -177,12 +196,17 @@
         longestPauseMs,
         isGood,
         model: modelName,
+        endpoint: endpoint.id,
         runs,
         cost,
       });
     },
   };
   clock.schedule(networkMs, () => {
+    if (engine.isLost()) {
+      handleLoss();
+      return;
+    }
     if (engine.start(run)) return;
     share.release();
     settleRefused(simulation, attempt, 300);
@@ -191,9 +215,9 @@
 
 const startRequest = (simulation: Simulation, attempt: Attempt): void => {
   const { policy, clock, gateways, view } = simulation;
-  const { request, priority: earlierPriority } = attempt;
+  const { request, priority: earlierPriority, tried } = attempt;
   const gateway = gateways[request.gateway]!;
-  const policyView = { ...view, gateway, request, now: clock.readNow(), earlierPriority };
+  const policyView = { ...view, gateway, request, now: clock.readNow(), earlierPriority, tried };
   startRun(simulation, attempt, policy.chooseFirst(policyView));
 };
 
@@ -206,11 +230,21 @@
     const gaps = createRandomSource(draws.sampleIndex(2 ** 30));
     const source = createRequestSource(pattern, createRandomSource(draws.sampleIndex(2 ** 30)));
     const addNext = (): void => {
-      const rate = task.perSecond * load * readFactor(clock.readNow());
-      clock.schedule(gaps.sampleExponential(1_000 / rate), () => {
+      const now = clock.readNow();
+      const change = task.changes?.findLast(({ at }) => now >= at * 1_000)?.factor ?? 1;
+      const rate = task.perSecond * load * readFactor(now) * change;
+      const next = task.changes?.find(({ at }) => now < at * 1_000);
+      const gapMs = rate > 0 ? gaps.sampleExponential(1_000 / rate) : Infinity;
+      // Arrivals have no memory, so at a change of the rate the next one is drawn again.
+      if (next && now + gapMs >= next.at * 1_000) {
+        clock.schedule(next.at * 1_000 - now, addNext);
+        return;
+      }
+      if (gapMs === Infinity) return;
+      clock.schedule(gapMs, () => {
         if (clock.readNow() > pattern.seconds * 1_000) return;
         const request = source.generate(task, clock.readNow());
-        startRequest(simulation, { request, runs: 0, retries: 0, cost: 0, priority: undefined });
+        startRequest(simulation, { ...NEW_ATTEMPT, request });
         addNext();
       });
     };
@@ -218,6 +252,22 @@
   });
 };
 
+/** Time after which the gateways miss the reports of a lost engine. */
+const REPORT_TIMEOUT_MS = 1_500;
+
+const scheduleLoss = ({ pattern, clock, engines, gateways }: Simulation): void => {
+  if (pattern.engineLossAt === undefined) return;
+  clock.schedule(pattern.engineLossAt * 1_000, () => {
+    const lost = engines.reduce((most, engine) =>
+      engine.readState().queueMs > most.readState().queueMs ? engine : most,
+    );
+    lost.stop();
+    clock.schedule(REPORT_TIMEOUT_MS, () =>
+      gateways.forEach(({ removeEndpoint }) => removeEndpoint(lost.id)),
+    );
+  });
+};
+
 /** Runs a load pattern. The same options produce the same outcomes. */
 export const runEmulation = ({ pattern, policy, load, seed }: EmulationOptions): Emulation => {
   const chosen = POLICIES[policy];
@@ -248,12 +298,15 @@
   const exchangeMs = computeExchangeInterval(pattern.gateways);
   gateways.forEach((gateway, index) => {
     const runExchange = (): void => {
-      gateway.exchange(aggregator, clock.readNow());
+      const applyAnswer = gateway.exchange(aggregator, clock.readNow());
+      if (pattern.viewDelayMs === undefined) applyAnswer();
+      else clock.schedule(pattern.viewDelayMs, applyAnswer);
       clock.schedule(exchangeMs, runExchange);
     };
     clock.schedule((index * exchangeMs) / pattern.gateways, runExchange);
   });
   addArrivals(simulation, load);
+  scheduleLoss(simulation);
   const endMs = pattern.seconds * 1_000;
   clock.runUntil(endMs + DRAIN_MS);
   const busyMs = engines.reduce((sum, engine) => sum + engine.countBusyMs(), 0);
--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -15,6 +15,8 @@
   readonly handleFirstToken: () => void;
   /** Called after the last token, with the longest time between two events of the stream. */
   readonly handleEnd: (longestPauseMs: number) => void;
+  /** Called when the engine is lost before the last token. */
+  readonly handleLoss: () => void;
 }
 
 /** The actual state of an engine. Only the oracle policy may read it. */
@@ -33,6 +35,9 @@
   readonly zone: string;
   /** Returns false when the engine has no free capacity. */
   readonly start: (run: EngineRun) => boolean;
+  /** Ends the engine without a notice, with all its runs. */
+  readonly stop: () => void;
+  readonly isLost: () => boolean;
   readonly readState: () => EngineState;
   readonly estimatePrefillMs: (model: PatternModel, promptBlocks: readonly PromptBlock[]) => number;
   /** Returns the total duration of all batch steps in milliseconds. */
@@ -90,6 +95,7 @@
   /** Tokens by model and prompt block, the least recently used first. */
   const cache = new Map<string, number>();
   let cachedTokens = 0;
+  let isLost = false;
   let isBusy = false;
   let busyMs = 0;
 
@@ -176,6 +182,7 @@
     const stepMs = runPrefillChunk() + settings.stepMs + settings.stepMsPerSlot * decoding.size;
     busyMs += stepMs;
     clock.schedule(stepMs, () => {
+      if (isLost) return;
       for (const active of decoding) {
         active.remainingAnswerTokens -= 1;
         active.pauses.recordToken(active.remainingAnswerTokens <= 0);
@@ -211,6 +218,12 @@
       }
       return true;
     },
+    stop: () => {
+      isLost = true;
+      [...queue.splice(0), ...decoding].forEach(({ run }) => run.handleLoss());
+      decoding.clear();
+    },
+    isLost: () => isLost,
     readState: () => ({
       queueMs: queue.reduce(
         (sum, { uncachedTokens, promptTokens, run }) =>
--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -20,8 +20,13 @@
   readonly chooser: EndpointChooser;
   readonly loads: EndpointLoads;
   readonly cacheEstimates: PrefixCacheEstimates;
-  /** Reports the load of this gateway to the aggregator and applies that of the other gateways. */
-  readonly exchange: (aggregator: LoadAggregator, now: number) => void;
+  /**
+   * Reports the load of this gateway to the aggregator and returns a function that applies that of
+   * the other gateways.
+   */
+  readonly exchange: (aggregator: LoadAggregator, now: number) => () => void;
+  /** Removes an endpoint that no longer reports. */
+  readonly removeEndpoint: (id: string) => void;
 }
 
 const SERVICE = 'engines';
@@ -98,7 +103,7 @@
   const zone = formatZone(pattern, index);
   const loads = createEndpointLoads();
   const cacheEstimates = createPrefixCacheEstimates(() => pattern.engine.cacheTokens);
-  const endpoints = reports.map((report) => ({ report, isReady: true }));
+  let endpoints = reports.map((report) => ({ report, isReady: true }));
   const chooser = createEndpointChooser({
     zone,
     sessionMs: 5_000,
@@ -123,9 +128,14 @@
         reads: cacheEstimates.drainDispatched(),
       };
       const answer = aggregator.exchange({ ...own, cursor }, now);
-      loads.updatePeerLoads(answer.loads);
-      cacheEstimates.applyPeerPrompts(answer.reads);
       cursor = answer.cursor;
+      return () => {
+        loads.updatePeerLoads(answer.loads, now);
+        cacheEstimates.applyPeerPrompts(answer.reads);
+      };
+    },
+    removeEndpoint: (id) => {
+      endpoints = endpoints.filter(({ report }) => report.id !== id);
     },
   };
 };
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -29,6 +29,8 @@
   deadlineMs: z.number(),
   /** Longest pause between two events of a stream that is on time, if any. */
   gapTargetMs: z.number().optional(),
+  /** Changes of the rate: from `at`, in seconds, it is `factor` times `perSecond`. */
+  changes: z.array(z.strictObject({ at: z.number(), factor: z.number() })).optional(),
   /** Benefit of an answer to a request of mean size, in time and late. */
   worth: z.number(),
   lateWorth: z.number(),
@@ -59,6 +61,10 @@
    */
   burst: z.strictObject({ at: z.number(), seconds: z.number(), factor: z.number() }).optional(),
   hotOrganisation: z.number().optional(),
+  /** Age of the reports from other gateways when they take effect. */
+  viewDelayMs: z.number().optional(),
+  /** Second at which the engine with the most prefill work is lost. */
+  engineLossAt: z.number().optional(),
 });
 
 /** A load pattern: a deployment and the requests of its callers. */
--- a/bench/emulator/policies.ts
+++ b/bench/emulator/policies.ts
@@ -20,6 +20,8 @@
   readonly now: number;
   /** Priority of an earlier run of the request, if there was one. */
   readonly earlierPriority: number | undefined;
+  /** Engines that were lost while they ran the request. */
+  readonly tried: ReadonlySet<string>;
 }
 
 /** A run that has started on a smaller model. */
@@ -57,7 +59,7 @@
       forwarded: [],
     },
     model,
-    tried: new Set(),
+    tried: view.tried,
     rank: request.task.rank,
     earlierPriority: view.earlierPriority,
     timeLeftMs: request.arrivedAt + request.task.targetMs - now,
--- a/src/node/gateway/endpointLoads.ts
+++ b/src/node/gateway/endpointLoads.ts
@@ -25,8 +25,11 @@
   readonly findTotal: (endpoint: string, now: number) => EndpointLoad;
   /** Lists the loads that come from this gateway. */
   readonly listOwn: (now: number) => readonly EndpointLoad[];
-  /** Replaces the loads reported by the other gateways. */
-  readonly updatePeerLoads: (loads: readonly EndpointLoad[]) => void;
+  /**
+   * Replaces the loads reported by the other gateways. `reportedAt` is the monotonic time in
+   * milliseconds at which they were collected at the earliest.
+   */
+  readonly updatePeerLoads: (loads: readonly EndpointLoad[], reportedAt?: number) => void;
   readonly recordOutcome: (endpoint: string, outcome: RunOutcome, now: number) => void;
   readonly listEjected: (endpoints: readonly string[], now: number) => ReadonlySet<string>;
 }
@@ -37,10 +40,34 @@
   readonly pendingPrefills: PendingPrefills;
 }
 
+/** Age up to which the reported prefill of other gateways counts as it is, in milliseconds. */
+const FRESH_MS = 600;
+/**
+ * Age from which nothing is left of the reported prefill. Each endpoint then counts with the mean,
+ * so that gateways with the same old view do not all choose the same endpoint.
+ */
+const OLD_MS = 2_000;
+
+const computeScaledPrefill = (load: EndpointLoad, factor: number): EndpointLoad => ({
+  ...load,
+  readMs: load.readMs * factor,
+  readMsByPriority: (load.readMsByPriority ?? []).map((value) => value * factor),
+});
+
+const computeMeanPrefill = (loads: readonly EndpointLoad[]): EndpointLoad => {
+  const none: EndpointLoad = { endpoint: '', running: 0, readMs: 0 };
+  return computeScaledPrefill(
+    loads.reduce(mergeEndpointLoads, none),
+    1 / Math.max(1, loads.length),
+  );
+};
+
 /** Creates a tracker without any loads. */
 export const createEndpointLoads = (): EndpointLoads => {
   const ownLoads = new Map<string, OwnLoad>();
   let peerLoads: ReadonlyMap<string, EndpointLoad> = new Map();
+  let peersReportedAt = Infinity;
+  let meanPrefill = computeMeanPrefill([]);
   const health = createEndpointHealth();
 
   const acquireOwnLoad = (endpoint: string): OwnLoad => {
@@ -51,6 +78,15 @@
     return created;
   };
 
+  const findPeerLoad = (endpoint: string, now: number): EndpointLoad | undefined => {
+    const load = peerLoads.get(endpoint);
+    const ageMs = now - peersReportedAt;
+    if (!load || ageMs <= FRESH_MS) return load;
+    const weight = Math.max(0, (OLD_MS - ageMs) / (OLD_MS - FRESH_MS));
+    const rest = computeScaledPrefill({ ...meanPrefill, running: 0 }, 1 - weight);
+    return mergeEndpointLoads(computeScaledPrefill(load, weight), rest);
+  };
+
   const findOwn = (endpoint: string, now: number): EndpointLoad => {
     const load = ownLoads.get(endpoint);
     const pending = load?.pendingPrefills.compute(peerLoads.get(endpoint), now);
@@ -77,11 +113,13 @@
     },
     findTotal: (endpoint, now) => {
       const own = findOwn(endpoint, now);
-      const other = peerLoads.get(endpoint);
+      const other = findPeerLoad(endpoint, now);
       return other ? mergeEndpointLoads(own, other) : own;
     },
     listOwn: (now) => [...ownLoads.keys()].map((endpoint) => findOwn(endpoint, now)),
-    updatePeerLoads: (loads) => {
+    updatePeerLoads: (loads, reportedAt = Infinity) => {
+      peersReportedAt = reportedAt;
+      meanPrefill = computeMeanPrefill(loads);
       peerLoads = new Map(loads.map((load) => [load.endpoint, load]));
     },
     recordOutcome: (endpoint, outcome, now) => health.record(endpoint, '', outcome, now),
--- a/src/node/gateway/loadTopic.ts
+++ b/src/node/gateway/loadTopic.ts
@@ -28,12 +28,13 @@
     name: 'loads',
     createReport: (host) => {
       const reads = cacheEstimates.drainDispatched();
+      const now = readNow();
       const takesPriorities = host === priorityHost;
-      const own = loads.listOwn(readNow()).map((load) => formatLoad(load, takesPriorities));
+      const own = loads.listOwn(now).map((load) => formatLoad(load, takesPriorities));
       return {
         report: { loads: own, reads, cursor },
         applyAnswer: (answer) => {
-          loads.updatePeerLoads(answer.loads);
+          loads.updatePeerLoads(answer.loads, now);
           cursor = answer.cursor;
           priorityHost = answer.takesPriorities ? host : undefined;
           cacheEstimates.applyPeerPrompts(answer.reads);
