--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_PRIORITY } from '../../src/node/decisions';
 import type { PromptBlock } from '../../src/node/gateway';
 import type { Clock } from './clock';
 import type { Pattern, PatternModel } from './pattern';
@@ -7,10 +8,15 @@
   readonly model: PatternModel;
   readonly promptBlocks: readonly PromptBlock[];
   readonly answerTokens: number;
+  /** 0 is prefilled first; a run without one has the priority 5. */
+  readonly priority?: number | undefined;
   /** Called before the first token, when the response head is available. False cancels the run. */
   readonly handleResponseHead: () => boolean;
   readonly handleFirstToken: () => void;
-  readonly handleEnd: () => void;
+  /** Called after the last token, with the longest time between two events of the stream. */
+  readonly handleEnd: (longestPauseMs: number) => void;
+  /** Called when the engine is lost before the last token. */
+  readonly handleLoss: () => void;
 }
 
 /** The actual state of an engine. Only the oracle policy may read it. */
@@ -20,24 +26,58 @@
   readonly running: number;
 }
 
-/** An engine with continuous batching and chunked prefill, first come first served. */
+/**
+ * An engine with continuous batching and chunked prefill. Each chunk belongs to the waiting run with
+ * the most urgent priority, then the earliest arrival; a run that others overtake keeps its chunks.
+ */
 export interface Engine {
   readonly id: string;
   readonly zone: string;
   /** Returns false when the engine has no free capacity. */
   readonly start: (run: EngineRun) => boolean;
+  /** Ends the engine without a notice, with all its runs. */
+  readonly stop: () => void;
+  readonly isLost: () => boolean;
   readonly readState: () => EngineState;
   readonly estimatePrefillMs: (model: PatternModel, promptBlocks: readonly PromptBlock[]) => number;
   /** Returns the total duration of all batch steps in milliseconds. */
   readonly countBusyMs: () => number;
 }
 
+/** Measures the pauses between the events of one stream. */
+interface PauseWatch {
+  readonly start: () => void;
+  readonly recordToken: (isLast: boolean) => void;
+  readonly readLongestMs: () => number;
+}
+
+const createPauseWatch = (clock: Clock, tokensPerEvent: number): PauseWatch => {
+  let lastEventAt = 0;
+  let tokens = 0;
+  let longestMs = 0;
+  return {
+    start: () => {
+      lastEventAt = clock.readNow();
+    },
+    recordToken: (isLast) => {
+      tokens += 1;
+      if (tokens < tokensPerEvent && !isLast) return;
+      longestMs = Math.max(longestMs, clock.readNow() - lastEventAt);
+      lastEventAt = clock.readNow();
+      tokens = 0;
+    },
+    readLongestMs: () => longestMs,
+  };
+};
+
 interface ActiveRun {
   readonly run: EngineRun;
+  readonly priority: number;
   uncachedTokens: number;
   prefilledTokens: number;
   promptTokens: number;
   remainingAnswerTokens: number;
+  readonly pauses: PauseWatch;
   isStarted: boolean;
 }
 
@@ -47,11 +87,15 @@
 /** Creates an idle engine with an empty prefix cache. */
 export const createEngine = (clock: Clock, pattern: Pattern, id: string, zone: string): Engine => {
   const { engine: settings } = pattern;
+  /** Runs without a first token, in the order of their prefill. */
   const queue: ActiveRun[] = [];
+  /** Run whose chunk is prefilled in the current step. */
+  let prefilling: ActiveRun | undefined;
   const decoding = new Set<ActiveRun>();
   /** Tokens by model and prompt block, the least recently used first. */
   const cache = new Map<string, number>();
   let cachedTokens = 0;
+  let isLost = false;
   let isBusy = false;
   let busyMs = 0;
 
@@ -99,6 +143,7 @@
 
   const runPrefillChunk = (): number => {
     const [head] = queue;
+    prefilling = head;
     if (!head) return 0;
     if (head.prefilledTokens === 0 && !head.isStarted) {
       // Earlier runs may have cached blocks of this prompt since it was queued.
@@ -116,13 +161,14 @@
   };
 
   const settlePrefill = (): void => {
-    const [head] = queue;
-    if (!head || !head.isStarted || head.uncachedTokens > 0) return;
-    queue.shift();
+    const head = prefilling;
+    if (!head || head.uncachedTokens > 0) return;
+    queue.splice(queue.indexOf(head), 1);
     addBlocks(head.run);
     if (!head.run.handleResponseHead()) return;
     head.run.handleFirstToken();
     head.remainingAnswerTokens -= 1;
+    head.pauses.start();
     decoding.add(head);
   };
 
@@ -136,11 +182,13 @@
     const stepMs = runPrefillChunk() + settings.stepMs + settings.stepMsPerSlot * decoding.size;
     busyMs += stepMs;
     clock.schedule(stepMs, () => {
+      if (isLost) return;
       for (const active of decoding) {
         active.remainingAnswerTokens -= 1;
+        active.pauses.recordToken(active.remainingAnswerTokens <= 0);
         if (active.remainingAnswerTokens > 0) continue;
         decoding.delete(active);
-        active.run.handleEnd();
+        active.run.handleEnd(active.pauses.readLongestMs());
       }
       settlePrefill();
       advance();
@@ -152,12 +200,16 @@
     zone,
     start: (run) => {
       if (queue.length + decoding.size >= settings.slots * 2) return false;
-      queue.push({
+      const priority = run.priority ?? DEFAULT_PRIORITY;
+      const next = queue.findIndex((active) => active.priority > priority);
+      queue.splice(next < 0 ? queue.length : next, 0, {
         run,
+        priority,
         uncachedTokens: countUncachedTokens(run.model, run.promptBlocks),
         prefilledTokens: 0,
         promptTokens: countTokens(run.promptBlocks),
         remainingAnswerTokens: run.answerTokens,
+        pauses: createPauseWatch(clock, settings.tokensPerEvent),
         isStarted: false,
       });
       if (!isBusy) {
@@ -166,6 +218,12 @@
       }
       return true;
     },
+    stop: () => {
+      isLost = true;
+      [...queue.splice(0), ...decoding].forEach(({ run }) => run.handleLoss());
+      decoding.clear();
+    },
+    isLost: () => isLost,
     readState: () => ({
       queueMs: queue.reduce(
         (sum, { uncachedTokens, promptTokens, run }) =>
--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -25,8 +25,13 @@
   readonly loads: EndpointLoads;
   readonly cacheEstimates: PrefixCacheEstimates;
   readonly admission: ScarcityAdmission;
-  /** Reports the load of this gateway to the aggregator and applies that of the other gateways. */
-  readonly exchange: (aggregator: LoadAggregator, now: number) => void;
+  /**
+   * Reports the load of this gateway to the aggregator and returns a function that applies that of
+   * the other gateways.
+   */
+  readonly exchange: (aggregator: LoadAggregator, now: number) => () => void;
+  /** Removes an endpoint that no longer reports. */
+  readonly removeEndpoint: (id: string) => void;
 }
 
 /** Service of all routes. */
@@ -40,7 +45,7 @@
   kind: 'stream',
   timeoutMs: task.deadlineMs,
   targetLatencyMs: task.targetMs,
-  gapTargetMs: undefined,
+  gapTargetMs: task.gapTargetMs,
   rank: task.rank,
   targets: [{ service: SERVICE, weight: 1 }],
   attemptLimit: 3,
@@ -106,12 +111,18 @@
   const zone = formatZone(pattern, index);
   const loads = createEndpointLoads();
   const cacheEstimates = createPrefixCacheEstimates(() => pattern.engine.cacheTokens);
-  const endpoints = reports.map((report) => ({ report, isReady: true }));
+  let endpoints = reports.map((report) => ({ report, isReady: true }));
   const { stepDown } = pattern;
-  const remaining = endpoints.slice(0, stepDown?.endpoints);
+  const remaining = new Set(reports.slice(0, stepDown?.endpoints).map(({ id }) => id));
+  let hasSteppedDown = false;
   const registry = {
-    listEndpoints: () =>
-      stepDown && clock.readNow() >= stepDown.at * 1_000 ? remaining : endpoints,
+    listEndpoints: () => {
+      if (stepDown && !hasSteppedDown && clock.readNow() >= stepDown.at * 1_000) {
+        hasSteppedDown = true;
+        endpoints = endpoints.filter(({ report }) => remaining.has(report.id));
+      }
+      return endpoints;
+    },
   };
   const admission = createScarcityAdmission({
     registry,
@@ -147,10 +158,15 @@
         reads: cacheEstimates.drainDispatched(),
       };
       const answer = aggregator.exchange({ ...own, cursor }, now);
-      loads.updatePeerLoads(answer.loads);
-      cacheEstimates.applyPeerPrompts(answer.reads);
       cursor = answer.cursor;
-      admission.recordExchange();
+      return () => {
+        loads.updatePeerLoads(answer.loads, now);
+        cacheEstimates.applyPeerPrompts(answer.reads);
+        admission.recordExchange();
+      };
+    },
+    removeEndpoint: (id) => {
+      endpoints = endpoints.filter(({ report }) => report.id !== id);
     },
   };
 };
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -27,6 +27,10 @@
   answerSpread: z.number(),
   targetMs: z.number(),
   deadlineMs: z.number(),
+  /** Longest pause between two events of a stream that is on time, if any. */
+  gapTargetMs: z.number().optional(),
+  /** Changes of the rate: from `at`, in seconds, it is `factor` times `perSecond`. */
+  changes: z.array(z.strictObject({ at: z.number(), factor: z.number() })).optional(),
   /** Benefit of an answer to a request of mean size, in time and late. */
   worth: z.number(),
   lateWorth: z.number(),
@@ -71,6 +75,10 @@
   retryAbuse: z.strictObject({ returns: z.number().int(), delayMs: z.number() }).optional(),
   /** Callers give up after this fraction of the limit that they send. */
   patience: z.number().optional(),
+  /** Age of the reports from other gateways when they take effect. */
+  viewDelayMs: z.number().optional(),
+  /** Second at which the engine with the most prefill work is lost. */
+  engineLossAt: z.number().optional(),
 });
 
 /** A load pattern: a deployment and the requests of its callers. */
--- a/src/node/gateway/choiceRequest.ts
+++ b/src/node/gateway/choiceRequest.ts
@@ -8,19 +8,25 @@
 const computeTimeLeftMs = ({ request }: Exchange, now: number): number =>
   request.receivedAt + request.route.targetLatencyMs - now;
 
+// The rank of the organisation takes precedence over that of the route.
+const readRank = ({ request: { organisation, route } }: Exchange): number =>
+  organisation?.rank ?? route.rank;
+
 /** Creates the inputs for choosing the endpoint of a request's next attempt. */
 export const createChoiceRequest = (
   exchange: Exchange,
   model: string | undefined,
   now: number,
 ): ChoiceRequest => {
-  const { request, tried } = exchange;
+  const { request, tried, priority: earlierPriority } = exchange;
   const { route, caller } = request;
-  return { route, caller, model, tried, timeLeftMs: computeTimeLeftMs(exchange, now) };
+  const timeLeftMs = computeTimeLeftMs(exchange, now);
+  return { route, caller, model, tried, timeLeftMs, rank: readRank(exchange), earlierPriority };
 };
 
-// Estimates the milliseconds to a model's first token; infinite when no endpoint accepts the
-// request.
+// Estimates the milliseconds to a model's first token behind all pending work; infinite when no
+// endpoint accepts the request. Work that the request would go before counts too: at 1.5 times the
+// load, urgent requests otherwise take the larger models and leave the others late.
 const estimateFirstToken = (
   { chooser, readNow }: Pick<ExchangeDependencies, 'chooser' | 'readNow'>,
   exchange: Exchange,
@@ -29,7 +35,7 @@
 ): number => {
   const now = readNow();
   const choice = chooser.choose(snapshot, createChoiceRequest(exchange, model, now), now);
-  return choice.type === 'placed' ? choice.predictedMs : Infinity;
+  return choice.type === 'placed' ? choice.predictedMs + (choice.displacedMs ?? 0) : Infinity;
 };
 
 /** Creates the inputs for choosing the model of a request. */
@@ -38,9 +44,9 @@
   exchange: Exchange,
   snapshot: RoutingSnapshot,
 ): ModelInput => {
-  const { route, organisation, caller } = exchange.request;
+  const { route, caller } = exchange.request;
   const { table, gatewayCount } = snapshot;
-  const rank = organisation?.rank ?? route.rank;
+  const rank = readRank(exchange);
   const service = chooseService(route, caller);
   return {
     models: route.models,
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -15,6 +15,7 @@
 import type { ColdPermits, ColdShortage } from './coldPermits';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
+import { chooseQueuePosition } from './queuePosition';
 import type { EndpointLoads } from './endpointLoads';
 import type { EndpointBackoffs } from './endpointBackoffs';
 import type { RegistryView } from './registryView';
@@ -32,6 +33,10 @@
   readonly timeLeftMs: number;
   /** Endpoints that were already tried for this request. */
   readonly tried: ReadonlySet<string>;
+  /** Urgency of the request, 0 is the most urgent. */
+  readonly rank: number;
+  /** Engine priority of an earlier attempt, if there was one. */
+  readonly earlierPriority?: number | undefined;
 }
 
 /** Why a request runs on its version, with the inputs of that decision, for the log. */
@@ -61,6 +66,10 @@
    */
   readonly uncachedTokens: number;
   readonly prefillMs: number;
+  /** Prefill time of the prompts that this one goes before, in milliseconds. */
+  readonly displacedMs?: number;
+  /** Priority in the queue of an engine; undefined for a service without engines. */
+  readonly priority?: number | undefined;
 }
 
 type RefusedPlacement = Extract<Placement, { readonly type: 'refused' }>;
@@ -313,17 +322,18 @@
     const prompt = createPromptKey(model, promptBlocks);
     const placement = placeEngineRequest({
       candidates: reports.map((report) => {
-        const { running, readMs: queueMs } = loads.findTotal(report.id, now);
+        const load = loads.findTotal(report.id, now);
         const { shared: uncachedPrefixTokens, total: uncachedTokens } =
           cacheEstimates.countUncached(report.id, prompt);
+        const prefillMs = rate?.estimate(model, { uncachedTokens, promptTokens }) ?? 0;
         return {
           id: report.id,
           endpoint: report,
           isOwnZone: report.zone === zone,
           slots: report.slots,
-          running,
-          queueMs,
-          prefillMs: rate?.estimate(model, { uncachedTokens, promptTokens }) ?? 0,
+          running: load.running,
+          ...chooseQueuePosition(load, request, prefillMs),
+          prefillMs,
           uncachedPrefixTokens,
           uncachedTokens,
           isWarmingUp: report.warmupMs > 0,
@@ -332,12 +342,14 @@
       }),
       affinity: formatAffinity(request),
       timeLeftMs: request.timeLeftMs,
+      pauseTargetMs: request.route.gapTargetMs,
     });
     if (placement.type === 'refused') return placement;
-    const { endpoint, queueMs, uncachedTokens, prefillMs } = placement.candidate;
-    const { predictedMs } = placement;
+    const { candidate, predictedMs } = placement;
+    const { endpoint, queueMs, uncachedTokens, prefillMs, priority, displacedMs } = candidate;
     const reason = 'prefix cache and predicted first token';
-    return { type: 'placed', endpoint, reason, predictedMs, queueMs, uncachedTokens, prefillMs };
+    const prefill = { predictedMs, queueMs, uncachedTokens, prefillMs, priority, displacedMs };
+    return { type: 'placed', endpoint, reason, ...prefill };
   };
 
   return {
--- a/src/node/gateway/endpointLoads.ts
+++ b/src/node/gateway/endpointLoads.ts
@@ -1,5 +1,10 @@
 import { createEndpointHealth, type RunOutcome } from '../decisions';
-import type { EndpointLoad } from '../routingControl';
+import { mergeEndpointLoads, type EndpointLoad } from '../routingControl';
+import {
+  createPendingPrefills,
+  type PendingPrefills,
+  type PredictedPrefill,
+} from './pendingPrefill';
 
 /** The load that one running request adds to an endpoint. */
 export interface LoadEntry {
@@ -9,13 +14,6 @@
   readonly release: () => void;
 }
 
-/** The prefill of a prompt, as predicted when the request was sent. */
-export interface PredictedPrefill {
-  /** Monotonic time in milliseconds at which the prefill starts. */
-  readonly startsAt: number;
-  readonly prefillMs: number;
-}
-
 /** Tracks the load of each endpoint and the outcomes of this gateway's attempts. */
 export interface EndpointLoads {
   /** Adds a request that was sent to an endpoint. */
@@ -27,8 +25,11 @@
   readonly findTotal: (endpoint: string, now: number) => EndpointLoad;
   /** Lists the loads that come from this gateway. */
   readonly listOwn: (now: number) => readonly EndpointLoad[];
-  /** Replaces the loads reported by the other gateways. */
-  readonly updatePeerLoads: (loads: readonly EndpointLoad[]) => void;
+  /**
+   * Replaces the loads reported by the other gateways. `reportedAt` is the monotonic time in
+   * milliseconds at which they were collected at the earliest.
+   */
+  readonly updatePeerLoads: (loads: readonly EndpointLoad[], reportedAt?: number) => void;
   readonly recordOutcome: (endpoint: string, outcome: RunOutcome, now: number) => void;
   readonly listEjected: (endpoints: readonly string[], now: number) => ReadonlySet<string>;
 }
@@ -36,38 +37,60 @@
 interface OwnLoad {
   running: number;
   /** Prefills of requests without a first token. */
-  readonly pendingPrefills: Set<PredictedPrefill>;
+  readonly pendingPrefills: PendingPrefills;
 }
 
+/** Age up to which the reported prefill of other gateways counts as it is, in milliseconds. */
+const FRESH_MS = 600;
 /**
- * Fraction of a prefill that counts as remaining until the first token arrives, however late it is.
+ * Age from which nothing is left of the reported prefill. Each endpoint then counts with the mean,
+ * so that gateways with the same old view do not all choose the same endpoint.
  */
-const MIN_REMAINING_FRACTION = 0.1;
+const OLD_MS = 2_000;
+
+const computeScaledPrefill = (load: EndpointLoad, factor: number): EndpointLoad => ({
+  ...load,
+  readMs: load.readMs * factor,
+  readMsByPriority: (load.readMsByPriority ?? []).map((value) => value * factor),
+});
 
-const computeRemainingMs = ({ startsAt, prefillMs }: PredictedPrefill, now: number): number => {
-  const doneMs = Math.max(0, now - startsAt);
-  return Math.max(MIN_REMAINING_FRACTION * prefillMs, prefillMs - doneMs);
+const computeMeanPrefill = (loads: readonly EndpointLoad[]): EndpointLoad => {
+  const none: EndpointLoad = { endpoint: '', running: 0, readMs: 0 };
+  return computeScaledPrefill(
+    loads.reduce(mergeEndpointLoads, none),
+    1 / Math.max(1, loads.length),
+  );
 };
 
 /** Creates a tracker without any loads. */
 export const createEndpointLoads = (): EndpointLoads => {
   const ownLoads = new Map<string, OwnLoad>();
   let peerLoads: ReadonlyMap<string, EndpointLoad> = new Map();
+  let peersReportedAt = Infinity;
+  let meanPrefill = computeMeanPrefill([]);
   const health = createEndpointHealth();
 
   const acquireOwnLoad = (endpoint: string): OwnLoad => {
     const known = ownLoads.get(endpoint);
     if (known) return known;
-    const created: OwnLoad = { running: 0, pendingPrefills: new Set() };
+    const created: OwnLoad = { running: 0, pendingPrefills: createPendingPrefills() };
     ownLoads.set(endpoint, created);
     return created;
   };
 
+  const findPeerLoad = (endpoint: string, now: number): EndpointLoad | undefined => {
+    const load = peerLoads.get(endpoint);
+    const ageMs = now - peersReportedAt;
+    if (!load || ageMs <= FRESH_MS) return load;
+    const weight = Math.max(0, (OLD_MS - ageMs) / (OLD_MS - FRESH_MS));
+    const rest = computeScaledPrefill({ ...meanPrefill, running: 0 }, 1 - weight);
+    return mergeEndpointLoads(computeScaledPrefill(load, weight), rest);
+  };
+
   const findOwn = (endpoint: string, now: number): EndpointLoad => {
     const load = ownLoads.get(endpoint);
-    const pending = [...(load?.pendingPrefills ?? [])];
-    const readMs = pending.reduce((sum, prefill) => sum + computeRemainingMs(prefill, now), 0);
-    return { endpoint, running: load?.running ?? 0, readMs };
+    const pending = load?.pendingPrefills.compute(peerLoads.get(endpoint), now);
+    return { endpoint, running: load?.running ?? 0, readMs: 0, ...pending };
   };
 
   return {
@@ -78,10 +101,10 @@
       let isOpen = true;
       return {
         endPrefill: () => {
-          state.pendingPrefills.delete(prefill);
+          state.pendingPrefills.remove(prefill);
         },
         release: () => {
-          state.pendingPrefills.delete(prefill);
+          state.pendingPrefills.remove(prefill);
           if (isOpen) state.running -= 1;
           isOpen = false;
           if (state.running === 0 && ownLoads.get(endpoint) === state) ownLoads.delete(endpoint);
@@ -90,16 +113,13 @@
     },
     findTotal: (endpoint, now) => {
       const own = findOwn(endpoint, now);
-      const other = peerLoads.get(endpoint);
-      if (!other) return own;
-      return {
-        endpoint,
-        running: own.running + other.running,
-        readMs: own.readMs + other.readMs,
-      };
+      const other = findPeerLoad(endpoint, now);
+      return other ? mergeEndpointLoads(own, other) : own;
     },
     listOwn: (now) => [...ownLoads.keys()].map((endpoint) => findOwn(endpoint, now)),
-    updatePeerLoads: (loads) => {
+    updatePeerLoads: (loads, reportedAt = Infinity) => {
+      peersReportedAt = reportedAt;
+      meanPrefill = computeMeanPrefill(loads);
       peerLoads = new Map(loads.map((load) => [load.endpoint, load]));
     },
     recordOutcome: (endpoint, outcome, now) => health.record(endpoint, '', outcome, now),
