Measure engine priorities, and let operators turn them off

Counters of priorities sent and of prefill behind each attempt, a gauge of pending prefill by priority, and the bound engine_priorities (true if absent). Without priorities, predictions count all pending work, as before.

--- a/src/node/gateway/__tests__/pendingPrefill.test.ts
+++ b/src/node/gateway/__tests__/pendingPrefill.test.ts
@@ -5,6 +5,7 @@
 import { createLoadTopic } from '../loadTopic';
 import { computeWorkAhead } from '../pendingPrefill';
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
+import { chooseQueuePosition } from '../queuePosition';
 
 const createLoads = (peers: readonly Omit<EndpointLoad, 'endpoint' | 'running'>[] = []) => {
   const loads = createEndpointLoads();
@@ -84,3 +85,19 @@
   t.is(after.priorities, undefined, 'the host was replaced by an older one');
   t.is(after.reads, 1, 'the prompts of the refused report are sent again');
 });
+
+// Operators can turn priorities off; predictions then count all work, as engines go by arrival.
+test('queue position: without priorities all pending work goes ahead', (t) => {
+  const load = { readMs: 900, readMsByPriority: [100, 0, 0, 0, 0, 200, 0, 0, 0, 600] };
+  const request = { rank: 0, timeLeftMs: 2_000 };
+  t.deepEqual(chooseQueuePosition(load, request, 50), {
+    priority: 5,
+    queueMs: 300,
+    displacedMs: 600,
+  });
+  t.deepEqual(chooseQueuePosition(load, request, 50, false), {
+    priority: undefined,
+    queueMs: 900,
+    displacedMs: 0,
+  });
+});
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -84,6 +84,8 @@
   readonly zone: string;
   readonly sessionMs: number;
   readonly exposureShare: number;
+  /** Whether requests for engines get a priority; without one, engines go by arrival. */
+  readonly hasPriorities?: boolean;
   readonly registry: Pick<RegistryView, 'listEndpoints'>;
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
@@ -269,7 +271,7 @@
           isOwnZone: report.zone === zone,
           slots: report.slots,
           running: load.running,
-          ...chooseQueuePosition(load, request, prefillMs),
+          ...chooseQueuePosition(load, request, prefillMs, options.hasPriorities),
           prefillMs,
           uncachedPrefixTokens,
           uncachedTokens,
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -124,6 +124,15 @@
   await sessionExchange.bindUnknown(snapshot, chooseService(route, caller), caller.session);
 };
 
+const recordPriority = (
+  { metrics }: ExchangeDependencies,
+  { endpoint: { service }, priority, displacedMs = 0 }: PlacedChoice,
+): void => {
+  if (priority === undefined) return;
+  metrics.enginePriorities.inc({ service, priority });
+  metrics.displacedWork.inc({ service }, displacedMs / 1_000);
+};
+
 const startAttempt = (
   deps: ExchangeDependencies,
   exchange: Exchange,
@@ -146,6 +155,7 @@
     priority,
   });
   exchange.priority = priority;
+  recordPriority(deps, choice);
   const attempt = deps.startAttempt({
     endpoint,
     method,
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -5,6 +5,9 @@
 export interface GatewayMetrics {
   readonly requests: Counter<'route' | 'end'>;
   readonly attempts: Counter<'service' | 'result'>;
+  readonly enginePriorities: Counter<'service' | 'priority'>;
+  readonly displacedWork: Counter<'service'>;
+  readonly pendingPrefill: Gauge<'priority'>;
   readonly firstByte: Histogram<'route'>;
   readonly duration: Histogram<'route'>;
   readonly active: Gauge;
@@ -27,6 +30,9 @@
   return {
     requests: new Counter(resolveOptions('gatewayRequests')),
     attempts: new Counter(resolveOptions('gatewayAttempts')),
+    enginePriorities: new Counter(resolveOptions('gatewayEnginePriorities')),
+    displacedWork: new Counter(resolveOptions('gatewayDisplacedWork')),
+    pendingPrefill: new Gauge(resolveOptions('gatewayPendingPrefill')),
     firstByte: new Histogram({ ...resolveOptions('gatewayFirstByte'), buckets }),
     duration: new Histogram({ ...resolveOptions('gatewayDuration'), buckets }),
     active: new Gauge(resolveOptions('gatewayActive')),
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -162,6 +162,7 @@
     'routing-view',
     'loads',
     'beliefs',
+    'gateway-metrics',
     'session-exchange',
     'suspects',
     'quarantine',
@@ -177,6 +178,7 @@
         createLoadTopic({
           loads: find<EndpointLoads>('loads'),
           cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
+          metrics: find<GatewayMetrics>('gateway-metrics'),
           readNow,
         }),
         find<SessionExchange>('session-exchange').topic,
@@ -255,6 +257,7 @@
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
+        hasPriorities: bounds.hasEnginePriorities,
       }),
       quarantine: find<RequestQuarantine>('quarantine'),
       requestGuard: find<RequestGuard>('request-guard'),
--- a/src/node/gateway/loadTopic.ts
+++ b/src/node/gateway/loadTopic.ts
@@ -1,4 +1,6 @@
+import { PRIORITY_COUNT } from '../decisions';
 import type { EndpointLoad, PromptCursor } from '../routingControl';
+import type { GatewayMetrics } from './gatewayMetrics';
 import type { PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLoads } from './endpointLoads';
 import { isRefusedReport, type ExchangeTopic } from './peerExchange';
@@ -14,10 +16,25 @@
 export interface LoadTopicOptions {
   readonly loads: EndpointLoads;
   readonly cacheEstimates: PrefixCacheEstimates;
+  readonly metrics?: Pick<GatewayMetrics, 'pendingPrefill'>;
   /** Returns the monotonic time in milliseconds. */
   readonly readNow: () => number;
 }
 
+const recordPending = (
+  loads: readonly EndpointLoad[],
+  metrics: LoadTopicOptions['metrics'],
+): void => {
+  if (!metrics) return;
+  for (let priority = 0; priority < PRIORITY_COUNT; priority += 1) {
+    const pendingMs = loads.reduce(
+      (sum, { readMsByPriority }) => sum + (readMsByPriority?.[priority] ?? 0),
+      0,
+    );
+    metrics.pendingPrefill.set({ priority }, pendingMs / 1_000);
+  }
+};
+
 /** Creates the topic that shares loads and sent prompts with the other gateways. */
 export const createLoadTopic = (options: LoadTopicOptions): ExchangeTopic<'loads'> => {
   const { loads, cacheEstimates, readNow } = options;
@@ -30,7 +47,9 @@
       const reads = cacheEstimates.drainDispatched();
       const now = readNow();
       const takesPriorities = host === priorityHost;
-      const own = loads.listOwn(now).map((load) => formatLoad(load, takesPriorities));
+      const ownLoads = loads.listOwn(now);
+      recordPending(ownLoads, options.metrics);
+      const own = ownLoads.map((load) => formatLoad(load, takesPriorities));
       return {
         report: { loads: own, reads, cursor },
         applyAnswer: (answer) => {
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -14,6 +14,8 @@
   readonly exposureShare: number;
   /** Idle time after which a session ends, in milliseconds. */
   readonly sessionMs: number;
+  /** Whether requests for engines get a priority; true if absent. */
+  readonly hasEnginePriorities?: boolean;
 }
 
 /** Resolved settings of a gateway. */
