--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -185,6 +185,7 @@
     'loads',
     'beliefs',
     'admission',
+    'gateway-metrics',
     'session-exchange',
     'suspects',
     'quarantine',
@@ -201,6 +202,7 @@
         createLoadTopic({
           loads: find<EndpointLoads>('loads'),
           cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
+          metrics: find<GatewayMetrics>('gateway-metrics'),
           readNow,
           handleUpdate: find<ScarcityAdmission>('admission').recordExchange,
         }),
@@ -289,6 +291,7 @@
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
+        hasPriorities: bounds.hasEnginePriorities,
       }),
       quarantine: find<RequestQuarantine>('quarantine'),
       requestGuard: find<RequestGuard>('request-guard'),
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -17,6 +17,8 @@
   readonly sessionMs: number;
   /** Bounds on the requests to cold endpoints; absent if the deployment sets none. */
   readonly cold?: ColdBounds | undefined;
+  /** Whether requests for engines get a priority; true if absent. */
+  readonly hasEnginePriorities?: boolean;
 }
 
 /** Resolved settings of a gateway. */
