Learn the relative speed of each endpoint from first tokens and events

Cause: prefill times were estimated by one rate for all endpoints of a service. Its asymmetric weights moved it towards the fastest endpoint, so that an engine of relative speed 0.7 was predicted to answer in 0.58 of its true time (test 'estimates fit each endpoint of an uneven pool').

Each gateway now keeps a time factor for each endpoint incarnation, from first tokens and from the time per event of running streams: a long-term mean, shrunk by the noise of samples against the spread of the pool, and a weighted median of the last second. The factors are relative to the mean of the pool, and the rate learns from times divided by them. With equal endpoints the factors are 1 and the placement is as before.

--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -1,13 +1,21 @@
-import { computeExchangeInterval } from '../../src/node/gateway';
+import { computeExchangeInterval, createGapSampler } from '../../src/node/gateway';
 import { createLoadAggregator } from '../../src/node/routingControl';
 import { createClock, type Clock } from './clock';
 import { createRandomSource, type RandomSource } from './randomSource';
 import { createEngine, type Engine } from './engine';
+import { createTimeFactor } from './engineSpeeds';
 import { createFacts, createGateway, createReports, type EmulatedGateway } from './gateway';
 import type { Pattern, PatternModel } from './pattern';
 import { POLICIES, type Policy, type PolicyView } from './policies';
 import { createRequestSource, type EmulatedRequest } from './requests';
 
+/** A run that was placed on an engine. */
+export interface Placement {
+  readonly endpoint: string;
+  readonly at: number;
+  readonly prefillTokens: number;
+}
+
 /** The result of one request. */
 export interface Outcome {
   readonly request: EmulatedRequest;
@@ -17,6 +25,8 @@
   readonly isGood: boolean;
   readonly model: string;
   readonly runs: number;
+  /** Engines of the runs, with the time at which each was placed in milliseconds. */
+  readonly placements: readonly Placement[];
   /** Price of all model runs for the request, including discarded answers. */
   readonly cost: number;
 }
@@ -64,6 +74,7 @@
   readonly request: EmulatedRequest;
   readonly runs: number;
   readonly retries: number;
+  readonly placements: readonly Placement[];
   readonly cost: number;
 }
 
@@ -80,8 +91,9 @@
     clock.schedule(delayMs, () => startRequest(simulation, { ...attempt, retries: retries + 1 }));
     return;
   }
-  const { runs, cost } = attempt;
-  record({ request, end: 'refused', firstTokenMs: Infinity, isGood: false, model: '', runs, cost });
+  const { runs, cost, placements } = attempt;
+  const fields = { firstTokenMs: Infinity, isGood: false, model: '', runs, cost, placements };
+  record({ request, end: 'refused', ...fields });
 };
 
 const startRun = (simulation: Simulation, attempt: Attempt, modelName: string): void => {
@@ -100,6 +112,8 @@
   gateway.cacheEstimates.record(endpoint.id, modelName, request.promptBlocks);
   const share = gateway.loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
   const runs = attempt.runs + 1;
+  const placed = { endpoint: endpoint.id, at: now, prefillTokens: uncachedTokens };
+  const placements = [...attempt.placements, placed];
   const promptCost = attempt.cost + computeCost(model, request.promptTokens, 0);
   const networkMs =
     SAME_ZONE_LATENCY_MS + (endpoint.zone === gateway.zone ? 0 : CROSS_ZONE_EXTRA_MS);
@@ -108,7 +122,7 @@
   const handleResponseHead = (): boolean => {
     if (computeElapsedMs() > request.task.deadlineMs) {
       share.release();
-      const fields = { firstTokenMs: Infinity, isGood: false, model: modelName, runs };
+      const fields = { firstTokenMs: Infinity, isGood: false, model: modelName, runs, placements };
       record({ request, end: 'gave_up', ...fields, cost: promptCost });
       return false;
     }
@@ -121,12 +135,20 @@
     if (secondModel === undefined) return true;
     share.release();
     clock.schedule(networkMs, () =>
-      startRun(simulation, { ...attempt, runs, cost: promptCost }, secondModel),
+      startRun(simulation, { ...attempt, runs, placements, cost: promptCost }, secondModel),
     );
     return false;
   };
 
+  const gapSampler = createGapSampler((gapMs) =>
+    gateway.chooser.recordEventGap({ endpoint, model: modelName }, gapMs, clock.readNow()),
+  );
+  let eventAt = 0;
   let firstTokenMs = Infinity;
+  const recordEvent = (): void => {
+    gapSampler.record(1, eventAt, clock.readNow());
+    eventAt = clock.readNow();
+  };
   const run = {
     model,
     promptBlocks: request.promptBlocks,
@@ -135,16 +157,20 @@
     handleFirstToken: () => {
       share.endPrefill();
       firstTokenMs = computeElapsedMs() + networkMs;
+      recordEvent();
       if (queueMs > 50) return;
-      const uncached = { service: endpoint.service, model: modelName, uncachedTokens };
+      const uncached = { endpoint, model: modelName, uncachedTokens };
       const prefill = { ...uncached, promptTokens: request.promptTokens };
-      gateway.chooser.recordFirstToken(view.facts, prefill, clock.readNow() - now);
+      const at = clock.readNow();
+      gateway.chooser.recordFirstToken(view.facts, prefill, at - now, at);
     },
+    handleEvent: recordEvent,
     handleEnd: () => {
       share.release();
       const cost = promptCost + computeCost(model, 0, request.answerTokens);
       const isGood = request.difficulty < model.quality;
-      record({ request, end: 'answered', firstTokenMs, isGood, model: modelName, runs, cost });
+      const fields = { firstTokenMs, isGood, model: modelName, runs, cost, placements };
+      record({ request, end: 'answered', ...fields });
     },
   };
   clock.schedule(networkMs, () => {
@@ -175,7 +201,7 @@
       clock.schedule(gaps.sampleExponential(1_000 / rate), () => {
         if (clock.readNow() > pattern.seconds * 1_000) return;
         const request = source.generate(task, clock.readNow());
-        startRequest(simulation, { request, runs: 0, retries: 0, cost: 0 });
+        startRequest(simulation, { request, runs: 0, retries: 0, placements: [], cost: 0 });
         addNext();
       });
     };
@@ -193,7 +219,9 @@
   const clock = createClock();
   const draws = createRandomSource(seed);
   const reports = createReports(pattern);
-  const engines = reports.map(({ id, zone }) => createEngine(clock, pattern, id, zone));
+  const engines = reports.map(({ id, zone }, index) =>
+    createEngine(clock, pattern, id, zone, createTimeFactor(clock, pattern, index, seed)),
+  );
   const outcomes: Outcome[] = [];
   const gateways = Array.from({ length: pattern.gateways }, (_item, index) =>
     createGateway(pattern, reports, index),
--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -10,6 +10,8 @@
   /** Called before the first token, when the response head is available. False cancels the run. */
   readonly handleResponseHead: () => boolean;
   readonly handleFirstToken: () => void;
+  /** Called at each event after the first one. */
+  readonly handleEvent?: () => void;
   readonly handleEnd: () => void;
 }
 
@@ -45,7 +47,13 @@
   blocks.reduce((sum, { tokens }) => sum + tokens, 0);
 
 /** Creates an idle engine with an empty prefix cache. */
-export const createEngine = (clock: Clock, pattern: Pattern, id: string, zone: string): Engine => {
+export const createEngine = (
+  clock: Clock,
+  pattern: Pattern,
+  id: string,
+  zone: string,
+  readTimeFactor: () => number = () => 1,
+): Engine => {
   const { engine: settings } = pattern;
   const queue: ActiveRun[] = [];
   const decoding = new Set<ActiveRun>();
@@ -133,11 +141,16 @@
     }
     // Step time does not depend on the model. Logged traffic shows the same gap between events for
     // every model.
-    const stepMs = runPrefillChunk() + settings.stepMs + settings.stepMsPerSlot * decoding.size;
+    const stepMs =
+      readTimeFactor() *
+      (runPrefillChunk() + settings.stepMs + settings.stepMsPerSlot * decoding.size);
     busyMs += stepMs;
     clock.schedule(stepMs, () => {
       for (const active of decoding) {
         active.remainingAnswerTokens -= 1;
+        const isEvent =
+          (active.run.answerTokens - active.remainingAnswerTokens) % settings.tokensPerEvent === 0;
+        if (isEvent) active.run.handleEvent?.();
         if (active.remainingAnswerTokens > 0) continue;
         decoding.delete(active);
         active.run.handleEnd();
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -49,6 +49,15 @@
     pairsMsPerMillion: z.number(),
     chunkTokens: z.number().int(),
     tokensPerEvent: z.number().int(),
+    /** Relative speeds, repeated over the engines in their order; all 1 if absent. */
+    speeds: z.array(z.number().positive()).min(1).optional(),
+    /**
+     * Momentary slow-downs: during each period, an engine is slower by the factor with this
+     * probability.
+     */
+    slowdowns: z
+      .strictObject({ probability: z.number(), factor: z.number(), periodMs: z.number() })
+      .optional(),
   }),
   models: z.array(model).min(1),
   tasks: z.array(task).min(1),
@@ -57,6 +66,10 @@
    */
   burst: z.strictObject({ at: z.number(), seconds: z.number(), factor: z.number() }).optional(),
   hotOrganisation: z.number().optional(),
+  /** An engine that is slower by a factor for some seconds. */
+  slowEngine: z
+    .strictObject({ index: z.number(), at: z.number(), seconds: z.number(), factor: z.number() })
+    .optional(),
 });
 
 /** A load pattern: a deployment and the requests of its callers. */
--- a/src/node/decisions/__tests__/routedRequests.test.ts
+++ b/src/node/decisions/__tests__/routedRequests.test.ts
@@ -339,10 +339,16 @@
     { name: 'small', cost: 1 },
     { name: 'large', cost: 15 },
   ]);
+  const endpoint = { incarnation: 'e-0|1', now: 0 };
   const estimateWhole = (model: string): number =>
-    rates.estimate(model, { uncachedTokens: 10_000, promptTokens: 10_000 });
+    rates.estimate(model, { uncachedTokens: 10_000, promptTokens: 10_000 }, endpoint);
   const record = (unreadTokens: number, delayMs: number): void =>
-    rates.record('small', { uncachedTokens: unreadTokens, promptTokens: unreadTokens }, delayMs);
+    rates.record(
+      'small',
+      { uncachedTokens: unreadTokens, promptTokens: unreadTokens },
+      delayMs,
+      endpoint,
+    );
   t.true(estimateWhole('large') > 5 * estimateWhole('small'));
   const before = estimateWhole('small');
   record(10_000, 10_000);
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -26,6 +26,7 @@
 export * from './admitDuringShutdown';
 export * from './placeEngineRequest';
 export * from './prefillRates';
+export * from './endpointSpeeds';
 export * from './suspicion';
 export * from './endpointBackoff';
 export * from './requestTokens';
--- a/src/node/decisions/placeEngineRequest.ts
+++ b/src/node/decisions/placeEngineRequest.ts
@@ -21,6 +21,8 @@
   readonly isWarmingUp: boolean;
   /** Whether the endpoint is ejected after failures. */
   readonly isEjected: boolean;
+  /** Time of a decode step, divided by the mean of the pool; 1 if absent. */
+  readonly stepFactor?: number;
 }
 
 /** Input for the placement of an engine request. */
@@ -81,9 +83,9 @@
 };
 
 const estimateFirstTokenMs = (candidate: EngineCandidate): number => {
-  const { queueMs, prefillMs, running, isOwnZone, isWarmingUp } = candidate;
+  const { queueMs, prefillMs, running, isOwnZone, isWarmingUp, stepFactor = 1 } = candidate;
   const engineMs = (queueMs + prefillMs) * (isWarmingUp ? WARMUP_FACTOR : 1);
-  return engineMs + running * RUNNING_REQUEST_MS + (isOwnZone ? 0 : OTHER_ZONE_MS);
+  return engineMs + running * RUNNING_REQUEST_MS * stepFactor + (isOwnZone ? 0 : OTHER_ZONE_MS);
 };
 
 // The cost of a placement to the caller and to other requests, in milliseconds.
--- a/src/node/decisions/prefillRates.ts
+++ b/src/node/decisions/prefillRates.ts
@@ -1,5 +1,8 @@
-// Load pattern: models of different speeds share one pool, and no configuration states their speed.
-// The delay of a first token is the prefill time of the prompt plus the wait before it.
+import { createEndpointSpeeds, type EndpointSpeeds } from './endpointSpeeds';
+
+// Load pattern: models of different speeds share one pool of endpoints of different speeds, and no
+// configuration states these speeds. The delay of a first token is the prefill time of the prompt
+// plus the wait before it.
 
 /** A model with its price, from which its speed is estimated before any measurement. */
 export interface PricedModel {
@@ -15,12 +18,26 @@
   readonly promptTokens: number;
 }
 
-/** Prefill rate of each model. */
+/** An endpoint's incarnation at a time; `now` is monotonic time in milliseconds. */
+export interface EndpointAtTime {
+  readonly incarnation: string;
+  readonly now: number;
+}
+
+/** Prefill rate of each model in a pool, with the relative speed of its endpoints. */
 export interface PrefillRates {
-  /** Estimates the prefill time in milliseconds without competing prefill work. */
-  readonly estimate: (model: string, prefill: PromptPrefill) => number;
+  /**
+   * Estimates the prefill time at an endpoint in milliseconds, without competing prefill work:
+   * the pool's rate times the endpoint's factor.
+   */
+  readonly estimate: (model: string, prefill: PromptPrefill, endpoint: EndpointAtTime) => number;
   /** Records the delay of a first token that had no other prefill work ahead of it. */
-  readonly record: (model: string, prefill: PromptPrefill, delayMs: number) => void;
+  readonly record: (
+    model: string,
+    prefill: PromptPrefill,
+    delayMs: number,
+    endpoint: EndpointAtTime,
+  ) => void;
 }
 
 /** Prefill time per token of the cheapest model before any measurement. */
@@ -46,7 +63,10 @@
 };
 
 /** Creates the prefill rates of the models of a pool. */
-export const createPrefillRates = (models: readonly PricedModel[]): PrefillRates => {
+export const createPrefillRates = (
+  models: readonly PricedModel[],
+  speeds: EndpointSpeeds = createEndpointSpeeds(),
+): PrefillRates => {
   const cheapest = Math.min(...models.map(({ cost }) => cost), Infinity);
   const rates = new Map(
     models.map(({ name, cost }) => [
@@ -56,11 +76,15 @@
   );
   const readRate = (model: string): number => rates.get(model) ?? INITIAL_MS_PER_TOKEN;
   return {
-    estimate: (model, prefill) => readRate(model) * computePrefillWork(prefill),
-    record: (model, prefill, delayMs) => {
+    estimate: (model, prefill, { incarnation, now }) =>
+      readRate(model) * computePrefillWork(prefill) * speeds.readFactor(incarnation, now),
+    record: (model, prefill, delayMs, { incarnation, now }) => {
       if (prefill.uncachedTokens < MIN_SAMPLE_TOKENS) return;
       const known = readRate(model);
-      const sample = delayMs / computePrefillWork(prefill);
+      const unitMs = delayMs / computePrefillWork(prefill);
+      // What the factor explains must not move the pool's rate towards the fastest endpoints.
+      const sample = unitMs / speeds.readFactor(incarnation, now);
+      speeds.record({ endpoint: incarnation, kind: model, unitMs }, now);
       const weight = sample < known ? DECREASE_WEIGHT : INCREASE_WEIGHT;
       rates.set(model, known + weight * (sample - known));
     },
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -129,11 +129,18 @@
   // With a longer queue, the delay depends more on the queued prompts than on this one.
   if (name === undefined || queueMs > MAX_SAMPLE_QUEUE_MS) return;
   const { promptTokens } = caller;
-  const prefill = {
-    service: endpoint.service,
-    model: name,
-    uncachedTokens,
-    promptTokens,
-  };
-  deps.chooser.recordFirstToken(snapshot, prefill, deps.readNow() - context.startedAt);
+  const prefill = { endpoint, model: name, uncachedTokens, promptTokens };
+  const now = deps.readNow();
+  deps.chooser.recordFirstToken(snapshot, prefill, now - context.startedAt, now);
+};
+
+/** Records the time per event of a running stream, in milliseconds. */
+export const recordEventGap = (
+  { deps, endpoint, model, exchange }: AttemptContext,
+  gapMs: number,
+): void => {
+  const name = model ?? exchange.request.caller.model;
+  if (name !== undefined) {
+    deps.chooser.recordEventGap({ endpoint, model: name }, gapMs, deps.readNow());
+  }
 };
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -10,7 +10,7 @@
   type PrefillRates,
   type VersionReason,
 } from '../decisions';
-import type { EndpointReport } from '../registry';
+import { formatIncarnation, type EndpointReport } from '../registry';
 import type { EngineProfile, RolloutStage, Route } from '../routing';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
@@ -18,6 +18,7 @@
 import type { EndpointBackoffs } from './endpointBackoffs';
 import type { RegistryView } from './registryView';
 import { formatRolloutKey, type RoutingSnapshot } from './routingView';
+import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import type { SessionVersions } from './sessionVersions';
 import type { CallerHeaders } from './types';
 
@@ -81,6 +82,8 @@
   readonly limits: Pick<EndpointLimits, 'canSend'>;
   readonly backoffs: Pick<EndpointBackoffs, 'findEnd'>;
   readonly cacheEstimates: PrefixCacheEstimates;
+  /** Relative speeds of the endpoints; empty at first if absent. */
+  readonly speeds?: ServiceSpeeds;
 }
 
 /** Chooses endpoints; `now` is monotonic time in milliseconds. */
@@ -99,9 +102,11 @@
   /** Records the measured time to a first token, in milliseconds. */
   readonly recordFirstToken: (
     snapshot: RoutingSnapshot,
-    prefill: PromptPrefill & { readonly service: string; readonly model: string },
+    prefill: PromptPrefill & { readonly endpoint: EndpointReport; readonly model: string },
     delayMs: number,
+    now: number,
   ) => void;
+  readonly recordEventGap: ServiceSpeeds['recordEventGap'];
 }
 
 /** Chooses the service of a request by the weights of its route. */
@@ -118,26 +123,33 @@
   return shared ? `${model ?? ''}|${shared.id}` : '';
 };
 
+const findEngine = (snapshot: RoutingSnapshot, service: string): EngineProfile | undefined =>
+  snapshot.table.findService(service)?.engine;
+
 interface RateTable {
   readonly acquire: (service: string, engine: EngineProfile) => PrefillRates;
+  readonly recordFirstToken: EndpointChooser['recordFirstToken'];
 }
 
-const createRateTable = (): RateTable => {
+const createRateTable = (speeds: ServiceSpeeds): RateTable => {
   const rates = new Map<string, PrefillRates>();
+  const acquire: RateTable['acquire'] = (service, { models }) => {
+    const known = rates.get(service);
+    if (known) return known;
+    const created = createPrefillRates(models, speeds.acquire(service).prefill);
+    rates.set(service, created);
+    return created;
+  };
   return {
-    acquire: (service, { models }) => {
-      const known = rates.get(service);
-      if (known) return known;
-      const created = createPrefillRates(models);
-      rates.set(service, created);
-      return created;
+    acquire,
+    recordFirstToken: (snapshot, { endpoint, model, ...prefill }, delayMs, now) => {
+      const engine = findEngine(snapshot, endpoint.service);
+      const at = { incarnation: formatIncarnation(endpoint), now };
+      if (engine) acquire(endpoint.service, engine).record(model, prefill, delayMs, at);
     },
   };
 };
 
-const findEngine = (snapshot: RoutingSnapshot, service: string): EngineProfile | undefined =>
-  snapshot.table.findService(service)?.engine;
-
 const choosePlainEndpoint = (
   { loads, zone }: Pick<ChooserOptions, 'loads' | 'zone'>,
   request: ChoiceRequest,
@@ -192,7 +204,8 @@
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
   const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
-  const rates = createRateTable();
+  const { speeds = createServiceSpeeds() } = options;
+  const rates = createRateTable(speeds);
 
   const listByVersion = (
     snapshot: RoutingSnapshot,
@@ -247,12 +260,14 @@
     const service = reports[0]?.service ?? '';
     const engine = findEngine(snapshot, service);
     const rate = engine && rates.acquire(service, engine);
+    const { decode } = speeds.acquire(service);
     const prompt = createPromptKey(model, promptBlocks);
     const placement = placeEngineRequest({
       candidates: reports.map((report) => {
         const { running, readMs: queueMs } = loads.findTotal(report.id, now);
         const { shared: uncachedPrefixTokens, total: uncachedTokens } =
           cacheEstimates.countUncached(report.id, prompt);
+        const at = { incarnation: formatIncarnation(report), now };
         return {
           id: report.id,
           endpoint: report,
@@ -260,7 +275,8 @@
           slots: report.slots,
           running,
           queueMs,
-          prefillMs: rate?.estimate(model, { uncachedTokens, promptTokens }) ?? 0,
+          prefillMs: rate?.estimate(model, { uncachedTokens, promptTokens }, at) ?? 0,
+          stepFactor: decode.readFactor(at.incarnation, now),
           uncachedPrefixTokens,
           uncachedTokens,
           isWarmingUp: report.warmupMs > 0,
@@ -304,9 +320,7 @@
       if (!engine || name === undefined) return;
       cacheEstimates.record(id, name, caller.promptBlocks);
     },
-    recordFirstToken: (snapshot, { service, model, ...prefill }, delayMs) => {
-      const engine = findEngine(snapshot, service);
-      if (engine) rates.acquire(service, engine).record(model, prefill, delayMs);
-    },
+    recordFirstToken: rates.recordFirstToken,
+    recordEventGap: speeds.recordEventGap,
   };
 };
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -29,6 +29,7 @@
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
 import type { SuspectTable } from './suspectTable';
 import { createSuspectTopic } from './suspectTopic';
+import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec, IdentityCodec } from './types';
@@ -120,6 +121,15 @@
     dependencies: [],
     start: () => ({ value: createEndpointLoads() }),
   },
+  {
+    name: 'speeds',
+    dependencies: [],
+    start: () => {
+      const value = createServiceSpeeds();
+      const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
+      return { value, stop: () => clearInterval(timer) };
+    },
+  },
 ];
 
 const createSessionServices = ({ node, bounds }: GatewaySettings): readonly Service[] => [
@@ -224,6 +234,7 @@
     'routing-view',
     'registry-view',
     'loads',
+    'speeds',
     'beliefs',
     'sessions',
     'session-exchange',
@@ -252,6 +263,7 @@
         limits: find<EndpointLimits>('limits'),
         backoffs: find<EndpointBackoffs>('backoffs'),
         cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
+        speeds: find<ServiceSpeeds>('speeds'),
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
--- a/src/node/gateway/index.ts
+++ b/src/node/gateway/index.ts
@@ -5,5 +5,6 @@
 export * from './endpointChoice';
 export * from './endpointLoads';
 export { computeExchangeInterval } from './peerExchange';
+export * from './gapSampler';
 export * from './sessionVersions';
 export type { RoutingSnapshot as RoutingFacts } from './routingView';
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -1,6 +1,7 @@
 import { isRetryableRoute } from '../routing';
 import {
   recordConnectionLoss,
+  recordEventGap,
   recordFailure,
   recordFirstByte,
   recordFirstEvent,
@@ -25,6 +26,7 @@
   type StreamEvent,
 } from './eventReader';
 import type { Exchange } from './exchangeTypes';
+import { createGapSampler } from './gapSampler';
 import type { RawHeaders, ResponseHead } from './types';
 
 const recordEventIds = (exchange: Exchange, events: readonly StreamEvent[]): void => {
@@ -63,6 +65,7 @@
   const headers = removeLength(head.forwarded);
   const replyHead = { ...createReplyHead(head), headers, isCloseDelimited: isPassedOn };
   const isConfirming = isConfirmingEnd(exchange);
+  const gapSampler = createGapSampler((gapMs) => recordEventGap(context, gapMs));
   let firstAt: number | undefined;
   let hasSurvived = false;
   let waitStartedAt = startedAt;
@@ -112,6 +115,7 @@
         hasSurvived = true;
         recordSurvival(context);
       }
+      gapSampler.record(events.length, waitStartedAt, deps.readNow());
       recordEventIds(exchange, events);
       exchange.events += events.length;
       if (events.length > 0) await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
