Share the measured speeds of endpoints through the exchange

Cause: one gateway of 31 measures an engine every few seconds, so it learns differences late and a slow-down not at all.

The new optional topic 'speeds' of gateway.exchange carries the mean sample of each endpoint since the last call, and returns the endpoints whose estimate changed. The leading control host merges samples on arrival into one estimate per endpoint and kind of work. At most 150 samples and 100 changes go with a call. Without an answer for 2 s only own samples count. A control host without the topic is asked ever more rarely; gateways without it are served as before.

--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -1,5 +1,5 @@
 import { computeExchangeInterval, createGapSampler } from '../../src/node/gateway';
-import { createLoadAggregator } from '../../src/node/routingControl';
+import { createLoadAggregator, createSpeedTable } from '../../src/node/routingControl';
 import { createClock, type Clock } from './clock';
 import { createRandomSource, type RandomSource } from './randomSource';
 import { createEngine, type Engine } from './engine';
@@ -38,6 +38,8 @@
   /** Factor applied to the pattern's request rates. */
   readonly load: number;
   readonly seed: number;
+  /** Whether the gateways share the speeds that they measure; true if absent. */
+  readonly isSharingSpeeds?: boolean;
 }
 
 /** The result of one emulator run. */
@@ -210,7 +212,13 @@
 };
 
 /** Runs a load pattern. The same options produce the same outcomes. */
-export const runEmulation = ({ pattern, policy, load, seed }: EmulationOptions): Emulation => {
+export const runEmulation = ({
+  pattern,
+  policy,
+  load,
+  seed,
+  isSharingSpeeds = true,
+}: EmulationOptions): Emulation => {
   const chosen = POLICIES[policy];
   if (!chosen)
     throw new Error(
@@ -237,11 +245,14 @@
     view: { pattern, facts, engines, reports, draws: createRandomSource(seed + 1) },
     record: (outcome) => outcomes.push(outcome),
   };
-  const aggregator = createLoadAggregator('board');
+  const tables = {
+    aggregator: createLoadAggregator('board'),
+    speedTable: isSharingSpeeds ? createSpeedTable('speeds') : undefined,
+  };
   const exchangeMs = computeExchangeInterval(pattern.gateways);
   gateways.forEach((gateway, index) => {
     const runExchange = (): void => {
-      gateway.exchange(aggregator, clock.readNow());
+      gateway.exchange(tables, clock.readNow());
       clock.schedule(exchangeMs, runExchange);
     };
     clock.schedule((index * exchangeMs) / pattern.gateways, runExchange);
--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -2,26 +2,41 @@
   createPrefixCacheEstimates,
   createEndpointChooser,
   createEndpointLoads,
+  createServiceSpeeds,
   createSessionVersions,
   type PrefixCacheEstimates,
   type EndpointChooser,
   type EndpointLoads,
+  type ServiceSpeeds,
   type RoutingFacts,
 } from '../../src/node/gateway';
 import type { EndpointReport } from '../../src/node/registry';
 import { createRouteTable, type Route } from '../../src/node/routing';
-import type { LoadAggregator, PromptCursor } from '../../src/node/routingControl';
+import type {
+  LoadAggregator,
+  PromptCursor,
+  SpeedCursor,
+  SpeedTable,
+} from '../../src/node/routingControl';
 import type { Pattern } from './pattern';
 import type { EmulatedRequest } from './requests';
 
+/** Tables of the control host that the gateways share. */
+export interface EmulatedTables {
+  readonly aggregator: LoadAggregator;
+  /** Absent while speeds are not shared. */
+  readonly speedTable: SpeedTable | undefined;
+}
+
 /** One gateway, built from the production components. */
 export interface EmulatedGateway {
   readonly zone: string;
   readonly chooser: EndpointChooser;
   readonly loads: EndpointLoads;
   readonly cacheEstimates: PrefixCacheEstimates;
-  /** Reports the load of this gateway to the aggregator and applies that of the other gateways. */
-  readonly exchange: (aggregator: LoadAggregator, now: number) => void;
+  readonly speeds: ServiceSpeeds;
+  /** Reports what this gateway knows to the tables and applies what the other gateways know. */
+  readonly exchange: (tables: EmulatedTables, now: number) => void;
 }
 
 const SERVICE = 'engines';
@@ -99,6 +114,7 @@
   const loads = createEndpointLoads();
   const cacheEstimates = createPrefixCacheEstimates(() => pattern.engine.cacheTokens);
   const endpoints = reports.map((report) => ({ report, isReady: true }));
+  const speeds = createServiceSpeeds(() => SERVICE);
   const chooser = createEndpointChooser({
     zone,
     sessionMs: 5_000,
@@ -107,16 +123,19 @@
     backoffs: { findEnd: () => undefined },
     loads,
     cacheEstimates,
+    speeds,
     sessions: createSessionVersions(5_000),
     registry: { listEndpoints: () => endpoints },
   });
   let cursor: PromptCursor | undefined;
+  let speedCursor: SpeedCursor | undefined;
   return {
     zone,
     chooser,
     loads,
     cacheEstimates,
-    exchange: (aggregator, now) => {
+    speeds,
+    exchange: ({ aggregator, speedTable }, now) => {
       const own = {
         gateway: `g-${index}`,
         loads: loads.listOwn(now),
@@ -126,6 +145,11 @@
       loads.updatePeerLoads(answer.loads);
       cacheEstimates.applyPeerPrompts(answer.reads);
       cursor = answer.cursor;
+      if (!speedTable) return;
+      const report = { samples: speeds.drainSamples(), cursor: speedCursor };
+      const shared = speedTable.share(report, now);
+      speeds.applyShared(shared.speeds, now);
+      speedCursor = shared.cursor;
     },
   };
 };
--- a/bench/exchange.ts
+++ b/bench/exchange.ts
@@ -13,6 +13,7 @@
   createLimitTable,
   createLoadAggregator,
   createSessionDirectory,
+  createSpeedTable,
   createSuspectDirectory,
   exchangeParams,
   type ExchangeAnswer,
@@ -218,6 +219,7 @@
     sessions: createSessionDirectory(),
     suspects: createSuspectDirectory(),
     limits: createLimitTable(),
+    speeds: createSpeedTable(),
   };
   const handle = createExchangeHandler(tables, pino({ level: 'silent' }));
   const app = createHttpServer({ tls: undefined });
--- a/src/node/decisions/endpointSpeeds.ts
+++ b/src/node/decisions/endpointSpeeds.ts
@@ -1,3 +1,13 @@
+import {
+  addSpeedSample,
+  computeBounded,
+  computeRecentSpeed,
+  computeRecentWeight,
+  MAX_STEP,
+  type RecentSpeed,
+  type SpeedEstimate,
+} from './speedEstimate';
+
 // Load pattern: the endpoints of one service differ in speed by a constant factor, each is 2.5 times
 // as slow for 600 ms at a time, and now and then one becomes 4 times as slow and recovers.
 
@@ -11,6 +21,22 @@
   readonly unitMs: number;
 }
 
+/** What the samples of all gateways show about an endpoint, as logarithms of time ratios. */
+export interface SharedSpeed extends RecentSpeed {
+  readonly endpoint: string;
+  /** Long-term mean and the number of independent samples in it. */
+  readonly base: number;
+  readonly count: number;
+  /** Milliseconds since the latest sample. */
+  readonly ageMs: number;
+}
+
+/** The mean logarithm of the time ratios of an endpoint since the last call. */
+export interface DrainedSample {
+  readonly endpoint: string;
+  readonly logRatio: number;
+}
+
 /** How the speed of an endpoint compares with its pool. */
 export interface EndpointSpeed {
   /** Time that the endpoint takes, divided by the mean of its pool. */
@@ -42,28 +68,31 @@
   readonly readFactor: (endpoint: string, now: number) => number;
   readonly readParts: (endpoint: string, now: number) => SpeedParts;
   readonly find: (endpoint: string, now: number) => EndpointSpeed | undefined;
+  /** Takes the mean sample of each endpoint since the last call, of at most `limit` endpoints. */
+  readonly drainSamples: (limit: number) => readonly DrainedSample[];
+  /** Replaces what the samples of all gateways show about some endpoints. */
+  readonly applyShared: (shared: readonly SharedSpeed[], now: number) => void;
+  /** Removes what other gateways' samples show, so that only this gateway's own ones count. */
+  readonly removeShared: () => void;
   /** Removes endpoints without recent samples. */
   readonly expire: (now: number) => void;
 }
 
-interface RecentSample {
-  readonly at: number;
-  readonly logRatio: number;
-  /** Samples of which this is the mean. */
-  readonly count: number;
-}
-
 interface Row {
-  /** Long-term mean of the logarithm of the time ratio. */
-  base: number;
-  count: number;
-  at: number;
-  readonly recent: RecentSample[];
+  /** From the samples of this gateway. */
+  own: SpeedEstimate | undefined;
+  /** From the samples of all gateways, and when it arrived. */
+  shared: (SharedSpeed & { readonly at: number }) | undefined;
   /** Cached parts of the factor, and when they were computed. */
   parts: SpeedParts;
   computedAt: number;
 }
 
+interface RowView extends RecentSpeed {
+  readonly base: number;
+  readonly count: number;
+}
+
 interface Level {
   /** Mean logarithm of the unit time in the pool, corrected by the factors of the endpoints. */
   readonly logMs: number;
@@ -83,33 +112,13 @@
 /** Samples of a kind of work before its level is known well enough to compare endpoints. */
 const MIN_LEVEL_SAMPLES = 5;
 const LEVEL_MIN_WEIGHT = 0.03;
-/** Deviations beyond this have a bounded effect on long-term means; it is about a factor of 1.65. */
-const MAX_STEP = 0.5;
-/** Time constant of long-term means; a slow-down of 10 s must not outlast its end by much. */
-const BASE_MS = 20_000;
-/** Number of samples beyond which a long-term mean doesn't become more certain. */
-const MAX_COUNT = 15;
-/** Samples with this interval are independent, since a momentary slow-down lasts 600 ms. */
-const INDEPENDENT_MS = 600;
-const MIN_COUNT_STEP = 0.1;
-/** Limit of the weight of a sample in a long-term mean, which keeps about as many in it. */
-const MAX_BASE_WEIGHT = 0.1;
-/**
- * Decay time of the weights in the median of recent samples. A slow-down moves the median after
- * 0.69 times as long, which must exceed the 600 ms of a momentary one and stay under a second.
- */
-const RECENT_MS = 900;
-const MAX_RECENT_AGE_MS = 4 * RECENT_MS;
-/** Samples within this time are merged, so that the limit below covers the age above. */
-const MERGE_MS = 100;
-const MAX_RECENT = MAX_RECENT_AGE_MS / MERGE_MS;
 /** Weight of the assumption that an endpoint runs at its usual speed, in recent samples. */
 const RECENT_PRIOR = 2;
 /**
- * Recent deviations up to this are taken for noise; it is a factor of 1.4. From twice this on they
+ * Recent deviations up to this are taken for noise, as of a busy endpoint; it is a factor of 1.65. From twice this on they
  * count in full.
  */
-const RECENT_TOLERANCE = 0.35;
+const RECENT_TOLERANCE = 0.5;
 /** Pools whose endpoints differ by less than this standard deviation are treated as equal. */
 const MIN_SPREAD = 0.1;
 /** Endpoints with samples that are needed to tell how much a pool differs. */
@@ -119,6 +128,8 @@
 const NOISE_WEIGHT = 0.02;
 /** Largest factor either way. A faulty measurement must not exclude or flood an endpoint. */
 const MAX_LOG_FACTOR = Math.log(4);
+/** Samples beyond this are faulty; the control host refuses them. */
+const MAX_LOG_RATIO = 4;
 const CACHE_MS = 50;
 const SPREAD_INTERVAL_MS = 250;
 /** Endpoints without samples for this time are forgotten. */
@@ -126,39 +137,21 @@
 
 const EQUAL: SpeedParts = { usual: 0, recent: 0 };
 
-const computeBounded = (value: number, limit: number): number =>
-  Math.max(-limit, Math.min(limit, value));
-
-const computeWeight = (ageMs: number): number => Math.exp(-ageMs / RECENT_MS);
-
-interface RecentDeviation {
-  readonly median: number;
-  readonly weight: number;
-}
-
-const computeRecent = (recent: readonly RecentSample[], now: number): RecentDeviation => {
-  const weighted = recent
-    .filter(({ at }) => now - at < MAX_RECENT_AGE_MS)
-    .map(({ at, logRatio }) => ({ logRatio, weight: computeWeight(now - at) }))
-    .sort((a, b) => a.logRatio - b.logRatio);
-  const total = weighted.reduce((sum, { weight }) => sum + weight, 0);
-  let passed = 0;
-  for (const { logRatio, weight } of weighted) {
-    passed += weight;
-    if (passed >= total / 2) return { median: logRatio, weight: total };
-  }
-  return { median: 0, weight: 0 };
-};
+const readAt = ({ own, shared }: Row): number =>
+  Math.max(own?.at ?? -Infinity, shared ? shared.at - shared.ageMs : -Infinity);
 
-// Samples of one momentary slow-down don't count as independent ones.
-const computeCountStep = ({ count, at }: Row, now: number): number =>
-  count === 0 ? 1 : Math.min(1, Math.max(MIN_COUNT_STEP, (now - at) / INDEPENDENT_MS));
+const NO_SAMPLES: RowView = { base: 0, count: 0, median: 0, weight: 0 };
 
-// After the first samples, one counts for the time since the sample before it: many samples of a short
-// slow-down must not change what counts as the usual speed of an endpoint.
-const computeBaseWeight = ({ count, at }: Row, countStep: number, now: number): number => {
-  if (count < MAX_COUNT) return countStep / (count + countStep);
-  return Math.min(MAX_BASE_WEIGHT, 1 - Math.exp(-Math.max(0, now - at) / BASE_MS));
+// The shared estimate contains the samples of this gateway, though some only after the next call.
+const computeView = ({ own, shared }: Row, now: number): RowView => {
+  const ownView = own
+    ? { base: own.base, count: own.count, ...computeRecentSpeed(own, now) }
+    : NO_SAMPLES;
+  if (!shared) return ownView;
+  const { base, count } = shared.count >= ownView.count ? shared : ownView;
+  const weight = shared.weight * computeRecentWeight(now - shared.at);
+  const { median } = weight >= ownView.weight ? shared : ownView;
+  return { base, count, median, weight: Math.max(weight, ownView.weight) };
 };
 
 const computeExcess = (deviation: number): number => {
@@ -166,60 +159,46 @@
   return Math.sign(deviation) * Math.min(size, Math.max(0, 2 * (size - RECENT_TOLERANCE)));
 };
 
-const addRecent = (recent: RecentSample[], at: number, logRatio: number): void => {
-  const last = recent.at(-1);
-  if (last && at - last.at < MERGE_MS) {
-    const count = last.count + 1;
-    const mean = last.logRatio + (logRatio - last.logRatio) / count;
-    recent.splice(-1, 1, { at: last.at, logRatio: mean, count });
-    return;
+const computeSpread = (views: readonly RowView[], noise: number, now: number): PoolSpread => {
+  let total = 0;
+  let sum = 0;
+  let uncertainty = 0;
+  let recentSum = 0;
+  let recentWeight = RECENT_PRIOR * MIN_ROWS;
+  for (const { base, count, median, weight } of views) {
+    total += 1;
+    sum += base;
+    uncertainty += noise / count;
+    recentSum += weight * computeBounded(median - base, RECENT_TOLERANCE);
+    recentWeight += weight;
   }
-  recent.push({ at, logRatio, count: 1 });
-  if (recent.length > MAX_RECENT) recent.shift();
+  const recent = recentSum / recentWeight;
+  const mean = total > 0 ? sum / total : 0;
+  if (total < MIN_ROWS) return { mean, variance: 0, recent, at: now };
+  let squares = 0;
+  for (const { base } of views) squares += (base - mean) ** 2;
+  // The variance of a few means is uncertain itself; two standard errors are left out.
+  const explained = (uncertainty / total) * (1 + 2 * Math.sqrt(2 / (total - 1)));
+  const variance = Math.max(0, squares / (total - 1) - explained - MIN_SPREAD ** 2);
+  return { mean, variance, recent, at: now };
 };
 
 /** Creates speeds of a pool without samples. */
 export const createEndpointSpeeds = ({ prior }: EndpointSpeedsOptions = {}): EndpointSpeeds => {
   const rows = new Map<string, Row>();
   const levels = new Map<string, Level>();
+  /** Samples since the last call of the exchange. */
+  const unsent = new Map<string, { readonly sum: number; readonly count: number }>();
   let noise = INITIAL_NOISE;
   let spread: PoolSpread = { mean: 0, variance: 0, recent: 0, at: -Infinity };
 
-  const computeSpread = (now: number): PoolSpread => {
-    let total = 0;
-    let sum = 0;
-    let uncertainty = 0;
-    let recentSum = 0;
-    let recentWeight = RECENT_PRIOR * MIN_ROWS;
-    for (const { base, count, recent } of rows.values()) {
-      total += 1;
-      sum += base;
-      uncertainty += noise / count;
-      if (recent.length > 0 && now - recent.at(-1)!.at < MAX_RECENT_AGE_MS) {
-        const { median, weight } = computeRecent(recent, now);
-        recentSum += weight * computeBounded(median - base, RECENT_TOLERANCE);
-        recentWeight += weight;
-      }
-    }
-    const recent = recentSum / recentWeight;
-    const mean = total > 0 ? sum / total : 0;
-    if (total < MIN_ROWS) return { mean, variance: 0, recent, at: now };
-    let squares = 0;
-    for (const { base } of rows.values()) squares += (base - mean) ** 2;
-    // The variance of a few means is uncertain itself; two standard errors are left out.
-    const explained = (uncertainty / total) * (1 + 2 * Math.sqrt(2 / (total - 1)));
-    const variance = Math.max(0, squares / (total - 1) - explained - MIN_SPREAD ** 2);
-    return { mean, variance, recent, at: now };
-  };
-
   const computeParts = (endpoint: string, row: Row | undefined, now: number): SpeedParts => {
     const known = prior?.readParts(endpoint, now) ?? EQUAL;
     if (!row) return known;
     const { mean, variance, recent: common } = spread;
-    const { base, count, recent } = row;
+    const { base, count, median, weight } = computeView(row, now);
     // Shrinks towards the prior by the ratio of the noise of samples to the spread of the pool.
     const usualWeight = variance > 0 ? 1 / (1 + noise / variance / count) : 0;
-    const { median, weight } = computeRecent(recent, now);
     const deviation = median - base - common;
     const excess = computeExcess(deviation);
     return {
@@ -229,7 +208,10 @@
   };
 
   const readParts = (endpoint: string, now: number): SpeedParts => {
-    if (now - spread.at >= SPREAD_INTERVAL_MS) spread = computeSpread(now);
+    if (now - spread.at >= SPREAD_INTERVAL_MS) {
+      const views = [...rows.values()].map((item) => computeView(item, now));
+      spread = computeSpread(views, noise, now);
+    }
     const row = rows.get(endpoint);
     if (!row) return computeParts(endpoint, undefined, now);
     if (now - row.computedAt >= CACHE_MS) {
@@ -256,25 +238,24 @@
     levels.set(kind, { logMs: known.logMs + weight * bounded, count });
   };
 
-  const updateRow = (endpoint: string, logRatio: number, now: number): void => {
+  const acquireRow = (endpoint: string): Row => {
     const known = rows.get(endpoint);
-    const row = known ?? {
-      base: logRatio,
-      count: 0,
-      at: now,
-      recent: [],
-      parts: EQUAL,
-      computedAt: -Infinity,
-    };
-    if (!known) rows.set(endpoint, row);
-    const step = computeBounded(logRatio - row.base, MAX_STEP);
-    if (known) noise += NOISE_WEIGHT * (step ** 2 - noise);
-    const countStep = computeCountStep(row, now);
-    row.base += computeBaseWeight(row, countStep, now) * step;
-    row.count = Math.min(MAX_COUNT, row.count + countStep);
-    row.at = now;
-    addRecent(row.recent, now, logRatio);
+    if (known) return known;
+    const row = { own: undefined, shared: undefined, parts: EQUAL, computedAt: -Infinity };
+    rows.set(endpoint, row);
+    return row;
+  };
+
+  const updateRow = (endpoint: string, logRatio: number, now: number): void => {
+    const row = acquireRow(endpoint);
+    if (row.own) {
+      const residual = computeBounded(logRatio - row.own.base, MAX_STEP);
+      noise += NOISE_WEIGHT * (residual ** 2 - noise);
+    }
+    row.own = addSpeedSample(row.own, logRatio, now);
     row.computedAt = -Infinity;
+    const { sum, count } = unsent.get(endpoint) ?? { sum: 0, count: 0 };
+    unsent.set(endpoint, { sum: sum + logRatio, count: count + 1 });
   };
 
   return {
@@ -282,7 +263,9 @@
       if (!(unitMs > 0)) return;
       const logMs = Math.log(unitMs);
       const level = levels.get(kind) ?? { logMs, count: 0 };
-      if (level.count >= MIN_LEVEL_SAMPLES) updateRow(endpoint, logMs - level.logMs, now);
+      if (level.count >= MIN_LEVEL_SAMPLES) {
+        updateRow(endpoint, computeBounded(logMs - level.logMs, MAX_LOG_RATIO), now);
+      }
       updateLevel(kind, level, logMs - readLogFactor(endpoint, now));
     },
     readFactor,
@@ -290,11 +273,30 @@
     find: (endpoint, now) => {
       const row = rows.get(endpoint);
       if (!row) return undefined;
-      return { factor: readFactor(endpoint, now), samples: row.count, ageMs: now - row.at };
+      const { count } = computeView(row, now);
+      return { factor: readFactor(endpoint, now), samples: count, ageMs: now - readAt(row) };
+    },
+    drainSamples: (limit) => {
+      const samples = [...unsent]
+        .slice(0, limit)
+        .map(([endpoint, { sum, count }]) => ({ endpoint, logRatio: sum / count }));
+      unsent.clear();
+      return samples;
     },
+    applyShared: (shared, now) =>
+      shared.forEach((item) => {
+        const row = acquireRow(item.endpoint);
+        row.shared = { ...item, at: now };
+        row.computedAt = -Infinity;
+      }),
+    removeShared: () =>
+      rows.forEach((row, endpoint) => {
+        if (row.own) rows.set(endpoint, { ...row, shared: undefined, computedAt: -Infinity });
+        else rows.delete(endpoint);
+      }),
     expire: (now) => {
-      for (const [endpoint, { at }] of rows) {
-        if (now - at > MEMORY_MS) rows.delete(endpoint);
+      for (const [endpoint, row] of rows) {
+        if (now - readAt(row) > MEMORY_MS) rows.delete(endpoint);
       }
     },
   };
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -27,6 +27,12 @@
 export * from './placeEngineRequest';
 export * from './prefillRates';
 export * from './endpointSpeeds';
+export {
+  addSpeedSample,
+  computeRecentSpeed,
+  type RecentSpeed,
+  type SpeedEstimate,
+} from './speedEstimate';
 export * from './suspicion';
 export * from './endpointBackoff';
 export * from './requestTokens';
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -28,6 +28,7 @@
 import { createRoutingView, type RoutingView } from './routingView';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
 import type { SuspectTable } from './suspectTable';
+import { createSpeedTopic } from './speedTopic';
 import { createSuspectTopic } from './suspectTopic';
 import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
@@ -123,9 +124,12 @@
   },
   {
     name: 'speeds',
-    dependencies: [],
-    start: () => {
-      const value = createServiceSpeeds();
+    dependencies: ['registry-view'],
+    start: (find) => {
+      const registry = find<RegistryView>('registry-view');
+      const value = createServiceSpeeds(
+        (incarnation) => registry.findIncarnation(incarnation)?.service,
+      );
       const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
       return { value, stop: () => clearInterval(timer) };
     },
@@ -176,6 +180,7 @@
     'suspects',
     'quarantine',
     'limits',
+    'speeds',
   ],
   start: (find) => {
     const view = find<RoutingView>('routing-view');
@@ -201,6 +206,11 @@
           log: createPartLogger(find<Logger>('log'), 'gateway'),
           readNow,
         }),
+        createSpeedTopic({
+          speeds: find<ServiceSpeeds>('speeds'),
+          log: createPartLogger(find<Logger>('log'), 'gateway'),
+          readNow,
+        }),
       ],
       countGateways: () => view.read()?.gatewayCount ?? 1,
       findControlHost: view.findLeader,
--- a/src/node/gateway/index.ts
+++ b/src/node/gateway/index.ts
@@ -6,5 +6,6 @@
 export * from './endpointLoads';
 export { computeExchangeInterval } from './peerExchange';
 export * from './gapSampler';
+export * from './serviceSpeeds';
 export * from './sessionVersions';
 export type { RoutingSnapshot as RoutingFacts } from './routingView';
--- a/src/node/gateway/serviceSpeeds.ts
+++ b/src/node/gateway/serviceSpeeds.ts
@@ -1,5 +1,10 @@
 import { createEndpointSpeeds, type EndpointSpeeds } from '../decisions';
 import { formatIncarnation, type EndpointReport } from '../registry';
+import {
+  MAX_REPORTED_SPEEDS,
+  type SharedSpeedRow,
+  type ShareSpeedsParams,
+} from '../routingControl';
 
 /** Speeds of the endpoints of one service, by kind of work. */
 export interface SpeedTables {
@@ -20,12 +25,23 @@
     gapMs: number,
     now: number,
   ) => void;
+  /** Takes the samples that other gateways have not got yet. */
+  readonly drainSamples: () => ShareSpeedsParams['samples'];
+  /** Applies what the samples of all gateways show. */
+  readonly applyShared: (speeds: readonly SharedSpeedRow[], now: number) => void;
+  /** Removes what the samples of other gateways show. */
+  readonly removeShared: () => void;
   /** Removes endpoints without recent samples; `now` is monotonic time in milliseconds. */
   readonly expire: (now: number) => void;
 }
 
-/** Creates speeds without samples. */
-export const createServiceSpeeds = (): ServiceSpeeds => {
+const KINDS = ['prefill', 'decode', 'answer'] as const;
+
+/** Finds the service of an endpoint's incarnation; undefined if the incarnation is not known. */
+export type FindService = (incarnation: string) => string | undefined;
+
+/** Creates speeds without samples. Speeds from others are kept for endpoints of known services. */
+export const createServiceSpeeds = (findService: FindService = () => undefined): ServiceSpeeds => {
   const tables = new Map<string, SpeedTables>();
   const acquire = (service: string): SpeedTables => {
     const known = tables.get(service);
@@ -42,9 +58,21 @@
       const sample = { endpoint: formatIncarnation(endpoint), kind: model, unitMs: gapMs };
       acquire(endpoint.service).decode.record(sample, now);
     },
-    expire: (now) =>
-      tables.forEach(({ prefill, decode, answer }) =>
-        [prefill, decode, answer].forEach((speeds: EndpointSpeeds) => speeds.expire(now)),
-      ),
+    drainSamples: () =>
+      [...tables.values()]
+        .flatMap((item) =>
+          KINDS.flatMap((kind) =>
+            item[kind].drainSamples(MAX_REPORTED_SPEEDS).map((sample) => ({ kind, ...sample })),
+          ),
+        )
+        .slice(0, MAX_REPORTED_SPEEDS),
+    applyShared: (speeds, now) =>
+      speeds.forEach(({ kind, ...row }) => {
+        const service = findService(row.endpoint);
+        if (service !== undefined) acquire(service)[kind].applyShared([row], now);
+      }),
+    removeShared: () =>
+      tables.forEach((item) => KINDS.forEach((kind) => item[kind].removeShared())),
+    expire: (now) => tables.forEach((item) => KINDS.forEach((kind) => item[kind].expire(now))),
   };
 };
--- a/src/node/routingControl/__tests__/gatewayExchange.test.ts
+++ b/src/node/routingControl/__tests__/gatewayExchange.test.ts
@@ -5,6 +5,7 @@
   createLimitTable,
   createLoadAggregator,
   createSessionDirectory,
+  createSpeedTable,
   createSuspectDirectory,
   exchangeParams,
 } from '..';
@@ -16,6 +17,7 @@
       sessions: createSessionDirectory('sessions'),
       suspects: createSuspectDirectory('suspects'),
       limits: createLimitTable('limits'),
+      speeds: createSpeedTable('speeds'),
     },
     pino({ level: 'silent' }),
   );
@@ -41,6 +43,7 @@
   { name: 'sessions', params: { gateway: 'a', sessions: SESSIONS } },
   { name: 'suspects', params: { gateway: 'a', suspects: { suspects: [] } } },
   { name: 'limits', params: { gateway: 'a', limits: { limits: [] } } },
+  { name: 'speeds', params: { gateway: 'a', speeds: { samples: [] } } },
 ] as const;
 
 for (const { name, params } of cases) {
--- a/src/node/routingControl/gatewayExchange.ts
+++ b/src/node/routingControl/gatewayExchange.ts
@@ -8,6 +8,7 @@
   type SessionDirectory,
 } from './sessionDirectory';
 import { shareLimitsParams, type LimitTable, type ShareLimitsAnswer } from './limitTable';
+import { shareSpeedsParams, type ShareSpeedsAnswer, type SpeedTable } from './speedTable';
 import {
   shareSuspectsParams,
   type ShareSuspectsAnswer,
@@ -19,6 +20,7 @@
   sessions: bindSessionsParams.omit({ gateway: true }),
   suspects: shareSuspectsParams,
   limits: shareLimitsParams,
+  speeds: shareSpeedsParams,
 } as const;
 
 /**
@@ -42,6 +44,7 @@
   readonly sessions?: BindSessionsAnswer;
   readonly suspects?: ShareSuspectsAnswer;
   readonly limits?: ShareLimitsAnswer;
+  readonly speeds?: ShareSpeedsAnswer;
   /** Why the reports of other topics were refused; such a report must not be sent again. */
   readonly refused?: Readonly<Partial<Record<keyof typeof topicSchemas, string>>>;
 }
@@ -55,6 +58,7 @@
   readonly sessions: SessionDirectory;
   readonly suspects: SuspectDirectory;
   readonly limits: LimitTable;
+  readonly speeds: SpeedTable;
 }
 
 type TopicHandler<N extends ExchangeTopicName> = (
@@ -77,12 +81,13 @@
 
 /** Creates the handler of `gateway.exchange`. */
 export const createExchangeHandler = (tables: ExchangeTables, log: Logger): ExchangeHandler => {
-  const { loads, sessions, suspects, limits } = tables;
+  const { loads, sessions, suspects, limits, speeds } = tables;
   const handlers: TopicHandlers = {
     loads: (report, gateway, now) => loads.exchange({ gateway, ...report }, now),
     sessions: (report, gateway, now) => sessions.bind({ gateway, ...report }, now),
     suspects: (report, _gateway, now) => suspects.share(report, now),
     limits: (report, _gateway, now) => limits.share(report, now),
+    speeds: (report, _gateway, now) => speeds.share(report, now),
   };
   const names = Object.keys(handlers) as readonly ExchangeTopicName[];
 
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -11,3 +11,4 @@
 export * from './gatewayExchange';
 export * from './suspectDirectory';
 export * from './limitTable';
+export * from './speedTable';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -19,6 +19,7 @@
 } from '../rpc';
 import { createExchangeHandler, exchangeParams } from './gatewayExchange';
 import { createLimitTable } from './limitTable';
+import { createSpeedTable } from './speedTable';
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
 import { claimProbeParams, createSuspectDirectory } from './suspectDirectory';
@@ -158,6 +159,7 @@
       sessions: sessionDirectory,
       suspects: suspectDirectory,
       limits: createLimitTable(),
+      speeds: createSpeedTable(),
     };
     const handleExchange = createExchangeHandler(tables, log);
     const internalServer = createInternalServer({
