Choose endpoints of plain services by the expected work left

Cause: the least count of requests sends a slow endpoint as many requests as a fast one of the same length of queue.

Each gateway learns the time factor of each endpoint from complete answers, per route, divided by the requests per slot beyond one. Where the factors differ, the choice is between two endpoints that a hash draws in proportion to their speed, by factor x (1 + requests per slot); the preference for the own zone and the tie-break by hash stay.

--- a/src/node/decisions/endpointSpeeds.ts
+++ b/src/node/decisions/endpointSpeeds.ts
@@ -66,6 +66,8 @@
   readonly record: (sample: SpeedSample, now: number) => void;
   /** Returns the time factor of an endpoint; 1 without samples or without a difference. */
   readonly readFactor: (endpoint: string, now: number) => number;
+  /** Returns the milliseconds for a unit of a kind of work in the pool; 1 if unknown. */
+  readonly readUnitMs: (kind: string) => number;
   readonly readParts: (endpoint: string, now: number) => SpeedParts;
   readonly find: (endpoint: string, now: number) => EndpointSpeed | undefined;
   /** Takes the mean sample of each endpoint since the last call, of at most `limit` endpoints. */
@@ -269,6 +271,7 @@
       updateLevel(kind, level, logMs - readLogFactor(endpoint, now));
     },
     readFactor,
+    readUnitMs: (kind) => Math.exp(levels.get(kind)?.logMs ?? 0),
     readParts,
     find: (endpoint, now) => {
       const row = rows.get(endpoint);
--- a/src/node/decisions/placeRequest.ts
+++ b/src/node/decisions/placeRequest.ts
@@ -1,7 +1,8 @@
 import murmurhash from 'murmurhash';
 
-// Load pattern: short calls to a few endpoints with few slots. One endpoint fails or slows down,
-// and several gateways choose concurrently without seeing each other's latest choices.
+// Load pattern: short calls to a few endpoints with few slots, which may differ in speed. One
+// endpoint fails or slows down, and several gateways choose concurrently without seeing each other's
+// latest choices.
 
 /** An endpoint that may take a request, as one gateway sees it. */
 export interface PlacementCandidate {
@@ -11,6 +12,8 @@
   readonly slots: number;
   /** Requests in flight at the endpoint, from all gateways as far as known. */
   readonly running: number;
+  /** Time that one request is expected to run there, in milliseconds; absent if unknown. */
+  readonly expectedMs?: number;
   /** Whether the endpoint is still slow after its start. */
   readonly isWarmingUp: boolean;
   /** Whether the endpoint is ejected after failures. */
@@ -39,6 +42,10 @@
 const FULL_RETRY_MS = 700;
 /** Largest load added by the tie-break between endpoints of similar load. */
 const TIE_BREAK_LOAD = 0.2;
+/** Endpoints among which the choice is made where endpoints differ in speed. */
+const DRAWN_ENDPOINTS = 2;
+/** Factor of the draw's score in the own zone; lower scores are drawn. */
+const OWN_ZONE_DRAW_FACTOR = 0.7;
 const HASH_RANGE = 2 ** 32;
 
 const computeHash = (...parts: readonly string[]): number =>
@@ -55,19 +62,56 @@
   return warm.length > 0 ? warm : known;
 };
 
+// Time factors of the endpoints; undefined if they are not known to differ.
+const computeTimeFactors = (
+  usable: readonly PlacementCandidate[],
+): ReadonlyMap<string, number> | undefined => {
+  const times = usable.flatMap(({ expectedMs }) => (expectedMs === undefined ? [] : [expectedMs]));
+  if (times.every((time) => time === times[0])) return undefined;
+  const meanMs = times.reduce((sum, time) => sum + time, 0) / times.length;
+  return new Map(usable.map(({ id, expectedMs = meanMs }) => [id, expectedMs / meanMs]));
+};
+
+// All gateways see the loads of others as of the last exchange. If each chose the best of all
+// endpoints, all would choose the same one until the next exchange. Two endpoints drawn by the hash,
+// in proportion to their speed, spread the requests and still avoid a busy endpoint.
+const listDrawn = (
+  usable: readonly PlacementCandidate[],
+  factors: ReadonlyMap<string, number>,
+  requestId: string,
+): readonly PlacementCandidate[] => {
+  const readScore = ({ id, isOwnZone }: PlacementCandidate): number =>
+    -Math.log(computeHash('draw', requestId, id) + 1 / HASH_RANGE) *
+    factors.get(id)! *
+    (isOwnZone ? OWN_ZONE_DRAW_FACTOR : 1);
+  return [...usable].sort((a, b) => readScore(a) - readScore(b)).slice(0, DRAWN_ENDPOINTS);
+};
+
 const chooseByLoad = (
   usable: readonly PlacementCandidate[],
+  factors: ReadonlyMap<string, number> | undefined,
   { requestId }: PlacementInput,
 ): PlacementCandidate => {
+  // The time of the requests ahead plus that of the request itself, as a difference from a mean
+  // endpoint without requests. With the factor 1 it is the number of requests per slot.
+  const readWork = ({ id, running, slots }: PlacementCandidate): number => {
+    const perSlot = running / Math.max(1, slots);
+    const factor = factors?.get(id);
+    return factor === undefined ? perSlot : factor * (1 + perSlot) - 1;
+  };
   // The hash breaks near ties, so that the gateways do not all choose the same endpoint.
   const readLoad = (candidate: PlacementCandidate): number =>
-    candidate.running / Math.max(1, candidate.slots) +
+    readWork(candidate) +
     (candidate.isOwnZone ? 0 : OTHER_ZONE_LOAD_PENALTY) +
     computeHash(requestId, candidate.id) * TIE_BREAK_LOAD;
-  return [...usable].sort((a, b) => readLoad(a) - readLoad(b))[0]!;
+  const considered = factors ? listDrawn(usable, factors, requestId) : usable;
+  return [...considered].sort((a, b) => readLoad(a) - readLoad(b))[0]!;
 };
 
-/** Chooses the least loaded endpoint of a plain service; at similar load, one in the own zone. */
+/**
+ * Chooses the endpoint of a plain service with the least expected work left, or the least loaded one
+ * while endpoints don't differ; at similar load, one in the own zone.
+ */
 export const placeRequest = (input: PlacementInput): Placement => {
   if (input.candidates.length === 0) {
     const reason = 'no endpoint accepts requests';
@@ -77,5 +121,7 @@
   if (usable.length === 0) {
     return { type: 'refused', reason: 'all endpoints are full', retryAfterMs: FULL_RETRY_MS };
   }
-  return { type: 'placed', id: chooseByLoad(usable, input).id, reason: 'least loaded' };
+  const factors = computeTimeFactors(usable);
+  const reason = factors ? 'least expected work' : 'least loaded';
+  return { type: 'placed', id: chooseByLoad(usable, factors, input).id, reason };
 };
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -111,6 +111,19 @@
   deps.tallies.record(createTallyKey(context), { type: 'answered', cost: 0, timeMs });
 };
 
+/** Records the time of a complete answer without a stream, by which endpoints are compared. */
+export const recordAnswerTime = ({
+  deps,
+  endpoint,
+  exchange,
+  snapshot,
+  startedAt,
+}: AttemptContext): void => {
+  const now = deps.readNow();
+  const run = { endpoint, route: exchange.request.route.name };
+  deps.chooser.recordAnswer(snapshot, run, now - startedAt, now);
+};
+
 /** Records that the caller gets the first byte of the response. */
 export const recordFirstByte = ({ deps, exchange }: AttemptContext): void => {
   const { route, receivedAt } = exchange.request;
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -107,6 +107,13 @@
     now: number,
   ) => void;
   readonly recordEventGap: ServiceSpeeds['recordEventGap'];
+  /** Records the measured time of an answer without a stream, in milliseconds. */
+  readonly recordAnswer: (
+    snapshot: RoutingSnapshot,
+    run: { readonly endpoint: EndpointReport; readonly route: string },
+    timeMs: number,
+    now: number,
+  ) => void;
 }
 
 /** Chooses the service of a request by the weights of its route. */
@@ -152,17 +159,21 @@
 
 const choosePlainEndpoint = (
   { loads, zone }: Pick<ChooserOptions, 'loads' | 'zone'>,
+  speeds: ServiceSpeeds,
   request: ChoiceRequest,
   reports: readonly EndpointReport[],
   ejected: ReadonlySet<string>,
   now: number,
 ): EndpointPlacement => {
+  const { answer } = speeds.acquire(reports[0]?.service ?? '');
+  const unitMs = answer.readUnitMs(request.route.name);
   const placement = placeRequest({
     candidates: reports.map((report) => ({
       id: report.id,
       isOwnZone: report.zone === zone,
       slots: report.slots,
       running: loads.findTotal(report.id, now).running,
+      expectedMs: unitMs * answer.readFactor(formatIncarnation(report), now),
       isWarmingUp: report.warmupMs > 0,
       isEjected: ejected.has(report.id),
     })),
@@ -175,6 +186,17 @@
   return { type: 'placed', endpoint, reason, ...prefill };
 };
 
+// Requests beyond the slots wait, which says nothing about the speed.
+const createAnswerRecorder =
+  (speeds: ServiceSpeeds, loads: EndpointLoads): EndpointChooser['recordAnswer'] =>
+  (snapshot, { endpoint, route }, timeMs, now) => {
+    if (findEngine(snapshot, endpoint.service)) return;
+    const { running } = loads.findTotal(endpoint.id, now);
+    const unitMs = timeMs / Math.max(1, running / Math.max(1, endpoint.slots));
+    const sample = { endpoint: formatIncarnation(endpoint), kind: route, unitMs };
+    speeds.acquire(endpoint.service).answer.record(sample, now);
+  };
+
 interface VersionCandidates {
   readonly reports: readonly EndpointReport[];
   readonly versionBasis: VersionBasis;
@@ -311,7 +333,7 @@
         findEngine(snapshot, service) !== undefined && caller.promptBlocks.length > 0;
       const placement = isEngine
         ? chooseEngineEndpoint(snapshot, request, reports, ejected, now)
-        : choosePlainEndpoint(options, request, reports, ejected, now);
+        : choosePlainEndpoint(options, speeds, request, reports, ejected, now);
       return placement.type === 'placed' ? { ...placement, versionBasis } : placement;
     },
     recordSent: (snapshot, { caller, model }, { id, service }) => {
@@ -322,5 +344,6 @@
     },
     recordFirstToken: rates.recordFirstToken,
     recordEventGap: speeds.recordEventGap,
+    recordAnswer: createAnswerRecorder(speeds, loads),
   };
 };
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -2,6 +2,7 @@
 import { formatIncarnation } from '../registry';
 import { isRetryableRoute } from '../routing';
 import {
+  recordAnswerTime,
   recordConnectionLoss,
   recordFailure,
   recordFirstByte,
@@ -112,6 +113,7 @@
   }
   if (!isFailure) {
     recordSuccess(context, deps.readNow() - startedAt);
+    recordAnswerTime(context);
     recordSurvival(context);
   }
   recordFirstByte(context);
