--- a/bench/emulator/emulate.ts
+++ b/bench/emulator/emulate.ts
@@ -1,8 +1,13 @@
-import { computeExchangeInterval, type PredictedWork } from '../../src/node/gateway';
-import { createLoadAggregator } from '../../src/node/routingControl';
+import {
+  computeExchangeInterval,
+  createGapSampler,
+  type PredictedWork,
+} from '../../src/node/gateway';
+import { createLoadAggregator, createSpeedTable } from '../../src/node/routingControl';
 import { createClock, type Clock } from './clock';
 import { createRandomSource, type RandomSource } from './randomSource';
 import { createEngine, type Engine } from './engine';
+import { createTimeFactor } from './engineSpeeds';
 import {
   createFacts,
   createGateway,
@@ -15,6 +20,13 @@
 import { POLICIES, type Policy, type PolicyView } from './policies';
 import { createRequestSource, type EmulatedRequest } from './requests';
 
+/** A run that was placed on an engine. */
+export interface Placement {
+  readonly endpoint: string;
+  readonly at: number;
+  readonly prefillTokens: number;
+}
+
 /** The result of one request. */
 export interface Outcome {
   readonly request: EmulatedRequest;
@@ -30,6 +42,8 @@
   readonly runs: number;
   /** Time of the last refusal, if it was refused. */
   readonly refusedAt?: number;
+  /** Engines of the runs, with the time at which each was placed in milliseconds. */
+  readonly placements: readonly Placement[];
   /** Price of all model runs for the request, including discarded answers. */
   readonly cost: number;
 }
@@ -41,6 +55,8 @@
   /** Factor applied to the pattern's request rates. */
   readonly load: number;
   readonly seed: number;
+  /** Whether the gateways share the speeds that they measure; true if absent. */
+  readonly isSharingSpeeds?: boolean;
 }
 
 /** The result of one emulator run. */
@@ -83,6 +99,7 @@
   readonly request: EmulatedRequest;
   readonly runs: number;
   readonly retries: number;
+  readonly placements: readonly Placement[];
   readonly cost: number;
   /** Gateway of the attempt, and the time at which it received the request. */
   readonly gateway: number;
@@ -99,6 +116,7 @@
   request,
   runs: 0,
   retries: 0,
+  placements: [],
   cost: 0,
   gateway: request.gateway,
   receivedAt: now,
@@ -143,8 +161,9 @@
     clock.schedule(delayMs, () => startRequest(simulation, createReturn(simulation, attempt)));
     return;
   }
-  const { runs, cost } = attempt;
-  record({ request, end: 'refused', ...NO_ANSWER, refusedAt: clock.readNow(), runs, cost });
+  const { runs, placements, cost } = attempt;
+  const fields = { ...NO_ANSWER, refusedAt: clock.readNow(), runs, placements, cost };
+  record({ request, end: 'refused', ...fields });
 };
 
 // Returns false if the request waits or is refused.
@@ -181,8 +200,8 @@
     (end) => {
       if (end.type === 'refused') settleRefused(simulation, attempt, end.retryAfterMs);
       if (end.type === 'ended') {
-        const { runs, cost } = attempt;
-        simulation.record({ request, end: 'gave_up', ...NO_ANSWER, runs, cost });
+        const { runs, placements, cost } = attempt;
+        simulation.record({ request, end: 'gave_up', ...NO_ANSWER, runs, placements, cost });
       }
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- chosen again after a wait
       if (end.type === 'run') startRequest(simulation, { ...attempt, isAdmitted: true });
@@ -214,6 +233,8 @@
   gateway.cacheEstimates.record(endpoint.id, modelName, request.promptBlocks);
   const share = gateway.loads.add(endpoint.id, { sentAt: now, prefillMs, priority });
   const runs = attempt.runs + 1;
+  const placed = { endpoint: endpoint.id, at: now, prefillTokens: uncachedTokens };
+  const placements = [...attempt.placements, placed];
   const promptCost = attempt.cost + computeCost(model, request.promptTokens, 0);
   const networkMs =
     SAME_ZONE_LATENCY_MS + (endpoint.zone === gateway.zone ? 0 : CROSS_ZONE_EXTRA_MS);
@@ -222,7 +243,7 @@
   const handleResponseHead = (): boolean => {
     if (computeElapsedMs() > computePatienceMs(pattern, request)) {
       share.release();
-      const fields = { ...NO_ANSWER, model: modelName, endpoint: endpoint.id, runs };
+      const fields = { ...NO_ANSWER, model: modelName, endpoint: endpoint.id, runs, placements };
       record({ request, end: 'gave_up', ...fields, cost: promptCost });
       return false;
     }
@@ -237,7 +258,7 @@
     clock.schedule(networkMs, () =>
       startRun(
         simulation,
-        { ...attempt, runs, cost: promptCost, priority, isAdmitted: true },
+        { ...attempt, runs, placements, cost: promptCost, priority, isAdmitted: true },
         secondModel,
       ),
     );
@@ -249,10 +270,18 @@
   const handleLoss = (): void => {
     share.release();
     gateway.loads.recordOutcome(endpoint.id, 'failed', clock.readNow());
-    const kept = { runs, cost: promptCost, priority, firstTokenMs };
+    const kept = { runs, placements, cost: promptCost, priority, firstTokenMs };
     const next = { ...attempt, ...kept, isAdmitted: true };
     startRun(simulation, { ...next, tried: new Set([...tried, endpoint.id]) }, modelName);
   };
+  const gapSampler = createGapSampler((gapMs) =>
+    gateway.chooser.recordEventGap({ endpoint, model: modelName }, gapMs, clock.readNow()),
+  );
+  let eventAt = 0;
+  const recordEvent = (): void => {
+    gapSampler.record(1, eventAt, clock.readNow());
+    eventAt = clock.readNow();
+  };
   const run = {
     handleLoss,
     model,
@@ -263,11 +292,14 @@
     handleFirstToken: () => {
       share.endPrefill();
       firstTokenMs = Math.min(firstTokenMs, computeElapsedMs() + networkMs);
+      recordEvent();
       if (queueMs + displacedMs > 50) return;
-      const uncached = { service: endpoint.service, model: modelName, uncachedTokens };
+      const uncached = { endpoint, model: modelName, uncachedTokens };
       const prefill = { ...uncached, promptTokens: request.promptTokens };
-      gateway.chooser.recordFirstToken(view.facts, prefill, clock.readNow() - now);
+      const at = clock.readNow();
+      gateway.chooser.recordFirstToken(view.facts, prefill, at - now, at);
     },
+    handleEvent: recordEvent,
     handleEnd: (longestPauseMs: number) => {
       share.release();
       const cost = promptCost + computeCost(model, 0, request.answerTokens);
@@ -281,6 +313,7 @@
         model: modelName,
         endpoint: endpoint.id,
         runs,
+        placements,
         cost,
       });
     },
@@ -358,7 +391,13 @@
 };
 
 /** Runs a load pattern. The same options produce the same outcomes. */
-export const runEmulation = ({ pattern, policy, load, seed }: EmulationOptions): Emulation => {
+export const runEmulation = ({
+  pattern,
+  policy,
+  load,
+  seed,
+  isSharingSpeeds = true,
+}: EmulationOptions): Emulation => {
   const chosen = POLICIES[policy];
   if (!chosen)
     throw new Error(
@@ -367,7 +406,9 @@
   const clock = createClock();
   const draws = createRandomSource(seed);
   const reports = createReports(pattern);
-  const engines = reports.map(({ id, zone }) => createEngine(clock, pattern, id, zone));
+  const engines = reports.map(({ id, zone }, index) =>
+    createEngine(clock, pattern, id, zone, createTimeFactor(clock, pattern, index, seed)),
+  );
   const outcomes: Outcome[] = [];
   const gateways = Array.from({ length: pattern.gateways }, (_item, index) =>
     createGateway(pattern, reports, index, clock),
@@ -383,11 +424,14 @@
     view: { pattern, facts, engines, reports, draws: createRandomSource(seed + 1) },
     record: (outcome) => outcomes.push(outcome),
   };
-  const aggregator = createLoadAggregator('board');
+  const tables = {
+    aggregator: createLoadAggregator('board'),
+    speedTable: isSharingSpeeds ? createSpeedTable('speeds') : undefined,
+  };
   const exchangeMs = computeExchangeInterval(pattern.gateways);
   gateways.forEach((gateway, index) => {
     const runExchange = (): void => {
-      const applyAnswer = gateway.exchange(aggregator, clock.readNow());
+      const applyAnswer = gateway.exchange(tables, clock.readNow());
       if (pattern.viewDelayMs === undefined) applyAnswer();
       else clock.schedule(pattern.viewDelayMs, applyAnswer);
       clock.schedule(exchangeMs, runExchange);
--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -13,6 +13,8 @@
   /** Called before the first token, when the response head is available. False cancels the run. */
   readonly handleResponseHead: () => boolean;
   readonly handleFirstToken: () => void;
+  /** Called at each event after the first one. */
+  readonly handleEvent?: () => void;
   /** Called after the last token, with the longest time between two events of the stream. */
   readonly handleEnd: (longestPauseMs: number) => void;
   /** Called when the engine is lost before the last token. */
@@ -85,7 +87,13 @@
   blocks.reduce((sum, { tokens }) => sum + tokens, 0);
 
 /** Creates an idle engine with an empty prefix cache. */
-export const createEngine = (clock: Clock, pattern: Pattern, id: string, zone: string): Engine => {
+export const createEngine = (
+  clock: Clock,
+  pattern: Pattern,
+  id: string,
+  zone: string,
+  readTimeFactor: () => number = () => 1,
+): Engine => {
   const { engine: settings } = pattern;
   /** Runs without a first token, in the order of their prefill. */
   const queue: ActiveRun[] = [];
@@ -179,13 +187,18 @@
     }
     // Step time does not depend on the model. Logged traffic shows the same gap between events for
     // every model.
-    const stepMs = runPrefillChunk() + settings.stepMs + settings.stepMsPerSlot * decoding.size;
+    const stepMs =
+      readTimeFactor() *
+      (runPrefillChunk() + settings.stepMs + settings.stepMsPerSlot * decoding.size);
     busyMs += stepMs;
     clock.schedule(stepMs, () => {
       if (isLost) return;
       for (const active of decoding) {
         active.remainingAnswerTokens -= 1;
         active.pauses.recordToken(active.remainingAnswerTokens <= 0);
+        const isEvent =
+          (active.run.answerTokens - active.remainingAnswerTokens) % settings.tokensPerEvent === 0;
+        if (isEvent) active.run.handleEvent?.();
         if (active.remainingAnswerTokens > 0) continue;
         decoding.delete(active);
         active.run.handleEnd(active.pauses.readLongestMs());
--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -5,31 +5,46 @@
   createEndpointChooser,
   createEndpointLoads,
   createScarcityAdmission,
+  createServiceSpeeds,
   createSessionVersions,
   type PrefixCacheEstimates,
   type EndpointChooser,
   type EndpointLoads,
+  type ServiceSpeeds,
   type RoutingFacts,
   type ScarcityAdmission,
 } from '../../src/node/gateway';
 import type { EndpointReport } from '../../src/node/registry';
 import { createRouteTable, type Route } from '../../src/node/routing';
-import type { LoadAggregator, PromptCursor } from '../../src/node/routingControl';
+import type {
+  LoadAggregator,
+  PromptCursor,
+  SpeedCursor,
+  SpeedTable,
+} from '../../src/node/routingControl';
 import type { Clock } from './clock';
 import type { Pattern, PatternTask } from './pattern';
 
+/** Tables of the control host that the gateways share. */
+export interface EmulatedTables {
+  readonly aggregator: LoadAggregator;
+  /** Absent while speeds are not shared. */
+  readonly speedTable: SpeedTable | undefined;
+}
+
 /** One gateway, built from the production components. */
 export interface EmulatedGateway {
   readonly zone: string;
   readonly chooser: EndpointChooser;
   readonly loads: EndpointLoads;
   readonly cacheEstimates: PrefixCacheEstimates;
+  readonly speeds: ServiceSpeeds;
   readonly admission: ScarcityAdmission;
   /**
-   * Reports the load of this gateway to the aggregator and returns a function that applies that of
-   * the other gateways.
+   * Reports what this gateway knows to the tables and returns a function that applies what the other
+   * gateways know.
    */
-  readonly exchange: (aggregator: LoadAggregator, now: number) => () => void;
+  readonly exchange: (tables: EmulatedTables, now: number) => () => void;
   /** Removes an endpoint that no longer reports. */
   readonly removeEndpoint: (id: string) => void;
 }
@@ -132,6 +147,7 @@
     readNow: clock.readNow,
     schedule: clock.schedule,
   });
+  const speeds = createServiceSpeeds(() => SERVICE);
   const chooser = createEndpointChooser({
     zone,
     sessionMs: 5_000,
@@ -141,17 +157,20 @@
     backoffs: { findEnd: () => undefined },
     loads,
     cacheEstimates,
+    speeds,
     sessions: createSessionVersions(5_000),
     registry,
   });
   let cursor: PromptCursor | undefined;
+  let speedCursor: SpeedCursor | undefined;
   return {
     zone,
     chooser,
     loads,
     cacheEstimates,
+    speeds,
     admission,
-    exchange: (aggregator, now) => {
+    exchange: ({ aggregator, speedTable }, now) => {
       const own = {
         gateway: `g-${index}`,
         loads: loads.listOwn(now),
@@ -159,9 +178,13 @@
       };
       const answer = aggregator.exchange({ ...own, cursor }, now);
       cursor = answer.cursor;
+      const report = { samples: speeds.drainSamples(), cursor: speedCursor };
+      const shared = speedTable?.share(report, now);
+      speedCursor = shared?.cursor;
       return () => {
         loads.updatePeerLoads(answer.loads, now);
         cacheEstimates.applyPeerPrompts(answer.reads);
+        if (shared) speeds.applyShared(shared.speeds, now);
         admission.recordExchange();
       };
     },
--- a/bench/exchange.ts
+++ b/bench/exchange.ts
@@ -14,6 +14,7 @@
   createLimitTable,
   createLoadAggregator,
   createSessionDirectory,
+  createSpeedTable,
   createSuspectDirectory,
   exchangeParams,
   type ExchangeAnswer,
@@ -225,6 +226,7 @@
       findColdStart: () => undefined,
       readLeader: () => undefined,
     }),
+    speeds: createSpeedTable(),
   };
   const handle = createExchangeHandler(tables, pino({ level: 'silent' }));
   const app = createHttpServer({ tls: undefined });
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -10,7 +10,7 @@
   type PrefillRates,
   type VersionReason,
 } from '../decisions';
-import type { EndpointReport } from '../registry';
+import { formatIncarnation, type EndpointReport } from '../registry';
 import type { EngineProfile, RolloutStage, Route } from '../routing';
 import type { ColdPermits, ColdShortage } from './coldPermits';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
@@ -20,6 +20,7 @@
 import type { EndpointBackoffs } from './endpointBackoffs';
 import type { RegistryView } from './registryView';
 import { formatRolloutKey, type RoutingSnapshot } from './routingView';
+import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import type { SessionVersions } from './sessionVersions';
 import type { CallerHeaders } from './types';
 
@@ -99,6 +100,8 @@
   readonly coldPermits: Pick<ColdPermits, 'isWarm' | 'canSend' | 'computeRetryMs'>;
   readonly backoffs: Pick<EndpointBackoffs, 'findEnd'>;
   readonly cacheEstimates: PrefixCacheEstimates;
+  /** Relative speeds of the endpoints; empty at first if absent. */
+  readonly speeds?: ServiceSpeeds;
 }
 
 /** Chooses endpoints; `now` is monotonic time in milliseconds. */
@@ -117,8 +120,17 @@
   /** Records the measured time to a first token, in milliseconds. */
   readonly recordFirstToken: (
     snapshot: RoutingSnapshot,
-    prefill: PromptPrefill & { readonly service: string; readonly model: string },
+    prefill: PromptPrefill & { readonly endpoint: EndpointReport; readonly model: string },
     delayMs: number,
+    now: number,
+  ) => void;
+  readonly recordEventGap: ServiceSpeeds['recordEventGap'];
+  /** Records the measured time of an answer without a stream, in milliseconds. */
+  readonly recordAnswer: (
+    snapshot: RoutingSnapshot,
+    run: { readonly endpoint: EndpointReport; readonly route: string },
+    timeMs: number,
+    now: number,
   ) => void;
 }
 
@@ -136,39 +148,50 @@
   return shared ? `${model ?? ''}|${shared.id}` : '';
 };
 
+const findEngine = (snapshot: RoutingSnapshot, service: string): EngineProfile | undefined =>
+  snapshot.table.findService(service)?.engine;
+
 interface RateTable {
   readonly acquire: (service: string, engine: EngineProfile) => PrefillRates;
+  readonly recordFirstToken: EndpointChooser['recordFirstToken'];
 }
 
-const createRateTable = (): RateTable => {
+const createRateTable = (speeds: ServiceSpeeds): RateTable => {
   const rates = new Map<string, PrefillRates>();
+  const acquire: RateTable['acquire'] = (service, { models }) => {
+    const known = rates.get(service);
+    if (known) return known;
+    const created = createPrefillRates(models, speeds.acquire(service).prefill);
+    rates.set(service, created);
+    return created;
+  };
   return {
-    acquire: (service, { models }) => {
-      const known = rates.get(service);
-      if (known) return known;
-      const created = createPrefillRates(models);
-      rates.set(service, created);
-      return created;
+    acquire,
+    recordFirstToken: (snapshot, { endpoint, model, ...prefill }, delayMs, now) => {
+      const engine = findEngine(snapshot, endpoint.service);
+      const at = { incarnation: formatIncarnation(endpoint), now };
+      if (engine) acquire(endpoint.service, engine).record(model, prefill, delayMs, at);
     },
   };
 };
 
-const findEngine = (snapshot: RoutingSnapshot, service: string): EngineProfile | undefined =>
-  snapshot.table.findService(service)?.engine;
-
 const choosePlainEndpoint = (
   { loads, zone }: Pick<ChooserOptions, 'loads' | 'zone'>,
+  speeds: ServiceSpeeds,
   request: ChoiceRequest,
   reports: readonly EndpointReport[],
   ejected: ReadonlySet<string>,
   now: number,
 ): EndpointPlacement => {
+  const { answer } = speeds.acquire(reports[0]?.service ?? '');
+  const unitMs = answer.readUnitMs(request.route.name);
   const placement = placeRequest({
     candidates: reports.map((report) => ({
       id: report.id,
       isOwnZone: report.zone === zone,
       slots: report.slots,
       running: loads.findTotal(report.id, now).running,
+      expectedMs: unitMs * answer.readFactor(formatIncarnation(report), now),
       isWarmingUp: report.warmupMs > 0,
       isEjected: ejected.has(report.id),
     })),
@@ -181,6 +204,17 @@
   return { type: 'placed', endpoint, reason, ...prefill };
 };
 
+// Requests beyond the slots wait, which says nothing about the speed.
+const createAnswerRecorder =
+  (speeds: ServiceSpeeds, loads: EndpointLoads): EndpointChooser['recordAnswer'] =>
+  (snapshot, { endpoint, route }, timeMs, now) => {
+    if (findEngine(snapshot, endpoint.service)) return;
+    const { running } = loads.findTotal(endpoint.id, now);
+    const unitMs = timeMs / Math.max(1, running / Math.max(1, endpoint.slots));
+    const sample = { endpoint: formatIncarnation(endpoint), kind: route, unitMs };
+    speeds.acquire(endpoint.service).answer.record(sample, now);
+  };
+
 interface VersionCandidates {
   readonly reports: readonly EndpointReport[];
   /** Whether endpoints were left out because their zones are evacuated. */
@@ -268,7 +302,8 @@
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
   const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
-  const rates = createRateTable();
+  const { speeds = createServiceSpeeds() } = options;
+  const rates = createRateTable(speeds);
 
   const listByVersion = (
     snapshot: RoutingSnapshot,
@@ -321,13 +356,15 @@
     const service = reports[0]?.service ?? '';
     const engine = findEngine(snapshot, service);
     const rate = engine && rates.acquire(service, engine);
+    const { decode } = speeds.acquire(service);
     const prompt = createPromptKey(model, promptBlocks);
     const placement = placeEngineRequest({
       candidates: reports.map((report) => {
         const load = loads.findTotal(report.id, now);
         const { shared: uncachedPrefixTokens, total: uncachedTokens } =
           cacheEstimates.countUncached(report.id, prompt);
-        const prefillMs = rate?.estimate(model, { uncachedTokens, promptTokens }) ?? 0;
+        const at = { incarnation: formatIncarnation(report), now };
+        const prefillMs = rate?.estimate(model, { uncachedTokens, promptTokens }, at) ?? 0;
         return {
           id: report.id,
           endpoint: report,
@@ -336,6 +373,7 @@
           running: load.running,
           ...chooseQueuePosition(load, request, prefillMs, options.hasPriorities),
           prefillMs,
+          stepFactor: decode.readFactor(at.incarnation, now),
           uncachedPrefixTokens,
           uncachedTokens,
           isWarmingUp: report.warmupMs > 0,
@@ -375,7 +413,7 @@
       const place = (candidates: readonly EndpointReport[]): EndpointPlacement =>
         isEngine
           ? chooseEngineEndpoint(snapshot, request, candidates, ejected, now)
-          : choosePlainEndpoint(options, request, candidates, ejected, now);
+          : choosePlainEndpoint(options, speeds, request, candidates, ejected, now);
       const placement = placeWithPermits(options.coldPermits, reports, request, now, place);
       return placement.type === 'placed' ? { ...placement, versionBasis } : placement;
     },
@@ -385,9 +423,8 @@
       if (!engine || name === undefined) return;
       cacheEstimates.record(id, name, caller.promptBlocks);
     },
-    recordFirstToken: (snapshot, { service, model, ...prefill }, delayMs) => {
-      const engine = findEngine(snapshot, service);
-      if (engine) rates.acquire(service, engine).record(model, prefill, delayMs);
-    },
+    recordFirstToken: rates.recordFirstToken,
+    recordEventGap: speeds.recordEventGap,
+    recordAnswer: createAnswerRecorder(speeds, loads),
   };
 };
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -31,7 +31,9 @@
 import { createScarcityAdmission, type ScarcityAdmission } from './scarcityAdmission';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
 import type { SuspectTable } from './suspectTable';
+import { createSpeedTopic } from './speedTopic';
 import { createSuspectTopic } from './suspectTopic';
+import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec, IdentityCodec } from './types';
@@ -123,6 +125,18 @@
     dependencies: [],
     start: () => ({ value: createEndpointLoads() }),
   },
+  {
+    name: 'speeds',
+    dependencies: ['registry-view'],
+    start: (find) => {
+      const registry = find<RegistryView>('registry-view');
+      const value = createServiceSpeeds(
+        (incarnation) => registry.findIncarnation(incarnation)?.service,
+      );
+      const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
+      return { value, stop: () => clearInterval(timer) };
+    },
+  },
 ];
 
 const createSessionServices = ({ node, bounds }: GatewaySettings): readonly Service[] => [
@@ -191,6 +205,7 @@
     'quarantine',
     'limits',
     'cold-permits',
+    'speeds',
   ],
   start: (find) => {
     const view = find<RoutingView>('routing-view');
@@ -224,6 +239,11 @@
           clock: createLeaseClock(),
           readNow,
         }),
+        createSpeedTopic({
+          speeds: find<ServiceSpeeds>('speeds'),
+          log: createPartLogger(find<Logger>('log'), 'gateway'),
+          readNow,
+        }),
       ],
       countGateways: () => view.read()?.gatewayCount ?? 1,
       findControlHost: view.findLeader,
@@ -257,6 +277,7 @@
     'routing-view',
     'registry-view',
     'loads',
+    'speeds',
     'beliefs',
     'sessions',
     'session-exchange',
@@ -288,6 +309,7 @@
         coldPermits: find<ColdPermits>('cold-permits'),
         backoffs: find<EndpointBackoffs>('backoffs'),
         cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
+        speeds: find<ServiceSpeeds>('speeds'),
         registry: find<RegistryView>('registry-view'),
         sessionMs: bounds.sessionMs,
         exposureShare: bounds.exposureShare,
--- a/src/node/gateway/index.ts
+++ b/src/node/gateway/index.ts
@@ -6,6 +6,8 @@
 export * from './endpointLoads';
 export * from './gatewayMetrics';
 export { computeExchangeInterval } from './peerExchange';
+export * from './gapSampler';
+export * from './serviceSpeeds';
 export * from './sessionVersions';
 export * from './scarcityAdmission';
 export type * from './scarcityTypes';
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -2,6 +2,7 @@
 import {
   recordConnectionLoss,
   recordEndpointLoss,
+  recordEventGap,
   recordFailure,
   recordFirstByte,
   recordFirstEvent,
@@ -26,6 +27,7 @@
   type StreamEvent,
 } from './eventReader';
 import type { Exchange } from './exchangeTypes';
+import { createGapSampler } from './gapSampler';
 import type { RawHeaders, ResponseHead } from './types';
 
 const recordEventIds = (exchange: Exchange, events: readonly StreamEvent[]): void => {
@@ -64,6 +66,7 @@
   const headers = removeLength(head.forwarded);
   const replyHead = { ...createReplyHead(head), headers, isCloseDelimited: isPassedOn };
   const isConfirming = isConfirmingEnd(exchange);
+  const gapSampler = createGapSampler((gapMs) => recordEventGap(context, gapMs));
   let firstAt: number | undefined;
   let hasSurvived = false;
   let waitStartedAt = startedAt;
@@ -113,6 +116,7 @@
         hasSurvived = true;
         recordSurvival(context);
       }
+      gapSampler.record(events.length, waitStartedAt, deps.readNow());
       recordEventIds(exchange, events);
       exchange.events += events.length;
       if (events.length > 0) await reply.write(Buffer.concat(events.map(({ bytes }) => bytes)));
--- a/src/node/routingControl/gatewayExchange.ts
+++ b/src/node/routingControl/gatewayExchange.ts
@@ -9,6 +9,7 @@
 } from './sessionDirectory';
 import { shareColdParams, type ColdTable, type ShareColdAnswer } from './coldTable';
 import { shareLimitsParams, type LimitTable, type ShareLimitsAnswer } from './limitTable';
+import { shareSpeedsParams, type ShareSpeedsAnswer, type SpeedTable } from './speedTable';
 import {
   shareSuspectsParams,
   type ShareSuspectsAnswer,
@@ -21,6 +22,7 @@
   suspects: shareSuspectsParams,
   limits: shareLimitsParams,
   cold: shareColdParams,
+  speeds: shareSpeedsParams,
 } as const;
 
 /**
@@ -45,6 +47,7 @@
   readonly suspects?: ShareSuspectsAnswer;
   readonly limits?: ShareLimitsAnswer;
   readonly cold?: ShareColdAnswer;
+  readonly speeds?: ShareSpeedsAnswer;
   /** Why the reports of other topics were refused; such a report must not be sent again. */
   readonly refused?: Readonly<Partial<Record<keyof typeof topicSchemas, string>>>;
 }
@@ -59,6 +62,7 @@
   readonly suspects: SuspectDirectory;
   readonly limits: LimitTable;
   readonly cold: ColdTable;
+  readonly speeds: SpeedTable;
 }
 
 type TopicHandler<N extends ExchangeTopicName> = (
@@ -81,13 +85,14 @@
 
 /** Creates the handler of `gateway.exchange`. */
 export const createExchangeHandler = (tables: ExchangeTables, log: Logger): ExchangeHandler => {
-  const { loads, sessions, suspects, limits, cold } = tables;
+  const { loads, sessions, suspects, limits, cold, speeds } = tables;
   const handlers: TopicHandlers = {
     loads: (report, gateway, now) => loads.exchange({ gateway, ...report }, now),
     sessions: (report, gateway, now) => sessions.bind({ gateway, ...report }, now),
     suspects: (report, _gateway, now) => suspects.share(report, now),
     limits: (report, _gateway, now) => limits.share(report, now),
     cold: (report, _gateway, now) => cold.share(report, now),
+    speeds: (report, _gateway, now) => speeds.share(report, now),
   };
   const names = Object.keys(handlers) as readonly ExchangeTopicName[];
 
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -15,3 +15,4 @@
 export * from './zoneOrders';
 export * from './coldTable';
 export * from './leaderConfirmation';
+export * from './speedTable';
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -22,6 +22,7 @@
 import { createColdTable } from './coldTable';
 import { createLeaderConfirmation } from './leaderConfirmation';
 import { createLimitTable } from './limitTable';
+import { createSpeedTable } from './speedTable';
 import { createLoadAggregator, exchangeLoadParams } from './loadAggregator';
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
 import { claimProbeParams, createSuspectDirectory } from './suspectDirectory';
@@ -182,6 +183,7 @@
           state.config()?.services.find(({ name }) => name === service)?.coldStart,
         readLeader: createLeaderConfirmation({ replica, log, ...createLeaseClock() }).read,
       }),
+      speeds: createSpeedTable(),
     };
     const handleExchange = createExchangeHandler(tables, log);
     const internalServer = createInternalServer({
