--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -299,9 +299,67 @@
   };
 };
 
+/** What is known about the speeds of the engines. */
+interface EngineKnowledge {
+  readonly rates: ReturnType<typeof createRateTable>;
+  readonly speeds: ServiceSpeeds;
+}
+
+const chooseEngineEndpoint = (
+  { zone, loads, cacheEstimates, hasPriorities }: ChooserOptions,
+  { rates, speeds }: EngineKnowledge,
+  snapshot: RoutingSnapshot,
+  request: ChoiceRequest,
+  reports: readonly EndpointReport[],
+  ejected: ReadonlySet<string>,
+  now: number,
+): EndpointPlacement => {
+  const { promptBlocks, promptTokens, model: requestedModel } = request.caller;
+  const model = request.model ?? requestedModel ?? '';
+  const service = reports[0]?.service ?? '';
+  const engine = findEngine(snapshot, service);
+  const rate = engine && rates.acquire(service, engine);
+  const { decode } = speeds.acquire(service);
+  const prompt = createPromptKey(model, promptBlocks);
+  const placement = placeEngineRequest({
+    candidates: reports.map((report) => {
+      const load = loads.findTotal(report.id, now);
+      const { shared: uncachedPrefixTokens, total: uncachedTokens } = cacheEstimates.countUncached(
+        report.id,
+        prompt,
+      );
+      const at = { incarnation: formatIncarnation(report), now };
+      const prefillMs = rate?.estimate(model, { uncachedTokens, promptTokens }, at) ?? 0;
+      return {
+        id: report.id,
+        endpoint: report,
+        isOwnZone: report.zone === zone,
+        slots: report.slots,
+        running: load.running,
+        ...chooseQueuePosition(load, request, prefillMs, hasPriorities),
+        prefillMs,
+        stepFactor: decode.readFactor(at.incarnation, now),
+        uncachedPrefixTokens,
+        uncachedTokens,
+        isWarmingUp: report.warmupMs > 0,
+        isEjected: ejected.has(report.id),
+      };
+    }),
+    affinity: formatAffinity(request),
+    timeLeftMs: request.timeLeftMs,
+    pauseTargetMs: request.route.gapTargetMs,
+  });
+  if (placement.type === 'refused') return placement;
+  const { candidate, predictedMs } = placement;
+  const { endpoint, queueMs, uncachedTokens, prefillMs, priority, displacedMs } = candidate;
+  const reason = 'prefix cache and predicted first token';
+  const prefill = { predictedMs, queueMs, uncachedTokens, prefillMs, priority, displacedMs };
+  return { type: 'placed', endpoint, reason, ...prefill };
+};
+
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
-  const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
+  const { sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
   const { speeds = createServiceSpeeds() } = options;
   const rates = createRateTable(speeds);
 
@@ -344,54 +402,6 @@
     };
   };
 
-  const chooseEngineEndpoint = (
-    snapshot: RoutingSnapshot,
-    request: ChoiceRequest,
-    reports: readonly EndpointReport[],
-    ejected: ReadonlySet<string>,
-    now: number,
-  ): EndpointPlacement => {
-    const { promptBlocks, promptTokens, model: requestedModel } = request.caller;
-    const model = request.model ?? requestedModel ?? '';
-    const service = reports[0]?.service ?? '';
-    const engine = findEngine(snapshot, service);
-    const rate = engine && rates.acquire(service, engine);
-    const { decode } = speeds.acquire(service);
-    const prompt = createPromptKey(model, promptBlocks);
-    const placement = placeEngineRequest({
-      candidates: reports.map((report) => {
-        const load = loads.findTotal(report.id, now);
-        const { shared: uncachedPrefixTokens, total: uncachedTokens } =
-          cacheEstimates.countUncached(report.id, prompt);
-        const at = { incarnation: formatIncarnation(report), now };
-        const prefillMs = rate?.estimate(model, { uncachedTokens, promptTokens }, at) ?? 0;
-        return {
-          id: report.id,
-          endpoint: report,
-          isOwnZone: report.zone === zone,
-          slots: report.slots,
-          running: load.running,
-          ...chooseQueuePosition(load, request, prefillMs, options.hasPriorities),
-          prefillMs,
-          stepFactor: decode.readFactor(at.incarnation, now),
-          uncachedPrefixTokens,
-          uncachedTokens,
-          isWarmingUp: report.warmupMs > 0,
-          isEjected: ejected.has(report.id),
-        };
-      }),
-      affinity: formatAffinity(request),
-      timeLeftMs: request.timeLeftMs,
-      pauseTargetMs: request.route.gapTargetMs,
-    });
-    if (placement.type === 'refused') return placement;
-    const { candidate, predictedMs } = placement;
-    const { endpoint, queueMs, uncachedTokens, prefillMs, priority, displacedMs } = candidate;
-    const reason = 'prefix cache and predicted first token';
-    const prefill = { predictedMs, queueMs, uncachedTokens, prefillMs, priority, displacedMs };
-    return { type: 'placed', endpoint, reason, ...prefill };
-  };
-
   return {
     choose: (snapshot, request, now) => {
       const { route, caller } = request;
@@ -410,10 +420,18 @@
       const ejected = loads.listEjected(ids, now);
       const isEngine =
         findEngine(snapshot, service) !== undefined && caller.promptBlocks.length > 0;
-      const place = (candidates: readonly EndpointReport[]): EndpointPlacement =>
+      const place = (usable: readonly EndpointReport[]): EndpointPlacement =>
         isEngine
-          ? chooseEngineEndpoint(snapshot, request, candidates, ejected, now)
-          : choosePlainEndpoint(options, speeds, request, candidates, ejected, now);
+          ? chooseEngineEndpoint(
+              options,
+              { rates, speeds },
+              snapshot,
+              request,
+              usable,
+              ejected,
+              now,
+            )
+          : choosePlainEndpoint(options, speeds, request, usable, ejected, now);
       const placement = placeWithPermits(options.coldPermits, reports, request, now, place);
       return placement.type === 'placed' ? { ...placement, versionBasis } : placement;
     },
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -9,7 +9,6 @@
 import { createByteBudget } from './byteBudget';
 import { createCallerServer, updateTimeouts } from './callerServer';
 import type { ColdPermits } from './coldPermits';
-import { createColdTopic } from './coldTopic';
 import { createRestraintServices } from './restraintServices';
 import { createEndpointChooser } from './endpointChoice';
 import { createPrefixCacheEstimates, type PrefixCacheEstimates } from './prefixCacheEstimates';
@@ -21,18 +20,14 @@
 import { createExchangeRunner, type ExchangeRunner } from './exchange';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { createLeaseClock } from './leaseClock';
-import { createLimitTopic } from './limitTopic';
-import { createLoadTopic } from './loadTopic';
-import { createPeerExchange, type PeerExchange } from './peerExchange';
+import type { PeerExchange } from './peerExchange';
+import { createPeerExchangeService } from './peerExchangeService';
 import type { RequestGuard } from './requestGuard';
 import type { RequestQuarantine } from './requestQuarantine';
 import { createRegistryView, type RegistryView } from './registryView';
 import { createRoutingView, type RoutingView } from './routingView';
 import { createScarcityAdmission, type ScarcityAdmission } from './scarcityAdmission';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
-import type { SuspectTable } from './suspectTable';
-import { createSpeedTopic } from './speedTopic';
-import { createSuspectTopic } from './suspectTopic';
 import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
@@ -190,69 +185,6 @@
   },
 });
 
-const createExchangeService = ({ node }: GatewaySettings): Service => ({
-  name: 'peer-exchange',
-  dependencies: [
-    'rpc',
-    'log',
-    'routing-view',
-    'loads',
-    'beliefs',
-    'admission',
-    'gateway-metrics',
-    'session-exchange',
-    'suspects',
-    'quarantine',
-    'limits',
-    'cold-permits',
-    'speeds',
-  ],
-  start: (find) => {
-    const view = find<RoutingView>('routing-view');
-    const value = createPeerExchange({
-      gateway: node,
-      rpc: find<RpcClient>('rpc'),
-      log: createPartLogger(find<Logger>('log'), 'gateway'),
-      topics: [
-        createLoadTopic({
-          loads: find<EndpointLoads>('loads'),
-          cacheEstimates: find<PrefixCacheEstimates>('beliefs'),
-          metrics: find<GatewayMetrics>('gateway-metrics'),
-          readNow,
-          handleUpdate: find<ScarcityAdmission>('admission').recordExchange,
-        }),
-        find<SessionExchange>('session-exchange').topic,
-        createSuspectTopic({
-          suspects: find<SuspectTable>('suspects'),
-          quarantine: find<RequestQuarantine>('quarantine'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          readNow,
-        }),
-        createLimitTopic({
-          limits: find<EndpointLimits>('limits'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          readNow,
-        }),
-        createColdTopic({
-          permits: find<ColdPermits>('cold-permits'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          clock: createLeaseClock(),
-          readNow,
-        }),
-        createSpeedTopic({
-          speeds: find<ServiceSpeeds>('speeds'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          readNow,
-        }),
-      ],
-      countGateways: () => view.read()?.gatewayCount ?? 1,
-      findControlHost: view.findLeader,
-    });
-    value.start();
-    return { value, stop: value.stop };
-  },
-});
-
 const createBudgetFinder = ({ bounds }: GatewaySettings): ((service: string) => WindowBudget) => {
   const budgets = new Map<string, WindowBudget>();
   return (service) => {
@@ -451,7 +383,7 @@
   ...createSessionServices(settings),
   ...createRestraintServices(settings),
   createAdmissionService(),
-  createExchangeService(settings),
+  createPeerExchangeService(settings),
   createRunnerService(settings, codecs),
   createServersService(settings, codecs.codec),
 ];
