--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -5,28 +5,48 @@
   createEndpointChooser,
   createEndpointLoads,
   createScarcityAdmission,
+  createServiceSpeeds,
   createSessionVersions,
   type PrefixCacheEstimates,
   type EndpointChooser,
   type EndpointLoads,
+  type ServiceSpeeds,
   type RoutingFacts,
   type ScarcityAdmission,
 } from '../../src/node/gateway';
 import type { EndpointReport } from '../../src/node/registry';
 import { createRouteTable, type Route } from '../../src/node/routing';
-import type { LoadAggregator, PromptCursor } from '../../src/node/routingControl';
+import type {
+  LoadAggregator,
+  PromptCursor,
+  SpeedCursor,
+  SpeedTable,
+} from '../../src/node/routingControl';
 import type { Clock } from './clock';
 import type { Pattern, PatternTask } from './pattern';
 
+/** Tables of the control host that the gateways share. */
+export interface EmulatedTables {
+  readonly aggregator: LoadAggregator;
+  /** Absent while speeds are not shared. */
+  readonly speedTable: SpeedTable | undefined;
+}
+
 /** One gateway, built from the production components. */
 export interface EmulatedGateway {
   readonly zone: string;
   readonly chooser: EndpointChooser;
   readonly loads: EndpointLoads;
   readonly cacheEstimates: PrefixCacheEstimates;
+  readonly speeds: ServiceSpeeds;
   readonly admission: ScarcityAdmission;
-  /** Reports the load of this gateway to the aggregator and applies that of the other gateways. */
-  readonly exchange: (aggregator: LoadAggregator, now: number) => void;
+  /**
+   * Reports what this gateway knows to the tables and returns a function that applies what the other
+   * gateways know.
+   */
+  readonly exchange: (tables: EmulatedTables, now: number) => () => void;
+  /** Removes an endpoint that no longer reports. */
+  readonly removeEndpoint: (id: string) => void;
 }
 
 /** Service of all routes. */
@@ -40,7 +60,7 @@
   kind: 'stream',
   timeoutMs: task.deadlineMs,
   targetLatencyMs: task.targetMs,
-  gapTargetMs: undefined,
+  gapTargetMs: task.gapTargetMs,
   rank: task.rank,
   targets: [{ service: SERVICE, weight: 1 }],
   attemptLimit: 3,
@@ -106,12 +126,18 @@
   const zone = formatZone(pattern, index);
   const loads = createEndpointLoads();
   const cacheEstimates = createPrefixCacheEstimates(() => pattern.engine.cacheTokens);
-  const endpoints = reports.map((report) => ({ report, isReady: true }));
+  let endpoints = reports.map((report) => ({ report, isReady: true }));
   const { stepDown } = pattern;
-  const remaining = endpoints.slice(0, stepDown?.endpoints);
+  const remaining = new Set(reports.slice(0, stepDown?.endpoints).map(({ id }) => id));
+  let hasSteppedDown = false;
   const registry = {
-    listEndpoints: () =>
-      stepDown && clock.readNow() >= stepDown.at * 1_000 ? remaining : endpoints,
+    listEndpoints: () => {
+      if (stepDown && !hasSteppedDown && clock.readNow() >= stepDown.at * 1_000) {
+        hasSteppedDown = true;
+        endpoints = endpoints.filter(({ report }) => remaining.has(report.id));
+      }
+      return endpoints;
+    },
   };
   const admission = createScarcityAdmission({
     registry,
@@ -121,6 +147,7 @@
     readNow: clock.readNow,
     schedule: clock.schedule,
   });
+  const speeds = createServiceSpeeds(() => SERVICE);
   const chooser = createEndpointChooser({
     zone,
     sessionMs: 5_000,
@@ -130,27 +157,39 @@
     backoffs: { findEnd: () => undefined },
     loads,
     cacheEstimates,
+    speeds,
     sessions: createSessionVersions(5_000),
     registry,
   });
   let cursor: PromptCursor | undefined;
+  let speedCursor: SpeedCursor | undefined;
   return {
     zone,
     chooser,
     loads,
     cacheEstimates,
+    speeds,
     admission,
-    exchange: (aggregator, now) => {
+    exchange: ({ aggregator, speedTable }, now) => {
       const own = {
         gateway: `g-${index}`,
         loads: loads.listOwn(now),
         reads: cacheEstimates.drainDispatched(),
       };
       const answer = aggregator.exchange({ ...own, cursor }, now);
-      loads.updatePeerLoads(answer.loads);
-      cacheEstimates.applyPeerPrompts(answer.reads);
       cursor = answer.cursor;
-      admission.recordExchange();
+      const report = { samples: speeds.drainSamples(), cursor: speedCursor };
+      const shared = speedTable?.share(report, now);
+      speedCursor = shared?.cursor;
+      return () => {
+        loads.updatePeerLoads(answer.loads, now);
+        cacheEstimates.applyPeerPrompts(answer.reads);
+        if (shared) speeds.applyShared(shared.speeds, now);
+        admission.recordExchange();
+      };
+    },
+    removeEndpoint: (id) => {
+      endpoints = endpoints.filter(({ report }) => report.id !== id);
     },
   };
 };
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -27,6 +27,10 @@
   answerSpread: z.number(),
   targetMs: z.number(),
   deadlineMs: z.number(),
+  /** Longest pause between two events of a stream that is on time, if any. */
+  gapTargetMs: z.number().optional(),
+  /** Changes of the rate: from `at`, in seconds, it is `factor` times `perSecond`. */
+  changes: z.array(z.strictObject({ at: z.number(), factor: z.number() })).optional(),
   /** Benefit of an answer to a request of mean size, in time and late. */
   worth: z.number(),
   lateWorth: z.number(),
@@ -49,6 +53,15 @@
     pairsMsPerMillion: z.number(),
     chunkTokens: z.number().int(),
     tokensPerEvent: z.number().int(),
+    /** Relative speeds, repeated over the engines in their order; all 1 if absent. */
+    speeds: z.array(z.number().positive()).min(1).optional(),
+    /**
+     * Momentary slow-downs: during each period, an engine is slower by the factor with this
+     * probability.
+     */
+    slowdowns: z
+      .strictObject({ probability: z.number(), factor: z.number(), periodMs: z.number() })
+      .optional(),
   }),
   models: z.array(model).min(1),
   tasks: z.array(task).min(1),
@@ -71,6 +84,14 @@
   retryAbuse: z.strictObject({ returns: z.number().int(), delayMs: z.number() }).optional(),
   /** Callers give up after this fraction of the limit that they send. */
   patience: z.number().optional(),
+  /** Age of the reports from other gateways when they take effect. */
+  viewDelayMs: z.number().optional(),
+  /** Second at which the engine with the most prefill work is lost. */
+  engineLossAt: z.number().optional(),
+  /** An engine that is slower by a factor for some seconds. */
+  slowEngine: z
+    .strictObject({ index: z.number(), at: z.number(), seconds: z.number(), factor: z.number() })
+    .optional(),
 });
 
 /** A load pattern: a deployment and the requests of its callers. */
--- a/bench/emulator/policies.ts
+++ b/bench/emulator/policies.ts
@@ -18,6 +18,10 @@
   readonly draws: RandomSource;
   readonly request: EmulatedRequest;
   readonly now: number;
+  /** Priority of an earlier run of the request, if there was one. */
+  readonly earlierPriority: number | undefined;
+  /** Engines that were lost while they ran the request. */
+  readonly tried: ReadonlySet<string>;
 }
 
 /** A run that has started on a smaller model. */
@@ -57,7 +61,9 @@
       forwarded: [],
     },
     model,
-    tried: new Set(),
+    tried: view.tried,
+    rank: request.task.rank,
+    earlierPriority: view.earlierPriority,
     timeLeftMs: request.arrivedAt + request.task.targetMs - now,
   };
 };
@@ -67,7 +73,7 @@
 
 const estimateLive = (view: PolicyView) => (model: string) => {
   const choice = placeLive(view, model);
-  return choice.type === 'placed' ? choice.predictedMs : Infinity;
+  return choice.type === 'placed' ? choice.predictedMs + (choice.displacedMs ?? 0) : Infinity;
 };
 
 const createModelChoiceInput = (view: PolicyView, hasRoomForLarger: boolean) => ({
--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -5,6 +5,7 @@
 export * from './closeDelimitedEnd';
 export * from './responseForm';
 export * from './chooseEndpoint';
+export * from './chooseEnginePriority';
 export * from './chooseTarget';
 export * from './chooseVersion';
 export * from './endpointHealth';
@@ -26,6 +27,13 @@
 export * from './admitDuringShutdown';
 export * from './placeEngineRequest';
 export * from './prefillRates';
+export * from './endpointSpeeds';
+export {
+  addSpeedSample,
+  computeRecentSpeed,
+  type RecentSpeed,
+  type SpeedEstimate,
+} from './speedEstimate';
 export * from './suspicion';
 export * from './endpointBackoff';
 export * from './requestTokens';
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -100,6 +100,7 @@
     caller: createCaller(session),
     model: undefined,
     timeLeftMs: 1_000,
+    rank: 0,
     tried: new Set<string>(),
   };
   return chooser.choose(snapshot, request, now);
@@ -285,7 +286,14 @@
       for (let index = 0; index < 50; index += 1) {
         const promptBlocks = isEngine ? [{ id: `block-${index}`, tokens: 100 }] : [];
         const caller = { ...createCaller('one'), requestId: `id-${index}`, promptBlocks };
-        const request = { route: ROUTE, caller, model: undefined, timeLeftMs: 1_000, tried };
+        const request = {
+          route: ROUTE,
+          caller,
+          model: undefined,
+          timeLeftMs: 1_000,
+          tried,
+          rank: ROUTE.rank,
+        };
         const choice = chooser.choose(snapshot, request, 9_000);
         const found = choice.type === 'refused' ? choice.reason : choice.endpoint.zone;
         t.is(found, (item.refusal ?? item.zone)!);
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -10,15 +10,17 @@
   type PrefillRates,
   type VersionReason,
 } from '../decisions';
-import type { EndpointReport } from '../registry';
+import { formatIncarnation, type EndpointReport } from '../registry';
 import type { EngineProfile, RolloutStage, Route } from '../routing';
 import type { ColdPermits, ColdShortage } from './coldPermits';
 import { createPromptKey, type PrefixCacheEstimates } from './prefixCacheEstimates';
 import type { EndpointLimits } from './endpointLimits';
+import { chooseQueuePosition } from './queuePosition';
 import type { EndpointLoads } from './endpointLoads';
 import type { EndpointBackoffs } from './endpointBackoffs';
 import type { RegistryView } from './registryView';
 import { formatRolloutKey, type RoutingSnapshot } from './routingView';
+import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import type { SessionVersions } from './sessionVersions';
 import type { CallerHeaders } from './types';
 
@@ -32,6 +34,10 @@
   readonly timeLeftMs: number;
   /** Endpoints that were already tried for this request. */
   readonly tried: ReadonlySet<string>;
+  /** Urgency of the request, 0 is the most urgent. */
+  readonly rank: number;
+  /** Engine priority of an earlier attempt, if there was one. */
+  readonly earlierPriority?: number | undefined;
 }
 
 /** Why a request runs on its version, with the inputs of that decision, for the log. */
@@ -61,6 +67,10 @@
    */
   readonly uncachedTokens: number;
   readonly prefillMs: number;
+  /** Prefill time of the prompts that this one goes before, in milliseconds. */
+  readonly displacedMs?: number;
+  /** Priority in the queue of an engine; undefined for a service without engines. */
+  readonly priority?: number | undefined;
 }
 
 type RefusedPlacement = Extract<Placement, { readonly type: 'refused' }>;
@@ -81,6 +91,8 @@
   readonly zone: string;
   readonly sessionMs: number;
   readonly exposureShare: number;
+  /** Whether requests for engines get a priority; without one, engines go by arrival. */
+  readonly hasPriorities?: boolean;
   readonly registry: Pick<RegistryView, 'listEndpoints'>;
   readonly loads: EndpointLoads;
   readonly sessions: SessionVersions;
@@ -88,6 +100,8 @@
   readonly coldPermits: Pick<ColdPermits, 'isWarm' | 'canSend' | 'computeRetryMs'>;
   readonly backoffs: Pick<EndpointBackoffs, 'findEnd'>;
   readonly cacheEstimates: PrefixCacheEstimates;
+  /** Relative speeds of the endpoints; empty at first if absent. */
+  readonly speeds?: ServiceSpeeds;
 }
 
 /** Chooses endpoints; `now` is monotonic time in milliseconds. */
@@ -106,8 +120,17 @@
   /** Records the measured time to a first token, in milliseconds. */
   readonly recordFirstToken: (
     snapshot: RoutingSnapshot,
-    prefill: PromptPrefill & { readonly service: string; readonly model: string },
+    prefill: PromptPrefill & { readonly endpoint: EndpointReport; readonly model: string },
     delayMs: number,
+    now: number,
+  ) => void;
+  readonly recordEventGap: ServiceSpeeds['recordEventGap'];
+  /** Records the measured time of an answer without a stream, in milliseconds. */
+  readonly recordAnswer: (
+    snapshot: RoutingSnapshot,
+    run: { readonly endpoint: EndpointReport; readonly route: string },
+    timeMs: number,
+    now: number,
   ) => void;
 }
 
@@ -125,39 +148,50 @@
   return shared ? `${model ?? ''}|${shared.id}` : '';
 };
 
+const findEngine = (snapshot: RoutingSnapshot, service: string): EngineProfile | undefined =>
+  snapshot.table.findService(service)?.engine;
+
 interface RateTable {
   readonly acquire: (service: string, engine: EngineProfile) => PrefillRates;
+  readonly recordFirstToken: EndpointChooser['recordFirstToken'];
 }
 
-const createRateTable = (): RateTable => {
+const createRateTable = (speeds: ServiceSpeeds): RateTable => {
   const rates = new Map<string, PrefillRates>();
+  const acquire: RateTable['acquire'] = (service, { models }) => {
+    const known = rates.get(service);
+    if (known) return known;
+    const created = createPrefillRates(models, speeds.acquire(service).prefill);
+    rates.set(service, created);
+    return created;
+  };
   return {
-    acquire: (service, { models }) => {
-      const known = rates.get(service);
-      if (known) return known;
-      const created = createPrefillRates(models);
-      rates.set(service, created);
-      return created;
+    acquire,
+    recordFirstToken: (snapshot, { endpoint, model, ...prefill }, delayMs, now) => {
+      const engine = findEngine(snapshot, endpoint.service);
+      const at = { incarnation: formatIncarnation(endpoint), now };
+      if (engine) acquire(endpoint.service, engine).record(model, prefill, delayMs, at);
     },
   };
 };
 
-const findEngine = (snapshot: RoutingSnapshot, service: string): EngineProfile | undefined =>
-  snapshot.table.findService(service)?.engine;
-
 const choosePlainEndpoint = (
   { loads, zone }: Pick<ChooserOptions, 'loads' | 'zone'>,
+  speeds: ServiceSpeeds,
   request: ChoiceRequest,
   reports: readonly EndpointReport[],
   ejected: ReadonlySet<string>,
   now: number,
 ): EndpointPlacement => {
+  const { answer } = speeds.acquire(reports[0]?.service ?? '');
+  const unitMs = answer.readUnitMs(request.route.name);
   const placement = placeRequest({
     candidates: reports.map((report) => ({
       id: report.id,
       isOwnZone: report.zone === zone,
       slots: report.slots,
       running: loads.findTotal(report.id, now).running,
+      expectedMs: unitMs * answer.readFactor(formatIncarnation(report), now),
       isWarmingUp: report.warmupMs > 0,
       isEjected: ejected.has(report.id),
     })),
@@ -170,6 +204,17 @@
   return { type: 'placed', endpoint, reason, ...prefill };
 };
 
+// Requests beyond the slots wait, which says nothing about the speed.
+const createAnswerRecorder =
+  (speeds: ServiceSpeeds, loads: EndpointLoads): EndpointChooser['recordAnswer'] =>
+  (snapshot, { endpoint, route }, timeMs, now) => {
+    if (findEngine(snapshot, endpoint.service)) return;
+    const { running } = loads.findTotal(endpoint.id, now);
+    const unitMs = timeMs / Math.max(1, running / Math.max(1, endpoint.slots));
+    const sample = { endpoint: formatIncarnation(endpoint), kind: route, unitMs };
+    speeds.acquire(endpoint.service).answer.record(sample, now);
+  };
+
 interface VersionCandidates {
   readonly reports: readonly EndpointReport[];
   /** Whether endpoints were left out because their zones are evacuated. */
@@ -254,10 +299,69 @@
   };
 };
 
+/** What is known about the speeds of the engines. */
+interface EngineKnowledge {
+  readonly rates: ReturnType<typeof createRateTable>;
+  readonly speeds: ServiceSpeeds;
+}
+
+const chooseEngineEndpoint = (
+  { zone, loads, cacheEstimates, hasPriorities }: ChooserOptions,
+  { rates, speeds }: EngineKnowledge,
+  snapshot: RoutingSnapshot,
+  request: ChoiceRequest,
+  reports: readonly EndpointReport[],
+  ejected: ReadonlySet<string>,
+  now: number,
+): EndpointPlacement => {
+  const { promptBlocks, promptTokens, model: requestedModel } = request.caller;
+  const model = request.model ?? requestedModel ?? '';
+  const service = reports[0]?.service ?? '';
+  const engine = findEngine(snapshot, service);
+  const rate = engine && rates.acquire(service, engine);
+  const { decode } = speeds.acquire(service);
+  const prompt = createPromptKey(model, promptBlocks);
+  const placement = placeEngineRequest({
+    candidates: reports.map((report) => {
+      const load = loads.findTotal(report.id, now);
+      const { shared: uncachedPrefixTokens, total: uncachedTokens } = cacheEstimates.countUncached(
+        report.id,
+        prompt,
+      );
+      const at = { incarnation: formatIncarnation(report), now };
+      const prefillMs = rate?.estimate(model, { uncachedTokens, promptTokens }, at) ?? 0;
+      return {
+        id: report.id,
+        endpoint: report,
+        isOwnZone: report.zone === zone,
+        slots: report.slots,
+        running: load.running,
+        ...chooseQueuePosition(load, request, prefillMs, hasPriorities),
+        prefillMs,
+        stepFactor: decode.readFactor(at.incarnation, now),
+        uncachedPrefixTokens,
+        uncachedTokens,
+        isWarmingUp: report.warmupMs > 0,
+        isEjected: ejected.has(report.id),
+      };
+    }),
+    affinity: formatAffinity(request),
+    timeLeftMs: request.timeLeftMs,
+    pauseTargetMs: request.route.gapTargetMs,
+  });
+  if (placement.type === 'refused') return placement;
+  const { candidate, predictedMs } = placement;
+  const { endpoint, queueMs, uncachedTokens, prefillMs, priority, displacedMs } = candidate;
+  const reason = 'prefix cache and predicted first token';
+  const prefill = { predictedMs, queueMs, uncachedTokens, prefillMs, priority, displacedMs };
+  return { type: 'placed', endpoint, reason, ...prefill };
+};
+
 /** Creates an endpoint chooser that uses this gateway's view of endpoints and loads. */
 export const createEndpointChooser = (options: ChooserOptions): EndpointChooser => {
-  const { zone, sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
-  const rates = createRateTable();
+  const { sessionMs, exposureShare, registry, loads, sessions, cacheEstimates } = options;
+  const { speeds = createServiceSpeeds() } = options;
+  const rates = createRateTable(speeds);
 
   const listByVersion = (
     snapshot: RoutingSnapshot,
@@ -298,48 +402,6 @@
     };
   };
 
-  const chooseEngineEndpoint = (
-    snapshot: RoutingSnapshot,
-    request: ChoiceRequest,
-    reports: readonly EndpointReport[],
-    ejected: ReadonlySet<string>,
-    now: number,
-  ): EndpointPlacement => {
-    const { promptBlocks, promptTokens, model: requestedModel } = request.caller;
-    const model = request.model ?? requestedModel ?? '';
-    const service = reports[0]?.service ?? '';
-    const engine = findEngine(snapshot, service);
-    const rate = engine && rates.acquire(service, engine);
-    const prompt = createPromptKey(model, promptBlocks);
-    const placement = placeEngineRequest({
-      candidates: reports.map((report) => {
-        const { running, readMs: queueMs } = loads.findTotal(report.id, now);
-        const { shared: uncachedPrefixTokens, total: uncachedTokens } =
-          cacheEstimates.countUncached(report.id, prompt);
-        return {
-          id: report.id,
-          endpoint: report,
-          isOwnZone: report.zone === zone,
-          slots: report.slots,
-          running,
-          queueMs,
-          prefillMs: rate?.estimate(model, { uncachedTokens, promptTokens }) ?? 0,
-          uncachedPrefixTokens,
-          uncachedTokens,
-          isWarmingUp: report.warmupMs > 0,
-          isEjected: ejected.has(report.id),
-        };
-      }),
-      affinity: formatAffinity(request),
-      timeLeftMs: request.timeLeftMs,
-    });
-    if (placement.type === 'refused') return placement;
-    const { endpoint, queueMs, uncachedTokens, prefillMs } = placement.candidate;
-    const { predictedMs } = placement;
-    const reason = 'prefix cache and predicted first token';
-    return { type: 'placed', endpoint, reason, predictedMs, queueMs, uncachedTokens, prefillMs };
-  };
-
   return {
     choose: (snapshot, request, now) => {
       const { route, caller } = request;
@@ -358,10 +420,18 @@
       const ejected = loads.listEjected(ids, now);
       const isEngine =
         findEngine(snapshot, service) !== undefined && caller.promptBlocks.length > 0;
-      const place = (candidates: readonly EndpointReport[]): EndpointPlacement =>
+      const place = (usable: readonly EndpointReport[]): EndpointPlacement =>
         isEngine
-          ? chooseEngineEndpoint(snapshot, request, candidates, ejected, now)
-          : choosePlainEndpoint(options, request, candidates, ejected, now);
+          ? chooseEngineEndpoint(
+              options,
+              { rates, speeds },
+              snapshot,
+              request,
+              usable,
+              ejected,
+              now,
+            )
+          : choosePlainEndpoint(options, speeds, request, usable, ejected, now);
       const placement = placeWithPermits(options.coldPermits, reports, request, now, place);
       return placement.type === 'placed' ? { ...placement, versionBasis } : placement;
     },
@@ -371,9 +441,8 @@
       if (!engine || name === undefined) return;
       cacheEstimates.record(id, name, caller.promptBlocks);
     },
-    recordFirstToken: (snapshot, { service, model, ...prefill }, delayMs) => {
-      const engine = findEngine(snapshot, service);
-      if (engine) rates.acquire(service, engine).record(model, prefill, delayMs);
-    },
+    recordFirstToken: rates.recordFirstToken,
+    recordEventGap: speeds.recordEventGap,
+    recordAnswer: createAnswerRecorder(speeds, loads),
   };
 };
--- a/src/node/gateway/exchange.ts
+++ b/src/node/gateway/exchange.ts
@@ -38,6 +38,7 @@
   tried: new Set(),
   attempts: 0,
   isAdmitted: false,
+  priority: undefined,
   mayHaveRun: false,
   isProbe: false,
   dropped: undefined,
@@ -91,6 +92,8 @@
       reason: choice.reason,
       predictedMs: Math.round(choice.predictedMs),
       queueMs: Math.round(choice.queueMs),
+      displacedMs: convertToWholeMs(choice.displacedMs),
+      priority: choice.priority,
       unreadTokens: choice.uncachedTokens,
       running: deps.loads.findTotal(endpoint.id, startedAt).running,
       attempt: exchange.attempts + 1,
@@ -123,6 +126,15 @@
   await sessionExchange.bindUnknown(snapshot, chooseService(route, caller), caller.session);
 };
 
+const recordPriority = (
+  { metrics }: ExchangeDependencies,
+  { endpoint: { service }, priority, displacedMs = 0 }: PlacedChoice,
+): void => {
+  if (priority === undefined) return;
+  metrics.enginePriorities.inc({ service, priority });
+  metrics.displacedWork.inc({ service }, displacedMs / 1_000);
+};
+
 const startAttempt = (
   deps: ExchangeDependencies,
   exchange: Exchange,
@@ -131,7 +143,8 @@
   model: string | undefined,
 ): AttemptContext => {
   const { codec, chooser, loads, readNow } = deps;
-  const { endpoint, uncachedTokens, queueMs, prefillMs } = choice;
+  const { endpoint, uncachedTokens, prefillMs, priority, displacedMs = 0 } = choice;
+  const queueMs = choice.queueMs + displacedMs;
   const { request } = exchange;
   const { caller, method, path, body, organisation, deadlineAt } = request;
   const now = readNow();
@@ -141,8 +154,11 @@
     deadlineMs: caller.deadlineMs === undefined ? undefined : Math.max(1, deadlineAt - now),
     model,
     lastEventId: findResumeId(exchange),
+    priority,
   });
   const canSend = deps.coldPermits.recordSent(endpoint, now);
+  exchange.priority = priority;
+  recordPriority(deps, choice);
   const attempt = deps.startAttempt({
     endpoint,
     canSend,
@@ -157,7 +173,7 @@
   chooser.recordSent(snapshot, { caller, model }, endpoint);
   const endSession = startSession(deps, exchange, endpoint);
   const budget = deps.findBudget(endpoint.service);
-  const loadEntry = loads.add(endpoint.id, { startsAt: now + queueMs, prefillMs });
+  const loadEntry = loads.add(endpoint.id, { sentAt: now, prefillMs, priority });
   const common = { deps, exchange, snapshot, endpoint, model, attempt };
   const before = { startedAt: now, eventsBefore: exchange.events };
   return { ...common, ...before, budget, loadEntry, endSession, queueMs, uncachedTokens };
--- a/src/node/gateway/exchangeTypes.ts
+++ b/src/node/gateway/exchangeTypes.ts
@@ -89,6 +89,8 @@
   attempts: number;
   /** Whether the request has been admitted, so that it is not held back again. */
   isAdmitted: boolean;
+  /** Engine priority of the latest attempt, which later attempts keep or exceed. */
+  priority: number | undefined;
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean;
   /** Whether the request tests if a quarantined prompt block still takes endpoints down. */
--- a/src/node/routingControl/__tests__/gatewayExchange.test.ts
+++ b/src/node/routingControl/__tests__/gatewayExchange.test.ts
@@ -6,6 +6,7 @@
   createLimitTable,
   createLoadAggregator,
   createSessionDirectory,
+  createSpeedTable,
   createSuspectDirectory,
   exchangeParams,
 } from '..';
@@ -23,6 +24,7 @@
         findColdStart: () => undefined,
         readLeader: () => undefined,
       }),
+      speeds: createSpeedTable('speeds'),
     },
     pino({ level: 'silent' }),
   );
@@ -49,6 +51,7 @@
   { name: 'suspects', params: { gateway: 'a', suspects: { suspects: [] } } },
   { name: 'limits', params: { gateway: 'a', limits: { limits: [] } } },
   { name: 'cold', params: { gateway: 'a', cold: { wanted: [], doubts: [] } } },
+  { name: 'speeds', params: { gateway: 'a', speeds: { samples: [] } } },
 ] as const;
 
 for (const { name, params } of cases) {
