Keep limits when the exchange fails, and other findings of the reviews

From a review of the admission: the limits opened at every gateway in the moment the exchange failed, the fallback was bypassed at endpoints that looked idle, old reports of others were multiplied as if they were own work, waiting requests were released as if no other gateway did the same, an exception in the poll ended the process, resumed streams were held back again. Calls of plain services are not held back any more: their pending work is not known, and they end before a report arrives. From a review of cold endpoints and evacuations: a gateway without requests took an outage of control for a pause of its own; a connection that opens after a pause is now only withheld where zones can be evacuated, and withheld requests do not count against their endpoint.

--- a/src/node/decisions/admitUnderScarcity.ts
+++ b/src/node/decisions/admitUnderScarcity.ts
@@ -17,6 +17,8 @@
   readonly takenFraction: number;
   /** Usable endpoints. */
   readonly endpoints: number;
+  /** Whether the load was estimated from the requests of this gateway alone. */
+  readonly isOwnOnly?: boolean;
   /** Age of what the other gateways reported, in milliseconds. */
   readonly ageMs: number;
 }
@@ -173,7 +175,8 @@
 export const admitUnderScarcity = (input: ScarcityInput): ScarcityVerdict => {
   const { pool, queueMs, prefillMs, targetLeftMs, limitLeftMs, waitingAheadMs } = input;
   const limitMs = computeLimitMs(input);
-  const isBelowLimit = pool.pendingMs <= limitMs || queueMs <= IDLE_QUEUE_FRACTION * limitMs;
+  const isBelowLimit =
+    pool.pendingMs <= limitMs || (!pool.isOwnOnly && queueMs <= IDLE_QUEUE_FRACTION * limitMs);
   const isPlaceFree = pool.takenFraction < computePlacesLimit(input.rank, input.targets);
   if (isBelowLimit && isPlaceFree && !input.isAnyAhead) return { type: 'run', limitMs };
   const isAnyWaiting = input.isAnyWaiting || isWaitingAtEndpoints(pool, input.targets);
--- a/src/node/gateway/__tests__/pendingPrefill.test.ts
+++ b/src/node/gateway/__tests__/pendingPrefill.test.ts
@@ -67,6 +67,7 @@
     cacheEstimates,
     readNow: () => 0,
     handleUpdate: () => {},
+    handleLoss: () => {},
   });
   const call = (host: string) => {
     const pending = topic.createReport(host)!;
--- a/src/node/gateway/attemptRecords.ts
+++ b/src/node/gateway/attemptRecords.ts
@@ -41,11 +41,15 @@
   task: `${exchange.request.route.name}/${model ?? ''}`,
 });
 
-/** Records that an attempt returned no complete response, and why. */
+/**
+ * Records that an attempt returned no complete response, and why. `isEndpointFault` is false if this
+ * gateway did not send the request.
+ */
 export const recordFailure = (
   context: AttemptContext,
   reason: string,
   mayHaveRun: boolean,
+  isEndpointFault = true,
 ): void => {
   const { deps, exchange, endpoint, model, startedAt } = context;
   const now = deps.readNow();
@@ -56,7 +60,7 @@
     exchange.doubtfulAnswer = undefined;
   }
   deps.metrics.attempts.inc({ service: endpoint.service, result: 'failed' });
-  deps.loads.recordOutcome(endpoint.id, 'failed', now);
+  if (isEndpointFault) deps.loads.recordOutcome(endpoint.id, 'failed', now);
   if (mayHaveRun) deps.tallies.record(createTallyKey(context), { type: 'failed' });
   deps.log.info(
     {
--- a/src/node/gateway/coldPermits.ts
+++ b/src/node/gateway/coldPermits.ts
@@ -46,6 +46,8 @@
   readonly computeRetryMs: (service: string, now: number) => number;
   /** Records that a connection to an endpoint was lost, or could not be established. */
   readonly recordLoss: (endpoint: EndpointReport, now: number) => void;
+  /** Notices pauses of this process and zones that have returned. */
+  readonly check: (now: number) => void;
   /** Creates the report to the control host; undefined if the deployment sets no bounds. */
   readonly createReport: (now: number) => ShareColdParams | undefined;
   /** Applies the answer to a report; `calledAt` was read before the call. */
@@ -122,6 +124,17 @@
   };
 };
 
+const expirePermits = (
+  permits: Map<string, readonly ClockReading[]>,
+  clock: Pick<LeaseClock, 'computeElapsedMs'>,
+): void => {
+  for (const [id, held] of permits) {
+    if (held.every((calledAt) => clock.computeElapsedMs(calledAt) > DEMAND_WINDOW_MS)) {
+      permits.delete(id);
+    }
+  }
+};
+
 const createDoubtRecorder =
   (states: Pick<ColdStates, 'recordLoss'>, listEndpoints: ColdPermitsOptions['listEndpoints']) =>
   (endpoint: EndpointReport, now: number): void => {
@@ -175,19 +188,9 @@
 
   const expire = (now: number): void => {
     states.expire(now);
-    for (const [id, held] of permits) {
-      if (held.every((calledAt) => clock.computeElapsedMs(calledAt) > DEMAND_WINDOW_MS)) {
-        permits.delete(id);
-      }
-    }
+    expirePermits(permits, clock);
   };
 
-  // Otherwise a gateway does not hear of the reports of a doubted endpoint that is still warm.
-  const updateFollowed = (endpoints: readonly KnownEndpoint[]): void =>
-    options.updateFollowed(
-      endpoints.filter(({ report }) => states.isDoubted(report)).map(({ report }) => report.id),
-    );
-
   const isWarm = (endpoint: EndpointReport, now: number): boolean =>
     findTerms(endpoint.service) === undefined || isKnownWarm(endpoint, now);
 
@@ -226,13 +229,20 @@
       recordDoubt(endpoint, now);
       newDoubts.set(formatIncarnation(endpoint), now);
     },
+    check: (now) => {
+      if (!bounds) return;
+      freshness.check(now);
+      returnedZones.record(now);
+    },
     createReport: (now) => {
       if (!bounds) return undefined;
       freshness.check(now);
       const services = options.listServices();
       const endpoints = services.flatMap(listEndpoints);
       states.recordEndpoints(endpoints, now);
-      updateFollowed(endpoints);
+      // Otherwise a gateway does not hear of the reports of a doubted endpoint that is still warm.
+      const doubted = endpoints.filter(({ report }) => states.isDoubted(report));
+      options.updateFollowed(doubted.map(({ report }) => report.id));
       expire(now);
       const doubts = [...newDoubts].map(([endpoint, at]) => ({ endpoint, ageMs: now - at }));
       newDoubts.clear();
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -100,7 +100,8 @@
           );
           socket.destroy(limitFailure);
         });
-        if (socket && isLate()) {
+        if (socket && target.isPauseChecked && isLate()) {
+          isWithheld = true;
           socket.destroy();
           callback(new Error('the connection opened too late after a pause'), null);
           return;
--- a/src/node/gateway/endpointLoads.ts
+++ b/src/node/gateway/endpointLoads.ts
@@ -23,6 +23,8 @@
    * reported it. `now` is monotonic time in milliseconds.
    */
   readonly findTotal: (endpoint: string, now: number) => EndpointLoad;
+  /** Returns the part of an endpoint's load that comes from this gateway. */
+  readonly findOwn: (endpoint: string, now: number) => EndpointLoad;
   /** Lists the loads that come from this gateway. */
   readonly listOwn: (now: number) => readonly EndpointLoad[];
   /**
@@ -116,6 +118,7 @@
       const other = findPeerLoad(endpoint, now);
       return other ? mergeEndpointLoads(own, other) : own;
     },
+    findOwn,
     listOwn: (now) => [...ownLoads.keys()].map((endpoint) => findOwn(endpoint, now)),
     updatePeerLoads: (loads, reportedAt = Infinity) => {
       peersReportedAt = reportedAt;
--- a/src/node/gateway/exchangeAdmission.ts
+++ b/src/node/gateway/exchangeAdmission.ts
@@ -23,7 +23,9 @@
   model: string | undefined,
   choice: PlacedChoice,
 ): ExchangeAdmission => {
-  if (exchange.isAdmitted) return { type: 'run' };
+  // A caller that resumes a stream was admitted with its first request.
+  if (exchange.isAdmitted || exchange.request.caller.lastEventId !== undefined)
+    return { type: 'run' };
   const { chooser, readNow } = deps;
   const { caller, route, organisation, fingerprint, receivedAt, deadlineAt } = exchange.request;
   let handleEnd: (end: WaitEnd) => void = () => {};
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -268,7 +268,11 @@
       log: createPartLogger(find<Logger>('log'), 'gateway'),
       readSnapshot: view.read,
       findBudget: createBudgetFinder(settings),
-      startAttempt: (target) => startEndpointAttempt(target, codec.decodeResponse),
+      startAttempt: (target) =>
+        startEndpointAttempt(
+          { ...target, isPauseChecked: bounds.canEvacuate === true },
+          codec.decodeResponse,
+        ),
       fetchProcessState: (endpoint) =>
         fetchProcessState(
           identityCodec,
--- a/src/node/gateway/loadTopic.ts
+++ b/src/node/gateway/loadTopic.ts
@@ -21,6 +21,8 @@
   readonly readNow: () => number;
   /** Called when the loads of the other gateways have been updated. */
   readonly handleUpdate: () => void;
+  /** Called when the loads of the other gateways are not known any more. */
+  readonly handleLoss: () => void;
 }
 
 const recordPending = (
@@ -65,6 +67,7 @@
           // After a failed call the earlier reports are out of date, so only this gateway's own
           // load counts.
           loads.updatePeerLoads([]);
+          options.handleLoss();
           // The next report goes without priorities, so a host that refused them takes its prompts.
           if (!isRefusedReport(error) || takesPriorities) cacheEstimates.restoreDispatched(reads);
           if (isRefusedReport(error)) priorityHost = undefined;
--- a/src/node/gateway/peerExchangeService.ts
+++ b/src/node/gateway/peerExchangeService.ts
@@ -55,6 +55,7 @@
           metrics: find<GatewayMetrics>('gateway-metrics'),
           readNow,
           handleUpdate: find<ScarcityAdmission>('admission').recordExchange,
+          handleLoss: find<ScarcityAdmission>('admission').recordExchangeLost,
         }),
         find<SessionExchange>('session-exchange').topic,
         createSuspectTopic({
--- a/src/node/gateway/poolLoad.ts
+++ b/src/node/gateway/poolLoad.ts
@@ -6,7 +6,7 @@
 /** Options of a reader of pool loads. */
 export interface PoolLoadOptions {
   readonly registry: Pick<RegistryView, 'listEndpoints'>;
-  readonly loads: Pick<EndpointLoads, 'findTotal'>;
+  readonly loads: Pick<EndpointLoads, 'findOwn' | 'findTotal'>;
 }
 
 /** Age above which the loads of the other gateways are not used, in milliseconds. */
@@ -21,7 +21,7 @@
 
 /**
  * Reads the load of the endpoints of a service. Without recent reports from the other gateways,
- * each of them is assumed to have sent as much as this one.
+ * each of them is assumed to have as much work pending as this one.
  */
 export const readPoolLoad = (
   { registry, loads }: PoolLoadOptions,
@@ -29,23 +29,26 @@
   { ageMs, gatewayCount }: PeerKnowledge,
   now: number,
 ): PoolLoad => {
+  const isOwnOnly = ageMs > MAX_LOAD_AGE_MS;
   let endpoints = 0;
   let slots = 0;
   let running = 0;
   let pendingMs = 0;
   for (const { report, isReady } of registry.listEndpoints(service)) {
     if (!isReady) continue;
-    const load = loads.findTotal(report.id, now);
+    const load = isOwnOnly ? loads.findOwn(report.id, now) : loads.findTotal(report.id, now);
     endpoints += 1;
     slots += report.slots;
     running += load.running;
     pendingMs += load.readMs;
   }
-  const factor = ageMs > MAX_LOAD_AGE_MS ? Math.max(1, gatewayCount) : 1;
+  const factor = isOwnOnly ? Math.max(1, gatewayCount) : 1;
   return {
     endpoints,
     pendingMs: (factor * pendingMs) / Math.max(1, endpoints),
-    takenFraction: (factor * running) / Math.max(1, slots),
+    // One long stream of this gateway says nothing about how many the others have.
+    takenFraction: running / Math.max(1, slots),
+    isOwnOnly,
     ageMs,
   };
 };
@@ -54,6 +57,8 @@
   { config }: RouteTable,
   service: string,
 ): readonly RankTarget[] | undefined => {
+  // The pending work of plain services is not known, and their calls are too short for reports.
+  if (!config.services.find(({ name }) => name === service)?.engine) return undefined;
   const targets = config.routes
     .filter((route) => route.targets.some((target) => target.service === service))
     .map(({ rank, targetLatencyMs }) => ({ rank, targetMs: targetLatencyMs }));
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -272,7 +272,7 @@
   if (head.isRight()) return handleHead(context, head.unsafeCoerce());
   const { mayHaveRun, isConnectionLost, isWithheld, reason } = head.swap().unsafeCoerce();
   if (mayHaveRun) exchange.attempts += 1;
-  recordFailure(context, reason, mayHaveRun);
+  recordFailure(context, reason, mayHaveRun, !isWithheld);
   if ((!mayHaveRun && !isWithheld) || isConnectionLost) recordEndpointLoss(context);
   if (isConnectionLost) recordConnectionLoss(context, false);
   return RETRY;
--- a/src/node/gateway/restraintServices.ts
+++ b/src/node/gateway/restraintServices.ts
@@ -17,6 +17,9 @@
 /** How often tables drop what is no longer in force. */
 const EXPIRE_INTERVAL_MS = 10_000;
 
+/** How often it is checked that this process was not paused; much less than a pause that counts. */
+const COLD_CHECK_INTERVAL_MS = 250;
+
 const readNow = (): number => performance.now();
 
 const createQuarantineServices = (): readonly Service[] => [
@@ -96,7 +99,10 @@
       countGateways: () => view.read()?.gatewayCount ?? 1,
       readEvacuatedZones: () => view.read()?.evacuatedZones,
     });
-    return { value };
+    // Without it, a gateway without requests would take an outage of the control hosts for a pause
+    // of its own process.
+    const timer = setInterval(() => value.check(readNow()), COLD_CHECK_INTERVAL_MS);
+    return { value, stop: () => clearInterval(timer) };
   },
 });
 
--- a/src/node/gateway/scarcityAdmission.ts
+++ b/src/node/gateway/scarcityAdmission.ts
@@ -1,4 +1,5 @@
 import { hasRoomForLarger } from '../decisions';
+import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
 import { createAdmissionRecords } from './admissionRecords';
 import type { GatewayMetrics } from './gatewayMetrics';
@@ -16,6 +17,8 @@
   readonly hasRoomForLarger: (request: RankedRequest) => boolean;
   /** Records that the loads of the other gateways were updated. */
   readonly recordExchange: () => void;
+  /** Records that the loads of the other gateways are not known any more. */
+  readonly recordExchangeLost: () => void;
   /** Decides again on the waiting requests, since the loads have changed. */
   readonly notify: () => void;
   readonly countWaiting: () => number;
@@ -78,7 +81,12 @@
     isPolling = true;
     schedule(POLL_MS, () => {
       isPolling = false;
-      notify();
+      try {
+        notify();
+      } catch (cause) {
+        const { message } = convertToRouterError(cause, 'gateway.admission');
+        log.info({ err: message }, 'decision on waiting requests failed; deciding again');
+      }
       if (countWaiting() > 0) schedulePoll();
     });
   };
@@ -103,6 +111,9 @@
       exchangedAt = readNow();
       notify();
     },
+    recordExchangeLost: () => {
+      exchangedAt = -Infinity;
+    },
     notify,
     countWaiting,
     expire: () => use.expire(readNow()),
--- a/src/node/gateway/serviceAdmission.ts
+++ b/src/node/gateway/serviceAdmission.ts
@@ -201,7 +201,8 @@
       }
       // A request that may run now is sent after this pass, so its work isn't in the loads yet.
       if (judgement.verdict.type === 'run') {
-        const addedMs = item.work.prefillMs / Math.max(1, pool.endpoints);
+        // The other gateways see the same reports, and release as much.
+        const addedMs = (request.gatewayCount * item.work.prefillMs) / Math.max(1, pool.endpoints);
         pool = { ...pool, pendingMs: pool.pendingMs + addedMs };
       }
       settleWait(item, judgement, now);
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -3,6 +3,8 @@
 
 /** Limits that a deployment sets for its gateways. */
 export interface GatewayBounds {
+  /** Whether operators may evacuate zones; absent if not. */
+  readonly canEvacuate?: boolean;
   /** How long a confirmed routing state stays valid, in milliseconds. */
   readonly leaseMs: number;
   /** Maximum time between the stop signal and the exit of the process, in milliseconds. */
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -136,6 +136,8 @@
   readonly headers: RawHeaders;
   readonly body: Buffer;
   readonly connectTimeoutMs: number;
+  /** Whether the request is withheld if its connection opens only after a pause of this process. */
+  readonly isPauseChecked?: boolean;
   /** Whether the request may still be sent; asked once the connection is established. */
   readonly canSend?: () => boolean;
 }
