--- a/src/node/gateway/__tests__/scarcityAdmission.test.ts
+++ b/src/node/gateway/__tests__/scarcityAdmission.test.ts
@@ -67,7 +67,7 @@
       admission.recordExchange();
     },
     addOwn: (prefillMs: number) =>
-      endpoints.forEach(({ report: { id } }) => loads.add(id, { startsAt: 1e6, prefillMs })),
+      endpoints.forEach(({ report: { id } }) => loads.add(id, { sentAt: 1e6, prefillMs })),
     advance: (ms: number) => {
       now += ms;
       const run = poll;
