Take the pending work of a pool as it was reported

As the reports of other gateways become old, placement replaces their prefill by the mean of all endpoints. The mean includes other services, so the pool's sum was off: 1,712 instead of 1,900 ms in the test after 950 ms, and above 0 for a service without engines.

--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -196,6 +196,10 @@
   t.teardown(() => server.close());
   const { port } = server.address() as AddressInfo;
   const head = await startAttempt(port, () => false).head;
-  t.like(head.swap().unsafeCoerce(), { mayHaveRun: false, isConnectionLost: false, isWithheld: true });
+  t.like(head.swap().unsafeCoerce(), {
+    mayHaveRun: false,
+    isConnectionLost: false,
+    isWithheld: true,
+  });
   t.is(requests, 0);
 });
--- a/src/node/gateway/endpointLoads.ts
+++ b/src/node/gateway/endpointLoads.ts
@@ -19,10 +19,16 @@
   /** Adds a request that was sent to an endpoint. */
   readonly add: (endpoint: string, prefill: PredictedPrefill) => LoadEntry;
   /**
-   * Returns an endpoint's load from all gateways; the load from other gateways is as they last
-   * reported it. `now` is monotonic time in milliseconds.
+   * Returns an endpoint's load from all gateways, to compare it with other endpoints. As the reports
+   * of the other gateways become old, their prefill is replaced by the mean of all endpoints. `now` is
+   * monotonic time in milliseconds.
    */
   readonly findTotal: (endpoint: string, now: number) => EndpointLoad;
+  /**
+   * Returns an endpoint's load from all gateways, as the other gateways last reported it. Sums over
+   * the endpoints of a service use this: the mean above includes those of other services.
+   */
+  readonly findReported: (endpoint: string, now: number) => EndpointLoad;
   /** Lists the loads that come from this gateway. */
   readonly listOwn: (now: number) => readonly EndpointLoad[];
   /**
@@ -116,6 +122,11 @@
       const other = findPeerLoad(endpoint, now);
       return other ? mergeEndpointLoads(own, other) : own;
     },
+    findReported: (endpoint, now) => {
+      const own = findOwn(endpoint, now);
+      const other = peerLoads.get(endpoint);
+      return other ? mergeEndpointLoads(own, other) : own;
+    },
     listOwn: (now) => [...ownLoads.keys()].map((endpoint) => findOwn(endpoint, now)),
     updatePeerLoads: (loads, reportedAt = Infinity) => {
       peersReportedAt = reportedAt;
--- a/src/node/gateway/poolLoad.ts
+++ b/src/node/gateway/poolLoad.ts
@@ -6,7 +6,7 @@
 /** Options of a reader of pool loads. */
 export interface PoolLoadOptions {
   readonly registry: Pick<RegistryView, 'listEndpoints'>;
-  readonly loads: Pick<EndpointLoads, 'findTotal'>;
+  readonly loads: Pick<EndpointLoads, 'findReported'>;
 }
 
 /** Age above which the loads of the other gateways are not used, in milliseconds. */
@@ -35,7 +35,7 @@
   let pendingMs = 0;
   for (const { report, isReady } of registry.listEndpoints(service)) {
     if (!isReady) continue;
-    const load = loads.findTotal(report.id, now);
+    const load = loads.findReported(report.id, now);
     endpoints += 1;
     slots += report.slots;
     running += load.running;
