--- a/bench/emulator/gateway.ts
+++ b/bench/emulator/gateway.ts
@@ -5,6 +5,7 @@
   createEndpointChooser,
   createEndpointLoads,
   createScarcityAdmission,
+  createEqualSpeeds,
   createServiceSpeeds,
   createSessionVersions,
   type PrefixCacheEstimates,
@@ -147,7 +148,7 @@
     readNow: clock.readNow,
     schedule: clock.schedule,
   });
-  const speeds = createServiceSpeeds(() => SERVICE);
+  const speeds = pattern.engine.speeds ? createServiceSpeeds(() => SERVICE) : createEqualSpeeds();
   const chooser = createEndpointChooser({
     zone,
     sessionMs: 5_000,
--- a/src/node/gateway/__tests__/endpointChoice.test.ts
+++ b/src/node/gateway/__tests__/endpointChoice.test.ts
@@ -385,9 +385,9 @@
       route: ROUTE,
       caller: createCaller(undefined),
       model: undefined,
-      rank: 0,
       timeLeftMs: 1_000,
       tried: new Set<string>(),
+      rank: ROUTE.rank,
     };
     const choice = chooser.choose(createSnapshot(undefined, 0), request, 0);
     t.is(choice.type === 'placed' ? choice.endpoint.id : undefined, chosen);
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -29,7 +29,7 @@
 import { createRoutingView, type RoutingView } from './routingView';
 import { createScarcityAdmission, type ScarcityAdmission } from './scarcityAdmission';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
-import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
+import { createEqualSpeeds, createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec, IdentityCodec } from './types';
@@ -126,9 +126,9 @@
     dependencies: ['registry-view'],
     start: (find) => {
       const registry = find<RegistryView>('registry-view');
-      const value = createServiceSpeeds(
-        (incarnation) => registry.findIncarnation(incarnation)?.service,
-      );
+      const value = settings.bounds.hasEndpointSpeeds
+        ? createServiceSpeeds((incarnation) => registry.findIncarnation(incarnation)?.service)
+        : createEqualSpeeds();
       const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
       return { value, stop: () => clearInterval(timer) };
     },
--- a/src/node/gateway/peerExchangeService.ts
+++ b/src/node/gateway/peerExchangeService.ts
@@ -25,7 +25,7 @@
 const readNow = (): number => performance.now();
 
 /** Creates the service that exchanges what the gateways know with the leading control host. */
-export const createPeerExchangeService = ({ node }: GatewaySettings): Service => ({
+export const createPeerExchangeService = ({ node, bounds }: GatewaySettings): Service => ({
   name: 'peer-exchange',
   dependencies: [
     'rpc',
@@ -75,11 +75,15 @@
           clock: createLeaseClock(),
           readNow,
         }),
-        createSpeedTopic({
-          speeds: find<ServiceSpeeds>('speeds'),
-          log: createPartLogger(find<Logger>('log'), 'gateway'),
-          readNow,
-        }),
+        ...(bounds.hasEndpointSpeeds
+          ? [
+              createSpeedTopic({
+                speeds: find<ServiceSpeeds>('speeds'),
+                log: createPartLogger(find<Logger>('log'), 'gateway'),
+                readNow,
+              }),
+            ]
+          : []),
       ],
       countGateways: () => view.read()?.gatewayCount ?? 1,
       findControlHost: view.findLeader,
--- a/src/node/gateway/serviceSpeeds.ts
+++ b/src/node/gateway/serviceSpeeds.ts
@@ -40,6 +40,23 @@
 /** Finds the service of an endpoint's incarnation; undefined if the incarnation is not known. */
 export type FindService = (incarnation: string) => string | undefined;
 
+/**
+ * Creates speeds that stay the same for all endpoints. Under load, prompts that were overtaken look
+ * like those of slow endpoints, so speeds are learnt only where the settings ask for it.
+ */
+export const createEqualSpeeds = (): ServiceSpeeds => {
+  const equal: EndpointSpeeds = { ...createEndpointSpeeds(), record: () => {} };
+  const tables: SpeedTables = { prefill: equal, decode: equal, answer: equal };
+  return {
+    acquire: () => tables,
+    recordEventGap: () => {},
+    drainSamples: () => [],
+    applyShared: () => {},
+    removeShared: () => {},
+    expire: () => {},
+  };
+};
+
 /** Creates speeds without samples. Speeds from others are kept for endpoints of known services. */
 export const createServiceSpeeds = (findService: FindService = () => undefined): ServiceSpeeds => {
   const tables = new Map<string, SpeedTables>();
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -21,6 +21,8 @@
   readonly cold?: ColdBounds | undefined;
   /** Whether requests for engines get a priority; true if absent. */
   readonly hasEnginePriorities?: boolean;
+  /** Whether the speeds of endpoints are learnt; they are taken as equal if absent. */
+  readonly hasEndpointSpeeds?: boolean;
 }
 
 /** Resolved settings of a gateway. */
