Measure speeds without the work of other requests, log them and count them

Cause: prefill steps of other requests made a busy engine look slow to all gateways at once. One early outlier also counted as a spread of the pool.

Times per event count only with at most 50 ms of pending prefill; samples below the long-term mean weigh three times as much; the first sample is bounded; recent deviations count from a factor of 2 on, and only slow-downs.

A gateway logs endpoints whose factor leaves 0.67 to 1.5 or returns, at most 10 lines in 500 ms, and has a histogram of the factors. Error answers of plain services are no samples.

--- a/bench/emulator/engineSpeeds.ts
+++ b/bench/emulator/engineSpeeds.ts
@@ -7,7 +7,7 @@
 /** Creates the time factor of an engine, which is a function of the seed and the time only. */
 export const createTimeFactor = (
   clock: Clock,
-  { engine: { speeds = [1], slowdowns }, slowEngine }: Pattern,
+  { engine: { speeds = [1], slowdowns }, slowEngines }: Pattern,
   index: number,
   seed: number,
 ): (() => number) => {
@@ -20,8 +20,8 @@
     return draw < probability ? factor : 1;
   };
   const computeSlowdown = (now: number): number => {
-    if (slowEngine?.index !== index) return 1;
-    const { at, seconds, factor } = slowEngine;
+    if (!slowEngines || index >= slowEngines.count) return 1;
+    const { at, seconds, factor } = slowEngines;
     return now >= at * 1_000 && now < (at + seconds) * 1_000 ? factor : 1;
   };
   return () => {
--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -66,9 +66,9 @@
    */
   burst: z.strictObject({ at: z.number(), seconds: z.number(), factor: z.number() }).optional(),
   hotOrganisation: z.number().optional(),
-  /** An engine that is slower by a factor for some seconds. */
-  slowEngine: z
-    .strictObject({ index: z.number(), at: z.number(), seconds: z.number(), factor: z.number() })
+  /** The first engines are slower by a factor for some seconds. */
+  slowEngines: z
+    .strictObject({ count: z.number(), at: z.number(), seconds: z.number(), factor: z.number() })
     .optional(),
 });
 
--- a/src/node/decisions/endpointSpeeds.ts
+++ b/src/node/decisions/endpointSpeeds.ts
@@ -70,6 +70,8 @@
   readonly readUnitMs: (kind: string) => number;
   readonly readParts: (endpoint: string, now: number) => SpeedParts;
   readonly find: (endpoint: string, now: number) => EndpointSpeed | undefined;
+  /** Lists the endpoints with samples. */
+  readonly list: () => readonly string[];
   /** Takes the mean sample of each endpoint since the last call, of at most `limit` endpoints. */
   readonly drainSamples: (limit: number) => readonly DrainedSample[];
   /** Replaces what the samples of all gateways show about some endpoints. */
@@ -117,10 +119,11 @@
 /** Weight of the assumption that an endpoint runs at its usual speed, in recent samples. */
 const RECENT_PRIOR = 2;
 /**
- * Recent deviations up to this are taken for noise, as of a busy endpoint; it is a factor of 1.65. From twice this on they
- * count in full.
+ * Recent deviations up to this are taken for noise, as of a busy endpoint; it is a factor of 2. From 1.5 times
+ * the logarithm on they count in full, as one of 4 times does.
  */
-const RECENT_TOLERANCE = 0.5;
+const RECENT_TOLERANCE = 0.7;
+const RECENT_SLOPE = 3;
 /** Pools whose endpoints differ by less than this standard deviation are treated as equal. */
 const MIN_SPREAD = 0.1;
 /** Endpoints with samples that are needed to tell how much a pool differs. */
@@ -156,10 +159,9 @@
   return { base, count, median, weight: Math.max(weight, ownView.weight) };
 };
 
-const computeExcess = (deviation: number): number => {
-  const size = Math.abs(deviation);
-  return Math.sign(deviation) * Math.min(size, Math.max(0, 2 * (size - RECENT_TOLERANCE)));
-};
+// Only slow-downs: times below the long-term mean move that mean soon.
+const computeExcess = (deviation: number): number =>
+  Math.min(Math.max(0, deviation), Math.max(0, RECENT_SLOPE * (deviation - RECENT_TOLERANCE)));
 
 const computeSpread = (views: readonly RowView[], noise: number, now: number): PoolSpread => {
   let total = 0;
@@ -279,6 +281,7 @@
       const { count } = computeView(row, now);
       return { factor: readFactor(endpoint, now), samples: count, ageMs: now - readAt(row) };
     },
+    list: () => [...rows.keys()],
     drainSamples: (limit) => {
       const samples = [...unsent]
         .slice(0, limit)
--- a/src/node/decisions/speedEstimate.ts
+++ b/src/node/decisions/speedEstimate.ts
@@ -31,6 +31,12 @@
 const BASE_MS = 20_000;
 /** Number of samples beyond which a long-term mean doesn't become more certain. */
 const MAX_COUNT = 15;
+/**
+ * How much more a sample below the long-term mean weighs. Work of other requests at a busy endpoint
+ * only increases times, so that its lower samples say more about its speed.
+ */
+const DECREASE_FACTOR = 3;
+const MAX_DECREASE_WEIGHT = 0.5;
 /** Samples with this interval are independent, since a momentary slow-down lasts 600 ms. */
 const INDEPENDENT_MS = 600;
 const MIN_COUNT_STEP = 0.1;
@@ -105,12 +111,16 @@
   now: number,
 ): SpeedEstimate => {
   if (!known) {
-    return { base: logRatio, count: 1, at: now, recent: addRecent([], now, logRatio) };
+    const base = computeBounded(logRatio, MAX_STEP);
+    return { base, count: 1, at: now, recent: addRecent([], now, logRatio) };
   }
   const step = computeBounded(logRatio - known.base, MAX_STEP);
   const countStep = computeCountStep(known, now);
+  const weight = computeBaseWeight(known, countStep, now);
   return {
-    base: known.base + computeBaseWeight(known, countStep, now) * step,
+    base:
+      known.base +
+      (step < 0 ? Math.min(MAX_DECREASE_WEIGHT, DECREASE_FACTOR * weight) : weight) * step,
     count: Math.min(MAX_COUNT, known.count + countStep),
     at: now,
     recent: addRecent(known.recent, now, logRatio),
--- a/src/node/gateway/endpointChoice.ts
+++ b/src/node/gateway/endpointChoice.ts
@@ -186,6 +186,17 @@
   return { type: 'placed', endpoint, reason, ...prefill };
 };
 
+/** Most pending prefill work with which the time per event is recorded, in milliseconds. */
+const MAX_GAP_QUEUE_MS = 50;
+
+// Prefill steps of other requests make the events of a busy endpoint late, whatever its speed.
+const createGapRecorder =
+  (speeds: ServiceSpeeds, loads: EndpointLoads): ServiceSpeeds['recordEventGap'] =>
+  (run, gapMs, now) => {
+    if (loads.findTotal(run.endpoint.id, now).readMs > MAX_GAP_QUEUE_MS) return;
+    speeds.recordEventGap(run, gapMs, now);
+  };
+
 // Requests beyond the slots wait, which says nothing about the speed.
 const createAnswerRecorder =
   (speeds: ServiceSpeeds, loads: EndpointLoads): EndpointChooser['recordAnswer'] =>
@@ -343,7 +354,7 @@
       cacheEstimates.record(id, name, caller.promptBlocks);
     },
     recordFirstToken: rates.recordFirstToken,
-    recordEventGap: speeds.recordEventGap,
+    recordEventGap: createGapRecorder(speeds, loads),
     recordAnswer: createAnswerRecorder(speeds, loads),
   };
 };
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -10,8 +10,10 @@
   readonly active: Gauge;
   readonly blocksQuarantined: Gauge;
   readonly requestsQuarantined: Gauge;
+  readonly endpointSpeed: Histogram<'kind'>;
 }
 
+const FACTOR_BUCKETS = [0.25, 0.4, 0.5, 0.67, 0.8, 0.95, 1.05, 1.25, 1.5, 2, 2.5, 4];
 const SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 3, 5, 10, 20];
 
 type GatewayMetricName = Extract<keyof typeof METRIC_DEFINITIONS, `gateway${string}`>;
@@ -32,5 +34,9 @@
     active: new Gauge(resolveOptions('gatewayActive')),
     blocksQuarantined: new Gauge(resolveOptions('gatewayBlocksQuarantined')),
     requestsQuarantined: new Gauge(resolveOptions('gatewayRequestsQuarantined')),
+    endpointSpeed: new Histogram({
+      ...resolveOptions('gatewayEndpointSpeed'),
+      buckets: FACTOR_BUCKETS,
+    }),
   };
 };
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -30,7 +30,8 @@
 import type { SuspectTable } from './suspectTable';
 import { createSpeedTopic } from './speedTopic';
 import { createSuspectTopic } from './suspectTopic';
-import { createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
+import type { ServiceSpeeds } from './serviceSpeeds';
+import { createSpeedService } from './speedService';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec, IdentityCodec } from './types';
@@ -122,18 +123,7 @@
     dependencies: [],
     start: () => ({ value: createEndpointLoads() }),
   },
-  {
-    name: 'speeds',
-    dependencies: ['registry-view'],
-    start: (find) => {
-      const registry = find<RegistryView>('registry-view');
-      const value = createServiceSpeeds(
-        (incarnation) => registry.findIncarnation(incarnation)?.service,
-      );
-      const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
-      return { value, stop: () => clearInterval(timer) };
-    },
-  },
+  createSpeedService(),
 ];
 
 const createSessionServices = ({ node, bounds }: GatewaySettings): readonly Service[] => [
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -32,6 +32,8 @@
 
 /** Lowest status of a response with which an endpoint reports its own failure. */
 const MIN_FAILURE_STATUS = 500;
+/** From this status on, an answer may have taken no work. */
+const MIN_ERROR_STATUS = 400;
 /** Status of an endpoint that turns a request away. */
 const UNAVAILABLE = 503;
 
@@ -113,7 +115,7 @@
   }
   if (!isFailure) {
     recordSuccess(context, deps.readNow() - startedAt);
-    recordAnswerTime(context);
+    if (head.status < MIN_ERROR_STATUS) recordAnswerTime(context);
     recordSurvival(context);
   }
   recordFirstByte(context);
--- a/src/node/gateway/serviceSpeeds.ts
+++ b/src/node/gateway/serviceSpeeds.ts
@@ -1,9 +1,10 @@
-import { createEndpointSpeeds, type EndpointSpeeds } from '../decisions';
+import { createEndpointSpeeds, type EndpointSpeed, type EndpointSpeeds } from '../decisions';
 import { formatIncarnation, type EndpointReport } from '../registry';
 import {
   MAX_REPORTED_SPEEDS,
   type SharedSpeedRow,
   type ShareSpeedsParams,
+  type SpeedKind,
 } from '../routingControl';
 
 /** Speeds of the endpoints of one service, by kind of work. */
@@ -16,6 +17,13 @@
   readonly answer: EndpointSpeeds;
 }
 
+/** The speed of an endpoint in one kind of work. */
+export interface KnownSpeed extends EndpointSpeed {
+  readonly kind: SpeedKind;
+  /** The endpoint's incarnation. */
+  readonly endpoint: string;
+}
+
 /** Speeds of the endpoints of all services, as this gateway knows them. */
 export interface ServiceSpeeds {
   readonly acquire: (service: string) => SpeedTables;
@@ -25,6 +33,8 @@
     gapMs: number,
     now: number,
   ) => void;
+  /** Lists the endpoints with samples, by kind of work. */
+  readonly listAll: (now: number) => readonly KnownSpeed[];
   /** Takes the samples that other gateways have not got yet. */
   readonly drainSamples: () => ShareSpeedsParams['samples'];
   /** Applies what the samples of all gateways show. */
@@ -58,6 +68,15 @@
       const sample = { endpoint: formatIncarnation(endpoint), kind: model, unitMs: gapMs };
       acquire(endpoint.service).decode.record(sample, now);
     },
+    listAll: (now) =>
+      [...tables.values()].flatMap((item) =>
+        KINDS.flatMap((kind) =>
+          item[kind].list().flatMap((endpoint) => {
+            const speed = item[kind].find(endpoint, now);
+            return speed ? [{ kind, endpoint, ...speed }] : [];
+          }),
+        ),
+      ),
     drainSamples: () =>
       [...tables.values()]
         .flatMap((item) =>
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -115,6 +115,14 @@
     'requests',
     'Requests, by fingerprint, that are refused because they take endpoints down.',
   ),
+  gatewayEndpointSpeed: createDefinition(
+    'gateway',
+    'histogram',
+    'gateway_endpoint_time_factor',
+    'ratio',
+    'Time factors of endpoints against their pool, one observation per endpoint every 10 s.',
+    ['kind'],
+  ),
   queue: createDefinition(
     'agent',
     'gauge',
