--- a/bench/emulator/pattern.ts
+++ b/bench/emulator/pattern.ts
@@ -88,9 +88,9 @@
   viewDelayMs: z.number().optional(),
   /** Second at which the engine with the most prefill work is lost. */
   engineLossAt: z.number().optional(),
-  /** An engine that is slower by a factor for some seconds. */
-  slowEngine: z
-    .strictObject({ index: z.number(), at: z.number(), seconds: z.number(), factor: z.number() })
+  /** The first engines are slower by a factor for some seconds. */
+  slowEngines: z
+    .strictObject({ count: z.number(), at: z.number(), seconds: z.number(), factor: z.number() })
     .optional(),
 });
 
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -29,7 +29,8 @@
 import { createRoutingView, type RoutingView } from './routingView';
 import { createScarcityAdmission, type ScarcityAdmission } from './scarcityAdmission';
 import { createSessionExchange, type SessionExchange } from './sessionExchange';
-import { createEqualSpeeds, createServiceSpeeds, type ServiceSpeeds } from './serviceSpeeds';
+import type { ServiceSpeeds } from './serviceSpeeds';
+import { createSpeedService } from './speedService';
 import { createSessionVersions, type SessionVersions } from './sessionVersions';
 import type { GatewaySettings } from './settings';
 import type { HeaderCodec, IdentityCodec } from './types';
@@ -121,18 +122,7 @@
     dependencies: [],
     start: () => ({ value: createEndpointLoads() }),
   },
-  {
-    name: 'speeds',
-    dependencies: ['registry-view'],
-    start: (find) => {
-      const registry = find<RegistryView>('registry-view');
-      const value = settings.bounds.hasEndpointSpeeds
-        ? createServiceSpeeds((incarnation) => registry.findIncarnation(incarnation)?.service)
-        : createEqualSpeeds();
-      const timer = setInterval(() => value.expire(readNow()), EXPIRE_INTERVAL_MS);
-      return { value, stop: () => clearInterval(timer) };
-    },
-  },
+  createSpeedService(settings.bounds.hasEndpointSpeeds === true),
 ];
 
 const createSessionServices = ({ node, bounds }: GatewaySettings): readonly Service[] => [
--- a/src/node/metrics/definitions.ts
+++ b/src/node/metrics/definitions.ts
@@ -170,6 +170,14 @@
     'Permits to send to cold endpoints: asked, given, used; refused counts requests without one.',
     ['service', 'step'],
   ),
+  gatewayEndpointSpeed: createDefinition(
+    'gateway',
+    'histogram',
+    'gateway_endpoint_time_factor',
+    'ratio',
+    'Time factors of endpoints against their pool, one observation per endpoint every 10 s.',
+    ['kind'],
+  ),
   queue: createDefinition(
     'agent',
     'gauge',
