--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -9,7 +9,7 @@
  * checked that it is meant for this runner.
  */
 export const startRunner = async (options) => {
-  const { id, host, port, service, controls, controlPort, record, handle } = options;
+  const { id, host, port, service, controls, controlPort, record, handle, slots = 6 } = options;
   const born = Date.now();
   const state = { sequence: 0, phase: 'ready', timer: undefined, first: 0 };
 
@@ -46,7 +46,7 @@
       address: `${host}:${port}`,
       zone: 'zone-a',
       version: 'v1',
-      slots: 6,
+      slots,
       state: state.phase,
       cold_remaining_ms: 0,
       sequence_number: state.sequence,
