--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -11,6 +11,9 @@
 const METRICS_PORT = 9464;
 const MIN_PORT = 20_000;
 const PORT_RANGE = 20_000;
+/** A script ends by itself after this time. */
+const TIME_LIMIT_MS = 115_000;
+const COULD_NOT_RUN = 2;
 
 /** Bounds of the smallest deployment, as its sheet gives them. */
 export const BOUNDS = {
@@ -125,6 +128,22 @@
     return state;
   };
 
+  // Also when the script fails or is ended, no process and no file of it stays behind.
+  const removeAll = () => {
+    children.forEach(({ child, endedAt }) => {
+      if (endedAt === undefined) child.kill('SIGKILL');
+    });
+    rmSync(folder, { recursive: true, force: true });
+  };
+  process.once('exit', removeAll);
+  ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) =>
+    process.once(signal, () => process.exit(COULD_NOT_RUN)),
+  );
+  setTimeout(() => {
+    record('could not run: the time limit of the script has passed');
+    process.exit(COULD_NOT_RUN);
+  }, TIME_LIMIT_MS).unref();
+
   const stop = async () => {
     const left = [...children.values()].filter(({ endedAt }) => endedAt === undefined);
     left.forEach(({ child }) => {
