--- a/review/8/play.mjs
+++ b/review/8/play.mjs
@@ -8,7 +8,10 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const RUNNERS = 2;
-const STREAMS = 80;
+/** One gateway of five is killed; the streams at the others go on. */
+const GATEWAYS = 5;
+const STREAMS = 160;
+const STREAMS_AT_KILLED = 80;
 /** One runner of two sends one answer in twenty without a length or chunks. */
 const UNFRAMED_EVERY = 20;
 const EVENTS = 24;
@@ -123,19 +126,24 @@
   );
 
 const runCase = async () => {
-  const system = await createSystem({ controls: 3, gateways: 1, others: RUNNERS, record });
+  const system = await createSystem({ controls: 3, gateways: GATEWAYS, others: RUNNERS, record });
   let runners = [];
   try {
     [0, 1, 2].forEach((index) => system.start('control', index));
-    const gateway = system.start('entry', 0);
+    const [gateway] = [0, 1, 2, 3, 4].map((index) => system.start('entry', index));
     await system.sendOrder('/configuration/replace', createConfig());
     runners = await startRunners(system);
-    await system.waitForReady(0);
+    await Promise.all([0, 1, 2, 3, 4].map((index) => system.waitForReady(index)));
     await sleep(4_000);
-    const target = { host: system.gatewayHosts[0], port: system.ports.front };
+    const chooseHost = (index) =>
+      system.gatewayHosts[index < STREAMS_AT_KILLED ? 0 : 1 + (index % (GATEWAYS - 1))];
     record(`${STREAMS} clients ask for a stream each`);
     const readings = Array.from({ length: STREAMS }, (_item, index) =>
-      readStream({ ...target, requestId: `request-${index + 1}` }),
+      readStream({
+        host: chooseHost(index),
+        port: system.ports.front,
+        requestId: `request-${index + 1}`,
+      }),
     );
     await sleep(KILL_AFTER_MS);
     if (HAS_TROUBLE) {
