Do not pass on an endpoint's failure as a refusal

Callers got 503 for an order that had run, took it for the promise that it had not, and sent it again.

Cause: an endpoint that fails after it has run a request may answer 503 without the header of a refusal. The gateway knew that the request had run, and passed the answer on with its status all the same; 408 and 429 took the same way, also for large bodies, streams, answers of unknown endpoints and the last answer of a cascade.

Change: such an answer is a failed attempt. Routes that may be repeated try another endpoint; elsewhere the caller gets a 502 of the gateway's own without the endpoint's signature, so that no status is passed on that the endpoint did not give.

--- a/src/node/decisions/index.ts
+++ b/src/node/decisions/index.ts
@@ -3,6 +3,7 @@
 export * from './changeDetector';
 export * from './chooseChain';
 export * from './closeDelimitedEnd';
+export * from './refusalStatus';
 export * from './responseForm';
 export * from './chooseEndpoint';
 export * from './chooseTarget';
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -1,4 +1,4 @@
-import { chooseResponseForm, chooseSecondModel } from '../decisions';
+import { chooseResponseForm, chooseSecondModel, isRefusalStatus } from '../decisions';
 import { formatIncarnation } from '../registry';
 import { isRetryableRoute } from '../routing';
 import {
@@ -227,6 +227,12 @@
     recordFailure(context, 'response has a content encoding that was not requested', true);
     return RETRY;
   }
+  // The caller would take the status for the promise of a refusal, and send the request again.
+  if (isRefusalStatus(head.status)) {
+    const reason = `endpoint responded with status ${head.status}, but does not state that it has not run the request`;
+    recordFailure(context, reason, true);
+    return RETRY;
+  }
   const form = chooseForm(context, head);
   if (form === 'mismatch') {
     recordFailure(context, 'response to a streaming route is not an event stream', true);
