Send the failure of a pipelined request after the responses before it

A caller that sends its next request before the response to a running one, and sends it too slowly, got 408 at once. It stood in the place of the response to the running request, which had run: a false refusal. A stream that had begun got the bytes of a 400 or 431 as a part of its body. The product's own interface did the same, with the outcome 'not_run'.

Cause: the HTTP server writes these responses straight to the connection, whatever runs on it.

Found while looking for every way in which a status that promises 'not run' reaches a caller. Callers of the platform were not seen to pipeline requests.

--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -19,7 +19,7 @@
 import { createRouteTable, type Route, type RoutingConfig } from '../../routing';
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
 import { createByteBudget } from '../byteBudget';
-import { createCallerServer } from '../callerServer';
+import { createCallerServer, updateTimeouts } from '../callerServer';
 import { startEndpointAttempt } from '../endpointAttempt';
 import { fetchProcessState } from '../endpointProcess';
 import { createEndpointChooser } from '../endpointChoice';
@@ -377,6 +377,7 @@
     graceMs: 5_000,
     readNow,
   });
+  updateTimeouts(server, snapshot);
   await server.listen({ host: '127.0.0.1', port: 0 });
   const { port } = server.server.address() as AddressInfo;
 
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -3,6 +3,7 @@
 import { canAdmitDuringShutdown } from '../decisions';
 import { convertToRouterError } from '../errors';
 import type { Logger } from '../log';
+import { createClientErrorHandler, type ClientErrorHandler } from '../rpc';
 import { admitRequest, type AdmissionRefusal } from './admitRequest';
 import type { ByteBudget } from './byteBudget';
 import { createCallerReply, type CallerReply } from './callerReply';
@@ -69,6 +70,17 @@
   (message.method?.length ?? 0) +
   (message.url?.length ?? 0);
 
+const createClientErrors = ({
+  log,
+  metrics,
+}: Pick<CallerServerOptions, 'log' | 'metrics'>): ClientErrorHandler =>
+  createClientErrorHandler((status, code) => {
+    const reason = `the request could not be read: ${code}`;
+    log.info({ status, reason }, 'request not admitted');
+    metrics.requests.inc({ route: '', end: `status_${status}` });
+    return JSON.stringify({ error: reason });
+  });
+
 /** Creates the server that accepts callers' requests. All routes come from the configuration. */
 export const createCallerServer = (options: CallerServerOptions): FastifyInstance => {
   const {
@@ -168,8 +180,10 @@
     });
   };
 
+  const clientErrors = createClientErrors(options);
   const app = fastify({
     logger: false,
+    clientErrorHandler: clientErrors.handle,
     forceCloseConnections: false,
     http: {
       maxHeaderSize: HEAD_LIMIT_BYTES,
@@ -179,6 +193,7 @@
     frameworkErrors: (_failure: unknown, request: FastifyRequest, reply: FastifyReply) =>
       runHandler(request, reply),
   } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
+  clientErrors.register(app.server);
   app.server.headersTimeout = DEFAULT_HEAD_TIMEOUT_MS;
   app.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
   // One handler serves every method and path. It also answers requests that match no configured
--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -4,6 +4,7 @@
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { randomUUID } from 'node:crypto';
 import { createError, ERROR_STATUS, formatErrorBody, RouterError, type ErrorType } from '../errors';
+import { createClientErrorHandler, type FormatFailure } from './clientErrors';
 
 /** An IP address and port to listen on; port 0 selects a free port. */
 export interface ListenAddress {
@@ -46,35 +47,11 @@
   413: 'too_large',
 };
 
-const STATUS_BY_CODE: Readonly<Record<string, number>> = {
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
-  HPE_HEADER_OVERFLOW: 431,
-};
-
-const REASONS: Readonly<Record<number, string>> = {
-  400: 'Bad Request',
-  408: 'Request Timeout',
-  431: 'Request Header Fields Too Large',
-};
-
-// Invalid HTTP never reaches a route, so the response is written directly to the socket.
-const replyToClientError = (failure: { readonly code?: string }, socket: Socket): void => {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const status = STATUS_BY_CODE[failure.code ?? ''] ?? 400;
+const formatClientFailure: FormatFailure = (status, code) => {
   const type = TYPE_BY_STATUS[status] ?? 'invalid_request';
-  const message = `the request could not be parsed: ${failure.code ?? 'not HTTP'}`;
+  const message = `the request could not be parsed: ${code}`;
   const error = createError({ type, message, step: 'http.receive' });
-  const body = JSON.stringify(formatErrorBody(error, randomUUID()));
-  const lines = [
-    `HTTP/1.1 ${status} ${REASONS[status]}`,
-    'content-type: application/json',
-    `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close',
-  ];
-  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
+  return JSON.stringify(formatErrorBody(error, randomUUID()));
 };
 
 interface FastifyFailure {
@@ -128,12 +105,13 @@
 export const createHttpServer = (options: HttpServerOptions = {}): FastifyInstance => {
   const requestTimeout = options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
   const socketLimits = resolveSocketLimits(requestTimeout);
+  const clientErrors = createClientErrorHandler(formatClientFailure);
   const app = fastify({
     bodyLimit: options.bodyLimitBytes ?? BODY_LIMIT_BYTES,
     requestTimeout,
     genReqId: options.createRequestId ?? (() => randomUUID()),
     logger: false,
-    clientErrorHandler: replyToClientError,
+    clientErrorHandler: clientErrors.handle,
     frameworkErrors: (failure: FastifyFailure, request: FastifyRequest, reply: FastifyReply) => {
       const error = convertFailure(failure);
       reply.code(ERROR_STATUS[error.type]).send(formatErrorBody(error, request.id));
@@ -142,6 +120,7 @@
     http: socketLimits,
     ...(options.tls ? { https: { ...options.tls, ...socketLimits } } : {}),
   } as Parameters<typeof fastify>[0]) as unknown as FastifyInstance;
+  clientErrors.register(app.server);
   registerIdleClosing(app);
   app.setErrorHandler((failure, request, reply) => {
     const error = convertFailure(failure as FastifyFailure);
--- a/src/node/rpc/index.ts
+++ b/src/node/rpc/index.ts
@@ -1,3 +1,4 @@
+export * from './clientErrors';
 export * from './rpcServer';
 export * from './rpcClient';
 export * from './httpServer';
