End callers' answers by a length or chunks, not by the connection

When a gateway was killed, callers of streams that their endpoint sent without a length or chunks got half of the events and a clean end of the connection, which is what a complete answer of this form looks like.

Cause: on routes that may not be repeated, the gateway passed such answers on in the endpoint's form, because a length or chunks would state that they are complete. The end of the gateway's process then is the end of the answer: the kernel closes the connections, and nothing resets them.

Ruled out: streams that can be resumed, which were in chunks, and bodies with the endpoint's length.

Change: the gateway decides as before which ends count as complete, and states it by a length or by the last chunk. A stream that it breaks off lacks its last chunk, so that callers need not see a reset.

Tests: brokenOffAnswers.test.ts asked that the caller's body be delimited as the endpoint's; it asks now that no success ends with its connection, whatever the endpoint sends. scriptedEndpoints.test.ts allowed successes without a length or chunks if they were what an endpoint had sent that was not lost; now it allows none, and asks the same of their content. gateway.test.ts and streams.test.ts ask for a length and for chunks in each row. No row was removed.

Open: callers that speak HTTP/1.0 read no chunks.

--- a/src/node/decisions/__tests__/closeDelimitedEnd.test.ts
+++ b/src/node/decisions/__tests__/closeDelimitedEnd.test.ts
@@ -9,7 +9,7 @@
   process: 'same',
   hasContent: true,
   isRepeated: false,
-  isPassedOn: false,
+  canConfirm: true,
   canRetry: false,
 };
 
@@ -24,25 +24,29 @@
     end: { process: 'unknown' },
     verdict: 'unconfirmed',
   },
-  { name: 'after events, passed on as it is', end: { isPassedOn: true }, verdict: 'complete' },
+  {
+    name: 'after events of a stream that cannot be resumed',
+    end: { canConfirm: false },
+    verdict: 'complete',
+  },
   {
     name: 'of a body whose endpoint does not say who it is, with another endpoint to ask',
-    end: { process: 'unknown', isPassedOn: true, canRetry: true },
+    end: { process: 'unknown', canConfirm: false, canRetry: true },
     verdict: 'doubtful',
   },
   {
     name: 'of a body whose endpoint does not say who it is, without another endpoint to ask',
-    end: { process: 'unknown', isPassedOn: true },
+    end: { process: 'unknown', canConfirm: false },
     verdict: 'complete',
   },
   {
     name: 'of a body whose endpoint goes on, with another endpoint to ask',
-    end: { isPassedOn: true, canRetry: true },
+    end: { canConfirm: false, canRetry: true },
     verdict: 'complete',
   },
   {
     name: 'of an endpoint whose address has another process',
-    end: { process: 'replaced', isPassedOn: true },
+    end: { process: 'replaced', canConfirm: false },
     verdict: 'lost',
   },
   {
@@ -52,8 +56,8 @@
   },
   { name: 'before the first event', end: { hasContent: false }, verdict: 'empty' },
   {
-    name: 'before the first event, passed on as it is',
-    end: { hasContent: false, isPassedOn: true },
+    name: 'before the first event of a stream that cannot be resumed',
+    end: { hasContent: false, canConfirm: false },
     verdict: 'empty',
   },
   {
--- a/src/node/decisions/closeDelimitedEnd.ts
+++ b/src/node/decisions/closeDelimitedEnd.ts
@@ -12,14 +12,14 @@
   readonly hasContent: boolean;
   /** Whether an earlier attempt ended in the same way after the event that was the last one here. */
   readonly isRepeated: boolean;
-  /** Whether the caller's response ends with its connection too, and so states no more. */
-  readonly isPassedOn: boolean;
+  /** Whether another attempt may confirm the end of a stream. */
+  readonly canConfirm: boolean;
   /** Whether another endpoint may be sent the whole request. */
   readonly canRetry: boolean;
 }
 
 /**
- * What such an end shows: that the response is `complete` as far as the caller is told, that its
+ * What such an end shows: that the response is `complete` as far as can be known, that its
  * endpoint was `lost`, that it broke off before it began (`empty`), or nothing: then a stream is
  * resumed (`unconfirmed`), and a body is replaced with another endpoint's (`doubtful`).
  */
@@ -35,11 +35,11 @@
   process,
   hasContent,
   isRepeated,
-  isPassedOn,
+  canConfirm,
   canRetry,
 }: CloseDelimitedEnd): EndVerdict => {
   if (LOST_STATES.has(process)) return 'lost';
   if (!hasContent) return 'empty';
-  if (!isPassedOn) return isRepeated && process === 'same' ? 'complete' : 'unconfirmed';
+  if (canConfirm) return isRepeated && process === 'same' ? 'complete' : 'unconfirmed';
   return process === 'unknown' && canRetry ? 'doubtful' : 'complete';
 };
--- a/src/node/gateway/__tests__/brokenOffAnswers.test.ts
+++ b/src/node/gateway/__tests__/brokenOffAnswers.test.ts
@@ -247,8 +247,8 @@
 const isFramedReply = ({ headers }: CallerResult): boolean =>
   headers['content-length'] !== undefined || headers['transfer-encoding'] === 'chunked';
 
-/** Whether the caller gets chunks where the endpoint sends neither a length nor chunks. */
-const isChunkedReply = ({ isFramed }: Framing, { isStream, route }: RelayPath): boolean =>
+/** Whether another attempt has to confirm the end of an answer. */
+const canConfirm = ({ isFramed }: Framing, { isStream, route }: RelayPath): boolean =>
   !isFramed && isStream && route.canResume === true;
 
 interface Combination {
@@ -267,8 +267,8 @@
 
 // A body's length and its last chunk show its end whatever happens to the connection after them.
 // Without them, an endpoint that goes on may have closed the connection at any byte: such a stream is
-// resumed to confirm its end, or passed on as it came if it cannot be. What an unknown process sent
-// is passed on only if no other endpoint can be asked.
+// resumed to confirm its end, or taken as complete if it cannot be. What an unknown process sent is
+// taken as complete only if no other endpoint can be asked.
 const isWholeAnswer = (
   framing: Framing,
   path: RelayPath,
@@ -277,8 +277,8 @@
   const isTorn = path.isStream && body.isTorn === true;
   if (framing.isCoded) return false;
   if (framing.isFramed) return body.name === 'whole';
-  const isPassedOn = next.state === 'running' || (next.state === 'unknown' && !canRetry(path));
-  return !isTorn && !end.isBroken && isPassedOn && !isChunkedReply(framing, path);
+  const isTaken = next.state === 'running' || (next.state === 'unknown' && !canRetry(path));
+  return !isTorn && !end.isBroken && isTaken && !canConfirm(framing, path);
 };
 
 const createTestedAnswer = (
@@ -313,10 +313,7 @@
 ): string | undefined => {
   const { status, isComplete, body } = result;
   const isSuccess = status === 200 && isComplete;
-  if (isSuccess && isWholeAnswer(framing, path, combination)) {
-    if (isFramedReply(result) !== (framing.isFramed || isChunkedReply(framing, path)))
-      return 'a body that is delimited in another way than the endpoint said';
-  }
+  if (isSuccess && !isFramedReply(result)) return 'a body that ends with its connection';
   const sent = `${path.prefix ?? ''}${combination.body.text}`;
   const expected = isWholeAnswer(framing, path, combination) ? sent : path.whole;
   if (canRetry(path) && path.isSuspect && !isSuccess) return undefined;
--- a/src/node/gateway/__tests__/gateway.test.ts
+++ b/src/node/gateway/__tests__/gateway.test.ts
@@ -67,7 +67,6 @@
   readonly body?: string;
   /** Number of requests that each endpoint receives. */
   readonly requestCounts: readonly number[];
-  readonly hasLength?: boolean;
 }
 
 const cases: readonly Case[] = [
@@ -182,13 +181,12 @@
     requestCounts: [1, 0],
   },
   {
-    name: 'close-delimited response on a non-retryable route stays close-delimited',
+    name: 'close-delimited response on a non-retryable route is complete if the endpoint goes on',
     route: ONCE,
     answers: [closeDelimited, good],
     status: 200,
     body: 'half',
     requestCounts: [1, 0],
-    hasLength: false,
   },
   {
     name: 'close-delimited response of a lost endpoint on a non-retryable route gives 502',
@@ -204,7 +202,6 @@
     status: 200,
     body: 'half',
     requestCounts: [1, 0],
-    hasLength: false,
   },
   {
     name: 'close-delimited response of a lost endpoint on a retryable route is retried',
@@ -259,7 +256,6 @@
     status: 200,
     body: 'half',
     requestCounts: [1, 1],
-    hasLength: false,
   },
   {
     name: 'response of an endpoint that does not say who it is is not sent if another one fails',
@@ -275,7 +271,6 @@
     status: 200,
     body: 'half',
     requestCounts: [1, 1],
-    hasLength: false,
   },
   {
     name: 'endpoint that does not respond, on a retryable route',
@@ -319,7 +314,7 @@
   },
 ];
 
-for (const { name, route, answers, call, status, body, requestCounts, hasLength } of cases) {
+for (const { name, route, answers, call, status, body, requestCounts } of cases) {
   test(`response of the gateway: ${name}`, async (t) => {
     const gateway = await startGateway(route, answers);
     t.teardown(gateway.stop);
@@ -330,8 +325,8 @@
       gateway.heads.map((heads) => heads.length),
       requestCounts,
     );
-    const isFramed = result.headers['content-length'] !== undefined;
-    if (hasLength === false) t.false(isFramed || result.headers['transfer-encoding'] === 'chunked');
+    // Without a length, a body looks complete when the gateway is killed before its end.
+    t.is(Number(result.headers['content-length']), result.body.length);
     if (status >= 502) t.is(result.headers['x-response-signature'], undefined);
     if (status === 503) t.truthy(result.headers['retry-after']);
   });
--- a/src/node/gateway/__tests__/scriptedEndpoints.test.ts
+++ b/src/node/gateway/__tests__/scriptedEndpoints.test.ts
@@ -69,26 +69,33 @@
     ),
   );
 
+const isResumable = ({ run }: Outcome): boolean => isStreamRoute(run) && canRepeat(run);
+
+const isSuccess = ({ result }: Outcome): boolean => result.status === 200 && result.isComplete;
+
+// Where no other attempt can confirm it, the end of a connection ends an answer.
+const hasOpenEnd = (outcome: Outcome): boolean =>
+  !isResumable(outcome) &&
+  outcome.records.some(
+    ({ body, isFramed, isReset, state }) =>
+      body === outcome.result.body && !isFramed && !isReset && state !== 'lost',
+  );
+
 /** Promises of a gateway, as callers and endpoints see them. */
 const checks: Readonly<Record<string, Check>> = {
-  'a framed success is the whole answer to its request': (outcome) => {
-    const { result, run } = outcome;
-    if (result.status !== 200 || !result.isComplete || !isFramedReply(result)) return true;
-    if (result.body === formatWhole(outcome)) return true;
+  'a success has a length or chunks': (outcome) =>
+    !isSuccess(outcome) || isFramedReply(outcome.result),
+  'a success is the whole answer to its request, or ends where a connection ended': (outcome) => {
+    if (!isSuccess(outcome) || outcome.result.body === formatWhole(outcome)) return true;
     if (outcome.records.some(({ isFalselyWhole }) => isFalselyWhole)) return true;
-    return isStreamRoute(run) && canRepeat(run) && hasTwoOpenEnds(outcome);
-  },
-  'an unframed success is what an endpoint sent that was not lost': ({ result, records }) => {
-    if (result.status !== 200 || !result.isComplete || isFramedReply(result)) return true;
-    return records.some(
-      ({ body, isFramed, isReset, state }) =>
-        body === result.body && !isFramed && !isReset && state !== 'lost',
-    );
+    return hasOpenEnd(outcome) || (isResumable(outcome) && hasTwoOpenEnds(outcome));
   },
   'another endpoint is asked if one does not say who it is': (outcome) => {
     const { run, result, records, elapsedMs } = outcome;
-    if (result.status !== 200 || !result.isComplete || isFramedReply(result)) return true;
-    const isKnown = records.some(({ body, state }) => body === result.body && state !== 'unknown');
+    if (!isSuccess(outcome) || isResumable(outcome)) return true;
+    const isKnown = records.some(
+      ({ body, state, isFramed }) => body === result.body && (isFramed || state !== 'unknown'),
+    );
     // An endpoint that is gone does not receive the second request.
     const reachable = run.endpoints.filter(({ process }) => process !== 'is gone');
     const hasAsked = records.length >= Math.min(run.attemptLimit, reachable.length);
@@ -194,15 +201,22 @@
   state: 'running',
   lastEvent: 0,
 };
-const RESULT: CallerResult = { status: 200, headers: {}, body: RECORD.body, isComplete: true };
-const FRAMED: CallerResult = { ...RESULT, headers: { 'transfer-encoding': 'chunked' } };
+const RESULT: CallerResult = {
+  status: 200,
+  headers: { 'transfer-encoding': 'chunked' },
+  body: RECORD.body,
+  isComplete: true,
+};
+const WHOLE_OR_OPEN =
+  'a success is the whole answer to its request, or ends where a connection ended';
 
 const violations: readonly { readonly check: string; readonly outcome: Partial<Outcome> }[] = [
-  { check: 'a framed success is the whole answer to its request', outcome: { result: FRAMED } },
-  {
-    check: 'an unframed success is what an endpoint sent that was not lost',
-    outcome: { records: [{ ...RECORD, state: 'lost' }] },
-  },
+  { check: 'a success has a length or chunks', outcome: { result: { ...RESULT, headers: {} } } },
+  { check: WHOLE_OR_OPEN, outcome: { records: [{ ...RECORD, isFramed: true }] } },
+  { check: WHOLE_OR_OPEN, outcome: { records: [{ ...RECORD, isReset: true }] } },
+  { check: WHOLE_OR_OPEN, outcome: { records: [{ ...RECORD, state: 'lost' }] } },
+  { check: WHOLE_OR_OPEN, outcome: { records: [{ ...RECORD, body: 'the answer' }] } },
+  { check: WHOLE_OR_OPEN, outcome: { run: { ...RUN, kind: 'resumable stream' } } },
   {
     check: 'another endpoint is asked if one does not say who it is',
     outcome: {
@@ -214,7 +228,7 @@
     check: 'a stream has no gap, no repeated event and no other text',
     outcome: {
       run: { ...RUN, kind: 'stream' },
-      result: { ...FRAMED, isComplete: false, body: formatEvents('id-1', 2) },
+      result: { ...RESULT, isComplete: false, body: formatEvents('id-1', 2) },
     },
   },
   {
@@ -235,8 +249,8 @@
   },
 ];
 
-for (const { check, outcome } of violations) {
-  test(`a violation is detected: ${check}`, (t) => {
+for (const [index, { check, outcome }] of violations.entries()) {
+  test(`a violation is detected: ${check} (row ${index + 1})`, (t) => {
     const sound: Outcome = {
       run: RUN,
       requestId: 'id-1',
--- a/src/node/gateway/__tests__/streams.test.ts
+++ b/src/node/gateway/__tests__/streams.test.ts
@@ -33,8 +33,6 @@
   readonly isComplete: boolean;
   /** Id of the last event sent to the second endpoint, which resumes the stream after it. */
   readonly resumedAfter?: string;
-  /** Whether the caller gets neither a length nor chunks, like the gateway. */
-  readonly isPassedOn?: boolean;
 }
 
 /** Creates the answers of an endpoint that answers its requests in turn. */
@@ -217,7 +215,6 @@
     answers: [closedStream],
     ids: [1, 2, 3, 4],
     isComplete: true,
-    isPassedOn: true,
   },
   {
     name: 'without a length or chunks, lost, on a route that does not allow resuming',
@@ -225,7 +222,6 @@
     answers: [lostUnframedStream],
     ids: [1, 2],
     isComplete: false,
-    isPassedOn: true,
   },
   {
     name: 'closed in the middle of an event and resumed',
@@ -266,7 +262,6 @@
     answers: [closedInsideEvent, resumedStream],
     ids: [1, 2],
     isComplete: false,
-    isPassedOn: true,
   },
   {
     name: 'ended by its last chunk in the middle of an event and resumed',
@@ -352,7 +347,7 @@
 ];
 
 for (const { name, route, answers, ids, isComplete, ...expected } of streamCases) {
-  const { resumedAfter, isPassedOn = false } = expected;
+  const { resumedAfter } = expected;
   test(`stream through a gateway: ${name}`, async (t) => {
     t.timeout(30_000);
     const gateway = await startGateway(route, answers);
@@ -365,7 +360,7 @@
     );
     t.is(result.isComplete, isComplete);
     // Without chunks, the end of a stream that was broken off would look complete.
-    t.is(result.headers['transfer-encoding'], isPassedOn ? undefined : 'chunked');
+    t.is(result.headers['transfer-encoding'], 'chunked');
     const second = gateway.heads.flat()[1];
     t.is(/^Last-Event-Id: (.*)\r$/m.exec(second ?? '')?.[1], resumedAfter);
   });
--- a/src/node/gateway/attemptResult.ts
+++ b/src/node/gateway/attemptResult.ts
@@ -1,6 +1,6 @@
 import { isRetryableRoute } from '../routing';
 import type { AttemptContext } from './attemptRecords';
-import { BODILESS_STATUSES, type ReplyHead } from './callerReply';
+import type { ReplyHead } from './callerReply';
 import { waitWithTimeout } from './deadline';
 import type { ResponseHead } from './types';
 
@@ -56,12 +56,7 @@
   waitWithTimeout(promise, Math.min(MAX_TIMER_MS, timeoutMs));
 
 /** Creates the head of the caller's response from that of an endpoint. */
-export const createReplyHead = ({
-  status,
-  forwarded,
-  isCloseDelimited,
-}: ResponseHead): ReplyHead => ({
+export const createReplyHead = ({ status, forwarded }: ResponseHead): ReplyHead => ({
   status,
   headers: forwarded,
-  isCloseDelimited: isCloseDelimited && !BODILESS_STATUSES.has(status),
 });
--- a/src/node/gateway/callerReply.ts
+++ b/src/node/gateway/callerReply.ts
@@ -5,14 +5,13 @@
 export interface ReplyHead {
   readonly status: number;
   readonly headers: RawHeaders;
-  /**
-   * Whether the body ends with the connection, like the endpoint's: a length or chunks would state
-   * that it is complete, which is not known.
-   */
-  readonly isCloseDelimited?: boolean;
 }
 
-/** The response path to one caller. */
+/**
+ * The response path to one caller. A body has a length or chunks, also where the endpoint's ends with
+ * its connection: the kernel closes the connections of a process that is killed, and the caller would
+ * take that for the end of the body.
+ */
 export interface CallerReply {
   /** Sends a response with its whole body. */
   readonly send: (head: ReplyHead, body: Buffer) => void;
@@ -60,10 +59,9 @@
     // The `close` event that follows is handled above.
   });
 
-  const writeHead = ({ status, headers, isCloseDelimited }: ReplyHead): void => {
-    const connectionHeaders = isClosing() || isCloseDelimited ? ['Connection', 'close'] : [];
+  const writeHead = ({ status, headers }: ReplyHead): void => {
+    const connectionHeaders = isClosing() ? ['Connection', 'close'] : [];
     response.sendDate = false;
-    if (isCloseDelimited) response.useChunkedEncodingByDefault = false;
     isLengthSent = findDeclaredLength(headers) !== undefined;
     response.writeHead(status, [...headers, ...connectionHeaders]);
   };
@@ -71,11 +69,10 @@
   return {
     send: (head, body) => {
       if (isDisconnected) return;
-      const { status, headers, isCloseDelimited } = head;
+      const { status, headers } = head;
       const hasLength = findDeclaredLength(headers) !== undefined;
       const isBodiless = BODILESS_STATUSES.has(status) || response.req.method === 'HEAD';
-      const length =
-        hasLength || isBodiless || isCloseDelimited ? [] : ['Content-Length', String(body.length)];
+      const length = hasLength || isBodiless ? [] : ['Content-Length', String(body.length)];
       writeHead({ ...head, headers: [...headers, ...length] });
       response.end(isBodiless ? undefined : body);
     },
@@ -100,7 +97,7 @@
       if (!isDisconnected) response.end();
     },
     abort: () => {
-      // A reset is all that tells the caller that a body without a length or chunks is incomplete.
+      // Callers that speak HTTP/1.0 read no chunks; a reset is all that tells them.
       if (response.chunkedEncoding || isLengthSent) response.destroy();
       else response.socket?.resetAndDestroy();
     },
--- a/src/node/gateway/closeDelimitedEnd.ts
+++ b/src/node/gateway/closeDelimitedEnd.ts
@@ -26,8 +26,8 @@
   readonly hasContent: boolean;
   /** Whether it was recorded already that the endpoint survived the start of its answer. */
   readonly hasSurvived: boolean;
-  /** Whether the caller's response is close-delimited, too. */
-  readonly isPassedOn: boolean;
+  /** Whether another attempt may confirm the end of a stream. */
+  readonly canConfirm: boolean;
   /** Whether another endpoint may be sent the whole request. */
   readonly canRetry: boolean;
 }
--- a/src/node/gateway/relayEventStream.ts
+++ b/src/node/gateway/relayEventStream.ts
@@ -58,11 +58,9 @@
   const { reply } = exchange;
   const reader = createEventReader(exchange.request.account);
   const chunks = attempt.readBody()[Symbol.asyncIterator]();
-  // A stream that can be resumed is sent in chunks, because its end can be confirmed.
-  const isPassedOn = head.isCloseDelimited && !isRetryableRoute(exchange.request.route);
   // A stream may be resumed at another endpoint, so its total length is not known.
   const headers = removeLength(head.forwarded);
-  const replyHead = { ...createReplyHead(head), headers, isCloseDelimited: isPassedOn };
+  const replyHead = { ...createReplyHead(head), headers };
   const isConfirming = isConfirmingEnd(exchange);
   let firstAt: number | undefined;
   let hasSurvived = false;
@@ -148,7 +146,8 @@
   }
   if (head.isCloseDelimited) {
     const hasContent = firstAt !== undefined;
-    const end = { hasContent, hasSurvived, isPassedOn, canRetry: false };
+    const canConfirm = isRetryableRoute(exchange.request.route);
+    const end = { hasContent, hasSurvived, canConfirm, canRetry: false };
     if ((await checkCloseDelimitedEnd(context, end)) !== 'complete') return RETRY;
   }
   recordSuccess(context, (firstAt ?? deps.readNow()) - startedAt);
--- a/src/node/gateway/relayResponse.ts
+++ b/src/node/gateway/relayResponse.ts
@@ -19,7 +19,7 @@
   type AttemptResult,
 } from './attemptResult';
 import { createByteBuffer } from './byteBuffer';
-import { findDeclaredLength } from './callerReply';
+import { BODILESS_STATUSES, findDeclaredLength } from './callerReply';
 import { createModelInput } from './choiceRequest';
 import { checkCloseDelimitedEnd } from './closeDelimitedEnd';
 import { isConnectionLoss } from './endpointAttempt';
@@ -102,15 +102,15 @@
   const body = await readFullBody(context);
   if (body === undefined || exchange.isFinished) return RETRY;
   const replyHead = createReplyHead(head);
-  const hasEnd = !replyHead.isCloseDelimited || exchange.request.method === 'HEAD';
+  const isBodiless = BODILESS_STATUSES.has(head.status) || exchange.request.method === 'HEAD';
   const isFailure = head.status >= MIN_FAILURE_STATUS;
   if (isFailure) {
     recordFailure(context, `endpoint responded with status ${head.status}`, true);
     if (canRepeat(context)) return RETRY;
   }
-  if (!hasEnd) {
+  if (head.isCloseDelimited && !isBodiless) {
     const canRetry = canRepeat(context);
-    const end = { hasContent: true, hasSurvived: false, isPassedOn: true, canRetry };
+    const end = { hasContent: true, hasSurvived: false, canConfirm: false, canRetry };
     const verdict = await checkCloseDelimitedEnd(context, end);
     if (verdict === 'doubtful') exchange.doubtfulAnswer = { head: replyHead, body };
     if (verdict !== 'complete') return RETRY;
