Tell a reset from a close while an upload is written

An endpoint that answered 200 without a length or chunks as soon as it had the head, sent a part of its body and reset the connection while the upload was written: callers got that part as a complete answer, with the endpoint's signature.

Cause: a reset that is received together with the last bytes reads like a close. The gateway told the two apart by an empty write at the end of the connection. With an upload under way, that write waits behind the rest of the upload; the HTTP client takes the end for that of the body and destroys the socket, and both writes are forgotten. Later resets are read as errors.

Ruled out: write and read errors that the socket reports before its end, which were seen.

Change: at the end of a connection its peer's address is asked for. A connection that was reset has none; one that only the endpoint has closed has.

--- a/src/node/agent/__tests__/engineCall.test.ts
+++ b/src/node/agent/__tests__/engineCall.test.ts
@@ -139,6 +139,10 @@
   setTimeout(() => socket.resetAndDestroy(), 20);
 };
 
+const closeByResetAtOnce = (socket: Socket): void => {
+  socket.resetAndDestroy();
+};
+
 const STREAM_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n';
 const JSON_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n';
 const TEXT_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n';
@@ -151,6 +155,11 @@
   body: Buffer.from('{}').toString('base64'),
 } as unknown as AttemptRequest;
 
+const UPLOAD_REQUEST = {
+  ...PLAIN_REQUEST,
+  body: Buffer.alloc(4_100_000, 'u').toString('base64'),
+} as unknown as AttemptRequest;
+
 const brokenCases = [
   {
     name: 'a stream in chunks with its last event',
@@ -236,6 +245,27 @@
     end: closeByReset,
     isWhole: false,
   },
+  {
+    name: "a service's close-delimited body that is reset at once",
+    request: PLAIN_REQUEST,
+    answer: `${TEXT_HEAD}\r\nbod`,
+    end: closeByResetAtOnce,
+    isWhole: false,
+  },
+  {
+    name: "a service's close-delimited body that is reset at once during an upload",
+    request: UPLOAD_REQUEST,
+    answer: `${TEXT_HEAD}\r\nbod`,
+    end: closeByResetAtOnce,
+    isWhole: false,
+  },
+  {
+    name: "a service's close-delimited body that is closed",
+    request: PLAIN_REQUEST,
+    answer: `${TEXT_HEAD}\r\nbody`,
+    end: closeNormally,
+    isWhole: true,
+  },
 ] as const;
 
 for (const { name, request, answer, end, isWhole } of brokenCases) {
--- a/src/node/agent/enginePool.ts
+++ b/src/node/agent/enginePool.ts
@@ -1,23 +1,53 @@
-import { buildConnector, Pool } from 'undici';
+import { buildConnector, Client, DecoratorHandler, Pool, type Dispatcher } from 'undici';
+import { registerResetListener } from '../shared';
 
 const MAX_ENGINE_CONNECTIONS = 256;
 
-/** Code of a connection that the engine reset, in place of the system's. */
-const RESET_CODE = 'ERR_ENGINE_RESET';
+const createResetHandler = (
+  handler: Dispatcher.DispatchHandler,
+  isReset: () => boolean,
+): Dispatcher.DispatchHandler => {
+  const decorated: Dispatcher.DispatchHandler = new DecoratorHandler(handler);
+  const handleEnd = decorated.onResponseEnd?.bind(decorated);
+  return Object.assign(decorated, {
+    onResponseEnd: (...end: Parameters<NonNullable<typeof handleEnd>>): void => {
+      const [controller] = end;
+      if (isReset()) {
+        decorated.onResponseError?.(controller, new Error('the engine reset the connection'));
+      } else handleEnd?.(...end);
+    },
+  });
+};
 
-/** Creates the connections of an agent to one engine or plain service. */
-export const createEnginePool = (address: string, connections = MAX_ENGINE_CONNECTIONS): Pool => {
+// A client has one connection at a time, so that a reset is that of the response it relays.
+const createEngineClient = (origin: URL, options: object): Dispatcher => {
   const connect = buildConnector({});
-  return new Pool(`http://${address}`, {
-    connections,
-    connect: (options, callback) =>
-      connect(options, (...[failure, socket]) => {
-        // The client ends a close-delimited body at ECONNRESET as if the body were complete.
-        socket?.on('error', (cause: NodeJS.ErrnoException) => {
-          if (cause.code === 'ECONNRESET') Object.assign(cause, { code: RESET_CODE });
+  let isReset = false;
+  const client = new Client(origin, {
+    ...options,
+    connect: (target, callback) =>
+      connect(target, (...[failure, socket]) => {
+        isReset = false;
+        if (!socket) {
+          callback(failure, null);
+          return;
+        }
+        registerResetListener(socket, () => {
+          isReset = true;
         });
-        if (socket) callback(null, socket);
-        else callback(failure, null);
+        callback(null, socket);
       }),
   });
+  const dispatch = client.dispatch.bind(client);
+  return Object.assign(client, {
+    dispatch: (request: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler) =>
+      dispatch(
+        request,
+        createResetHandler(handler, () => isReset),
+      ),
+  });
 };
+
+/** Creates the connections of an agent to one engine or plain service. */
+export const createEnginePool = (address: string, connections = MAX_ENGINE_CONNECTIONS): Pool =>
+  new Pool(`http://${address}`, { connections, factory: createEngineClient });
--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -46,14 +46,21 @@
   models: [],
 });
 
-const startAttempt = (port: number, canSend?: () => boolean, isPauseChecked = false) =>
+const NO_BODY = Buffer.alloc(0);
+
+const startAttempt = (
+  port: number,
+  canSend?: () => boolean,
+  isPauseChecked = false,
+  body = NO_BODY,
+) =>
   startEndpointAttempt(
     {
       endpoint: createEndpoint(port),
-      method: 'GET',
+      method: 'POST',
       path: '/a/b',
       headers: ['Host', 'x.example'],
-      body: Buffer.alloc(0),
+      body,
       connectTimeoutMs: 1_000,
       canSend,
       isPauseChecked,
@@ -121,6 +128,73 @@
   });
 }
 
+const READ_ON_MS = 5;
+
+/** Ends of a connection after a part of an answer without a length or chunks. */
+const uploadEnds = [
+  { name: 'a reset at once', end: (s: Socket) => s.resetAndDestroy(), isWhole: false },
+  {
+    name: 'a reset in the next turn',
+    end: (s: Socket) => setImmediate(() => s.resetAndDestroy()),
+    isWhole: false,
+  },
+  ...[1, 5, 20, 100].map((delayMs) => ({
+    name: `a reset after ${delayMs} ms`,
+    end: (s: Socket) => setTimeout(() => s.resetAndDestroy(), delayMs),
+    isWhole: false,
+  })),
+  {
+    name: 'a close of one side, and reading on',
+    end: (s: Socket) => {
+      s.end();
+      s.resume();
+    },
+    isWhole: true,
+  },
+  {
+    name: 'a close of one side, and reading on later',
+    end: (s: Socket) => {
+      s.pause();
+      s.end();
+      setTimeout(() => s.resume(), READ_ON_MS);
+    },
+    isWhole: true,
+  },
+];
+/** Nothing, what the kernel takes at once, and more than that, in bytes. */
+const uploadSizes = [0, 100_000, 4_100_000];
+const UPLOADS = 10;
+
+// With an upload under way, a reset was taken for a close, and the answer for complete.
+for (const size of uploadSizes) {
+  for (const { name, end, isWhole } of uploadEnds) {
+    test.serial(`an answer that ends during an upload of ${size} bytes: ${name}`, async (t) => {
+      const server = createServer({ allowHalfOpen: true }, (socket) => {
+        socket.on('error', () => {});
+        socket.once('data', () => {
+          socket.write(`${UNFRAMED}0123456789`);
+          end(socket);
+        });
+      });
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      t.teardown(() => server.close());
+      const { port } = server.address() as AddressInfo;
+      const upload = Buffer.alloc(size, 'u');
+      const results = await Promise.all(
+        Array.from({ length: UPLOADS }, async () => {
+          const attempt = startAttempt(port, undefined, false, upload);
+          if ((await attempt.head).isLeft()) return 'no head';
+          return readText(attempt.readBody()).catch(() => 'broken off');
+        }),
+      );
+      const whole = results.filter((text) => text === '0123456789');
+      t.is(whole.length, isWhole ? UPLOADS : 0, JSON.stringify(results));
+    });
+  }
+}
+
 const failures = [
   { name: 'connection refused', answer: undefined, mayHaveRun: false },
   {
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -95,6 +95,8 @@
   /** Limit for the answer of a process that is asked who it is, in milliseconds. */
   readonly processTimeoutMs?: number;
   readonly bodyMemoryBytes?: number;
+  /** Limit of a request body in the configuration. */
+  readonly bodyBytes?: number;
   /** Bounds on the requests to cold endpoints; the service's cold endpoints take 8.8 a second. */
   readonly coldBounds?: ColdBounds;
 }
@@ -105,6 +107,7 @@
 const HOST = 'shop.example';
 /** Long enough for a busy machine. */
 const PROCESS_TIMEOUT_MS = 10_000;
+const BODY_BYTES = 1_000_000;
 const BODY_MEMORY_BYTES = 32 * 1024 * 1024;
 const KEY = 'key-1';
 
@@ -126,7 +129,7 @@
   ...fields,
 });
 
-const createConfig = (route: Route): RoutingConfig => ({
+const createConfig = (route: Route, bodyBytes: number): RoutingConfig => ({
   version: 1,
   routes: [route],
   services: [
@@ -148,7 +151,7 @@
   organisations: [{ name: 'north', keys: [KEY], rank: undefined }],
   limits: {
     headerBytes: 16_384,
-    bodyBytes: 1_000_000,
+    bodyBytes,
     headerTimeoutMs: 2_000,
     idleTimeoutMs: 5_000,
   },
@@ -251,6 +254,7 @@
     hasLease = () => true,
     processTimeoutMs = PROCESS_TIMEOUT_MS,
     bodyMemoryBytes = BODY_MEMORY_BYTES,
+    bodyBytes = BODY_BYTES,
     coldBounds,
   }: GatewayOverrides = {},
 ): Promise<GatewayHarness> => {
@@ -262,7 +266,7 @@
   const known: readonly KnownEndpoint[] = reports.map((report) => ({ report, isReady: true }));
   const snapshot: RoutingSnapshot = {
     revision: 1,
-    table: createRouteTable(createConfig(createRoute(fields))),
+    table: createRouteTable(createConfig(createRoute(fields), bodyBytes)),
     rollouts: [],
     retired: [],
     rolloutStartedAt: new Map(),
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -1,7 +1,7 @@
-import type { Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import { Left, Right } from 'purify-ts';
 import { buildConnector, Client } from 'undici';
+import { registerResetListener } from '../shared';
 import type { ResponseHeaders, AttemptTarget, EndpointAttempt, RawHeaders } from './types';
 
 /**
@@ -29,17 +29,6 @@
 const readMessage = (cause: unknown): string =>
   cause instanceof Error ? cause.message || cause.name : String(cause);
 
-// Errors that the client itself raises when it closes a connection have no `syscall`.
-const isSystemError = (cause: Error): boolean =>
-  (cause as NodeJS.ErrnoException).syscall !== undefined;
-
-// A reset that arrives together with the last bytes is read like a close. An empty write sends
-// nothing, and fails if the connection was reset.
-const hasBeenReset = (socket: Socket): Promise<boolean> =>
-  new Promise((resolve) => {
-    socket.write('', (cause) => resolve(cause instanceof Error && isSystemError(cause)));
-  });
-
 /** Error codes of a connection that the endpoint closed or reset. */
 const CONNECTION_LOSS_CODES: ReadonlySet<unknown> = new Set([
   'UND_ERR_SOCKET',
@@ -70,27 +59,23 @@
   let isConnected = false;
   let isWithheld = false;
   let isReset = false;
-  let isResetAtEnd: Promise<boolean> = Promise.resolve(false);
   let isCancelled = false;
   let bodyBytes = 0;
   let limitFailure: Error | undefined;
-  // Half-open connections can be written to after the endpoint has closed its side.
   const startedAt = performance.now();
   const isLate = (): boolean =>
     performance.now() - startedAt > MAX_CONNECT_TIMEOUTS * target.connectTimeoutMs;
+  // A connection that is closed in both directions would look like a reset one.
   const connect = buildConnector({ timeout: target.connectTimeoutMs, allowHalfOpen: true });
   const client = new Client(`http://${target.endpoint.address}`, {
     pipelining: 1,
     connect: (options, callback) =>
       connect(options, (...[failure, socket]) => {
-        // The client treats a reset as the end of a close-delimited body, so resets are recorded
-        // here.
-        socket?.on('error', (cause) => {
-          if (isSystemError(cause)) isReset = true;
-        });
-        socket?.on('end', () => {
-          isResetAtEnd = hasBeenReset(socket);
-        });
+        if (socket) {
+          registerResetListener(socket, () => {
+            isReset = true;
+          });
+        }
         // Without a head or body bytes, the client would read and discard such bytes for ever.
         socket?.on('readable', () => {
           const overhead = socket.bytesRead - bodyBytes;
@@ -160,7 +145,7 @@
         bodyBytes += (chunk as Buffer).length;
         yield chunk as Buffer;
       }
-      if (isReset || (await isResetAtEnd)) throw createResetError();
+      if (isReset) throw createResetError();
     } catch (cause) {
       throw limitFailure ?? cause;
     } finally {
