Keep a whole answer whose connection is reset before it is read

A response with its length or its last chunk was dropped if the endpoint reset the connection after it and a slow caller had not read it yet: 502, or a stream that broke off, for an answer that was ready.

Cause: the check for resets at the end of a body, which close-delimited bodies need, was made when the body had been read, for every form of body.

Change: only a close-delimited body ends with its connection, so only there a reset counts.

--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -47,6 +47,7 @@
 });
 
 const NO_BODY = Buffer.alloc(0);
+const FRAMING_HEADER = /^(?:content-length|transfer-encoding)$/im;
 
 const startAttempt = (
   port: number,
@@ -65,7 +66,7 @@
       canSend,
       isPauseChecked,
     },
-    () => HEADERS,
+    (_status, raw) => ({ ...HEADERS, isCloseDelimited: !FRAMING_HEADER.test(raw.join('\n')) }),
   );
 
 const readText = async (body: AsyncIterable<Buffer>): Promise<string> => {
@@ -163,7 +164,8 @@
 ];
 /** Nothing, what the kernel takes at once, and more than that, in bytes. */
 const uploadSizes = [0, 100_000, 4_100_000];
-const UPLOADS = 10;
+/** Attempts at once of each row; the order of events varies. */
+const ATTEMPTS = 10;
 
 // With an upload under way, a reset was taken for a close, and the answer for complete.
 for (const size of uploadSizes) {
@@ -183,14 +185,61 @@
       const { port } = server.address() as AddressInfo;
       const upload = Buffer.alloc(size, 'u');
       const results = await Promise.all(
-        Array.from({ length: UPLOADS }, async () => {
+        Array.from({ length: ATTEMPTS }, async () => {
           const attempt = startAttempt(port, undefined, false, upload);
           if ((await attempt.head).isLeft()) return 'no head';
           return readText(attempt.readBody()).catch(() => 'broken off');
         }),
       );
       const whole = results.filter((text) => text === '0123456789');
-      t.is(whole.length, isWhole ? UPLOADS : 0, JSON.stringify(results));
+      t.is(whole.length, isWhole ? ATTEMPTS : 0, JSON.stringify(results));
+    });
+  }
+}
+
+/** Answers of 30 kB, which the client holds until they are read, and ends of their connections. */
+const LONG_TEXT = 'x'.repeat(30_000);
+const SLOW_READ_MS = 50;
+const slowlyRead = [
+  { name: 'with a length', head: `Content-Length: ${LONG_TEXT.length}\r\n\r\n`, isWhole: true },
+  {
+    name: 'with a length, closing',
+    head: `Connection: close\r\nContent-Length: ${LONG_TEXT.length}\r\n\r\n`,
+    isWhole: true,
+  },
+  {
+    name: 'in chunks',
+    head: `Transfer-Encoding: chunked\r\n\r\n${LONG_TEXT.length.toString(16)}\r\n`,
+    tail: '\r\n0\r\n\r\n',
+    isWhole: true,
+  },
+  { name: 'without a length or chunks', head: '\r\n', isWhole: false },
+] as const;
+
+// A whole answer was dropped if its endpoint reset the connection before a slow caller had read it.
+for (const { name, head, isWhole, ...rest } of slowlyRead) {
+  for (const delayMs of [0, 1, 20]) {
+    test(`an answer is read slowly and its connection is reset after ${delayMs} ms: ${name}`, async (t) => {
+      const tail = 'tail' in rest ? rest.tail : '';
+      const server = await startServer((socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${head}${LONG_TEXT}${tail}`);
+        setTimeout(() => socket.resetAndDestroy(), delayMs);
+      });
+      t.teardown(() => server.close());
+      const { port } = server.address() as AddressInfo;
+      const results = await Promise.all(
+        Array.from({ length: ATTEMPTS }, async () => {
+          const attempt = startAttempt(port);
+          await attempt.head;
+          await sleep(SLOW_READ_MS);
+          const text = await readText(attempt.readBody()).catch(() => 'broken off');
+          return text === LONG_TEXT;
+        }),
+      );
+      t.deepEqual(
+        results,
+        results.map(() => isWhole),
+      );
     });
   }
 }
--- a/src/node/gateway/endpointAttempt.ts
+++ b/src/node/gateway/endpointAttempt.ts
@@ -59,6 +59,7 @@
   let isConnected = false;
   let isWithheld = false;
   let isReset = false;
+  let isCloseDelimited = false;
   let isCancelled = false;
   let bodyBytes = 0;
   let limitFailure: Error | undefined;
@@ -124,8 +125,11 @@
   });
 
   const head: EndpointAttempt['head'] = response.then(
-    ({ statusCode, headers }) =>
-      Right({ status: statusCode, ...decodeAnswer(statusCode, convertHeaders(headers)) }),
+    ({ statusCode, headers }) => {
+      const answer = decodeAnswer(statusCode, convertHeaders(headers));
+      ({ isCloseDelimited } = answer);
+      return Right({ status: statusCode, ...answer });
+    },
     (cause: unknown) => {
       cancel();
       const failure = limitFailure ?? cause;
@@ -145,7 +149,8 @@
         bodyBytes += (chunk as Buffer).length;
         yield chunk as Buffer;
       }
-      if (isReset) throw createResetError();
+      // A length or the last chunk shows the end, whatever happens to the connection after it.
+      if (isReset && isCloseDelimited) throw createResetError();
     } catch (cause) {
       throw limitFailure ?? cause;
     } finally {
