Give the endpoints of tests addresses that no other test uses

Whole runs failed now and then with 'listen EADDRINUSE' at the restart of an endpoint, with 'replaced' where a process had just ended, and probably with requests of another test at a test's endpoint.

Cause: tests took any free port of 127.0.0.1, closed it, and expected it to stay closed or free. Another test's listener got it meanwhile; brokenOffAnswers.test.ts alone opens some 50,000.

Change: listeners of gateway tests take addresses of 127.0.0.0/8 that are their process's own, each once. No check was changed; an endpoint that cannot listen is an error now.

--- a/src/node/gateway/__tests__/endpointAttempt.test.ts
+++ b/src/node/gateway/__tests__/endpointAttempt.test.ts
@@ -1,9 +1,9 @@
-import { createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { promisify } from 'node:util';
 import test from 'ava';
+import { startOnOwnAddress, type OwnAddress } from '../../__tests__/ownAddresses';
 import type { EndpointReport } from '../../registry';
 import { startEndpointAttempt } from '../endpointAttempt';
 import type { ResponseHeaders } from '../types';
@@ -21,23 +21,26 @@
   forwarded: [],
 };
 
-const startServer = async (answer: (socket: Socket) => void): Promise<Server> => {
+/** A listening endpoint. */
+interface TestServer {
+  readonly server: Server;
+  readonly address: OwnAddress;
+}
+
+const startServer = async (answer: (socket: Socket) => void): Promise<TestServer> => {
   const server = createServer((socket) => {
     socket.on('error', () => {});
     socket.once('data', () => answer(socket));
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  return server;
+  return { server, address: await startOnOwnAddress(server) };
 };
 
-const createEndpoint = (port: number): EndpointReport => ({
+const createEndpoint = ({ host, port }: OwnAddress): EndpointReport => ({
   id: 'e-1',
   startedAt: 1,
   sequence: 1,
   service: 's',
-  address: `127.0.0.1:${port}`,
+  address: `${host}:${port}`,
   zone: 'a',
   version: 'v1',
   slots: 1,
@@ -50,14 +53,14 @@
 const FRAMING_HEADER = /^(?:content-length|transfer-encoding)$/im;
 
 const startAttempt = (
-  port: number,
+  address: OwnAddress,
   canSend?: () => boolean,
   isPauseChecked = false,
   body = NO_BODY,
 ) =>
   startEndpointAttempt(
     {
-      endpoint: createEndpoint(port),
+      endpoint: createEndpoint(address),
       method: 'POST',
       path: '/a/b',
       headers: ['Host', 'x.example'],
@@ -120,8 +123,8 @@
 
 for (const { name, answer, isWhole } of cases) {
   test(`body of an endpoint's response: ${name}`, async (t) => {
-    const server = await startServer(answer);
-    const attempt = startAttempt((server.address() as AddressInfo).port);
+    const { server, address } = await startServer(answer);
+    const attempt = startAttempt(address);
     t.is((await attempt.head).map(({ status }) => status).extract(), 200);
     if (isWhole) t.is(await readText(attempt.readBody()), '0123456789');
     else await t.throwsAsync(readText(attempt.readBody()));
@@ -178,15 +181,12 @@
           end(socket);
         });
       });
-      await new Promise<void>((resolve) => {
-        server.listen(0, '127.0.0.1', resolve);
-      });
+      const address = await startOnOwnAddress(server);
       t.teardown(() => server.close());
-      const { port } = server.address() as AddressInfo;
       const upload = Buffer.alloc(size, 'u');
       const results = await Promise.all(
         Array.from({ length: ATTEMPTS }, async () => {
-          const attempt = startAttempt(port, undefined, false, upload);
+          const attempt = startAttempt(address, undefined, false, upload);
           if ((await attempt.head).isLeft()) return 'no head';
           return readText(attempt.readBody()).catch(() => 'broken off');
         }),
@@ -221,15 +221,14 @@
   for (const delayMs of [0, 1, 20]) {
     test(`an answer is read slowly and its connection is reset after ${delayMs} ms: ${name}`, async (t) => {
       const tail = 'tail' in rest ? rest.tail : '';
-      const server = await startServer((socket) => {
+      const { server, address } = await startServer((socket) => {
         socket.write(`HTTP/1.1 200 OK\r\n${head}${LONG_TEXT}${tail}`);
         setTimeout(() => socket.resetAndDestroy(), delayMs);
       });
       t.teardown(() => server.close());
-      const { port } = server.address() as AddressInfo;
       const results = await Promise.all(
         Array.from({ length: ATTEMPTS }, async () => {
-          const attempt = startAttempt(port);
+          const attempt = startAttempt(address);
           await attempt.head;
           await sleep(SLOW_READ_MS);
           const text = await readText(attempt.readBody()).catch(() => 'broken off');
@@ -265,10 +264,9 @@
 
 for (const { name, answer, mayHaveRun } of failures) {
   test(`attempt without a response: ${name}`, async (t) => {
-    const server = await startServer(answer ?? (() => {}));
-    const { port } = server.address() as AddressInfo;
+    const { server, address } = await startServer(answer ?? (() => {}));
     if (!answer) await promisify(server.close.bind(server))();
-    const head = await startAttempt(port).head;
+    const head = await startAttempt(address).head;
     t.is(
       head
         .swap()
@@ -298,11 +296,11 @@
 for (const { name, pauseMs, isChecked = true, isSent } of pauses) {
   test.serial(`request whose connection opens after a pause: ${name}`, async (t) => {
     let requests = 0;
-    const server = await startServer((socket) => {
+    const { server, address } = await startServer((socket) => {
       requests += 1;
       sendThen(`${FRAMED}0123456789`, (s) => s.end())(socket);
     });
-    const attempt = startAttempt((server.address() as AddressInfo).port, undefined, isChecked);
+    const attempt = startAttempt(address, undefined, isChecked);
     runBusy(pauseMs);
     const head = await attempt.head;
     t.is(head.isRight(), isSent);
@@ -317,12 +315,11 @@
 // Guards against a request that is sent with a permit that ran out while the process was paused.
 test('a request that may not be sent any more is not written', async (t) => {
   let requests = 0;
-  const server = await startServer(() => {
+  const { server, address } = await startServer(() => {
     requests += 1;
   });
   t.teardown(() => server.close());
-  const { port } = server.address() as AddressInfo;
-  const head = await startAttempt(port, () => false).head;
+  const head = await startAttempt(address, () => false).head;
   t.like(head.swap().unsafeCoerce(), {
     mayHaveRun: false,
     isConnectionLost: false,
--- a/src/node/gateway/__tests__/endpointProcess.test.ts
+++ b/src/node/gateway/__tests__/endpointProcess.test.ts
@@ -1,6 +1,7 @@
-import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { createServer, type Socket } from 'node:net';
 import test from 'ava';
 import { HEADERS, formatDescription } from '../../../../platform/__tests__/wireNames';
+import { startOnOwnAddress } from '../../__tests__/ownAddresses';
 import { identityCodec } from '../../../../platform/identity';
 import { fetchProcessState } from '../endpointProcess';
 import { createReport } from './harness';
@@ -102,15 +103,12 @@
       if (count === answers.length) server.close();
       socket.once('data', () => answer(socket));
     });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
+    const { host, port } = await startOnOwnAddress(server);
     t.teardown(() => {
       sockets.forEach((socket) => socket.destroy());
       server.close();
     });
-    const { port } = server.address() as AddressInfo;
-    const endpoint = { ...createReport(0, port), ...ENDPOINT };
+    const endpoint = { ...createReport(0, port, host), ...ENDPOINT };
     const found = await fetchProcessState(identityCodec, endpoint, undefined, TIMEOUT_MS);
     t.deepEqual({ state: found.state, asked: count }, { state, asked });
   });
--- a/src/node/gateway/__tests__/gatewayProcess.ts
+++ b/src/node/gateway/__tests__/gatewayProcess.ts
@@ -33,11 +33,11 @@
 /** Environment variable with the options, as JSON. */
 export const OPTIONS_VARIABLE = 'GATEWAY_PROCESS_OPTIONS';
 
-// Sends its port, and ends in the way that the parent process asks for.
+// Sends its address, and ends in the way that the parent process asks for.
 const run = async ({ route, answer }: GatewayProcessOptions): Promise<void> => {
   const gateway = await startGateway(route, [answers[answer]!]);
   process.on('message', (end: string) => ends[end]!());
-  process.send!(gateway.port);
+  process.send!(gateway.address);
 };
 
 const options = process.env[OPTIONS_VARIABLE];
--- a/src/node/gateway/__tests__/harness.ts
+++ b/src/node/gateway/__tests__/harness.ts
@@ -1,11 +1,5 @@
 import { request as openRequest, type IncomingMessage } from 'node:http';
-import {
-  connect,
-  createServer as createNetServer,
-  type AddressInfo,
-  type Server as NetServer,
-  type Socket,
-} from 'node:net';
+import { connect, createServer as createNetServer, type Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import pino from 'pino';
 import { Registry } from 'prom-client';
@@ -16,6 +10,7 @@
 import { createWindowBudget, type ColdBounds } from '../../decisions';
 import { createError } from '../../errors';
 import type { EndpointReport, KnownEndpoint } from '../../registry';
+import { startOnOwnAddress, type OwnAddress } from '../../__tests__/ownAddresses';
 import { createRouteTable, type Route, type RoutingConfig } from '../../routing';
 import { createPrefixCacheEstimates } from '../prefixCacheEstimates';
 import { createByteBudget } from '../byteBudget';
@@ -69,8 +64,8 @@
 /** A gateway whose endpoints are plain TCP servers. */
 export interface GatewayHarness {
   readonly call: (options?: CallOptions) => Promise<CallerResult>;
-  /** Port of the server for callers. */
-  readonly port: number;
+  /** Address of the server for callers. */
+  readonly address: OwnAddress;
   /** Heads of the requests that each endpoint received. */
   readonly heads: readonly string[][];
   readonly logs: readonly string[];
@@ -157,22 +152,17 @@
   },
 });
 
-const startListening = (server: NetServer): Promise<number> =>
-  new Promise((resolve) => {
-    server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
-  });
-
 const STARTED_AT = 1;
 
 const formatId = (index: number): string => `e-${index}`;
 
 /** Creates the report of a test endpoint. */
-export const createReport = (index: number, port: number): EndpointReport => ({
+export const createReport = (index: number, port: number, host = '127.0.0.1'): EndpointReport => ({
   id: formatId(index),
   startedAt: STARTED_AT,
   sequence: 1,
   service: 's',
-  address: `127.0.0.1:${port}`,
+  address: `${host}:${port}`,
   zone: 'a',
   version: 'v1',
   slots: 8,
@@ -214,12 +204,12 @@
       );
     });
   });
-  const port = await startListening(server);
+  const { host, port } = await startOnOwnAddress(server);
   const stop = (): void => {
     sockets.forEach((socket) => socket.destroy());
     server.close();
   };
-  return { port, stop };
+  return { host, port, stop };
 };
 
 const isCloseDelimited = ({ headers }: CallerResult): boolean =>
@@ -262,7 +252,7 @@
   const endpoints = await Promise.all(
     answers.map((answer, index) => startEndpoint(answer, heads[index]!, formatId(index))),
   );
-  const reports = endpoints.map(({ port }, index) => createReport(index, port));
+  const reports = endpoints.map(({ host, port }, index) => createReport(index, port, host));
   const known: readonly KnownEndpoint[] = reports.map((report) => ({ report, isReady: true }));
   const snapshot: RoutingSnapshot = {
     revision: 1,
@@ -382,12 +372,12 @@
     readNow,
   });
   updateTimeouts(server, snapshot);
-  await server.listen({ host: '127.0.0.1', port: 0 });
-  const { port } = server.server.address() as AddressInfo;
+  await server.ready();
+  const address = await startOnOwnAddress(server.server);
 
   const call: GatewayHarness['call'] = (options = {}) =>
     new Promise((resolve, reject) => {
-      const socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true });
+      const socket = connect({ ...address, allowHalfOpen: true });
       // A reset that arrives with the last bytes is read like a close; an empty write tells it from one.
       const hasBeenReset = new Promise<boolean>((resolveReset) => {
         socket.once('end', () => socket.write('', (cause) => resolveReset(cause instanceof Error)));
@@ -426,12 +416,13 @@
 
   return {
     call,
-    port,
+    address,
     heads,
     logs,
     findSessionVersion: (session) => sessions.find('s', session, readNow())?.version,
     stop: async () => {
       endpoints.forEach((endpoint) => endpoint.stop());
+      server.server.close();
       server.server.closeAllConnections();
       await server.close();
     },
--- a/src/node/gateway/__tests__/interruptedUploads.test.ts
+++ b/src/node/gateway/__tests__/interruptedUploads.test.ts
@@ -1,5 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import test from 'ava';
+import type { OwnAddress } from '../../__tests__/ownAddresses';
 import { HEADERS } from '../../../../platform/__tests__/wireNames';
 import { CHUNKED, formatChunks } from './framings';
 import { startGateway, type RouteFields, type SocketAnswer } from './harness';
@@ -69,9 +70,9 @@
   },
 ];
 
-const callRaw = (port: number, upload: string): Promise<string> =>
+const callRaw = ({ host, port }: OwnAddress, upload: string): Promise<string> =>
   new Promise((resolve) => {
-    const socket = connect(port, '127.0.0.1');
+    const socket = connect(port, host);
     let text = '';
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
@@ -106,7 +107,7 @@
         const gateway = await startGateway(fields, [partial, ...after], LIMITS);
         t.teardown(gateway.stop);
         for (const { name: uploadName, text } of uploads) {
-          const calls = Array.from({ length: CALLS }, () => callRaw(gateway.port, text));
+          const calls = Array.from({ length: CALLS }, () => callRaw(gateway.address, text));
           const answers = await Promise.all(calls);
           const wrong = answers.filter((answer) => isSuccess(answer) && !answer.endsWith(WHOLE));
           t.deepEqual(
--- a/src/node/gateway/__tests__/killedGateway.test.ts
+++ b/src/node/gateway/__tests__/killedGateway.test.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import test from 'ava';
+import type { OwnAddress } from '../../__tests__/ownAddresses';
 import { HEADERS } from '../../../../platform/__tests__/wireNames';
 import { LARGE_BODY_BYTES, OPTIONS_VARIABLE, type GatewayProcessOptions } from './gatewayProcess';
 
@@ -32,10 +33,9 @@
 
 const ends = ['is killed', 'exits at the end of a planned stop', 'aborts as without memory'];
 
-const startCall = async (port: number): Promise<IncomingMessage> => {
+const startCall = async (address: OwnAddress): Promise<IncomingMessage> => {
   const sent = request({
-    port,
-    host: '127.0.0.1',
+    ...address,
     method: 'POST',
     path: '/a/b',
     agent: false,
@@ -61,8 +61,8 @@
       const env = { ...process.env, [OPTIONS_VARIABLE]: JSON.stringify(options) };
       const child = fork(PROGRAM, { env, execArgv: ['--import=tsx'] });
       t.teardown(() => child.kill('SIGKILL'));
-      const [port] = (await once(child, 'message')) as [number];
-      const message = await startCall(port);
+      const [address] = (await once(child, 'message')) as [OwnAddress];
+      const message = await startCall(address);
       t.is(message.statusCode, 200);
       await sleep(READ_MS);
       let isBroken = false;
--- a/src/node/gateway/__tests__/pipelinedFailures.test.ts
+++ b/src/node/gateway/__tests__/pipelinedFailures.test.ts
@@ -52,7 +52,7 @@
     test(`the failure of a pipelined request does not answer the one before: ${failure} after ${name}`, async (t) => {
       const gateway = await startGateway({ timeoutMs: 20_000, ...route }, [answer]);
       t.teardown(gateway.stop);
-      const socket = connect(gateway.port, '127.0.0.1');
+      const socket = connect(gateway.address);
       t.teardown(() => socket.destroy());
       let received = '';
       socket.on('data', (chunk) => {
--- a/src/node/gateway/__tests__/streams.test.ts
+++ b/src/node/gateway/__tests__/streams.test.ts
@@ -369,7 +369,7 @@
 test('a stream that broke off is reset for a caller that cannot read chunks', async (t) => {
   const gateway = await startGateway({ ...STREAM, attemptLimit: 1 }, [interruptedStream]);
   t.teardown(gateway.stop);
-  const socket = connect(gateway.port, '127.0.0.1');
+  const socket = connect(gateway.address);
   const head = `Host: shop.example\r\n${HEADERS.requestId}: id-1\r\n${HEADERS.key}: key-1\r\n`;
   const limit = `${HEADERS.deadline}: 20000\r\n`;
   socket.write(`GET /a/b HTTP/1.0\r\n${head}${limit}\r\n`);
