--- a/src/node/agent/enginePool.ts
+++ b/src/node/agent/enginePool.ts
@@ -3,6 +3,7 @@
 
 const MAX_ENGINE_CONNECTIONS = 256;
 
+// Only a handler can still fail a response when the client ends it at a reset.
 const createResetHandler = (
   handler: Dispatcher.DispatchHandler,
   isReset: () => boolean,
