--- a/src/node/__tests__/ownAddresses.ts
+++ b/src/node/__tests__/ownAddresses.ts
@@ -27,7 +27,8 @@
   return { host: `127.${block}.${Math.floor(process.pid / 256) % 256}.${process.pid % 256}`, port };
 };
 
-const startListening = (server: Server, { host, port }: OwnAddress): Promise<void> =>
+/** Lets a server listen on an address; fails if it cannot. */
+export const startListening = (server: Server, { host, port }: OwnAddress): Promise<void> =>
   new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
