Detect a whole body of a lost endpoint again in the generated endpoints

The check that rewrote took each success with the whole text for true. Before, an answer without a length or chunks of an endpoint that was lost counted as a violation, whatever its text, because nothing showed that it was whole. The check asks that again where no other attempt can confirm the end, and a row of violations holds it to that.

--- a/src/node/gateway/__tests__/scriptedEndpoints.test.ts
+++ b/src/node/gateway/__tests__/scriptedEndpoints.test.ts
@@ -86,9 +86,14 @@
   'a success has a length or chunks': (outcome) =>
     !isSuccess(outcome) || isFramedReply(outcome.result),
   'a success is the whole answer to its request, or ends where a connection ended': (outcome) => {
-    if (!isSuccess(outcome) || outcome.result.body === formatWhole(outcome)) return true;
-    if (outcome.records.some(({ isFalselyWhole }) => isFalselyWhole)) return true;
-    return hasOpenEnd(outcome) || (isResumable(outcome) && hasTwoOpenEnds(outcome));
+    if (!isSuccess(outcome)) return true;
+    const { result, records } = outcome;
+    const isWhole =
+      result.body === formatWhole(outcome) || records.some(({ isFalselyWhole }) => isFalselyWhole);
+    if (isResumable(outcome)) return isWhole || hasTwoOpenEnds(outcome);
+    // Nothing but a framing shows that the body of a lost endpoint is whole.
+    const isStated = records.some(({ body, isFramed }) => isFramed && body === result.body);
+    return hasOpenEnd(outcome) || (isWhole && isStated);
   },
   'another endpoint is asked if one does not say who it is': (outcome) => {
     const { run, result, records, elapsedMs } = outcome;
@@ -217,6 +222,13 @@
   { check: WHOLE_OR_OPEN, outcome: { records: [{ ...RECORD, state: 'lost' }] } },
   { check: WHOLE_OR_OPEN, outcome: { records: [{ ...RECORD, body: 'the answer' }] } },
   { check: WHOLE_OR_OPEN, outcome: { run: { ...RUN, kind: 'resumable stream' } } },
+  {
+    check: WHOLE_OR_OPEN,
+    outcome: {
+      result: { ...RESULT, body: formatText('id-1') },
+      records: [{ ...RECORD, body: formatText('id-1'), state: 'lost' }],
+    },
+  },
   {
     check: 'another endpoint is asked if one does not say who it is',
     outcome: {
