Fetch changes of a configuration in pieces, apart from the lease

Cause: every change sent the whole configuration in the answer to routing.watch, whose call also renews the lease and ends 600 ms after its wait. On a gateway's link 0.9 MB take longer. The control hosts had committed the version.

Now an answer names the configuration by version and digest. Gateways fetch what changed since the one they hold, compressed, in pieces of at most 64 KiB that go on after a failure where they stopped. Answers that name another configuration than the held one do not confirm it. Control hosts keep earlier versions, which share equal items with the latest, to compute changes from. Gateways of earlier releases still get the whole, and control hosts of earlier releases are asked as before.

--- a/bench/inForce.ts
+++ b/bench/inForce.ts
@@ -129,7 +129,7 @@
 const run = async (): Promise<void> => {
   const cluster = await startCluster({ controls: 3, engines: [] });
   const rpc = createRpcClient({ secret: INTERNAL_SECRET });
-  const relays = await Promise.all(cluster.controls.map(startRelay));
+  const relays = await Promise.all(cluster.controls.map((address) => startRelay(address)));
   const relayed = relays.map((relay) => relay.address);
   const nodes = Array.from({ length: NODES }, (_, index) =>
     createNode(rpc, index < CUT_NODES ? relayed : cluster.controls, index),
--- a/src/node/__tests__/cluster/index.ts
+++ b/src/node/__tests__/cluster/index.ts
@@ -4,3 +4,4 @@
 export * from './relay';
 export * from './roleProcess';
 export * from './waitFor';
+export * from './throttledLink';
--- a/src/node/__tests__/cluster/relay.ts
+++ b/src/node/__tests__/cluster/relay.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Socket } from 'node:net';
 import { acquirePort } from './ports';
+import type { ThrottledLink } from './throttledLink';
 
 /** The direction of bytes through a relay. */
 export type Direction = 'toTarget' | 'toCaller';
@@ -23,20 +24,38 @@
   readonly target: Socket;
 }
 
-/** Starts a relay to an address in the form `host:port`. */
-export const startRelay = async (targetAddress: string): Promise<Relay> => {
+/**
+ * Starts a relay to an address in the form `host:port`. A throttle limits the rate towards the callers.
+ */
+export const startRelay = async (
+  targetAddress: string,
+  throttle?: ThrottledLink,
+): Promise<Relay> => {
   const [host, port] = targetAddress.split(':') as [string, string];
   const cuts = new Set<Direction>();
   const links = new Set<Link>();
   const silent = new Set<Link>();
   let bytes = 0;
 
+  const writeThrottled = (from: Socket, to: Socket, chunk: Buffer): void => {
+    from.pause();
+    setTimeout(() => {
+      if (!to.destroyed) to.write(chunk);
+      from.resume();
+    }, throttle!.queueBytes(chunk.length));
+  };
+
   const relayBytes = (link: Link, direction: Direction): void => {
     const [from, to] =
       direction === 'toTarget' ? [link.caller, link.target] : [link.target, link.caller];
+    const isThrottled = throttle !== undefined && direction === 'toCaller';
     from.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       if (silent.has(link) || cuts.has(direction) || to.destroyed) return;
+      if (isThrottled) {
+        writeThrottled(from, to, chunk);
+        return;
+      }
       const hasRoom = to.write(chunk);
       if (hasRoom) return;
       from.pause();
--- a/src/node/gateway/routingView.ts
+++ b/src/node/gateway/routingView.ts
@@ -4,12 +4,16 @@
 import { createRouteTable, type RouteTable, type ServiceRollout } from '../routing';
 import {
   createChangeNotifier,
+  type ConfigId,
   type RetiredVersion,
   type RolloutAge,
   type RoutingAnswer,
+  type RoutingUpdate,
   type VersionTally,
 } from '../routingControl';
 import type { RpcClient } from '../rpc';
+import { createConfigFetch, type HeldConfig } from './configFetch';
+import { createConfigFollower, type NamedConfig } from './configFollower';
 import { resolveGatewayCount, type CountSample } from './gatewayCount';
 import type { LeaseClock, ClockReading } from './leaseClock';
 import { createRoutingWatch } from './routingWatch';
@@ -106,34 +110,74 @@
 };
 
 const listRolloutAges = (
-  snapshot: RoutingSnapshot | undefined,
+  { rollouts, rolloutStartedAt }: Pick<RoutingSnapshot, 'rollouts' | 'rolloutStartedAt'>,
   now: number,
 ): readonly RolloutAge[] =>
-  (snapshot?.rollouts ?? []).map(({ service, target }) => {
-    const startedAt = snapshot?.rolloutStartedAt.get(formatRolloutKey({ service, target })) ?? now;
+  rollouts.map(({ service, target }) => {
+    const startedAt = rolloutStartedAt.get(formatRolloutKey({ service, target })) ?? now;
     return { service, target, ageMs: Math.max(0, now - startedAt) };
   });
 
 const logEvacuated = (
   log: Logger,
-  known: RoutingSnapshot | undefined,
+  known: Pick<RoutingSnapshot, 'evacuatedZones'>,
   { evacuatedZones, revision }: Pick<RoutingSnapshot, 'evacuatedZones' | 'revision'>,
 ): void => {
-  const before = [...(known?.evacuatedZones ?? [])];
+  const before = [...known.evacuatedZones];
   const isSame = before.length === evacuatedZones.size;
   if (isSame && before.every((zone) => evacuatedZones.has(zone))) return;
   log.info({ before, evacuatedZones: [...evacuatedZones], revision }, 'evacuated zones changed');
 };
 
+/** What the latest answer of a control host says, apart from the configuration. */
+type KnownOrders = Omit<RoutingSnapshot, 'table'>;
+
+const NO_ORDERS: KnownOrders = {
+  revision: -1,
+  rollouts: [],
+  retired: [],
+  rolloutStartedAt: new Map(),
+  gatewayCount: 1,
+  evacuatedZones: new Set(),
+};
+
+const resolveOrders = (
+  known: KnownOrders,
+  { update, revision, rolloutAges = [] }: RoutingAnswer,
+  { now, gatewayCount }: { readonly now: number; readonly gatewayCount: number },
+): KnownOrders => {
+  const { rollouts, retired } = update ?? known;
+  const evacuatedZones = update ? new Set(update.evacuatedZones) : known.evacuatedZones;
+  const times = { rollouts, ages: rolloutAges, known: known.rolloutStartedAt, now };
+  const rolloutStartedAt = resolveStartTimes(times);
+  return { revision, rollouts, retired, rolloutStartedAt, gatewayCount, evacuatedZones };
+};
+
+interface HostOrder {
+  readonly hosts: readonly string[];
+  readonly preferredHost: string;
+  readonly nextIndex: number;
+}
+
+// Begins with the leader; the others follow in turn, so that failures spread over all hosts.
+const listHostsToAsk = ({ hosts, preferredHost, nextIndex }: HostOrder): readonly string[] => {
+  const start = nextIndex % hosts.length;
+  const others = [...hosts.slice(start), ...hosts.slice(0, start)];
+  if (!hosts.includes(preferredHost)) return others;
+  return [preferredHost, ...others.filter((host) => host !== preferredHost)];
+};
+
 /** Creates a routing view. It sends no calls before `start`. */
 export const createRoutingView = (options: RoutingViewOptions): RoutingView => {
-  const { leaseMs, clock, log } = options;
+  const { leaseMs, clock, log, rpc } = options;
   const watch = createRoutingWatch(options);
   let hosts: readonly string[] = options.controlHosts;
   let preferredHost = '';
   let nextHostIndex = Math.floor(Math.random() * Math.max(1, hosts.length));
+  let orders = NO_ORDERS;
+  /** The configuration in force by the latest answer. */
+  let configId: ConfigId | null = null;
   let snapshot: RoutingSnapshot | undefined;
-  let revision = -1;
   let countSamples: readonly CountSample[] = [];
   let confirmedAt: ClockReading | undefined;
   const snapshotNotifier = createChangeNotifier();
@@ -148,69 +192,66 @@
     const isHeld = isLeased();
     if (isHeld === wasLeased) return;
     wasLeased = isHeld;
+    const { revision } = orders;
     if (isHeld) log.info({ revision, hosts }, 'lease acquired');
     else log.warn({ revision, ageMs: Math.round(readAgeMs()) }, 'lease expired; refusing work');
   };
 
+  const handleConfirmed = (held: HeldConfig | undefined, named: NamedConfig): void => {
+    const isSame = held !== undefined && snapshot?.table.config === held.config;
+    const table = isSame ? snapshot?.table : held && createRouteTable(held.config);
+    snapshot = table && { ...orders, revision: named.revision, table };
+    confirmedAt = named.askedAt;
+    logLease();
+    if (snapshot) snapshotNotifier.notify();
+  };
+
+  const follower = createConfigFollower({
+    configFetch: createConfigFetch({ rpc, log }),
+    log,
+    handleConfirmed,
+  });
+
+  const applyUpdate = (update: RoutingUpdate, revision: number): void => {
+    const { config, configId: named, rollouts } = update;
+    logEvacuated(log, orders, { evacuatedZones: new Set(update.evacuatedZones), revision });
+    configId = named ?? null;
+    if (config) {
+      configId = { version: config.version, digest: '' };
+      const isHeld = snapshot?.table.config.version === config.version;
+      if (!isHeld) follower.install({ id: configId, config });
+    }
+    const version = configId?.version ?? 0;
+    log.info({ before: orders.revision, revision, version, rollouts }, 'routing updated');
+  };
+
   const applyAnswer = (host: string, answer: RoutingAnswer, askedAt: ClockReading): void => {
     hosts = mergeAddresses([answer.controlHosts, options.controlHosts]);
     // A host that lags behind may return an older revision than the one in use.
-    if (answer.revision < revision) return;
-    const { update, rolloutAges: ages = [] } = answer;
-    const known = snapshot?.rolloutStartedAt;
+    const { revision, update } = answer;
+    if (revision < orders.revision) return;
     const now = clock.readClocks().monotonicMs;
-    const isFromLeader = host === answer.leader;
     countSamples = resolveGatewayCount(countSamples, {
       count: answer.gatewayCount,
-      isFromLeader,
+      isFromLeader: host === answer.leader,
       now,
     });
+    if (update) applyUpdate(update, revision);
     const gatewayCount = Math.max(...countSamples.map(({ count }) => count));
-    if (update) {
-      const before = revision;
-      revision = answer.revision;
-      const { config, rollouts, retired } = update;
-      const evacuatedZones = new Set(update.evacuatedZones);
-      logEvacuated(log, snapshot, { evacuatedZones, revision });
-      snapshot = config
-        ? {
-            revision,
-            table:
-              snapshot?.table.config.version === config.version
-                ? snapshot.table
-                : createRouteTable(config),
-            rollouts,
-            retired,
-            rolloutStartedAt: resolveStartTimes({ rollouts, ages, known, now }),
-            gatewayCount,
-            evacuatedZones,
-          }
-        : undefined;
-      log.info({ before, revision, version: config?.version ?? 0, rollouts }, 'routing updated');
-    } else if (snapshot) {
-      snapshot = {
-        ...snapshot,
-        rolloutStartedAt: resolveStartTimes({ rollouts: snapshot.rollouts, ages, known, now }),
-        gatewayCount,
-      };
-    }
-    confirmedAt = askedAt;
+    orders = resolveOrders(orders, answer, { now, gatewayCount });
+    if (snapshot) snapshot = { ...orders, revision: snapshot.revision, table: snapshot.table };
+    const others = hosts.filter((other) => other !== host);
+    follower.recordNamed({ id: configId, revision, askedAt, hosts: [host, ...others] });
     logLease();
-    if (snapshot) snapshotNotifier.notify();
-  };
-
-  // Begins with the leader; the others follow in turn, so that failures spread over all hosts.
-  const listHostsToAsk = (): readonly string[] => {
-    const start = nextHostIndex % hosts.length;
-    const others = [...hosts.slice(start), ...hosts.slice(0, start)];
-    if (!hosts.includes(preferredHost)) return others;
-    return [preferredHost, ...others.filter((host) => host !== preferredHost)];
   };
 
   const renewLease = async (): Promise<void> => {
-    const hostsToAsk = listHostsToAsk();
-    const rolloutAges = listRolloutAges(snapshot, clock.readClocks().monotonicMs);
-    const fetched = await watch.fetch(hostsToAsk, { revision, rolloutAges });
+    const hostsToAsk = listHostsToAsk({ hosts, preferredHost, nextIndex: nextHostIndex });
+    const rolloutAges = listRolloutAges(orders, clock.readClocks().monotonicMs);
+    const fetched = await watch.fetch(hostsToAsk, {
+      revision: orders.revision,
+      rolloutAges,
+    });
     if (isStopped) return;
     fetched.ifRight(({ host, value: { answer, askedAt } }) => {
       if (host !== hostsToAsk[0]) {
@@ -255,6 +296,7 @@
     },
     stop: () => {
       isStopped = true;
+      follower.stop();
     },
   };
 };
--- a/src/node/gateway/routingWatch.ts
+++ b/src/node/gateway/routingWatch.ts
@@ -57,6 +57,8 @@
 export const createRoutingWatch = (options: RoutingWatchOptions): RoutingWatch => {
   const { gateway, rpc, clock, log } = options;
   const bootId = randomUUID();
+  /** Control hosts of an earlier release, whose answers hold the whole configuration. */
+  const earlierHosts = new Set<string>();
   return {
     fetch: (hosts, { revision, rolloutAges }) =>
       callWithHedges({
@@ -73,9 +75,13 @@
             waitMs,
             tallies: [...options.listTallies()],
             rolloutAges: [...rolloutAges],
+            ...(!earlierHosts.has(host) && { fetchesConfig: true }),
           };
           const callOptions = { timeoutMs: waitMs + WATCH_GRACE_MS, signal };
           const answer = await rpc.call<RoutingAnswer>(host, 'routing.watch', params, callOptions);
+          answer.ifLeft(({ type }) => {
+            if (type === 'invalid_request') earlierHosts.add(host);
+          });
           const isStillNeeded = !signal.aborted;
           if (isStillNeeded) {
             answer.ifLeft((error) =>
--- a/src/node/routing/index.ts
+++ b/src/node/routing/index.ts
@@ -1,3 +1,4 @@
 export * from './types';
 export * from './checkRoutingConfig';
 export * from './routeTable';
+export * from './configChanges';
--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -1,4 +1,6 @@
 export * from './loadAggregator';
+export * from './configArchive';
+export * from './configTransfer';
 export * from './protocol';
 export * from './orderProposer';
 export * from './registryHandler';
--- a/src/node/routingControl/protocol.ts
+++ b/src/node/routingControl/protocol.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { EndpointRecord } from '../registry';
 import type { RoutingConfig, ServiceRollout } from '../routing';
+import type { ConfigId } from './configArchive';
 import type { RetiredVersion } from './routingState';
 
 /** Schema of what a gateway has counted for one version on one route since it started. */
@@ -40,11 +41,25 @@
   waitMs: z.number().int().min(0).max(5_000),
   tallies: z.array(versionTallySchema).max(2_000),
   rolloutAges: z.array(rolloutAgeSchema).max(500),
+  /** Whether the caller fetches configurations with `routing.config`; absent in older gateways. */
+  fetchesConfig: z.boolean().optional(),
 });
 
 /** Parameters of `routing.watch`. */
 export type WatchRoutingParams = Readonly<z.infer<typeof watchRoutingParams>>;
 
+/** The routing state, in the answer to a caller that does not have the latest revision. */
+export interface RoutingUpdate {
+  /** Absent if the caller fetches configurations. */
+  readonly config?: RoutingConfig | null;
+  /** The configuration in force, null if there is none; absent in older versions. */
+  readonly configId?: ConfigId | null;
+  readonly rollouts: readonly ServiceRollout[];
+  readonly retired: readonly RetiredVersion[];
+  /** Zones whose endpoints get no requests; absent in older versions and where none may be. */
+  readonly evacuatedZones?: readonly string[] | undefined;
+}
+
 /** Result of `routing.watch`: the routing state, confirmed by a quorum after the call arrived. */
 export interface RoutingAnswer {
   readonly revision: number;
@@ -57,13 +72,42 @@
   /** Time since the start of each roll-out, as far as this host knows; absent in older versions. */
   readonly rolloutAges?: readonly RolloutAge[];
   /** Absent if the caller has the latest revision. */
-  readonly update?: {
-    readonly config: RoutingConfig | null;
-    readonly rollouts: readonly ServiceRollout[];
-    readonly retired: readonly RetiredVersion[];
-    /** Zones whose endpoints get no requests; absent in older versions and where none may be. */
-    readonly evacuatedZones?: readonly string[];
-  };
+  readonly update?: RoutingUpdate;
+}
+
+/** Maximum size of one piece of a configuration in bytes, before its encoding as text. */
+export const MAX_PIECE_BYTES = 64 * 1024;
+
+/** Schema of the parameters of `routing.config`. */
+export const fetchConfigParams = z.strictObject({
+  /** Digest of the configuration that the caller holds; empty if it holds none. */
+  held: z.string().max(64),
+  /** Digest of the configuration to send. */
+  wanted: z.string().max(64),
+  /** Id of the piece before; empty in the first call. */
+  id: z.string().max(64),
+  offset: z.number().int().min(0),
+  maxBytes: z.number().int().min(1).max(MAX_PIECE_BYTES),
+});
+
+/** Parameters of `routing.config`. */
+export type FetchConfigParams = Readonly<z.infer<typeof fetchConfigParams>>;
+
+/** Result of `routing.config`: a piece of the encoded changes. */
+export interface ConfigPiece {
+  /** Identifies the encoded changes; pieces of different ids do not fit together. */
+  readonly id: string;
+  /**
+   * Digest of the configuration to which the changes apply; empty if they are the whole
+   * configuration, because this host does not hold the caller's.
+   */
+  readonly from: string;
+  /** Size of all pieces together. */
+  readonly bytes: number;
+  /** Offset of this piece; 0 if the caller's id is not the one of this host. */
+  readonly offset: number;
+  /** Bytes of the piece in base64. */
+  readonly data: string;
 }
 
 /** Maximum number of endpoints of which one gateway needs every report. */
--- a/src/node/routingControl/routingControlServices.ts
+++ b/src/node/routingControl/routingControlServices.ts
@@ -26,6 +26,7 @@
 import { bindSessionsParams, createSessionDirectory } from './sessionDirectory';
 import { claimProbeParams, createSuspectDirectory } from './suspectDirectory';
 import {
+  fetchConfigParams,
   peerLeaveParams,
   shareReportParams,
   watchRegistryParams,
@@ -188,6 +189,7 @@
       methods: {
         ...find<ReplicationHost>('replication').methods,
         'routing.watch': createMethod(watchRoutingParams, handlers.routing.watch),
+        'routing.config': createMethod(fetchConfigParams, handlers.routing.readConfigPiece),
         'registry.watch': createMethod(watchRegistryParams, handlers.registry.watch),
         'gateway.exchange': createMethod(exchangeParams, (params) =>
           handleExchange(params, readNow()),
--- a/src/node/routingControl/routingHandler.ts
+++ b/src/node/routingControl/routingHandler.ts
@@ -3,6 +3,8 @@
 import type { Logger } from '../log';
 import type { Replica } from '../replication';
 import { checkRoutingConfig, type RoutingConfig, type ServiceRollout } from '../routing';
+import { createConfigArchive } from './configArchive';
+import { createConfigTransfer, type ConfigTransfer } from './configTransfer';
 import type { RoutingAnswer, WatchRoutingParams } from './protocol';
 import type { RolloutSupervisor } from './rolloutSupervisor';
 import type { RoutingCommand, RoutingResult, RoutingState } from './routingState';
@@ -54,6 +56,7 @@
   readonly countEvacuatedZones: () => number;
   readonly readRollout: (service: string) => Promise<Either<RouterError, ServiceRollout>>;
   readonly watch: (params: WatchRoutingParams) => Promise<RoutingAnswer>;
+  readonly readConfigPiece: ConfigTransfer['readPiece'];
 }
 
 /** A gateway that has not called for this long is no longer counted. */
@@ -66,6 +69,16 @@
   const orders = createOrderProposer(replica, log);
   const zoneOrders = createZoneOrders({ orders, state, listZones: options.listZones });
   const lastCallAt = new Map<string, number>();
+  const archive = createConfigArchive();
+  const transfer = createConfigTransfer({ archive, log });
+
+  const recordConfig = (): void => {
+    const config = state.config();
+    if (config) archive.add(config);
+  };
+
+  recordConfig();
+  state.addListener(recordConfig);
   state.addListener(notifier.notify);
 
   const countGateways = (now: number): number => {
@@ -157,12 +170,14 @@
       };
       if (revision === params.revision) return answer;
       const update = {
-        config: state.config() ?? null,
+        ...(params.fetchesConfig !== true && { config: state.config() ?? null }),
+        configId: archive.findLatest()?.id ?? null,
         rollouts: state.listRollouts(),
         retired: state.listRetired(),
         evacuatedZones: zoneOrders.listEvacuated(),
       };
       return { ...answer, update };
     },
+    readConfigPiece: transfer.readPiece,
   };
 };
