Compress the command of a large configuration

A valid configuration of 2,800 routes was refused with 413: its command held it twice, once as text that is escaped twice, and exceeded 2 MiB when encoded from some 2,600 routes on.

Texts of more than 512 KiB are compressed. Smaller ones keep the form that earlier releases read.

--- a/src/node/routingControl/index.ts
+++ b/src/node/routingControl/index.ts
@@ -1,5 +1,6 @@
 export * from './loadAggregator';
 export * from './configArchive';
+export * from './configCommand';
 export * from './configTransfer';
 export * from './protocol';
 export * from './orderProposer';
--- a/src/node/routingControl/routingHandler.ts
+++ b/src/node/routingControl/routingHandler.ts
@@ -2,7 +2,8 @@
 import { createError, type RouterError } from '../errors';
 import type { Logger } from '../log';
 import type { Replica } from '../replication';
-import { checkRoutingConfig, type RoutingConfig, type ServiceRollout } from '../routing';
+import { checkRoutingConfig, type ServiceRollout } from '../routing';
+import { createReplaceConfig, type SubmittedConfig } from './configCommand';
 import { createConfigArchive } from './configArchive';
 import { createConfigTransfer, type ConfigTransfer } from './configTransfer';
 import type { RoutingAnswer, WatchRoutingParams } from './protocol';
@@ -26,12 +27,6 @@
   readonly readNow: () => number;
 }
 
-/** A configuration with the text that the operator sent. */
-export interface SubmittedConfig {
-  readonly config: RoutingConfig;
-  readonly source: string;
-}
-
 /**
  * Handles the calls of operators and gateways on the routing state. Operator calls return typed
  * errors.
@@ -106,7 +101,7 @@
     const held = state.config()?.version ?? 0;
     const { leader, role, term } = replica.status();
     log.info({ version, held, leader, role, term }, 'configuration received');
-    const answer = await propose({ type: 'replaceConfig', config, source });
+    const answer = await propose(await createReplaceConfig({ config, source }));
     answer.ifRight((result) => log.info({ version, held, result }, 'configuration committed'));
     answer.ifLeft((error) =>
       log.warn({ version, held, err: error }, 'configuration not committed'),
--- a/src/node/routingControl/routingState.ts
+++ b/src/node/routingControl/routingState.ts
@@ -1,14 +1,10 @@
 import type { RolloutStage, RoutingConfig, ServiceRollout } from '../routing';
 import type { StateMachine } from '../replication';
+import { readSubmittedConfig, type ReplaceConfigCommand } from './configCommand';
 
 /** Commands of the `routing` group. */
 export type RoutingCommand =
-  | {
-      readonly type: 'replaceConfig';
-      readonly config: RoutingConfig;
-      /** Configuration text as the operator sent it. Reads return this text. */
-      readonly source: string;
-    }
+  | ReplaceConfigCommand
   | {
       readonly type: 'startRollout';
       readonly service: string;
@@ -137,7 +133,8 @@
 
 const HANDLERS: Handlers = {
   // A version that is not higher than the current one is outdated. It is acknowledged, but ignored.
-  replaceConfig: (tables, { config, source }) => {
+  replaceConfig: (tables, command) => {
+    const { config, source } = readSubmittedConfig(command);
     if (tables.config && config.version <= tables.config.version) {
       return createAnswer(tables, false);
     }
