Send the endpoints of a control host to gateways in several answers

A gateway that starts, or whose control hosts have started, got all endpoints of each host in one answer, and of all hosts at once. At 2,800 endpoints and five hosts the answers fill a link of 7 Mbit/s for longer than the calls last, and they are fetched again over the same link.

An answer holds at most 100 records now, the earliest changes first, and says whether more follow; the gateway merges them when they are complete. Gateways of earlier releases ask for the rest by the revision, as before.

--- a/src/node/gateway/__tests__/coldWorld.ts
+++ b/src/node/gateway/__tests__/coldWorld.ts
@@ -267,7 +267,7 @@
 
   const pollRegistry = (gateway: Gateway): void => {
     registry.follow(gateway.followed, now);
-    const records = registry.listSince(gateway.revision);
+    const { records } = registry.readChanges(gateway.revision, Infinity);
     Object.assign(gateway, { revision: registry.revision() });
     runAt(gateway, now + sampleDelay(schedule.maxDelayMs), () => {
       records.forEach((record) => gateway.records.set(record.report.id, record));
--- a/src/node/gateway/hostRecords.ts
+++ b/src/node/gateway/hostRecords.ts
@@ -5,6 +5,8 @@
   bootId: string;
   revision: number;
   records: Map<string, EndpointRecord>;
+  /** Whether records have arrived that are not merged yet, because more of them follow. */
+  hasChanges: boolean;
   isReachable: boolean;
   /** Monotonic time in milliseconds of the latest answer. */
   answeredAt: number;
@@ -23,6 +25,7 @@
   bootId: '',
   revision: -1,
   records: new Map(),
+  hasChanges: false,
   isReachable: true,
   answeredAt: now,
   refusesFollowed: false,
--- a/src/node/gateway/registryView.ts
+++ b/src/node/gateway/registryView.ts
@@ -109,6 +109,16 @@
   else log.warn({ peer: host }, 'control host did not answer');
 };
 
+// Whether a control host still says that an incarnation accepts requests.
+const isReportedReady = (
+  hosts: ReadonlyMap<string, HostRecords>,
+  { report }: EndpointRecord,
+): boolean =>
+  [...hosts.values()].some(({ records }) => {
+    const known = records.get(report.id);
+    return known?.state === 'ready' && known.report.startedAt === report.startedAt;
+  });
+
 /**
  * Creates a registry view. It watches every control host, because each one has only the reports
  * sent to it.
@@ -147,7 +157,6 @@
   };
 
   const applyAnswer = (state: HostRecords, answer: RegistryAnswer): void => {
-    hasAnswer = true;
     state.answeredAt = performance.now();
     if (state.bootId !== answer.bootId) state.refusesFollowed = false;
     state.bootId = answer.bootId;
@@ -157,7 +166,11 @@
       state.records.set(record.report.id, record);
       if (record.state === 'gone' || record.state === 'draining') recordEnded(record);
     }
-    if (answer.isWhole || answer.records.length > 0) mergeAll();
+    state.hasChanges ||= answer.isWhole || answer.records.length > 0;
+    if (answer.hasMore) return;
+    hasAnswer = true;
+    if (state.hasChanges) mergeAll();
+    state.hasChanges = false;
   };
 
   const fetchRecords = async (host: string, state: HostRecords): Promise<void> => {
@@ -173,24 +186,18 @@
     answer.ifLeft(({ type }) => {
       if (isFollowing && type === 'invalid_request') state.refusesFollowed = true;
     });
-    await sleep(answer.isRight() ? WATCH_PAUSE_MS : RETRY_PAUSE_MS);
+    const hasMore = answer.map((value) => value.hasMore === true).orDefault(false);
+    if (!hasMore) await sleep(answer.isRight() ? WATCH_PAUSE_MS : RETRY_PAUSE_MS);
   };
 
   const run = async (host: string, state: HostRecords): Promise<void> => {
     while (!isStopped && hosts.get(host) === state) await fetchRecords(host, state);
   };
 
-  // Whether a control host still says that an incarnation accepts requests.
-  const isReportedReady = ({ report }: EndpointRecord): boolean =>
-    [...hosts.values()].some(({ records }) => {
-      const known = records.get(report.id);
-      return known?.state === 'ready' && known.report.startedAt === report.startedAt;
-    });
-
   const expireEnded = (): void => {
     const oldest = performance.now() - ENDED_RETENTION_MS;
     for (const [name, { record, seenAt }] of endedIncarnations) {
-      if (seenAt < oldest && !isReportedReady(record)) endedIncarnations.delete(name);
+      if (seenAt < oldest && !isReportedReady(hosts, record)) endedIncarnations.delete(name);
     }
   };
 
--- a/src/node/registry/__tests__/registry.test.ts
+++ b/src/node/registry/__tests__/registry.test.ts
@@ -119,9 +119,9 @@
   registry.applyReport(BASE, 0);
   const revision = registry.revision();
   t.is(registry.applyReport({ ...BASE, sequence: 2 }, 5), 'refreshed');
-  t.deepEqual(registry.listSince(revision), []);
+  t.deepEqual(registry.readChanges(revision, Infinity).records, []);
   t.is(registry.applyReport({ ...BASE, sequence: 3, state: 'draining' }, 6), 'changed');
-  t.is(registry.listSince(revision).length, 1);
+  t.is(registry.readChanges(revision, Infinity).records.length, 1);
 });
 
 const createRecord = (state: 'ready' | 'draining' | 'gone' | 'silent', fields = {}) => ({
@@ -202,7 +202,7 @@
   const countChanges = (sequence: number, now: number): number => {
     const before = registry.revision();
     registry.applyReport({ ...BASE, sequence }, now);
-    return registry.listSince(before).length;
+    return registry.readChanges(before, Infinity).records.length;
   };
   t.is(countChanges(2, 1_000), 0);
   registry.follow(['e-1'], 1_000);
--- a/src/node/registry/registry.ts
+++ b/src/node/registry/registry.ts
@@ -39,8 +39,16 @@
   readonly list: () => readonly EndpointRecord[];
   /** Number of changes so far, not counting refreshed reports. */
   readonly revision: () => number;
-  /** Lists the records that changed after a revision. */
-  readonly listSince: (revision: number) => readonly EndpointRecord[];
+  /** Reads up to `limit` of the records that changed after a revision, the earliest first. */
+  readonly readChanges: (since: number, limit: number) => RegistryChanges;
+}
+
+/** Some of the records that changed after a revision. */
+export interface RegistryChanges {
+  readonly records: readonly EndpointRecord[];
+  /** The revision up to which the records are complete. */
+  readonly revision: number;
+  readonly hasMore: boolean;
 }
 
 interface Row {
@@ -159,7 +167,17 @@
     find: (id) => rows.get(id)?.record,
     list: () => [...rows.values()].map(({ record }) => record),
     revision: () => revision,
-    listSince: (since) =>
-      [...rows.values()].filter((row) => row.revision > since).map(({ record }) => record),
+    readChanges: (since, limit) => {
+      const changed = [...rows.values()].filter((row) => row.revision > since);
+      const hasMore = changed.length > limit;
+      const first = hasMore
+        ? changed.sort((a, b) => a.revision - b.revision).slice(0, limit)
+        : changed;
+      return {
+        records: first.map(({ record }) => record),
+        revision: hasMore ? first.at(-1)!.revision : revision,
+        hasMore,
+      };
+    },
   };
 };
--- a/src/node/routingControl/protocol.ts
+++ b/src/node/routingControl/protocol.ts
@@ -132,9 +132,12 @@
  */
 export interface RegistryAnswer {
   readonly bootId: string;
+  /** The revision up to which the caller knows all changes, together with this answer. */
   readonly revision: number;
-  /** True if `records` is the complete registry, false if it holds only the changes. */
+  /** Whether the records replace all that the caller knows of this host; else they are changes. */
   readonly isWhole: boolean;
+  /** Whether further records follow in the next answer; absent in older versions. */
+  readonly hasMore?: boolean;
   readonly records: readonly EndpointRecord[];
 }
 
--- a/src/node/routingControl/registryHandler.ts
+++ b/src/node/routingControl/registryHandler.ts
@@ -61,6 +61,12 @@
  */
 const MAX_CLOCK_SKEW_MS = 24 * 3_600_000;
 
+/**
+ * Records in one answer. Many more would take longer than the call on a slow link, to which all
+ * control hosts answer at the same time.
+ */
+const MAX_RECORDS = 100;
+
 /** Creates the registry handler of one control host. */
 export const createRegistryHandler = (options: RegistryHandlerOptions): RegistryHandler => {
   const { registry, rpc, log, listPeers, readNow, readWallClock } = options;
@@ -157,8 +163,8 @@
       registry.follow(followed, readNow());
       const isSame = known === bootId;
       if (isSame && registry.revision() <= revision) await notifier.wait(waitMs);
-      const records = isSame ? registry.listSince(revision) : registry.list();
-      return { bootId, revision: registry.revision(), isWhole: !isSame, records };
+      const changes = registry.readChanges(isSame ? revision : -1, MAX_RECORDS);
+      return { bootId, isWhole: !isSame, ...changes };
     },
     start: () => {
       timer = setInterval(() => {
