--- a/src/node/gateway/__tests__/largeConfig.test.ts
+++ b/src/node/gateway/__tests__/largeConfig.test.ts
@@ -4,16 +4,21 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import { waitFor } from '../../__tests__/cluster';
-import { addRoutes, startLargeConfigWorld, type LargeConfigWorld } from './largeConfigWorld';
+import {
+  addRoutes,
+  startLargeConfigWorld,
+  type LargeConfigWorld,
+  type LinkedGateway,
+} from './largeConfigWorld';
 
 const BITS_PER_SECOND = 7_000_000;
 /** Time within which a change must be in force. */
 const PROPAGATION_MS = 2_000;
 const IDLE_MS = 1_000;
 
-const waitUntilInForce = async (world: LargeConfigWorld, version: number): Promise<number> => {
+const waitUntilInForce = async (gateway: LinkedGateway, version: number): Promise<number> => {
   const startedAt = performance.now();
-  const isInForce = (): boolean => (world.readVersion() ?? 0) >= version;
+  const isInForce = (): boolean => (gateway.readVersion() ?? 0) >= version;
   await waitFor(`version ${version} in force`, isInForce, 10 * PROPAGATION_MS).catch(() => {});
   return isInForce() ? performance.now() - startedAt : Infinity;
 };
@@ -36,25 +41,26 @@
 
 for (const { name, steps, maxBytes } of growthCases) {
   test.serial(`a configuration reaches a gateway on a slow link: ${name}`, async (t) => {
-    const world = await startLargeConfigWorld(BITS_PER_SECOND);
+    const world = await startLargeConfigWorld({ bitsPerSecond: BITS_PER_SECOND });
+    const gateway = world.gateways[0]!;
     t.teardown(world.stop);
     let routes = addRoutes([], steps[0]!);
     let version = world.replaceRoutes(routes);
-    let before = world.countBytes();
-    world.view.start();
-    t.true((await waitUntilInForce(world, version)) < PROPAGATION_MS);
+    let before = gateway.countBytes();
+    gateway.view.start();
+    t.true((await waitUntilInForce(gateway, version)) < PROPAGATION_MS);
     for (const step of steps.slice(1)) {
       await sleep(IDLE_MS);
-      t.not(world.readVersion(), undefined, 'the lease is held');
-      before = world.countBytes();
+      t.not(gateway.readVersion(), undefined, 'the lease is held');
+      before = gateway.countBytes();
       routes = addRoutes(routes, step);
       version = world.replaceRoutes(routes);
-      t.true((await waitUntilInForce(world, version)) < PROPAGATION_MS);
+      t.true((await waitUntilInForce(gateway, version)) < PROPAGATION_MS);
     }
     await sleep(IDLE_MS);
-    const bytes = world.countBytes() - before;
+    const bytes = gateway.countBytes() - before;
     t.true(bytes < maxBytes, `${bytes} bytes`);
-    t.is(world.view.read()?.table.config.routes.length, routes.length);
+    t.is(gateway.view.read()?.table.config.routes.length, routes.length);
   });
 }
 
@@ -63,7 +69,7 @@
   readonly bitsPerSecond: number;
   readonly routes: number;
   /** Called some time after the gateway has begun to fetch. */
-  readonly disturb: (world: LargeConfigWorld) => Promise<void> | void;
+  readonly disturb: (gateway: LinkedGateway, world: LargeConfigWorld) => Promise<void> | void;
   readonly withinMs: number;
 }
 
@@ -97,9 +103,9 @@
     name: 'the configuration changes all the time',
     bitsPerSecond: 1_000_000,
     routes: 2_000,
-    disturb: async (world) => {
+    disturb: async (gateway, world) => {
       let routes = addRoutes([], 2_000);
-      for (let changes = 0; changes < 50 && world.readVersion() === undefined; changes += 1) {
+      for (let changes = 0; changes < 50 && gateway.readVersion() === undefined; changes += 1) {
         await sleep(100);
         routes = addRoutes(routes, 1);
         world.replaceRoutes(routes);
@@ -111,14 +117,15 @@
 
 for (const { name, bitsPerSecond, routes, disturb, withinMs } of faultCases) {
   test.serial(`a transfer of a configuration goes on: ${name}`, async (t) => {
-    const world = await startLargeConfigWorld(bitsPerSecond);
+    const world = await startLargeConfigWorld({ bitsPerSecond });
+    const gateway = world.gateways[0]!;
     t.teardown(world.stop);
     const version = world.replaceRoutes(addRoutes([], routes));
-    world.view.start();
+    gateway.view.start();
     const startedAt = performance.now();
-    await waitFor('the first piece', () => world.countBytes() > 40_000);
-    await disturb(world);
-    await waitUntilInForce(world, version);
+    await waitFor('the first piece', () => gateway.countBytes() > 40_000);
+    await disturb(gateway, world);
+    await waitUntilInForce(gateway, version);
     t.true(performance.now() - startedAt < withinMs, `${performance.now() - startedAt} ms`);
   });
 }
--- a/src/node/gateway/__tests__/largeConfigWorld.ts
+++ b/src/node/gateway/__tests__/largeConfigWorld.ts
@@ -9,6 +9,8 @@
   createRoutingState,
   fetchConfigParams,
   watchRoutingParams,
+  type RoutingAnswer,
+  type WatchRoutingParams,
 } from '../../routingControl';
 import { createMethod, createRpcClient, startHttpServer } from '../../rpc';
 import { createLeaseClock } from '../leaseClock';
@@ -54,13 +56,11 @@
   },
 });
 
-/** Control hosts that hold the same state, and one gateway behind a slow link. */
-export interface LargeConfigWorld {
+/** A gateway behind a slow link of its own. */
+export interface LinkedGateway {
   readonly view: RoutingView;
   /** The relays to the control hosts; the first one leads. */
   readonly relays: readonly Relay[];
-  /** Puts routes in force on all control hosts and returns the version. */
-  readonly replaceRoutes: (routes: readonly Route[]) => number;
   /** Returns the version on which the gateway acts; undefined without a lease. */
   readonly readVersion: () => number | undefined;
   /** Counts the bytes on the gateway's link. */
@@ -68,27 +68,82 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Starts the world; the gateway begins to call when its view is started. */
-export const startLargeConfigWorld = async (bitsPerSecond: number): Promise<LargeConfigWorld> => {
+/** Control hosts that hold the same state, and gateways. */
+export interface LargeConfigWorld {
+  /** Gateways, which begin to call when their views are started. */
+  readonly gateways: readonly LinkedGateway[];
+  /** Puts routes in force on all control hosts and returns the version. */
+  readonly replaceRoutes: (routes: readonly Route[]) => number;
+  readonly stop: () => Promise<void>;
+}
+
+/** Options of a world: its gateways and the rate of their links. */
+export interface LargeConfigOptions {
+  readonly bitsPerSecond: number;
+  readonly gateways?: number;
+}
+
+const formatGateway = (index: number): string => `gateway-${index}`;
+
+const startGateway = async (
+  name: string,
+  addresses: readonly string[],
+  bitsPerSecond: number,
+): Promise<LinkedGateway> => {
   const link = createThrottledLink(bitsPerSecond);
-  const relays: Relay[] = [];
+  const relays = await Promise.all(addresses.map((address) => startRelay(address, link)));
+  const rpc = createRpcClient({ secret: SECRET });
+  const view = createRoutingView({
+    gateway: name,
+    controlHosts: [relays[0]!.address],
+    leaseMs: LEASE_MS,
+    rpc,
+    clock: createLeaseClock(),
+    log: SILENT,
+    listTallies: () => [],
+  });
+  return {
+    view,
+    relays,
+    readVersion: () => view.read()?.table.config.version,
+    countBytes: link.countBytes,
+    stop: async () => {
+      view.stop();
+      await rpc.close();
+      await Promise.all(relays.map((relay) => relay.stop()));
+    },
+  };
+};
+
+/** Starts the control hosts and the gateways of a world. */
+export const startLargeConfigWorld = async (
+  options: LargeConfigOptions,
+): Promise<LargeConfigWorld> => {
+  const { bitsPerSecond, gateways: gatewayCount = 1 } = options;
+  const gateways = new Map<string, LinkedGateway>();
   const states = Array.from({ length: HOSTS }, createRoutingState);
   const servers = states.map((state) => {
     const handler = createRoutingHandler({
       replica: {
         confirmRead: async () => Right({ index: 0, term: 1 }),
-        status: () => ({ leaderAddress: relays[0]!.address }),
+        status: () => ({ leaderAddress: '' }),
       } as never,
       state,
       supervisor: { recordTallies: () => {}, listAges: () => [] } as never,
       listZones: undefined,
       log: SILENT,
-      listControlHosts: () => relays.map(({ address }) => address),
+      listControlHosts: () => [],
       readNow: () => performance.now(),
     });
+    // A gateway knows the control hosts by the addresses of its relays.
+    const handleWatch = async (params: WatchRoutingParams): Promise<RoutingAnswer> => {
+      const answer = await handler.watch(params);
+      const controlHosts = gateways.get(params.gateway)!.relays.map(({ address }) => address);
+      return { ...answer, controlHosts, leader: controlHosts[0]! };
+    };
     return createInternalServer({
       methods: {
-        'routing.watch': createMethod(watchRoutingParams, handler.watch),
+        'routing.watch': createMethod(watchRoutingParams, handleWatch),
         'routing.config': createMethod(fetchConfigParams, handler.readConfigPiece),
       },
       secret: SECRET,
@@ -98,25 +153,17 @@
       readRevision: state.revision,
     });
   });
-  for (const server of servers) {
-    const address = await startHttpServer(server, { host: '127.0.0.1', port: 0 });
-    relays.push(await startRelay(address, link));
+  const addresses = await Promise.all(
+    servers.map((server) => startHttpServer(server, { host: '127.0.0.1', port: 0 })),
+  );
+  for (let index = 0; index < gatewayCount; index += 1) {
+    const name = formatGateway(index);
+    gateways.set(name, await startGateway(name, addresses, bitsPerSecond));
   }
-  const rpc = createRpcClient({ secret: SECRET });
-  const view = createRoutingView({
-    gateway: 'gateway',
-    controlHosts: [relays[0]!.address],
-    leaseMs: LEASE_MS,
-    rpc,
-    clock: createLeaseClock(),
-    log: SILENT,
-    listTallies: () => [],
-  });
   let version = 0;
 
   return {
-    view,
-    relays,
+    gateways: [...gateways.values()],
     replaceRoutes: (routes) => {
       version += 1;
       const config = createConfig(version, routes);
@@ -125,12 +172,8 @@
       );
       return version;
     },
-    readVersion: () => view.read()?.table.config.version,
-    countBytes: link.countBytes,
     stop: async () => {
-      view.stop();
-      await rpc.close();
-      await Promise.all(relays.map((relay) => relay.stop()));
+      await Promise.all([...gateways.values()].map((gateway) => gateway.stop()));
       await Promise.all(servers.map((server) => server.close()));
     },
   };
