Keep connections with unsent answers open during a planned stop

Cause: Node's closeIdleConnections, called every 20 ms of a drain and by http.Server.close, takes a connection for idle once response.end() was called, and destroys it with what is left to write. The drain also ended once no request was running, whether or not the answers had been sent.

A connection is idle now when the kernel has taken its last answer and no byte of another request has arrived, at every listener. A gateway is drained when no answer is unsent; what is left at the end of the grace period is reset. A second SIGTERM no longer ends a process at once.

--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -5,7 +5,13 @@
 import type { Service } from '../kernel';
 import { createPartLogger, type Logger } from '../log';
 import { createInternalServer, createMetricsService, type Metrics } from '../metrics';
-import { createRpcService, startHttpServer, type RpcClient } from '../rpc';
+import {
+  createRpcService,
+  registerConnectionDrain,
+  startHttpServer,
+  type ConnectionDrain,
+  type RpcClient,
+} from '../rpc';
 import { createByteBudget } from './byteBudget';
 import { createCallerServer, updateTimeouts } from './callerServer';
 import type { ColdPermits } from './coldPermits';
@@ -278,17 +284,22 @@
 
 // Requests keep arriving until the load balancer notices the failed readiness check.
 // Requests in progress may finish within the grace period.
-const drainGateway = async (
-  runner: ExchangeRunner,
-  callers: FastifyInstance,
-  graceMs: number,
-  startedAt: number,
-): Promise<void> => {
+interface DrainOptions {
+  readonly runner: ExchangeRunner;
+  readonly callers: FastifyInstance;
+  readonly connections: ConnectionDrain;
+  readonly graceMs: number;
+  readonly startedAt: number;
+}
+
+const drainGateway = async (options: DrainOptions): Promise<void> => {
+  const { runner, callers, connections, graceMs, startedAt } = options;
   const endAt = startedAt + graceMs - EXIT_RESERVE_MS;
+  const isDrained = (): boolean => runner.countActive() === 0 && connections.countUnsent() === 0;
   while (readNow() < endAt) {
     // Callers with idle keep-alive connections send their next request to another gateway.
     callers.server.closeIdleConnections();
-    if (readNow() - startedAt >= BALANCER_DRAIN_MS && runner.countActive() === 0) return;
+    if (readNow() - startedAt >= BALANCER_DRAIN_MS && isDrained()) return;
     await sleep(STOP_POLL_MS);
   }
 };
@@ -331,6 +342,7 @@
         state.stoppedAt === undefined ? undefined : readNow() - state.stoppedAt,
       graceMs: settings.bounds.graceMs - EXIT_RESERVE_MS,
     });
+    const connections = registerConnectionDrain(callers.server);
     const ready = createReadyServer(settings, isReady);
     const internal = createInternalServer({
       methods: {},
@@ -355,10 +367,13 @@
     const stop = async (): Promise<void> => {
       state.stoppedAt = readNow();
       log.info({ active: runner.countActive() }, 'stopping');
-      await drainGateway(runner, callers, settings.bounds.graceMs, state.stoppedAt);
+      const { graceMs } = settings.bounds;
+      await drainGateway({ runner, callers, connections, graceMs, startedAt: state.stoppedAt });
       clearInterval(timer);
+      const unsent = connections.countUnsent();
+      connections.resetUnsent();
       [callers, ready, internal].forEach(({ server }) => server.close());
-      log.info({ left: runner.countActive() }, 'stopped');
+      log.info({ left: runner.countActive(), unsent }, 'stopped');
     };
     return { value: { address }, stop };
   },
--- /dev/null
+++ b/src/node/process/__tests__/signals.test.ts
@@ -0,0 +1,36 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { fileURLToPath } from 'node:url';
+import test from 'ava';
+import { SIGNAL_EXIT_CODES } from '..';
+
+const PROCESS_INDEX = fileURLToPath(new URL('../index.ts', import.meta.url));
+
+// The stop takes a while, and names the signals that arrived before its end.
+const PROGRAM = `
+  import { registerSignals } from ${JSON.stringify(PROCESS_INDEX)};
+  registerSignals(() => new Promise((resolve) => setTimeout(resolve, 500)));
+  setInterval(() => {}, 1000);
+  console.log('ready');
+`;
+
+const cases = [
+  { name: 'one SIGTERM', signals: ['SIGTERM'], code: SIGNAL_EXIT_CODES.ok },
+  { name: 'a second SIGTERM', signals: ['SIGTERM', 'SIGTERM'], code: SIGNAL_EXIT_CODES.ok },
+  { name: 'a second SIGINT', signals: ['SIGINT', 'SIGINT'], code: SIGNAL_EXIT_CODES.interrupted },
+] as const;
+
+for (const { name, signals, code } of cases) {
+  test(`the stop of a process: ${name}`, async (t) => {
+    const child = spawn(process.execPath, ['--import=tsx', '--input-type=module', '-e', PROGRAM]);
+    const exited = once(child, 'exit');
+    await once(child.stdout, 'data');
+    for (const signal of signals) {
+      child.kill(signal);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+    }
+    t.deepEqual(await exited, [code, null]);
+  });
+}
--- a/src/node/process/runServices.ts
+++ b/src/node/process/runServices.ts
@@ -7,11 +7,15 @@
 /** Exit codes of a process that is stopped by a signal. */
 export const SIGNAL_EXIT_CODES = { ok: 0, failed: 1, interrupted: 130 } as const;
 
-/** Calls `stop` on the first SIGTERM or SIGINT; exits immediately on the second. */
+/**
+ * Calls `stop` on the first SIGTERM or SIGINT. A second SIGINT exits immediately, a second SIGTERM
+ * does not: a provider may repeat it, and the stop delivers what was accepted.
+ */
 export const registerSignals = (stop: () => Promise<void>): void => {
   let isStopping = false;
-  const handleSignal = (): void => {
-    if (isStopping) process.exit(SIGNAL_EXIT_CODES.interrupted);
+  const handleSignal = (signal: NodeJS.Signals): void => {
+    if (isStopping && signal === 'SIGINT') process.exit(SIGNAL_EXIT_CODES.interrupted);
+    if (isStopping) return;
     isStopping = true;
     stop().then(
       () => process.exit(SIGNAL_EXIT_CODES.ok),
--- a/src/node/rpc/httpServer.ts
+++ b/src/node/rpc/httpServer.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import { createError, ERROR_STATUS, formatErrorBody, RouterError, type ErrorType } from '../errors';
 import { createClientErrorHandler, type FormatFailure } from './clientErrors';
+import { registerConnectionDrain } from './connectionDrain';
 
 /** An IP address and port to listen on; port 0 selects a free port. */
 export interface ListenAddress {
@@ -31,6 +32,8 @@
 const CLOSE_IDLE_INTERVAL_MS = 50;
 /** Time that a connection without a request gets after the close has started, in milliseconds. */
 const UNUSED_GRACE_MS = 500;
+/** Time that callers get to read a complete answer once the close has started, in milliseconds. */
+const UNSENT_GRACE_MS = 10_000;
 const HEADER_LIMIT_BYTES = 16 * 1024;
 
 // By default Node checks for slow clients only every 30 seconds, and it applies the longer of the
@@ -75,6 +78,7 @@
 // timeout. Node does not count a connection as idle before its first request, but clients open
 // connections in advance; such a connection gets some time, since its request may be on the way.
 const registerIdleClosing = (app: FastifyInstance): void => {
+  const drain = registerConnectionDrain(app.server);
   const unused = new Set<Socket>();
   app.server.on('connection', (socket: Socket) => {
     unused.add(socket);
@@ -82,10 +86,12 @@
   });
   app.server.on('request', ({ socket }: IncomingMessage) => unused.delete(socket));
   app.addHook('preClose', async () => {
-    const closesUnusedAt = performance.now() + UNUSED_GRACE_MS;
+    const startedAt = performance.now();
     const timer = setInterval(() => {
       app.server.closeIdleConnections();
-      if (performance.now() < closesUnusedAt) return;
+      const now = performance.now();
+      if (now - startedAt >= UNSENT_GRACE_MS) drain.resetUnsent(now - UNSENT_GRACE_MS);
+      if (now - startedAt < UNUSED_GRACE_MS) return;
       // Bytes show that a request is arriving; the server's timeout bounds it.
       unused.forEach((socket) => {
         if (socket.bytesRead === 0) socket.destroy();
--- a/src/node/rpc/index.ts
+++ b/src/node/rpc/index.ts
@@ -1,4 +1,5 @@
 export * from './clientErrors';
+export * from './connectionDrain';
 export * from './rpcServer';
 export * from './rpcClient';
 export * from './httpServer';
