--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -282,8 +282,6 @@
   return app;
 };
 
-// Requests keep arriving until the load balancer notices the failed readiness check.
-// Requests in progress may finish within the grace period.
 interface DrainOptions {
   readonly runner: ExchangeRunner;
   readonly callers: FastifyInstance;
@@ -292,6 +290,8 @@
   readonly startedAt: number;
 }
 
+// Requests keep arriving until the load balancer notices the failed readiness check.
+// Requests in progress may finish within the grace period.
 const drainGateway = async (options: DrainOptions): Promise<void> => {
   const { runner, callers, connections, graceMs, startedAt } = options;
   const endAt = startedAt + graceMs - EXIT_RESERVE_MS;
--- a/src/node/rpc/__tests__/slowReaders.test.ts
+++ b/src/node/rpc/__tests__/slowReaders.test.ts
@@ -4,7 +4,7 @@
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
-import { createHttpServer } from '..';
+import { createHttpServer, registerConnectionDrain } from '..';
 
 /** More than the kernel takes of an answer at once. */
 const ANSWER_BYTES = 16 * 1024 * 1024;
@@ -38,6 +38,22 @@
   return () => bytes;
 };
 
+test('a planned stop does not wait for pipelined requests of a caller that has left', async (t) => {
+  const app = createHttpServer();
+  app.get('/large', async () => Buffer.alloc(ANSWER_BYTES));
+  const drain = registerConnectionDrain(app.server);
+  await app.listen({ host: '127.0.0.1', port: 0 });
+  const socket = connect((app.server.address() as AddressInfo).port, '127.0.0.1');
+  socket.write(`${REQUEST}${REQUEST}`);
+  socket.pause();
+  await sleep(200);
+  t.is(drain.countUnsent(), 2);
+  socket.resetAndDestroy();
+  await sleep(200);
+  t.is(drain.countUnsent(), 0);
+  await app.close();
+});
+
 for (const { name, sent, answers } of cases) {
   test(`a planned stop waits for callers that read slowly: ${name}`, async (t) => {
     const app = createHttpServer({ requestTimeoutMs: 2_000 });
