--- a/src/node/gateway/__tests__/largeConfigWorld.ts
+++ b/src/node/gateway/__tests__/largeConfigWorld.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Right } from 'purify-ts';
 import pino from 'pino';
 import { createThrottledLink, startRelay, type Relay } from '../../__tests__/cluster';
@@ -18,7 +19,7 @@
 
 const SECRET = 'secret';
 const HOSTS = 3;
-const LEASE_MS = 4_000;
+const LAG_POLL_MS = 10;
 const SILENT = pino({ level: 'silent' });
 
 const createRoute = (index: number, timeoutMs: number): Route => ({
@@ -58,6 +59,7 @@
 
 /** A gateway behind a slow link of its own. */
 export interface LinkedGateway {
+  readonly name: string;
   readonly view: RoutingView;
   /** The relays to the control hosts; the first one leads. */
   readonly relays: readonly Relay[];
@@ -72,8 +74,11 @@
 export interface LargeConfigWorld {
   /** Gateways, which begin to call when their views are started. */
   readonly gateways: readonly LinkedGateway[];
-  /** Puts routes in force on all control hosts and returns the version. */
-  readonly replaceRoutes: (routes: readonly Route[]) => number;
+  /**
+   * Puts routes in force and returns the version. A control host that lags behind applies it later,
+   * and confirms no answer until then.
+   */
+  readonly replaceRoutes: (routes: readonly Route[], lagsMs?: readonly number[]) => number;
   readonly stop: () => Promise<void>;
 }
 
@@ -81,6 +86,7 @@
 export interface LargeConfigOptions {
   readonly bitsPerSecond: number;
   readonly gateways?: number;
+  readonly leaseMs?: number;
 }
 
 const formatGateway = (index: number): string => `gateway-${index}`;
@@ -88,7 +94,7 @@
 const startGateway = async (
   name: string,
   addresses: readonly string[],
-  bitsPerSecond: number,
+  { bitsPerSecond, leaseMs = 4_000 }: LargeConfigOptions,
 ): Promise<LinkedGateway> => {
   const link = createThrottledLink(bitsPerSecond);
   const relays = await Promise.all(addresses.map((address) => startRelay(address, link)));
@@ -96,13 +102,14 @@
   const view = createRoutingView({
     gateway: name,
     controlHosts: [relays[0]!.address],
-    leaseMs: LEASE_MS,
+    leaseMs,
     rpc,
     clock: createLeaseClock(),
     log: SILENT,
     listTallies: () => [],
   });
   return {
+    name,
     view,
     relays,
     readVersion: () => view.read()?.table.config.version,
@@ -119,13 +126,20 @@
 export const startLargeConfigWorld = async (
   options: LargeConfigOptions,
 ): Promise<LargeConfigWorld> => {
-  const { bitsPerSecond, gateways: gatewayCount = 1 } = options;
+  const { gateways: gatewayCount = 1 } = options;
   const gateways = new Map<string, LinkedGateway>();
   const states = Array.from({ length: HOSTS }, createRoutingState);
+  let version = 0;
+  /** Resolves when a control host has applied all changes so far. */
+  const applied: Promise<void>[] = states.map(() => Promise.resolve());
   const servers = states.map((state) => {
     const handler = createRoutingHandler({
       replica: {
-        confirmRead: async () => Right({ index: 0, term: 1 }),
+        confirmRead: async () => {
+          const committed = version;
+          while (state.revision() < committed) await sleep(LAG_POLL_MS);
+          return Right({ index: committed, term: 1 });
+        },
         status: () => ({ leaderAddress: '' }),
       } as never,
       state,
@@ -158,21 +172,27 @@
   );
   for (let index = 0; index < gatewayCount; index += 1) {
     const name = formatGateway(index);
-    gateways.set(name, await startGateway(name, addresses, bitsPerSecond));
+    gateways.set(name, await startGateway(name, addresses, options));
   }
-  let version = 0;
 
   return {
     gateways: [...gateways.values()],
-    replaceRoutes: (routes) => {
+    replaceRoutes: (routes, lagsMs = []) => {
       version += 1;
-      const config = createConfig(version, routes);
-      states.forEach((state) =>
-        state.apply(version, { type: 'replaceConfig', config, source: '' }),
-      );
-      return version;
+      const index = version;
+      const config = createConfig(index, routes);
+      states.forEach((state, host) => {
+        const lagMs = lagsMs[host] ?? 0;
+        // The changes of a log are applied in its order.
+        applied[host] = applied[host]!.then(async () => {
+          if (lagMs > 0) await sleep(lagMs);
+          state.apply(index, { type: 'replaceConfig', config, source: '' });
+        });
+      });
+      return index;
     },
     stop: async () => {
+      await Promise.all(applied);
       await Promise.all([...gateways.values()].map((gateway) => gateway.stop()));
       await Promise.all(servers.map((server) => server.close()));
     },
