--- a/src/node/gateway/routingWatch.ts
+++ b/src/node/gateway/routingWatch.ts
@@ -79,8 +79,10 @@
           };
           const callOptions = { timeoutMs: waitMs + WATCH_GRACE_MS, signal };
           const answer = await rpc.call<RoutingAnswer>(host, 'routing.watch', params, callOptions);
+          // A host that does not answer may be restarted with a later release.
           answer.ifLeft(({ type }) => {
             if (type === 'invalid_request') earlierHosts.add(host);
+            else earlierHosts.delete(host);
           });
           const isStillNeeded = !signal.aborted;
           if (isStillNeeded) {
