Share the fixture of configurations between tests, and correct two comments

Four tests of this change built the same route or configuration; they use routing/__tests__/configFixtures.ts now. The assertions are the same.

The archive's comment said that the latest configuration bounds its memory; the oldest retained one counts as well. The relay takes its throttle as a parameter, and signals.test.ts describes what its program does.

No product code changed but two comments.

--- a/src/node/__tests__/cluster/relay.ts
+++ b/src/node/__tests__/cluster/relay.ts
@@ -37,23 +37,23 @@
   const silent = new Set<Link>();
   let bytes = 0;
 
-  const writeThrottled = (from: Socket, to: Socket, chunk: Buffer): void => {
+  const writeThrottled = (limit: ThrottledLink, from: Socket, to: Socket, chunk: Buffer): void => {
     from.pause();
     setTimeout(() => {
       if (!to.destroyed) to.write(chunk);
       from.resume();
-    }, throttle!.queueBytes(chunk.length));
+    }, limit.queueBytes(chunk.length));
   };
 
   const relayBytes = (link: Link, direction: Direction): void => {
     const [from, to] =
       direction === 'toTarget' ? [link.caller, link.target] : [link.target, link.caller];
-    const isThrottled = throttle !== undefined && direction === 'toCaller';
+    const limit = direction === 'toCaller' ? throttle : undefined;
     from.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       if (silent.has(link) || cuts.has(direction) || to.destroyed) return;
-      if (isThrottled) {
-        writeThrottled(from, to, chunk);
+      if (limit) {
+        writeThrottled(limit, from, to, chunk);
         return;
       }
       const hasRoom = to.write(chunk);
--- a/src/node/gateway/__tests__/configFaults.test.ts
+++ b/src/node/gateway/__tests__/configFaults.test.ts
@@ -43,8 +43,8 @@
 
       const replace = (next: readonly Route[]): void => {
         routes = next;
-        const lags = [undefined, random() * MAX_LAG_MS, random() * MAX_LAG_MS];
-        latest = world.replaceRoutes(next, random() < 0.5 ? [] : (lags as number[]));
+        const lagsMs = [0, random() * MAX_LAG_MS, random() * MAX_LAG_MS];
+        latest = world.replaceRoutes(next, random() < 0.5 ? [] : lagsMs);
         committedAt.set(latest, performance.now());
       };
       const relays = world.gateways.flatMap((gateway) => gateway.relays);
--- a/src/node/gateway/__tests__/configFetch.test.ts
+++ b/src/node/gateway/__tests__/configFetch.test.ts
@@ -4,6 +4,7 @@
 import { Left, Right } from 'purify-ts';
 import { convertToRouterError, createError } from '../../errors';
 import type { RoutingConfig } from '../../routing';
+import { createConfig } from '../../routing/__tests__/configFixtures';
 import {
   createConfigArchive,
   createConfigTransfer,
@@ -18,16 +19,14 @@
 const createName = (index: number): string =>
   createHash('sha512').update(String(index)).digest('base64');
 
-const createConfig = (version: number, organisations: number): RoutingConfig => ({
-  version,
-  routes: [],
-  services: [],
-  organisations: Array.from({ length: organisations }, (_item, index) => ({
-    name: createName(index),
-    keys: [],
-  })) as never,
-  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-});
+const createNamed = (version: number, organisations: number): RoutingConfig =>
+  createConfig(version, {
+    services: [],
+    organisations: Array.from({ length: organisations }, (_item, index) => ({
+      name: createName(index),
+      keys: [],
+    })) as never,
+  });
 
 type Answer = (piece: ConfigPiece, call: number) => ConfigPiece;
 
@@ -89,7 +88,7 @@
 for (const { name, answers = {}, outcomes, pieces } of cases) {
   test(`fetch of a configuration: ${name}`, async (t) => {
     const archive = createConfigArchive();
-    archive.add(createConfig(1, 3_000));
+    archive.add(createNamed(1, 3_000));
     const { id: wanted, config } = archive.findLatest()!;
     const transfer = createConfigTransfer({ archive, log: LOG });
     const calls: Record<string, number> = {};
@@ -117,15 +116,15 @@
 
 test('fetch of a configuration: changes that do not apply are followed by the whole', async (t) => {
   const archive = createConfigArchive();
-  archive.add(createConfig(1, 3));
+  archive.add(createNamed(1, 3));
   const { id } = archive.findLatest()!;
-  archive.add({ ...createConfig(2, 0), organisations: archive.findLatest()!.config.organisations });
+  archive.add({ ...createNamed(2, 0), organisations: archive.findLatest()!.config.organisations });
   const wanted = archive.findLatest()!;
   const transfer = createConfigTransfer({ archive, log: LOG });
   const call = async (_host: string, _method: string, params: FetchConfigParams) =>
     Right(await transfer.readPiece(params));
   const fetch = createConfigFetch({ rpc: { call } as unknown as RpcClient, log: LOG });
-  const held = { id, config: createConfig(1, 0) };
+  const held = { id, config: createNamed(1, 0) };
   t.true((await fetch.fetch(['host'], wanted.id, held)).isLeft());
   const fetched = await fetch.fetch(['host'], wanted.id, held);
   t.deepEqual(fetched.unsafeCoerce().config, wanted.config);
--- a/src/node/gateway/__tests__/largeConfigWorld.ts
+++ b/src/node/gateway/__tests__/largeConfigWorld.ts
@@ -4,7 +4,8 @@
 import pino from 'pino';
 import { createThrottledLink, startRelay, type Relay } from '../../__tests__/cluster';
 import { createMetrics, createInternalServer } from '../../metrics';
-import type { Route, RoutingConfig } from '../../routing';
+import type { Route } from '../../routing';
+import { createConfig, createRoute } from '../../routing/__tests__/configFixtures';
 import {
   createRoutingHandler,
   createRoutingState,
@@ -22,41 +23,17 @@
 const LAG_POLL_MS = 10;
 const SILENT = pino({ level: 'silent' });
 
-const createRoute = (index: number, timeoutMs: number): Route => ({
-  name: `r-${randomBytes(4).toString('hex')}`,
-  host: 'models.example',
-  pathPrefix: `/${randomBytes(4).toString('hex')}/${index}/`,
-  kind: 'stream',
-  timeoutMs,
-  targetLatencyMs: 3_000,
-  gapTargetMs: 1_500,
-  rank: 0,
-  targets: [{ service: 'large-models', weight: 1 }],
-  attemptLimit: 3,
-  isPublic: false,
-  canResume: true,
-  models: ['small-model', 'medium-model', 'large-model'],
-});
+// Names at random keep routes from being compressed to almost nothing.
+const createRandomId = (): string => randomBytes(4).toString('hex');
 
 /** Returns the routes with more of them at the end. */
 export const addRoutes = (routes: readonly Route[], count: number): readonly Route[] => [
   ...routes,
-  ...Array.from({ length: count }, (_item, index) => createRoute(index, 10_000)),
+  ...Array.from({ length: count }, (_item, index) =>
+    createRoute(`r-${createRandomId()}`, `/${createRandomId()}/${index}/`),
+  ),
 ];
 
-const createConfig = (version: number, routes: readonly Route[]): RoutingConfig => ({
-  version,
-  routes,
-  services: [{ name: 'large-models', connectionLimit: 370, engine: undefined }],
-  organisations: [],
-  limits: {
-    headerBytes: 16_384,
-    bodyBytes: 4_194_304,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  },
-});
-
 /** A gateway behind a slow link of its own. */
 export interface LinkedGateway {
   readonly name: string;
@@ -180,7 +157,7 @@
     replaceRoutes: (routes, lagsMs = []) => {
       version += 1;
       const index = version;
-      const config = createConfig(index, routes);
+      const config = createConfig(index, { routes });
       states.forEach((state, host) => {
         const lagMs = lagsMs[host] ?? 0;
         // The changes of a log are applied in its order.
--- a/src/node/process/__tests__/signals.test.ts
+++ b/src/node/process/__tests__/signals.test.ts
@@ -1,12 +1,13 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import test from 'ava';
 import { SIGNAL_EXIT_CODES } from '..';
 
 const PROCESS_INDEX = fileURLToPath(new URL('../index.ts', import.meta.url));
 
-// The stop takes a while, and names the signals that arrived before its end.
+// The stop takes long enough for a second signal to arrive.
 const PROGRAM = `
   import { registerSignals } from ${JSON.stringify(PROCESS_INDEX)};
   registerSignals(() => new Promise((resolve) => setTimeout(resolve, 500)));
@@ -27,9 +28,7 @@
     await once(child.stdout, 'data');
     for (const signal of signals) {
       child.kill(signal);
-      await new Promise((resolve) => {
-        setTimeout(resolve, 100);
-      });
+      await sleep(100);
     }
     t.deepEqual(await exited, [code, null]);
   });
--- a/src/node/routingControl/__tests__/configArchive.test.ts
+++ b/src/node/routingControl/__tests__/configArchive.test.ts
@@ -1,29 +1,14 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { applyConfigChanges, computeConfigChanges, type RoutingConfig } from '../../routing';
+import { createConfig, createRoute } from '../../routing/__tests__/configFixtures';
 import { createConfigArchive, decodeConfigChanges, encodeConfigChanges } from '..';
 
-const createConfig = (version: number, names: readonly string[]): RoutingConfig => ({
-  version,
-  routes: names.map((name) => ({
-    name,
-    host: 'models.example',
-    pathPrefix: `/${name}/`,
-    kind: 'once',
-    timeoutMs: 1_000,
-    targetLatencyMs: 100,
-    gapTargetMs: undefined,
-    rank: 0,
-    targets: [{ service: 's', weight: 1 }],
-    attemptLimit: 1,
-    isPublic: true,
-    canResume: false,
-    models: [],
-  })),
-  services: [{ name: 's', connectionLimit: 1, engine: undefined }],
-  organisations: names.map((name) => ({ name, keys: [name], rank: undefined })),
-  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-});
+const createNamed = (version: number, names: readonly string[]): RoutingConfig =>
+  createConfig(version, {
+    routes: names.map((name) => createRoute(name, `/${name}/`)),
+    organisations: names.map((name) => ({ name, keys: [name], rank: undefined })),
+  });
 
 const createCopy = <T>(value: T): T => JSON.parse(JSON.stringify(value)) as T;
 
@@ -36,8 +21,8 @@
     fc.asyncProperty(namesArbitrary, namesArbitrary, async (before, after) => {
       const archive = createConfigArchive();
       const [held, wanted] = [
-        createCopy(createConfig(1, before)),
-        createCopy(createConfig(2, after)),
+        createCopy(createNamed(1, before)),
+        createCopy(createNamed(2, after)),
       ];
       archive.add(createCopy(held));
       const from = archive.findLatest()!;
@@ -55,9 +40,9 @@
 });
 
 test('changes of another configuration are detected', (t) => {
-  const changes = computeConfigChanges(createConfig(1, []), createConfig(2, []));
+  const changes = computeConfigChanges(createNamed(1, []), createNamed(2, []));
   const kept = { ...changes, routes: [{ kept: [1, 2] as const }] };
-  t.throws(() => applyConfigChanges(createConfig(1, ['a', 'b']), kept), { instanceOf: RangeError });
+  t.throws(() => applyConfigChanges(createNamed(1, ['a', 'b']), kept), { instanceOf: RangeError });
 });
 
 const digestCases: readonly {
@@ -75,9 +60,9 @@
 for (const { name, version, names, isSame } of digestCases) {
   test(`the digest of a configuration: ${name}`, (t) => {
     const archives = [createConfigArchive(), createConfigArchive()];
-    archives[0]!.add(createConfig(1, ['a', 'b']));
-    archives[1]!.add(createConfig(9, ['c']));
-    archives[1]!.add(createConfig(version, names));
+    archives[0]!.add(createNamed(1, ['a', 'b']));
+    archives[1]!.add(createNamed(9, ['c']));
+    archives[1]!.add(createNamed(version, names));
     const [first, second] = archives.map((archive) => archive.findLatest()!.id.digest);
     t.is(first === second, isSame);
   });
@@ -85,9 +70,9 @@
 
 test('the same configuration again, as after the restore of a snapshot, is not added', (t) => {
   const archive = createConfigArchive();
-  archive.add(createConfig(1, ['a']));
+  archive.add(createNamed(1, ['a']));
   const first = archive.findLatest();
-  archive.add(createConfig(1, ['a']));
+  archive.add(createNamed(1, ['a']));
   t.is(archive.findLatest(), first);
 });
 
@@ -124,7 +109,7 @@
   test(`versions that an archive retains: ${name}`, (t) => {
     const archive = createConfigArchive();
     const digests = Array.from({ length: versions }, (_item, index) => {
-      archive.add(createConfig(index + 1, listRoutes(index + 1)));
+      archive.add(createNamed(index + 1, listRoutes(index + 1)));
       return archive.findLatest()!.id.digest;
     });
     t.is(digests.filter((digest) => archive.find(digest)).length, retained);
--- a/src/node/routingControl/__tests__/configSize.test.ts
+++ b/src/node/routingControl/__tests__/configSize.test.ts
@@ -6,35 +6,16 @@
 import test from 'ava';
 import pino from 'pino';
 import { createReplicationHost } from '../../replication';
-import type { Route, RoutingConfig } from '../../routing';
+import { createConfig, createRoute } from '../../routing/__tests__/configFixtures';
 import { createRoutingHandler, createRoutingState, type SubmittedConfig } from '..';
 
 const LOG = pino({ level: 'silent' });
 
-const createRoute = (index: number): Route => ({
-  name: `route-${index}`,
-  host: 'models.example',
-  pathPrefix: `/path-${index}/`,
-  kind: 'stream',
-  timeoutMs: 10_000,
-  targetLatencyMs: 3_000,
-  gapTargetMs: 1_500,
-  rank: 0,
-  targets: [{ service: 'large-models', weight: 1 }],
-  attemptLimit: 3,
-  isPublic: false,
-  canResume: true,
-  models: ['small-model', 'medium-model', 'large-model'],
-});
-
-const createSubmitted = (version: number, routes: number): SubmittedConfig => {
-  const config: RoutingConfig = {
-    version,
-    routes: Array.from({ length: routes }, (_item, index) => createRoute(index)),
-    services: [{ name: 'large-models', connectionLimit: 370, engine: undefined }],
-    organisations: [],
-    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-  };
+const createSubmitted = (version: number, count: number): SubmittedConfig => {
+  const routes = Array.from({ length: count }, (_item, index) =>
+    createRoute(`route-${index}`, `/path-${index}/`),
+  );
+  const config = createConfig(version, { routes });
   return { config, source: JSON.stringify(config) };
 };
 
--- a/src/node/routingControl/configArchive.ts
+++ b/src/node/routingControl/configArchive.ts
@@ -28,7 +28,7 @@
 }
 
 const MAX_VERSIONS = 32;
-/** Changed items that earlier versions may hold, beside as many as the latest version has. */
+/** Items that the changes between the retained versions may add, if the latest one has fewer. */
 const MIN_CHANGED_ITEMS = 1_000;
 const DIGEST_CHARACTERS = 22;
 
@@ -65,7 +65,8 @@
 const countItems = ({ routes, services, organisations }: RoutingConfig): number =>
   routes.length + services.length + organisations.length;
 
-// Bounds the memory of the archive by the size of the latest configuration, however much changes.
+// Bounds the memory of the archive by the sizes of the latest and the oldest retained configuration,
+// however much the changes between them add.
 const listRetained = (entries: readonly ArchiveEntry[]): readonly ArchiveEntry[] => {
   const limit = Math.max(MIN_CHANGED_ITEMS, countItems(entries.at(-1)!.config));
   let first = entries.length - 1;
